--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+.DEFAULT_GOAL := help
+VENV ?= .venv
+PYTHON ?= python3.11
+RUN := $(VENV)/bin/python -m
+
+.PHONY: help setup demo test lint format format-check check
+
+help:  ## Show this list.
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+setup: $(VENV)/.installed  ## Make the virtual environment with the locked libraries.
+
+demo: setup  ## Run the main job once, on stand-ins, and say what each step did.
+	$(RUN) standins.demo
+
+test: setup  ## Run all tests.
+	$(RUN) pytest
+
+lint: setup  ## Check the code with the linter.
+	$(RUN) ruff check .
+
+format: setup  ## Rewrite the code with the formatter.
+	$(RUN) ruff format .
+	$(RUN) ruff check --fix .
+
+format-check: setup  ## Check that the formatter would change nothing.
+	$(RUN) ruff format --check .
+
+check: format-check lint test  ## Run all that CI runs.
--- /dev/null
+++ b/bronzerelay/__init__.py
@@ -0,0 +1,1 @@
+"""A database proxy with session consistency."""
--- /dev/null
+++ b/bronzerelay/runtime.py
@@ -0,0 +1,293 @@
+"""The seam to the outside world: time, randomness, tasks, connections."""
+
+import concurrent.futures
+import contextlib
+import random
+import socket
+import ssl
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import urllib3
+
+RECEIVE_BYTES = 65536
+BACKLOG = 1024
+# An idle task's stack stays this small, so that thousands of them fit.
+TASK_STACK_BYTES = 256 * 1024
+
+
+class Address(NamedTuple):
+    """Where a process listens: an IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the address as `host:port`."""
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Return the address that `text` names, or raise ValueError."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{text!r} is not an address of the form HOST:PORT")
+    return Address(host, int(port))
+
+
+class ConnectionLostError(OSError):
+    """The connection ended before the awaited bytes came."""
+
+
+class TaskLimitError(RuntimeError):
+    """All tasks of the runtime are taken; nothing was started."""
+
+
+class Clock:
+    """Milliseconds of the machine's steady clock, and of the wall clock."""
+
+    def now_ms(self) -> float:
+        """Return milliseconds since an arbitrary point; it never goes back."""
+        return time.monotonic() * 1000
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since 1970, for people to read, never to compare."""
+        return int(time.time() * 1000)
+
+    def sleep_ms(self, duration_ms: float) -> None:
+        """Wait for `duration_ms`."""
+        if duration_ms > 0:
+            time.sleep(duration_ms / 1000)
+
+
+class Connection:
+    """A TCP connection with a timeout for each call."""
+
+    def __init__(self, sock: socket.socket, on_close: Callable[["Connection"], None]):
+        self._sock = sock
+        self._on_close = on_close
+
+    def set_timeout(self, timeout_ms: float | None) -> None:
+        """Let each later call wait `timeout_ms` at most; None waits for ever."""
+        self._sock.settimeout(None if timeout_ms is None else timeout_ms / 1000)
+
+    def send(self, data: bytes) -> None:
+        """Send all of `data`, or raise OSError."""
+        self._sock.sendall(data)
+
+    def receive(self, limit: int = RECEIVE_BYTES) -> bytes:
+        """Return the next bytes; b"" says that the other side has closed."""
+        return self._sock.recv(limit)
+
+    def receive_exactly(self, count: int) -> bytes:
+        """Return exactly `count` bytes, or raise ConnectionLostError."""
+        parts = []
+        while count:
+            part = self._sock.recv(count)
+            if not part:
+                raise ConnectionLostError("the other side closed the connection")
+            parts.append(part)
+            count -= len(part)
+        return b"".join(parts)
+
+    def peer_address(self) -> Address:
+        """Return the address of the other side."""
+        name = self._sock.getpeername()
+        return Address(name[0], name[1])
+
+    def close(self) -> None:
+        """Close the connection; a task that waits on it wakes with an error."""
+        # Without the shutdown a task blocked in recv sleeps on for ever, and the
+        # process can't end, since interpreter exit joins the executor's threads.
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+        self._on_close(self)
+
+
+class Listener:
+    """A listening TCP port."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        adopt: Callable[[socket.socket], Connection],
+        tls: Callable[[], ssl.SSLContext] | None,
+    ):
+        self._sock = sock
+        self._adopt = adopt
+        self._tls = tls
+        self.address = Address(*sock.getsockname()[:2])
+
+    def accept(self) -> Connection:
+        """Return the next connection; raise OSError once the listener is closed.
+
+        With TLS the handshake is left to the first send or receive, so that a
+        slow caller holds up only its own task.
+        """
+        sock, _ = self._sock.accept()
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._tls is not None:
+            sock = self._tls().wrap_socket(
+                sock, server_side=True, do_handshake_on_connect=False
+            )
+        return self._adopt(sock)
+
+    def close(self) -> None:
+        """Stop listening and wake the task that waits in `accept`."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+
+class Runtime:
+    """All that a process needs of the world outside; tests hand in another one."""
+
+    def __init__(self, task_limit: int = 256, seed: int | None = None):
+        self.clock = Clock()
+        self.random = random.Random(seed)
+        self.task_limit = task_limit
+        threading.stack_size(TASK_STACK_BYTES)
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            max_workers=task_limit, thread_name_prefix="task"
+        )
+        self._lock = threading.Lock()
+        self._running = 0
+        self._connections: set[Connection] = set()
+        self._listeners: set[Listener] = set()
+        self._stopping = threading.Event()
+
+    # Tasks
+
+    def start(
+        self, function: Callable[..., Any], *args: Any
+    ) -> concurrent.futures.Future:
+        """Start `function(*args)` as a task of its own and return its future.
+
+        Raise TaskLimitError when every task is taken. An executor would queue the
+        call without a word, and a caller would wait for a task that never comes.
+        """
+        with self._lock:
+            if self._running >= self.task_limit:
+                raise TaskLimitError(f"all {self.task_limit} tasks are taken")
+            self._running += 1
+        try:
+            return self._executor.submit(self._run, function, args)
+        except RuntimeError:
+            with self._lock:
+                self._running -= 1
+            raise
+
+    def _run(self, function: Callable[..., Any], args: tuple) -> Any:
+        try:
+            return function(*args)
+        finally:
+            with self._lock:
+                self._running -= 1
+
+    def running_tasks(self) -> int:
+        """Return how many tasks run now."""
+        with self._lock:
+            return self._running
+
+    def make_lock(self) -> threading.Lock:
+        """Return a new lock."""
+        return threading.Lock()
+
+    def make_condition(self) -> threading.Condition:
+        """Return a new condition with a lock of its own."""
+        return threading.Condition()
+
+    def make_event(self) -> threading.Event:
+        """Return a new event."""
+        return threading.Event()
+
+    def wait_for(
+        self,
+        condition: threading.Condition,
+        predicate: Callable[[], Any],
+        timeout_ms: float,
+    ) -> Any:
+        """Wait, the condition held, until `predicate` is true or time is up.
+
+        Return the last value of `predicate`.
+        """
+        return condition.wait_for(predicate, max(0.0, timeout_ms) / 1000)
+
+    def sleep_ms(self, duration_ms: float) -> bool:
+        """Wait for `duration_ms`; return False at once when the process stops."""
+        return not self._stopping.wait(max(0.0, duration_ms) / 1000)
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the process has begun to end."""
+        return self._stopping.is_set()
+
+    # Connections
+
+    def dial(
+        self,
+        address: Address,
+        timeout_ms: float,
+        tls: ssl.SSLContext | None = None,
+        server_name: str = "",
+    ) -> Connection:
+        """Return a connection to `address`, or raise OSError within the timeout."""
+        sock = socket.create_connection(address, timeout_ms / 1000)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if tls is not None:
+            sock = tls.wrap_socket(sock, server_hostname=server_name or address.host)
+        return self._adopt(sock)
+
+    def listen(
+        self, address: Address, tls: Callable[[], ssl.SSLContext] | None = None
+    ) -> Listener:
+        """Return a listener on `address`; port 0 takes a free one."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+        listener = Listener(sock, self._adopt, tls)
+        with self._lock:
+            self._listeners.add(listener)
+        return listener
+
+    def open_http(self, address: Address, pool_size: int) -> urllib3.HTTPConnectionPool:
+        """Return a pool of HTTP connections that never retries by itself."""
+        return urllib3.HTTPConnectionPool(
+            address.host, address.port, maxsize=pool_size, block=False, retries=False
+        )
+
+    def _adopt(self, sock: socket.socket) -> Connection:
+        connection = Connection(sock, self._forget)
+        with self._lock:
+            self._connections.add(connection)
+        return connection
+
+    def _forget(self, connection: Connection) -> None:
+        with self._lock:
+            self._connections.discard(connection)
+
+    # The end
+
+    def close(self, deadline_ms: float) -> bool:
+        """Close every socket, then wait for the tasks; return whether all ended.
+
+        Sockets go first: a task that waits for bytes would otherwise hold up the
+        end of the process, because interpreter exit joins all tasks.
+        """
+        self._stopping.set()
+        with self._lock:
+            listeners = list(self._listeners)
+            connections = list(self._connections)
+        for listener in listeners:
+            listener.close()
+        for connection in connections:
+            connection.close()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+        end_ms = self.clock.now_ms() + deadline_ms
+        while self.running_tasks() and self.clock.now_ms() < end_ms:
+            self.clock.sleep_ms(5)
+        return self.running_tasks() == 0
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and trials only."""
