--- /dev/null
+++ b/bronzerelay/configuration.py
@@ -0,0 +1,84 @@
+"""The configuration in force at this daemon; its version never goes back."""
+
+from collections.abc import Callable
+
+from expression import Ok, Result
+
+from bronzerelay.bundle import compile_bundle, digest_bundle
+from bronzerelay.codes import Code, Refusal, refuse
+from bronzerelay.keys import hash_key
+from bronzerelay.runtime import Runtime
+from bronzerelay.types import ConfigRecord, Configuration, GroupSpec, WorkspaceSpec
+
+
+class ConfigurationStore:
+    """Holds the record in force and tells others when it changes."""
+
+    def __init__(self, runtime: Runtime):
+        self._lock = runtime.make_lock()
+        self._record: ConfigRecord | None = None
+        self._current: Configuration | None = None
+        self._on_change: list[Callable[[Configuration], None]] = []
+
+    @property
+    def current(self) -> Configuration | None:
+        """Return the configuration in force, or None before the first."""
+        return self._current
+
+    @property
+    def record(self) -> ConfigRecord | None:
+        """Return the record in force as peers pass it on, or None."""
+        return self._record
+
+    @property
+    def version(self) -> int:
+        """Return the version in force; 0 before the first."""
+        return self._current.version if self._current else 0
+
+    def call_on_change(self, function: Callable[[Configuration], None]) -> None:
+        """Call `function` with each configuration that comes into force."""
+        self._on_change.append(function)
+
+    def accept(self, record: ConfigRecord) -> bool:
+        """Put `record` in force if its version is higher; return whether it was.
+
+        An old watch may answer late, and a peer may be behind. Taking their word
+        would bring a withdrawn key back, so that only a higher version counts.
+        """
+        if digest_bundle(record["bundle"]) != record["digest"]:
+            return False
+        compiled = compile_bundle(record)
+        with self._lock:
+            if compiled.version <= self.version:
+                return False
+            self._record = record
+            self._current = compiled
+            for function in self._on_change:
+                function(compiled)
+        return True
+
+    # What a request needs
+
+    def check_key(self, workspace: str, key: str) -> Result[WorkspaceSpec, Refusal]:
+        """Return the workspace if `key` is one of its own in force."""
+        current = self._current
+        if current is None:
+            return refuse(Code.NO_CONFIGURATION, "No configuration is in force.", 1000)
+        if not key:
+            return refuse(Code.KEY_MISSING, "The request carries no key.")
+        spec = current.workspaces.get(workspace)
+        if spec is None:
+            return refuse(Code.WORKSPACE_UNKNOWN, f"There is no {workspace!r}.")
+        if hash_key(key) not in spec.key_hashes:
+            message = f"The key is not one of workspace {workspace!r}, or no longer."
+            return refuse(Code.KEY_REJECTED, message)
+        return Ok(spec)
+
+    def find_group(self, workspace: WorkspaceSpec, group: str) -> Result:
+        """Return the GroupSpec of `group` if the workspace may use it."""
+        current = self._current
+        if current is None or group not in workspace.groups:
+            message = f"Workspace {workspace.name!r} may use no group {group!r}."
+            return refuse(Code.GROUP_UNKNOWN, message)
+        spec: GroupSpec = current.groups[group]
+        return Ok(spec)
--- /dev/null
+++ b/bronzerelay/groups.py
@@ -0,0 +1,197 @@
+"""The groups that this daemon serves, made when they are first needed."""
+
+from typing import Any, NamedTuple
+
+from bronzerelay.failover import GroupKeeper, Outcome
+from bronzerelay.group import GroupParts, GroupServer
+from bronzerelay.membership import Membership
+from bronzerelay.pool import ConnectionPool
+from bronzerelay.rendezvous import rank
+from bronzerelay.retries import RetryBudget
+from bronzerelay.runtime import Runtime
+from bronzerelay.slots import SlotQueue
+from bronzerelay.types import Configuration, EndpointSpec, GroupSpec
+from bronzerelay.watch import GroupWatch
+
+# A daemon that got a group's statement as a stand-in keeps the group this long.
+KEEP_MS = 10_000
+# For this long after such a statement it also promotes, as the serving daemon does.
+SERVE_MS = 2_000
+TEND_MS = 200
+# The part of an instance's connections that one serving daemon opens. Two daemons may
+# take themselves for the serving one while they see the fleet differently.
+CONNECTION_PART = 0.5
+
+
+class GroupSettings(NamedTuple):
+    """How groups are served; times are milliseconds."""
+
+    name: str
+    queue_limit: int
+    status_wait_ms: int
+    statement_timeout_ms: int
+
+
+class Served(NamedTuple):
+    """A group with the time of its last use, in a list so that it can change."""
+
+    server: GroupServer
+    used_at_ms: list[float]
+
+
+class Groups:
+    """All groups that this daemon has made a server for."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        settings: GroupSettings,
+        membership: Membership,
+        open_link: Any,
+        metrics: Any,
+        log: Any,
+    ):
+        self._runtime = runtime
+        self._settings = settings
+        self._membership = membership
+        self._open_link = open_link
+        self._metrics = metrics
+        self._log = log
+        self._lock = runtime.make_lock()
+        self._served: dict[str, Served] = {}
+        self._specs: dict[str, GroupSpec] = {}
+
+    def rank_daemons(self, group: str) -> list[str]:
+        """Return the live daemons, the one that serves `group` first."""
+        return rank(f"group/{group}", self._membership.alive_names())
+
+    def _is_first(self, group: str) -> bool:
+        return self.rank_daemons(group)[:1] == [self._settings.name]
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take over the groups of a new configuration."""
+        with self._lock:
+            self._specs = configuration.groups
+            for name in set(self._served) - set(self._specs):
+                self._stop(name)
+            for name, served in self._served.items():
+                self._apply_spec(served.server.parts, self._specs[name])
+
+    def find(self, group: str, now_used: bool = True) -> GroupServer | None:
+        """Return the server of `group`, made if need be; None if it isn't known."""
+        now_ms = self._runtime.clock.now_ms()
+        with self._lock:
+            served = self._served.get(group)
+            if served is None:
+                spec = self._specs.get(group)
+                if spec is None:
+                    return None
+                served = Served(self._make(spec), [0.0])
+                self._served[group] = served
+            if now_used:
+                served.used_at_ms[0] = now_ms
+            return served.server
+
+    def tend(self) -> None:
+        """Make the groups that this daemon is to serve, and drop unused ones."""
+        while self._runtime.sleep_ms(TEND_MS):
+            for group in list(self._specs):
+                if self._is_first(group):
+                    self.find(group)
+            self._drop_unused()
+
+    def _drop_unused(self) -> None:
+        oldest_ms = self._runtime.clock.now_ms() - KEEP_MS
+        with self._lock:
+            for name, served in list(self._served.items()):
+                if served.used_at_ms[0] < oldest_ms:
+                    self._stop(name)
+
+    def _stop(self, name: str) -> None:
+        parts = self._served.pop(name).server.parts
+        parts.keeper.stop()
+        parts.watch.stop()
+        for pool in parts.pools.values():
+            pool.close()
+
+    def _is_serving(self, group: str) -> bool:
+        if self._is_first(group):
+            return True
+        served = self._served.get(group)
+        now_ms = self._runtime.clock.now_ms()
+        return served is not None and now_ms - served.used_at_ms[0] < SERVE_MS
+
+    def _make(self, spec: GroupSpec) -> GroupServer:
+        watch = GroupWatch(
+            self._runtime, spec, self._open_watched, self._settings.status_wait_ms
+        )
+
+        def is_serving() -> bool:
+            return self._is_serving(spec.name)
+
+        def note_outcome(outcome: Outcome) -> None:
+            self._note_outcome(spec.name, outcome)
+
+        keeper = GroupKeeper(
+            self._runtime, watch, self._open_watched, is_serving, note_outcome
+        )
+        slots = SlotQueue(self._runtime, self._settings.queue_limit)
+        parts = GroupParts(watch, keeper, slots, {}, RetryBudget(self._runtime))
+        self._apply_spec(parts, spec)
+        watch.call_on_change(slots.wake)
+        self._runtime.start(keeper.run)
+        return GroupServer(
+            self._runtime, parts, self._metrics, self._settings.statement_timeout_ms
+        )
+
+    def _open_watched(self, spec: EndpointSpec, kind: str, timeout_ms: float) -> Any:
+        return self._open_link(
+            self._runtime, spec, self._settings.name, kind, timeout_ms
+        )
+
+    def _open_pooled(self, spec: EndpointSpec, timeout_ms: float) -> Any:
+        return self._open_watched(spec, "work", timeout_ms)
+
+    def _apply_spec(self, parts: GroupParts, spec: GroupSpec) -> None:
+        parts.watch.set_spec(spec)
+        parts.slots.set_endpoints({one.name: one.slots for one in spec.endpoints})
+        wanted = {one.name: one for one in spec.endpoints}
+        for name in list(parts.pools):
+            if wanted.get(name) != parts.pools[name].spec:
+                parts.pools.pop(name).close()
+        for name, endpoint in wanted.items():
+            if name not in parts.pools:
+                limit = max(1, int(endpoint.connections * CONNECTION_PART))
+                parts.pools[name] = ConnectionPool(
+                    self._runtime, endpoint, self._open_pooled, limit
+                )
+
+    def _note_outcome(self, group: str, outcome: Outcome) -> None:
+        event = "promotion_done" if outcome.primary else "promotion_failed"
+        self._metrics.count_event(event)
+        self._log.warning(
+            "A promotion was tried.", extra=outcome._asdict() | {"group": group}
+        )
+
+    def show(self) -> dict[str, Any]:
+        """Return what is known of each served group, for the status page."""
+        with self._lock:
+            served = dict(self._served)
+        return {name: _show_group(one.server) for name, one in served.items()}
+
+
+def _show_group(server: GroupServer) -> dict[str, Any]:
+    watch = server.parts.watch
+    return {
+        "primary": watch.primary(),
+        "term": watch.highest_term(),
+        "endpoints": {
+            name: {
+                "role": state.role,
+                "term": state.term,
+                "position": state.position,
+                "reachable": state.reachable,
+            }
+            for name, state in dict(watch.states).items()
+        },
+    }
--- /dev/null
+++ b/bronzerelay/kernel.py
@@ -0,0 +1,314 @@
+"""The kernel: takes a caller's request from its key to its answer."""
+
+from typing import Any
+
+import msgspec
+from expression import Ok, Result
+
+from bronzerelay.codes import CODES, NOT_RUN, RAN, UNKNOWN, Code, Refusal, refuse
+from bronzerelay.configuration import ConfigurationStore
+from bronzerelay.group import Work
+from bronzerelay.groups import Groups
+from bronzerelay.membership import Membership
+from bronzerelay.peerlink.ttypes import (
+    LoanCall,
+    LoanReply,
+    Record,
+    StatementCall,
+    StatementReply,
+)
+from bronzerelay.peers import PeerLinks
+from bronzerelay.runtime import Runtime
+from bronzerelay.sessions import Session, decode_session
+from bronzerelay.shares import Loan, Shares
+from bronzerelay.spread import Spreader
+from bronzerelay.transactions import Transactions, daemon_of
+from bronzerelay.types import StatementAnswer, StatementRequest
+
+# How many daemons are tried for a request that the first ones didn't run.
+DAEMONS_TRIED = 3
+LOAN_TIMEOUT_MS = 150
+WRITE_ID_BYTES = 12
+STOP_RETRY_MS = 50
+ISOLATED_RETRY_MS = 1000
+# A reply needs this long on top of what the serving daemon may take.
+REPLY_MARGIN_MS = 100
+# Refusals after which another daemon may do better: nothing ran, and the cause lies
+# with the daemon or its view of the group.
+ELSEWHERE_CODES = {Code.ENDPOINT_UNREACHABLE, Code.STOPPING, Code.GROUP_UNKNOWN}
+
+_request_decoder = msgspec.json.Decoder(StatementRequest)
+_answer_decoder = msgspec.json.Decoder(StatementAnswer)
+
+
+class Kernel:
+    """Admits requests, spends the workspace's rate, and routes to the group."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        settings: Any,
+        store: ConfigurationStore,
+        membership: Membership,
+        links: PeerLinks,
+        spreader: Spreader,
+        groups: Groups,
+        transactions: Transactions,
+        metrics: Any,
+    ):
+        self._runtime = runtime
+        self._settings = settings
+        self._store = store
+        self._membership = membership
+        self._links = links
+        self._spreader = spreader
+        self._groups = groups
+        self._transactions = transactions
+        self._metrics = metrics
+        self.shares = Shares(runtime, settings.name, self._ask_for_loan)
+        self.stopping = False
+
+    # Admission
+
+    def check_admission(self) -> Result[None, Refusal]:
+        """Return Ok when this daemon may run requests now."""
+        if self.stopping:
+            message = "The daemon is stopping."
+            return refuse(Code.STOPPING, message, STOP_RETRY_MS)
+        if self._store.current is None:
+            message = "No configuration is in force yet."
+            return refuse(Code.NO_CONFIGURATION, message, ISOLATED_RETRY_MS)
+        if self._membership.is_isolated():
+            message = "Neither the platform nor most daemons can be reached."
+            return refuse(Code.ISOLATED, message, ISOLATED_RETRY_MS)
+        return Ok(None)
+
+    def run_statement(
+        self, workspace: str, key: str, request: StatementRequest, request_id: str
+    ) -> Result[StatementAnswer, Refusal]:
+        """Run a caller's request, or say why not and whether it ran."""
+        started_ms = self._runtime.clock.now_ms()
+        result = self._admit_and_run(workspace, key, request)
+        if result.is_ok():
+            took_ms = self._runtime.clock.now_ms() - started_ms
+            self._metrics.record_latency(workspace, request["group"], took_ms)
+        return result
+
+    def _admit_and_run(
+        self, workspace: str, key: str, request: StatementRequest
+    ) -> Result[StatementAnswer, Refusal]:
+        # A transaction that is open may end while the daemon stops; it cuts none.
+        admitted = self.check_admission()
+        if not admitted.is_ok() and not self._may_end(admitted.error, request):
+            return admitted
+        checked = self._store.check_key(workspace, key)
+        if not checked.is_ok():
+            return checked
+        found = self._store.find_group(checked.ok, request["group"])
+        if not found.is_ok():
+            return found
+        session = decode_session(request.get("session", ""))
+        if not session.is_ok():
+            return session
+        # Ending a transaction is free: refusing it would only hold what it holds.
+        if request.get("action") not in ("commit", "rollback"):
+            spent = self.shares.spend(workspace)
+            if not spent.is_ok():
+                return spent
+        return self._route(self._make_work(workspace, request, session.ok))
+
+    def _may_end(self, refusal: Refusal, request: StatementRequest) -> bool:
+        return refusal.code == Code.STOPPING and "transaction" in request
+
+    def _make_work(
+        self, workspace: str, request: StatementRequest, session: Session
+    ) -> Work:
+        limit_ms = self._settings.max_deadline_ms
+        asked_ms = request.get("deadline_ms", self._settings.default_deadline_ms)
+        deadline_ms = self._runtime.clock.now_ms() + min(asked_ms, limit_ms)
+        # The caller's request id may repeat; the id of a write never does.
+        write_id = self._runtime.random.randbytes(WRITE_ID_BYTES).hex()
+        return Work(write_id, workspace, request, session, deadline_ms)
+
+    # Routing
+
+    def _route(self, work: Work) -> Result[StatementAnswer, Refusal]:
+        if "transaction" in work.request:
+            return self._run_at(daemon_of(work.request["transaction"]), work, False)
+        result: Result = refuse(
+            Code.PEER_UNREACHABLE, "No daemon serves the group.", ISOLATED_RETRY_MS
+        )
+        settle = False
+        for daemon in self._groups.rank_daemons(work.group)[:DAEMONS_TRIED]:
+            result = self._run_at(daemon, work, settle)
+            if result.is_ok():
+                return result
+            if self._was_lost(result.error, work):
+                # Reads may run twice. A write may not: from now on the next daemons
+                # only find out what became of it.
+                settle = settle or _is_write(work)
+                self._metrics.count_retry("peer_lost")
+            elif result.error.code in ELSEWHERE_CODES and not settle:
+                self._metrics.count_retry("elsewhere")
+            elif result.error.code != Code.PEER_UNREACHABLE:
+                return result
+            if work.deadline_ms <= self._runtime.clock.now_ms():
+                break
+        if settle:
+            message = "The serving daemon was lost, and the outcome isn't known."
+            return refuse(Code.OUTCOME_UNKNOWN, message, ran=UNKNOWN)
+        return result
+
+    def _was_lost(self, refusal: Refusal, work: Work) -> bool:
+        return refusal.code == Code.PEER_UNREACHABLE and refusal.ran == UNKNOWN
+
+    def _run_at(
+        self, daemon: str, work: Work, settle: bool
+    ) -> Result[StatementAnswer, Refusal]:
+        if daemon == self._membership.name:
+            return self.run_here(work, settle)
+        address = self._membership.address_of(daemon)
+        if address is None:
+            if "transaction" in work.request:
+                message = "The daemon that held the transaction is gone."
+                return refuse(Code.TRANSACTION_LOST, message)
+            return refuse(Code.PEER_UNREACHABLE, f"{daemon} isn't known here.")
+        budget_ms = int(work.deadline_ms - self._runtime.clock.now_ms())
+        call = StatementCall(
+            request_id=work.request_id,
+            workspace=work.workspace,
+            group=work.group,
+            request=msgspec.json.encode(work.request),
+            budget_ms=max(1, budget_ms),
+            settle=settle,
+        )
+        timeout_ms = max(1, budget_ms) + REPLY_MARGIN_MS
+        reply = self._links.call(address, "run_statement", call, timeout_ms)
+        if reply.is_ok():
+            return unpack_reply(reply.ok)
+        return self._judge_lost(daemon, work, reply.error)
+
+    def _judge_lost(self, daemon: str, work: Work, error: Any) -> Result:
+        if not error.sent:
+            self._membership.mark_unreachable(daemon)
+        action = work.request.get("action", "statement")
+        if "transaction" in work.request and (not error.sent or action != "commit"):
+            message = f"The daemon that held the transaction is lost: {error.message}."
+            return refuse(Code.TRANSACTION_LOST, message)
+        if "transaction" in work.request:
+            return self._settle_elsewhere(work)
+        ran = UNKNOWN if error.sent else NOT_RUN
+        return refuse(Code.PEER_UNREACHABLE, f"{error.message}.", STOP_RETRY_MS, ran)
+
+    def _settle_elsewhere(self, work: Work) -> Result:
+        """Find out at another daemon what became of a commit."""
+        request = {
+            key: work.request[key] for key in work.request if key != "transaction"
+        }
+        bare = work._replace(request={**request, "repeatable": False})
+        for daemon in self._groups.rank_daemons(work.group)[:DAEMONS_TRIED]:
+            result = self._run_at(daemon, bare, True)
+            if result.is_ok() or result.error.code != Code.PEER_UNREACHABLE:
+                return result
+        message = "The daemon was lost during the commit."
+        return refuse(Code.OUTCOME_UNKNOWN, message, ran=UNKNOWN)
+
+    # Serving
+
+    def run_here(self, work: Work, settle: bool) -> Result[StatementAnswer, Refusal]:
+        """Run `work` on the group from this daemon."""
+        group = self._groups.find(work.group)
+        if group is None:
+            message = f"{self._membership.name} doesn't know group {work.group!r}."
+            return refuse(Code.GROUP_UNKNOWN, message)
+        group.parts.budget.note_request()
+        if settle:
+            return group.settle(work, 1)
+        if "transaction" in work.request:
+            return self._transactions.run(work)
+        if work.request.get("action") == "begin":
+            return self._transactions.begin(group, work)
+        if _is_write(work):
+            return group.write(work)
+        return group.read(work)
+
+    # What peers call
+
+    def beat(self, beat: Any) -> Any:
+        """Answer a heartbeat with what this daemon knows."""
+        return self._spreader.make_beat()
+
+    def run_statement_call(self, call: StatementCall) -> StatementReply:
+        """Run a statement that a peer forwarded; it is never forwarded again."""
+        request = _request_decoder.decode(call.request)
+        session = decode_session(request.get("session", "")).ok
+        deadline_ms = self._runtime.clock.now_ms() + call.budget_ms
+        work = Work(call.request_id, call.workspace, request, session, deadline_ms)
+        return pack_reply(self.run_here(work, bool(call.settle)))
+
+    def lend(self, call: LoanCall) -> LoanReply:
+        """Lend a peer tokens of a workspace."""
+        loan = self.shares.lend(call.workspace, call.amount)
+        return LoanReply(amount=loan.amount, spare=loan.spare)
+
+    def fetch_config(self, known_version: int) -> Record:
+        """Give a peer the configuration in force."""
+        return self._spreader.give_config(known_version)
+
+    def fetch_roster(self, known_epoch: int) -> Record:
+        """Give a peer the roster."""
+        return self._spreader.give_roster(known_epoch)
+
+    def _ask_for_loan(self, lender: str, workspace: str, amount: float) -> Loan | None:
+        address = self._membership.address_of(lender)
+        if address is None or not self._membership.is_alive(lender):
+            return None
+        call = LoanCall(
+            borrower=self._membership.name, workspace=workspace, amount=amount
+        )
+        reply = self._links.call(address, "lend", call, LOAN_TIMEOUT_MS)
+        if not reply.is_ok():
+            self._metrics.count_retry("loan_lost")
+            return None
+        return Loan(reply.ok.amount, reply.ok.spare)
+
+
+def _is_write(work: Work) -> bool:
+    statement = work.request.get("statement")
+    return statement is not None and statement["verb"] != "get"
+
+
+class PeerHandler:
+    """The kernel under the names of the thrift service."""
+
+    def __init__(self, kernel: Kernel):
+        self.beat = kernel.beat
+        self.run_statement = kernel.run_statement_call
+        self.lend = kernel.lend
+        self.fetch_config = kernel.fetch_config
+        self.fetch_roster = kernel.fetch_roster
+
+
+def pack_reply(result: Result[StatementAnswer, Refusal]) -> StatementReply:
+    """Return `result` as it travels between daemons."""
+    if result.is_ok():
+        answer = msgspec.json.encode(result.ok)
+        return StatementReply(
+            code=Code.OK, ran=RAN, message="", retry_after_ms=0, answer=answer
+        )
+    refusal = result.error
+    return StatementReply(
+        code=refusal.code,
+        ran=refusal.ran,
+        message=refusal.message,
+        retry_after_ms=refusal.retry_after_ms,
+        answer=b"",
+    )
+
+
+def unpack_reply(reply: StatementReply) -> Result[StatementAnswer, Refusal]:
+    """Return the result that a peer sent; an unknown code is an internal error."""
+    if reply.code == Code.OK:
+        return Ok(_answer_decoder.decode(reply.answer))
+    code = Code(reply.code) if reply.code in CODES else Code.INTERNAL_ERROR
+    return refuse(code, reply.message, reply.retry_after_ms, reply.ran)
--- /dev/null
+++ b/bronzerelay/membership.py
@@ -0,0 +1,242 @@
+"""Who is alive: views of all daemons, spread by heartbeats between peers."""
+
+from typing import NamedTuple
+
+from bronzerelay.peerlink.ttypes import MemberView
+from bronzerelay.runtime import Address, Runtime, parse_address
+from bronzerelay.types import Roster
+
+# An age that says "never"; it stays below the i64 of the heartbeat.
+NEVER_MS = 10**12
+
+
+class View(NamedTuple):
+    """What this daemon knows of another one; times are of the own clock."""
+
+    beat: int = -1
+    applied_epoch: int = 0
+    config_version: int = 0
+    heard_at_ms: float = -NEVER_MS
+    platform_at_ms: float = -NEVER_MS
+    stopping: bool = False
+
+
+class MembershipSettings(NamedTuple):
+    """How fast silence is taken for death, and for being cut off."""
+
+    name: str
+    suspect_ms: int = 700
+    isolation_ms: int = 3000
+
+
+class Membership:
+    """The roster in force and the freshest view of each member.
+
+    A view is fresh only by the own clock: it counts from the moment at which the
+    request was sent whose reply brought it. A beat that comes in says nothing about
+    its age; a daemon that was frozen reads old ones and would take them for new.
+    """
+
+    def __init__(self, runtime: Runtime, settings: MembershipSettings):
+        self._runtime = runtime
+        self._settings = settings
+        self._lock = runtime.make_lock()
+        self._views: dict[str, View] = {}
+        self._unreachable: dict[str, float] = {}
+        self._roster: Roster = {"epoch": 0, "members": []}
+        self._addresses: dict[str, Address] = {}
+        self._own = View(beat=0)
+
+    @property
+    def name(self) -> str:
+        """Return the daemon's own name."""
+        return self._settings.name
+
+    # The own view
+
+    def note_platform(self, sent_at_ms: float) -> None:
+        """Note that a request sent to the platform at `sent_at_ms` was answered."""
+        with self._lock:
+            latest = max(self._own.platform_at_ms, sent_at_ms)
+            self._own = self._own._replace(platform_at_ms=latest)
+
+    def note_config(self, version: int) -> None:
+        """Note the version of the configuration that is in force here."""
+        with self._lock:
+            self._own = self._own._replace(config_version=version)
+
+    def note_applied(self, epoch: int) -> None:
+        """Note the roster epoch whose shares are in force here."""
+        with self._lock:
+            self._own = self._own._replace(applied_epoch=epoch)
+
+    def note_stopping(self) -> None:
+        """Tell peers from now on that this daemon is stopping."""
+        with self._lock:
+            self._own = self._own._replace(stopping=True)
+
+    # Heartbeats
+
+    def make_views(self) -> list[MemberView]:
+        """Return the own view and all known ones, ages counted from now."""
+        now_ms = self._runtime.clock.now_ms()
+        with self._lock:
+            self._own = self._own._replace(beat=self._own.beat + 1, heard_at_ms=now_ms)
+            views = {**self._views, self.name: self._own}
+        return [_pack_view(name, view, now_ms) for name, view in views.items()]
+
+    def merge_reply(self, views: list[MemberView], sent_at_ms: float) -> None:
+        """Take over what a reply says, as of the time its request was sent."""
+        with self._lock:
+            for packed in views:
+                if packed.name == self.name:
+                    continue
+                known = self._views.get(packed.name, View())
+                self._views[packed.name] = _merge_view(known, packed, sent_at_ms)
+
+    def clear_unreachable(self, name: str) -> None:
+        """Trust `name` again, since it replied."""
+        with self._lock:
+            self._unreachable.pop(name, None)
+
+    def mark_unreachable(self, name: str) -> None:
+        """Distrust `name` at once, since it refused a connection."""
+        with self._lock:
+            self._unreachable[name] = self._runtime.clock.now_ms()
+
+    # The roster
+
+    @property
+    def roster(self) -> Roster:
+        """Return the roster with the highest epoch seen."""
+        return self._roster
+
+    def accept_roster(self, roster: Roster) -> bool:
+        """Take over `roster` if its epoch is higher, or newly settled.
+
+        Return whether it was.
+        """
+        with self._lock:
+            known = self._roster
+            if roster["epoch"] < known["epoch"]:
+                return False
+            newly_settled = roster.get("settled") and not known.get("settled")
+            if roster["epoch"] == known["epoch"] and not newly_settled:
+                return False
+            self._roster = roster
+            members = roster["members"]
+            self._addresses = {
+                member["name"]: parse_address(member["address"]) for member in members
+            }
+            for gone in set(self._views) - set(self._addresses):
+                del self._views[gone]
+        return True
+
+    def member_names(self) -> list[str]:
+        """Return the names in the roster."""
+        return list(self._addresses)
+
+    def peer_addresses(self) -> dict[str, Address]:
+        """Return where the other members are reached."""
+        addresses = dict(self._addresses)
+        addresses.pop(self.name, None)
+        return addresses
+
+    def address_of(self, name: str) -> Address | None:
+        """Return where `name` is reached, or None when the roster lacks it."""
+        return self._addresses.get(name)
+
+    def view_of(self, name: str) -> View:
+        """Return the view of `name`; one never heard of is as old as can be."""
+        with self._lock:
+            if name == self.name:
+                return self._own._replace(heard_at_ms=self._runtime.clock.now_ms())
+            return self._views.get(name, View())
+
+    # Judgements
+
+    def is_alive(self, name: str) -> bool:
+        """Return whether `name` was heard of lately and isn't stopping."""
+        if name == self.name:
+            return not self._own.stopping
+        view = self.view_of(name)
+        if view.stopping or name in self._unreachable:
+            return False
+        age_ms = self._runtime.clock.now_ms() - view.heard_at_ms
+        return age_ms <= self._settings.suspect_ms
+
+    def alive_names(self) -> list[str]:
+        """Return the members that are alive; always itself unless it is stopping."""
+        names = {name for name in self._addresses if self.is_alive(name)}
+        if not self._own.stopping:
+            names.add(self.name)
+        return sorted(names)
+
+    def platform_age_ms(self) -> float:
+        """Return how long ago the platform answered any daemon that we hear of."""
+        with self._lock:
+            views = [self._own, *self._views.values()]
+        latest = max(view.platform_at_ms for view in views)
+        return self._runtime.clock.now_ms() - latest
+
+    def is_isolated(self) -> bool:
+        """Return whether a key could be withdrawn without this daemon learning it.
+
+        It is safe when the platform answered somebody that we hear of, or when we
+        hear of most of the roster and none of them gets an answer: then the platform
+        itself is out and nothing new can be accepted. A daemon that hears of fewer
+        may be on the small side of a cut and would go on honouring withdrawn keys.
+        """
+        limit_ms = self._settings.isolation_ms
+        if self.platform_age_ms() <= limit_ms:
+            return False
+        names = self.member_names()
+        if not names:
+            return True
+        oldest_ms = self._runtime.clock.now_ms() - limit_ms
+        heard = [name for name in names if self.view_of(name).heard_at_ms >= oldest_ms]
+        return len(heard) * 2 <= len(names)
+
+    def all_applied(self, epoch: int) -> bool:
+        """Return whether each member is known to have applied `epoch` or later."""
+        if self._roster["epoch"] == epoch and self._roster.get("settled"):
+            return True
+        names = self.member_names()
+        return all(self.view_of(name).applied_epoch >= epoch for name in names)
+
+    def newest_config(self) -> tuple[int, str]:
+        """Return the highest configuration version of a peer, and that peer."""
+        with self._lock:
+            pairs = [(view.config_version, name) for name, view in self._views.items()]
+        return max(pairs, default=(0, ""))
+
+
+def _pack_view(name: str, view: View, now_ms: float) -> MemberView:
+    return MemberView(
+        name=name,
+        beat=view.beat,
+        applied_epoch=view.applied_epoch,
+        config_version=view.config_version,
+        heard_age_ms=int(min(NEVER_MS, now_ms - view.heard_at_ms)) + 1,
+        platform_age_ms=int(min(NEVER_MS, now_ms - view.platform_at_ms)) + 1,
+        stopping=view.stopping,
+    )
+
+
+def _merge_view(known: View, packed: MemberView, sent_at_ms: float) -> View:
+    heard_at_ms = max(known.heard_at_ms, sent_at_ms - packed.heard_age_ms)
+    platform_at_ms = max(known.platform_at_ms, sent_at_ms - packed.platform_age_ms)
+    ages = known._replace(heard_at_ms=heard_at_ms, platform_at_ms=platform_at_ms)
+    # A restarted daemon counts its beats from zero again, and its newer age tells
+    # it from an old view that took a detour.
+    is_newer = packed.beat > known.beat or (
+        sent_at_ms - packed.heard_age_ms > known.heard_at_ms + 1
+    )
+    if not is_newer:
+        return ages
+    return ages._replace(
+        beat=packed.beat,
+        applied_epoch=packed.applied_epoch,
+        config_version=packed.config_version,
+        stopping=packed.stopping,
+    )
--- a/bronzerelay/peerlink/peer.thrift
+++ b/bronzerelay/peerlink/peer.thrift
@@ -24,6 +24,7 @@
   3: string group
   4: binary request
   5: i64 budget_ms
+  6: bool settle
 }
 
 struct StatementReply {
--- a/bronzerelay/peerlink/ttypes.py
+++ b/bronzerelay/peerlink/ttypes.py
@@ -246,16 +246,18 @@
      - group
      - request
      - budget_ms
+     - settle
 
     """
 
 
-    def __init__(self, request_id=None, workspace=None, group=None, request=None, budget_ms=None,):
+    def __init__(self, request_id=None, workspace=None, group=None, request=None, budget_ms=None, settle=None,):
         self.request_id = request_id
         self.workspace = workspace
         self.group = group
         self.request = request
         self.budget_ms = budget_ms
+        self.settle = settle
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -291,6 +293,11 @@
                     self.budget_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.settle = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -321,6 +328,10 @@
             oprot.writeFieldBegin('budget_ms', TType.I64, 5)
             oprot.writeI64(self.budget_ms)
             oprot.writeFieldEnd()
+        if self.settle is not None:
+            oprot.writeFieldBegin('settle', TType.BOOL, 6)
+            oprot.writeBool(self.settle)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -680,6 +691,7 @@
     (3, TType.STRING, 'group', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'request', 'BINARY', None, ),  # 4
     (5, TType.I64, 'budget_ms', None, None, ),  # 5
+    (6, TType.BOOL, 'settle', None, None, ),  # 6
 )
 all_structs.append(StatementReply)
 StatementReply.thrift_spec = (
--- /dev/null
+++ b/bronzerelay/peers.py
@@ -0,0 +1,289 @@
+"""The links between daemons: authenticated thrift calls over TCP."""
+
+import hashlib
+import hmac
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.Thrift import TException
+from thrift.transport.TTransport import TFramedTransport, TTransportBase
+
+from bronzerelay.peerlink import Peer
+from bronzerelay.runtime import (
+    Address,
+    Connection,
+    Listener,
+    Runtime,
+    TaskLimitError,
+)
+
+NONCE_BYTES = 16
+PROOF_BYTES = 32
+HANDSHAKE_TIMEOUT_MS = 1000
+# Links kept to one peer; more calls at once wait for none, they open new ones.
+KEPT_LINKS = 64
+
+
+class PeerError(NamedTuple):
+    """Why a call to a peer gave no reply.
+
+    `sent` says whether the call may have reached the peer, and so may have run.
+    """
+
+    message: str
+    sent: bool
+
+
+class ConnectionTransport(TTransportBase):
+    """A thrift transport over a connection of the runtime."""
+
+    def __init__(self, connection: Connection):
+        self._connection = connection
+
+    def isOpen(self) -> bool:  # noqa: N802 (thrift's name)
+        """Return True; a closed connection shows at the next call."""
+        return True
+
+    def read(self, size: int) -> bytes:
+        """Return up to `size` bytes; raise EOFError when the peer has closed."""
+        data = self._connection.receive(size)
+        if not data:
+            raise EOFError("the peer closed the link")
+        return data
+
+    def write(self, data: bytes) -> None:
+        """Send `data`."""
+        self._connection.send(data)
+
+    def flush(self) -> None:
+        """Do nothing; each write is sent at once."""
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+
+def make_protocol(connection: Connection) -> TBinaryProtocolAccelerated:
+    """Return the protocol that both ends of a link speak."""
+    return TBinaryProtocolAccelerated(TFramedTransport(ConnectionTransport(connection)))
+
+
+def prove(secret: str, role: str, nonces: bytes) -> bytes:
+    """Return the proof that its sender knows `secret` and plays `role`."""
+    return hmac.digest(secret.encode(), role.encode() + nonces, hashlib.sha256)
+
+
+def greet_server(runtime: Runtime, connection: Connection, secret: str) -> None:
+    """Prove the secret to the server and check its proof; raise OSError if wrong.
+
+    Both sides add a nonce, so that a recorded link can't be played again, and the
+    role is part of the proof, so that a proof can't be sent back to its maker.
+    """
+    own_nonce = runtime.random.randbytes(NONCE_BYTES)
+    nonces = connection.receive_exactly(NONCE_BYTES) + own_nonce
+    connection.send(own_nonce + prove(secret, "client", nonces))
+    proof = connection.receive_exactly(PROOF_BYTES)
+    if not hmac.compare_digest(proof, prove(secret, "server", nonces)):
+        raise ConnectionRefusedError("the peer doesn't know the peer secret")
+
+
+def greet_client(runtime: Runtime, connection: Connection, secret: str) -> bool:
+    """Return whether the client proved the secret, and prove it in turn."""
+    own_nonce = runtime.random.randbytes(NONCE_BYTES)
+    connection.send(own_nonce)
+    nonces = own_nonce + connection.receive_exactly(NONCE_BYTES)
+    proof = connection.receive_exactly(PROOF_BYTES)
+    if not hmac.compare_digest(proof, prove(secret, "client", nonces)):
+        return False
+    connection.send(prove(secret, "server", nonces))
+    return True
+
+
+class PeerServer:
+    """Serves the calls of peers, one task for each link."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        address: Address,
+        secret: str,
+        handler: Any,
+        count_event: Callable[[str], None],
+    ):
+        self._runtime = runtime
+        self._secret = secret
+        self._processor = Peer.Processor(handler)
+        self._count_event = count_event
+        self._listener: Listener = runtime.listen(address)
+        self._active = 0
+        self._idle: set[Connection] = set()
+        self._lock = runtime.make_lock()
+        self._draining = False
+
+    @property
+    def address(self) -> Address:
+        """Return the address that peers dial."""
+        return self._listener.address
+
+    def start(self) -> None:
+        """Start accepting links."""
+        self._runtime.start(self._accept)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection = self._listener.accept()
+            except OSError:
+                return
+            try:
+                self._runtime.start(self._serve, connection)
+            except (TaskLimitError, RuntimeError):
+                self._count_event("peer_link_refused")
+                connection.close()
+
+    def _serve(self, connection: Connection) -> None:
+        try:
+            connection.set_timeout(HANDSHAKE_TIMEOUT_MS)
+            if not greet_client(self._runtime, connection, self._secret):
+                self._count_event("peer_rejected")
+                return
+            self._answer_calls(connection)
+        except (OSError, EOFError, TException):
+            # The peer went away or spoke nonsense; the link ends and the peer
+            # sees that as a lost call.
+            return
+        finally:
+            with self._lock:
+                self._idle.discard(connection)
+            connection.close()
+
+    def _answer_calls(self, connection: Connection) -> None:
+        connection.set_timeout(None)
+        protocol = make_protocol(connection)
+        while self._wait_for_call(connection, protocol):
+            try:
+                self._processor.process(protocol, protocol)
+            finally:
+                with self._lock:
+                    self._active -= 1
+
+    def _wait_for_call(self, connection: Connection, protocol: Any) -> bool:
+        """Return True once a call has begun to arrive, counted as active."""
+        with self._lock:
+            if self._draining:
+                return False
+            self._idle.add(connection)
+        protocol.trans.readFrame()
+        with self._lock:
+            self._idle.discard(connection)
+            self._active += 1
+        return True
+
+    def drain(self, deadline_ms: float) -> bool:
+        """Finish the calls that run, end idle links; return whether all ended.
+
+        A peer whose link ends here had no call on it, so it loses nothing.
+        """
+        self._listener.close()
+        end_ms = self._runtime.clock.now_ms() + deadline_ms
+        while self._runtime.clock.now_ms() < end_ms:
+            with self._lock:
+                if not self._active:
+                    break
+            self._runtime.clock.sleep_ms(5)
+        with self._lock:
+            self._draining = True
+            idle = list(self._idle)
+            ended = self._active == 0
+        for connection in idle:
+            connection.close()
+        return ended
+
+
+class PeerLink(NamedTuple):
+    """An authenticated link with its thrift client."""
+
+    connection: Connection
+    client: Peer.Client
+
+
+class PeerLinks:
+    """The links to all peers; a link carries one call at a time."""
+
+    def __init__(self, runtime: Runtime, secret: str):
+        self._runtime = runtime
+        self._secret = secret
+        self._lock = runtime.make_lock()
+        self._kept: dict[Address, list[PeerLink]] = {}
+        self._used: dict[Address, set[Connection]] = {}
+
+    def call(
+        self, address: Address, method: str, argument: Any, timeout_ms: float
+    ) -> Result[Any, PeerError]:
+        """Call `method` of the peer; return its reply or why there is none."""
+        try:
+            link = self._take(address, timeout_ms)
+        except (OSError, EOFError) as error:
+            return Error(PeerError(f"{address} can't be reached: {error}", sent=False))
+        self._note_used(address, link)
+        try:
+            link.connection.set_timeout(max(1.0, timeout_ms))
+            reply = getattr(link.client, method)(argument)
+        except (OSError, EOFError, TException) as error:
+            link.connection.close()
+            return Error(PeerError(f"{address} gave no reply: {error}", sent=True))
+        finally:
+            with self._lock:
+                self._used[address].discard(link.connection)
+        self._keep(address, link)
+        return Ok(reply)
+
+    def _note_used(self, address: Address, link: PeerLink) -> None:
+        with self._lock:
+            self._used.setdefault(address, set()).add(link.connection)
+
+    def drop(self, address: Address) -> None:
+        """Close all links to a peer that is suspected, also those in a call.
+
+        A frozen peer keeps its connections open. Its callers would wait until their
+        deadlines, where the next daemon could have settled the matter long ago.
+        """
+        with self._lock:
+            connections = list(self._used.get(address, ()))
+            kept = self._kept.pop(address, [])
+        for connection in connections + [link.connection for link in kept]:
+            connection.close()
+
+    def _take(self, address: Address, timeout_ms: float) -> PeerLink:
+        while True:
+            with self._lock:
+                kept = self._kept.get(address)
+                link = kept.pop() if kept else None
+            if link is None:
+                return self._open(address, timeout_ms)
+            # A peer that has restarted left a dead link behind. A call sent on it
+            # would count as one that may have run; a look first avoids the doubt.
+            if not link.connection.has_ended():
+                return link
+            link.connection.close()
+
+    def _open(self, address: Address, timeout_ms: float) -> PeerLink:
+        wait_ms = min(timeout_ms, HANDSHAKE_TIMEOUT_MS)
+        connection = self._runtime.dial(address, max(1.0, wait_ms))
+        try:
+            connection.set_timeout(wait_ms)
+            greet_server(self._runtime, connection, self._secret)
+        except OSError:
+            connection.close()
+            raise
+        return PeerLink(connection, Peer.Client(make_protocol(connection)))
+
+    def _keep(self, address: Address, link: PeerLink) -> None:
+        with self._lock:
+            kept = self._kept.setdefault(address, [])
+            if len(kept) < KEPT_LINKS:
+                kept.append(link)
+                return
+        link.connection.close()
--- /dev/null
+++ b/bronzerelay/platformwatch.py
@@ -0,0 +1,97 @@
+"""The watches on the platform, kept by a few daemons for all."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from bronzerelay.codes import Code
+from bronzerelay.configuration import ConfigurationStore
+from bronzerelay.membership import Membership
+from bronzerelay.rendezvous import rank
+from bronzerelay.roster import ROSTER_KEY
+from bronzerelay.runtime import Runtime
+from bronzerelay.spread import Spreader
+from bronzerelay.types import ConfigRecord, Roster
+
+CONFIG_KEY = "config/current"
+# This many daemons watch; the others learn from heartbeats. The calls at the
+# platform so stay the same however many daemons there are.
+WATCHERS = 3
+WATCH_MS = 1000
+IDLE_MS = 200
+RETRY_MS = 250
+
+
+class PlatformWatch:
+    """Watches configuration and roster while this daemon is one of the few."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        key_value: Any,
+        membership: Membership,
+        store: ConfigurationStore,
+        spreader: Spreader,
+        log: Any,
+    ):
+        self._runtime = runtime
+        self._key_value = key_value
+        self._membership = membership
+        self._store = store
+        self._spreader = spreader
+        self._log = log
+
+    def start(self) -> None:
+        """Start both watches, each as a task of its own."""
+        self._runtime.start(
+            self._watch, CONFIG_KEY, self._accept_config, self._membership.note_platform
+        )
+        # Only an answer about the configuration proves that no key was withdrawn.
+        self._runtime.start(
+            self._watch, ROSTER_KEY, self._accept_roster, lambda sent_at_ms: None
+        )
+
+    def _accept_config(self, value: Any) -> None:
+        self._store.accept(msgspec.convert(value, ConfigRecord))
+
+    def _accept_roster(self, value: Any) -> None:
+        self._spreader.accept_roster(msgspec.convert(value, Roster))
+
+    def _is_watcher(self) -> bool:
+        """Return whether it is this daemon's turn, or it knows of nobody else's."""
+        if self._store.version == 0:
+            return True
+        alive = self._membership.alive_names()
+        return self._membership.name in rank("platform", alive)[:WATCHERS]
+
+    def _watch(
+        self,
+        key: str,
+        accept: Callable[[Any], None],
+        note_answer: Callable[[float], None],
+    ) -> None:
+        revision = 0
+        while not self._runtime.stopping:
+            if not self._is_watcher():
+                self._runtime.sleep_ms(IDLE_MS)
+                continue
+            sent_at_ms = self._runtime.clock.now_ms()
+            result = self._key_value.watch(key, revision, WATCH_MS)
+            if not result.is_ok() and result.error.code != Code.NOT_FOUND:
+                spread = self._runtime.random.uniform(0.5, 1.5)
+                self._runtime.sleep_ms(RETRY_MS * spread)
+                continue
+            note_answer(sent_at_ms)
+            if not result.is_ok():
+                self._runtime.sleep_ms(RETRY_MS)
+            elif result.ok is not None:
+                revision = result.ok.revision
+                self._take(key, accept, result.ok.value)
+
+    def _take(self, key: str, accept: Callable[[Any], None], value: Any) -> None:
+        """Accept `value`; a malformed one must not end the watch for good."""
+        try:
+            accept(value)
+        except (msgspec.ValidationError, ValueError, KeyError) as error:
+            self._log.error("A value is malformed.", extra={"key": key, "why": error})
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -5,8 +5,10 @@
 import random
 import socket
 import ssl
+import sys
 import threading
 import time
+import traceback
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -97,6 +99,17 @@
         name = self._sock.getpeername()
         return Address(name[0], name[1])
 
+    def has_ended(self) -> bool:
+        """Return whether the other side has closed, or sent what nobody awaits."""
+        try:
+            self._sock.settimeout(0)
+            self._sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, ssl.SSLWantReadError):
+            return False
+        except (OSError, ValueError):
+            return True
+        return True
+
     def close(self) -> None:
         """Close the connection; a task that waits on it wakes with an error."""
         # Without the shutdown a task blocked in recv sleeps on for ever, and the
@@ -142,6 +155,11 @@
         self._sock.close()
 
 
+def write_failure(text: str) -> None:
+    """Write the traceback of a task that failed to standard error."""
+    sys.stderr.write(text)
+
+
 class Runtime:
     """All that a process needs of the world outside; tests hand in another one."""
 
@@ -158,6 +176,7 @@
         self._connections: set[Connection] = set()
         self._listeners: set[Listener] = set()
         self._stopping = threading.Event()
+        self.report_failure: Callable[[str], None] = write_failure
 
     # Tasks
 
@@ -183,6 +202,11 @@
     def _run(self, function: Callable[..., Any], args: tuple) -> Any:
         try:
             return function(*args)
+        except Exception:
+            # An executor keeps the error in a future that nobody may ever look at;
+            # the task would be gone without a word.
+            self.report_failure(traceback.format_exc())
+            raise
         finally:
             with self._lock:
                 self._running -= 1
--- /dev/null
+++ b/bronzerelay/shares.py
@@ -0,0 +1,350 @@
+"""A workspace's rate, split over the daemons, with loans between them.
+
+Each holder owns an even part of the rate and of the burst for good, so that no
+lease, clock of another VM or answer of the platform is needed to spend it. Where
+traffic is uneven, a daemon borrows tokens: they leave the lender's bucket before they
+are sent, keep their place in the lender's burst until they have lapsed, and lapse
+at the borrower after `LOAN_LIFE_MS` from the time it asked. So the tokens of the
+fleet never pass the burst, whatever is cut, frozen, lost or restarted.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from expression import Ok, Result
+
+from bronzerelay.codes import Code, Refusal, refuse
+from bronzerelay.rendezvous import rank
+from bronzerelay.runtime import Runtime
+from bronzerelay.types import WorkspaceSpec
+
+LOAN_LIFE_MS = 1000
+# A holder's part of the burst should hold some whole tokens, and a borrower should
+# not have to ask hundreds of holders: both bound how many daemons hold a workspace.
+MIN_HOLDER_BURST = 2.0
+MAX_HOLDERS = 16
+# How much of its own demand a lender keeps, and a borrower asks for in advance.
+DEMAND_WINDOW_MS = 100
+# After a round that found no token, refuse for a while without asking again. An
+# overloaded workspace would otherwise send every refusal around the whole fleet.
+DRY_MS = 40
+BORROW_WAIT_MS = 250
+# How fast the estimate of the own demand follows a change.
+DEMAND_MEMORY_MS = 500
+
+
+class Holding(NamedTuple):
+    """A daemon's part of a workspace: tokens a second, and tokens at most."""
+
+    rate: float
+    burst: float
+
+
+def list_holders(
+    workspace: WorkspaceSpec, members: list[str], limit: int = MAX_HOLDERS
+) -> list[str]:
+    """Return which of `members` hold parts of the workspace's rate."""
+    by_burst = max(1, int(workspace.burst // MIN_HOLDER_BURST))
+    count = min(len(members), limit, by_burst)
+    return rank(f"share/{workspace.name}", members)[:count]
+
+
+def work_out_holding(
+    workspace: WorkspaceSpec, members: list[str], name: str
+) -> Holding:
+    """Return the part of the workspace that daemon `name` holds; it may be nothing."""
+    holders = list_holders(workspace, members)
+    if name not in holders:
+        return Holding(0.0, 0.0)
+    count = len(holders)
+    return Holding(workspace.rate / count, workspace.burst / count)
+
+
+class Lot(NamedTuple):
+    """Tokens that count until `until_ms`."""
+
+    amount: float
+    until_ms: float
+
+
+class Bucket:
+    """The tokens of one workspace at one daemon; the owner holds the lock."""
+
+    def __init__(self, now_ms: float):
+        self.holding = Holding(0.0, 0.0)
+        self._tokens = 0.0
+        self._filled_at_ms = now_ms
+        self._lent: list[Lot] = []
+        self._borrowed: list[Lot] = []
+        self._demand = 0.0
+        self._demand_at_ms = now_ms
+
+    def set_holding(self, holding: Holding, now_ms: float) -> None:
+        """Take a new part; tokens above a smaller one are gone at once."""
+        self._fill(now_ms)
+        self.holding = holding
+        self._tokens = min(self._tokens, holding.burst)
+
+    def empty(self, now_ms: float, from_ms: float) -> None:
+        """Begin with no tokens, and fill up only from `from_ms` on."""
+        self._tokens = 0.0
+        self._filled_at_ms = max(now_ms, from_ms)
+
+    def _fill(self, now_ms: float) -> None:
+        self._lent = [lot for lot in self._lent if lot.until_ms > now_ms]
+        self._borrowed = [lot for lot in self._borrowed if lot.until_ms > now_ms]
+        elapsed_ms = now_ms - self._filled_at_ms
+        if elapsed_ms <= 0:
+            return
+        room = self.holding.burst - sum(lot.amount for lot in self._lent)
+        grown = self._tokens + elapsed_ms * self.holding.rate / 1000
+        self._tokens = max(0.0, min(room, grown))
+        self._filled_at_ms = now_ms
+
+    def note_demand(self, now_ms: float) -> None:
+        """Count one request towards the demand, in requests a second."""
+        elapsed_ms = now_ms - self._demand_at_ms
+        kept = max(0.0, 1.0 - elapsed_ms / DEMAND_MEMORY_MS)
+        self._demand = self._demand * kept + 1000 / DEMAND_MEMORY_MS
+        self._demand_at_ms = now_ms
+
+    def expected_demand(self, now_ms: float) -> float:
+        """Return how many requests to expect within `DEMAND_WINDOW_MS`."""
+        kept = max(0.0, 1.0 - (now_ms - self._demand_at_ms) / DEMAND_MEMORY_MS)
+        return self._demand * kept * DEMAND_WINDOW_MS / 1000
+
+    def take(self, now_ms: float) -> bool:
+        """Spend one token, borrowed ones first; return whether there was one."""
+        self._fill(now_ms)
+        available = self._tokens + sum(lot.amount for lot in self._borrowed)
+        if available < 1.0:
+            return False
+        missing = 1.0
+        while missing > 0 and self._borrowed:
+            lot = self._borrowed.pop(0)
+            used = min(missing, lot.amount)
+            missing -= used
+            if lot.amount > used:
+                self._borrowed.insert(0, lot._replace(amount=lot.amount - used))
+        self._tokens -= missing
+        return True
+
+    def lend(self, amount: float, now_ms: float) -> tuple[float, float]:
+        """Take up to `amount` out for a peer; return it and what is left to lend."""
+        self._fill(now_ms)
+        spare = self._tokens - min(self.expected_demand(now_ms), self._tokens / 2)
+        lent = max(0.0, min(amount, spare))
+        if lent > 0:
+            self._tokens -= lent
+            self._lent.append(Lot(lent, now_ms + LOAN_LIFE_MS))
+        return lent, spare - lent
+
+    def receive(self, amount: float, until_ms: float) -> None:
+        """Add borrowed tokens that may be spent until `until_ms`."""
+        self._borrowed.append(Lot(amount, until_ms))
+
+    def available(self, now_ms: float) -> float:
+        """Return how many tokens could be spent now."""
+        self._fill(now_ms)
+        return self._tokens + sum(lot.amount for lot in self._borrowed)
+
+
+class Loan(NamedTuple):
+    """What a peer lent, and what it could lend still."""
+
+    amount: float
+    spare: float
+
+
+# Ask a peer (by name) for tokens of a workspace; None when it gave no answer.
+AskPeer = Callable[[str, str, float], Loan | None]
+
+
+class Account:
+    """One workspace's bucket with its lock and what is known of the lenders."""
+
+    def __init__(self, runtime: Runtime, spec: WorkspaceSpec):
+        self.condition = runtime.make_condition()
+        self.bucket = Bucket(runtime.clock.now_ms())
+        self.spec = spec
+        self.lenders: list[str] = []
+        self.spare: dict[str, float] = {}
+        self.waiting = 0
+        self.borrowing = False
+        self.rounds = 0
+        self.dry_until_ms = 0.0
+
+
+class Shares:
+    """All workspaces' accounts at this daemon."""
+
+    def __init__(self, runtime: Runtime, name: str, ask_peer: AskPeer):
+        self._runtime = runtime
+        self._name = name
+        self._ask_peer = ask_peer
+        self._lock = runtime.make_lock()
+        self._accounts: dict[str, Account] = {}
+        self._members: list[str] = []
+        # The members of the last roster that all are known to have applied.
+        self._confirmed: list[str] = []
+        # Until then tokens that a process before this one lent may still be spent.
+        self._begin_ms = runtime.clock.now_ms() + LOAN_LIFE_MS
+
+    def set_workspaces(self, specs: list[WorkspaceSpec]) -> None:
+        """Take over the workspaces of a configuration, with the members as set."""
+        with self._lock:
+            names = {spec.name for spec in specs}
+            for gone in set(self._accounts) - names:
+                del self._accounts[gone]
+            for spec in specs:
+                self._set_workspace(spec)
+
+    def _set_workspace(self, spec: WorkspaceSpec) -> None:
+        now_ms = self._runtime.clock.now_ms()
+        account = self._accounts.get(spec.name)
+        if account is None:
+            account = Account(self._runtime, spec)
+            account.bucket.empty(now_ms, self._begin_ms)
+            self._accounts[spec.name] = account
+        with account.condition:
+            account.spec = spec
+            self._apply_members(account, now_ms)
+
+    def set_members(self, members: list[str], confirmed: bool) -> None:
+        """Split the rates over `members`.
+
+        Until it is confirmed that every one of them does the same, a part only
+        shrinks. A daemon that grew its part at once would spend what another one,
+        which hasn't heard of the new roster, still takes for its own.
+        """
+        with self._lock:
+            self._members = members
+            if confirmed:
+                self._confirmed = members
+            now_ms = self._runtime.clock.now_ms()
+            for account in self._accounts.values():
+                with account.condition:
+                    self._apply_members(account, now_ms)
+
+    def _apply_members(self, account: Account, now_ms: float) -> None:
+        wanted = work_out_holding(account.spec, self._members, self._name)
+        safe = work_out_holding(account.spec, self._confirmed, self._name)
+        holding = Holding(min(wanted.rate, safe.rate), min(wanted.burst, safe.burst))
+        account.bucket.set_holding(holding, now_ms)
+        holders = list_holders(account.spec, self._members)
+        account.lenders = [holder for holder in holders if holder != self._name]
+
+    def spend(self, workspace: str) -> Result[None, Refusal]:
+        """Spend one token of the workspace, or say when to come back."""
+        account = self._accounts.get(workspace)
+        if account is None:
+            return refuse(Code.WORKSPACE_UNKNOWN, f"{workspace} has no rate here.")
+        now_ms = self._runtime.clock.now_ms()
+        with account.condition:
+            account.bucket.note_demand(now_ms)
+            if account.bucket.take(now_ms):
+                return Ok(None)
+            if now_ms < account.dry_until_ms or not account.lenders:
+                return _refuse_rate(account)
+        return self._spend_borrowed(account)
+
+    def _spend_borrowed(self, account: Account) -> Result[None, Refusal]:
+        end_ms = self._runtime.clock.now_ms() + BORROW_WAIT_MS
+        with account.condition:
+            account.waiting += 1
+        try:
+            while self._runtime.clock.now_ms() < end_ms:
+                if self._join_round(account, end_ms):
+                    self._borrow(account)
+                with account.condition:
+                    now_ms = self._runtime.clock.now_ms()
+                    if account.bucket.take(now_ms):
+                        return Ok(None)
+                    if now_ms < account.dry_until_ms:
+                        break
+            return _refuse_rate(account)
+        finally:
+            with account.condition:
+                account.waiting -= 1
+
+    def _join_round(self, account: Account, end_ms: float) -> bool:
+        """Return True when the caller is to borrow, else wait for a loan to come.
+
+        One request borrows for all that wait; each for itself would send many
+        times the calls and leave the lenders' tokens unused with the slowest.
+        """
+        with account.condition:
+            if not account.borrowing:
+                account.borrowing = True
+                return True
+            rounds = account.rounds
+            self._runtime.wait_for(
+                account.condition,
+                lambda: account.rounds != rounds,
+                end_ms - self._runtime.clock.now_ms(),
+            )
+        return False
+
+    def _borrow(self, account: Account) -> None:
+        """Ask lenders, the one with most to spare first, until all are served."""
+        found = False
+        try:
+            for lender in self._order_lenders(account):
+                found = self._borrow_from(account, lender) or found
+                if found and not self._still_wanted(account):
+                    break
+        finally:
+            with account.condition:
+                account.borrowing = False
+                account.rounds += 1
+                if not found:
+                    account.dry_until_ms = self._runtime.clock.now_ms() + DRY_MS
+                account.condition.notify_all()
+
+    def _order_lenders(self, account: Account) -> list[str]:
+        with account.condition:
+            lenders = list(account.lenders)
+            spare = dict(account.spare)
+        self._runtime.random.shuffle(lenders)
+        return sorted(lenders, key=lambda name: -spare.get(name, 0.0))
+
+    def _still_wanted(self, account: Account) -> bool:
+        now_ms = self._runtime.clock.now_ms()
+        with account.condition:
+            return account.bucket.available(now_ms) < account.waiting
+
+    def _borrow_from(self, account: Account, lender: str) -> bool:
+        asked_at_ms = self._runtime.clock.now_ms()
+        with account.condition:
+            expected = account.bucket.expected_demand(asked_at_ms)
+            amount = max(1.0, account.waiting, expected)
+        loan = self._ask_peer(lender, account.spec.name, amount)
+        with account.condition:
+            if loan is None:
+                account.spare[lender] = 0.0
+                return False
+            account.spare[lender] = loan.spare
+            # The lender counts the loan for its whole life from a later moment, so
+            # an answer that was held up is thrown away before the lender refills.
+            until_ms = asked_at_ms + LOAN_LIFE_MS
+            if loan.amount > 0:
+                account.bucket.receive(loan.amount, until_ms)
+                account.rounds += 1
+                account.condition.notify_all()
+        return loan.amount > 0
+
+    def lend(self, workspace: str, amount: float) -> Loan:
+        """Lend a peer what can be spared of a workspace."""
+        account = self._accounts.get(workspace)
+        if account is None:
+            return Loan(0.0, 0.0)
+        with account.condition:
+            now_ms = self._runtime.clock.now_ms()
+            return Loan(*account.bucket.lend(amount, now_ms))
+
+
+def _refuse_rate(account: Account) -> Result[None, Refusal]:
+    spec = account.spec
+    retry_after_ms = max(DRY_MS, int(1000 / spec.rate))
+    message = f"{spec.name} is over its rate of {spec.rate:g} requests a second."
+    return refuse(Code.RATE_EXCEEDED, message, retry_after_ms)
--- /dev/null
+++ b/bronzerelay/transactions.py
@@ -0,0 +1,257 @@
+"""Transactions: each bound to one connection of one instance at one term."""
+
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from bronzerelay.codes import Code, Refusal, refuse
+from bronzerelay.dialect import EndpointError, EndpointLink
+from bronzerelay.group import LEND_TIMEOUT_MS, GroupServer, Work
+from bronzerelay.pool import ConnectionPool
+from bronzerelay.runtime import Runtime
+from bronzerelay.sessions import advance_session, encode_session
+from bronzerelay.types import Position, StatementAnswer
+
+# A transaction that nobody touches for this long is rolled back; it holds one of the
+# few connections of an instance.
+IDLE_MS = 10_000
+SWEEP_MS = 500
+# The part of an instance's connections that transactions may hold.
+CONNECTION_PART = 0.4
+ID_BYTES = 12
+# Stands between the daemon's name and the transaction's number in its id.
+MARK = "~"
+
+
+def daemon_of(transaction: str) -> str:
+    """Return the name of the daemon that holds the transaction; "" if malformed."""
+    return transaction.rpartition(MARK)[0]
+
+
+class Transaction(NamedTuple):
+    """An open transaction; a lock keeps its statements one after the other."""
+
+    id: str
+    workspace: str
+    group: GroupServer
+    endpoint: str
+    term: int
+    link: EndpointLink
+    pool: ConnectionPool
+    lock: object
+
+
+class Transactions:
+    """The open transactions of this daemon."""
+
+    def __init__(self, runtime: Runtime, daemon: str, timeout_ms: int):
+        self._runtime = runtime
+        self._daemon = daemon
+        self._timeout_ms = timeout_ms
+        self._lock = runtime.make_lock()
+        self._open: dict[str, Transaction] = {}
+        self._touched_ms: dict[str, float] = {}
+
+    def count(self) -> int:
+        """Return how many transactions are open."""
+        with self._lock:
+            return len(self._open)
+
+    def begin(self, group: GroupServer, work: Work) -> Result[StatementAnswer, Refusal]:
+        """Open a transaction on the group's primary."""
+        found = group.acquire_primary(work)
+        if not found.is_ok():
+            return found
+        name, term = found.ok
+        try:
+            return self._begin_at(group, work, name, term)
+        finally:
+            group.parts.slots.release(name)
+
+    def _begin_at(
+        self, group: GroupServer, work: Work, name: str, term: int
+    ) -> Result[StatementAnswer, Refusal]:
+        spec = next(one for one in group.spec.endpoints if one.name == name)
+        if self._count_at(name) >= max(1, int(spec.connections * CONNECTION_PART)):
+            message = f"{name} has as many open transactions as it may have."
+            return refuse(Code.TRANSACTION_LIMIT, message, 500)
+        pool = group.parts.pools[name]
+        lent = pool.lend(LEND_TIMEOUT_MS)
+        if not lent.is_ok():
+            message = f"No connection to {name}: {lent.error.message}."
+            return refuse(Code.ENDPOINT_UNREACHABLE, message, 300)
+        begun = lent.ok.begin(work.workspace, term, self._timeout_ms)
+        if not begun.is_ok():
+            lent.ok.close()
+            pool.give_back(lent.ok)
+            return refuse(Code.NO_PRIMARY, begun.error.message, 300)
+        transaction = Transaction(
+            f"{self._daemon}{MARK}{self._runtime.random.randbytes(ID_BYTES).hex()}",
+            work.workspace,
+            group,
+            name,
+            term,
+            lent.ok,
+            pool,
+            self._runtime.make_lock(),
+        )
+        with self._lock:
+            self._open[transaction.id] = transaction
+            self._touched_ms[transaction.id] = self._runtime.clock.now_ms()
+        return Ok({"transaction": transaction.id, "served_by": name})
+
+    def _count_at(self, endpoint: str) -> int:
+        with self._lock:
+            return sum(one.endpoint == endpoint for one in self._open.values())
+
+    def run(self, work: Work) -> Result[StatementAnswer, Refusal]:
+        """Run a statement, a commit or a rollback of an open transaction."""
+        transaction = self._find(work)
+        if transaction is None:
+            message = "This daemon holds no such transaction of the workspace."
+            return refuse(Code.TRANSACTION_UNKNOWN, message)
+        action = work.request.get("action", "statement")
+        with transaction.lock:
+            if action == "commit":
+                return self._commit(transaction, work)
+            if action == "rollback":
+                return self._roll_back(transaction)
+            return self._run_statement(transaction, work)
+
+    def _find(self, work: Work) -> Transaction | None:
+        """Return the transaction if it is this workspace's own, in this group."""
+        with self._lock:
+            transaction = self._open.get(work.request["transaction"])
+            if transaction is None or transaction.workspace != work.workspace:
+                return None
+            if transaction.group.spec.name != work.group:
+                return None
+            self._touched_ms[transaction.id] = self._runtime.clock.now_ms()
+            return transaction
+
+    def _run_statement(
+        self, transaction: Transaction, work: Work
+    ) -> Result[StatementAnswer, Refusal]:
+        statement = work.request["statement"]
+        held = self._hold_slot(transaction, work)
+        if not held.is_ok():
+            return held
+        try:
+            if statement["verb"] == "get":
+                result = transaction.link.read(
+                    work.workspace, statement, self._timeout_ms
+                )
+            else:
+                result = transaction.link.write(
+                    work.workspace, transaction.term, statement, "", self._timeout_ms
+                )
+        finally:
+            transaction.group.parts.slots.release(transaction.endpoint)
+        if not result.is_ok():
+            return self._fail(transaction, result.error)
+        return Ok(
+            {
+                "value": result.ok.value,
+                "transaction": transaction.id,
+                "served_by": transaction.endpoint,
+                "role": "primary",
+            }
+        )
+
+    def _hold_slot(self, transaction: Transaction, work: Work) -> Result:
+        name = transaction.endpoint
+        return transaction.group.parts.slots.acquire(
+            work.workspace,
+            lambda free: name if name in free else None,
+            work.deadline_ms,
+        )
+
+    def _fail(self, transaction: Transaction, error: EndpointError) -> Result:
+        if error.kind == "invalid_statement":
+            return refuse(Code.STATEMENT_FAILED, error.message)
+        if error.kind == "busy":
+            message = f"{transaction.endpoint} has no slot free."
+            return refuse(Code.QUEUE_FULL, message, 50)
+        # The connection or the term is gone, and the endpoint kept nothing.
+        self._end(transaction)
+        message = f"The transaction is lost: {error.message}."
+        return refuse(Code.TRANSACTION_LOST, message)
+
+    def _commit(
+        self, transaction: Transaction, work: Work
+    ) -> Result[StatementAnswer, Refusal]:
+        held = self._hold_slot(transaction, work)
+        if not held.is_ok():
+            return held
+        try:
+            result = transaction.link.commit(
+                transaction.term, work.write_id(1), self._timeout_ms
+            )
+        finally:
+            transaction.group.parts.slots.release(transaction.endpoint)
+        if not result.is_ok() and result.error.kind == "busy":
+            return refuse(Code.QUEUE_FULL, "The endpoint has no slot free.", 50)
+        self._end(transaction)
+        if result.is_ok():
+            return self._finish_commit(transaction, work, result.ok.position)
+        if result.error.may_have_run:
+            return self._settle_commit(transaction, work)
+        message = f"Nothing was committed: {result.error.message}."
+        return refuse(Code.TRANSACTION_LOST, message)
+
+    def _finish_commit(
+        self, transaction: Transaction, work: Work, position: int
+    ) -> Result[StatementAnswer, Refusal]:
+        group = transaction.group
+        at = Position(transaction.term, position)
+        if not group.parts.watch.wait_majority(at, group.left_ms(work)):
+            return self._settle_commit(transaction, work)
+        session = advance_session(work.session, work.group, at)
+        return Ok(
+            {
+                "session": encode_session(session),
+                "served_by": transaction.endpoint,
+                "role": "primary",
+            }
+        )
+
+    def _settle_commit(
+        self, transaction: Transaction, work: Work
+    ) -> Result[StatementAnswer, Refusal]:
+        """Find out what became of a commit; a cancelled one is a lost transaction."""
+        # A commit can't be sent again, since its statements went with the connection.
+        request = {**work.request, "repeatable": False}
+        settled = transaction.group.settle(work._replace(request=request), 1)
+        if settled.is_ok() or settled.error.code != Code.PRIMARY_REPLACED:
+            return settled
+        message = "The primary was lost before the commit, and nothing is kept."
+        return Error(
+            settled.error._replace(code=Code.TRANSACTION_LOST, message=message)
+        )
+
+    def _roll_back(self, transaction: Transaction) -> Result[StatementAnswer, Refusal]:
+        transaction.link.rollback(self._timeout_ms)
+        self._end(transaction)
+        return Ok({"served_by": transaction.endpoint, "role": "primary"})
+
+    def _end(self, transaction: Transaction) -> None:
+        with self._lock:
+            self._open.pop(transaction.id, None)
+            self._touched_ms.pop(transaction.id, None)
+        # The pool closes a link that is still inside the transaction, which ends
+        # what is left of it at the endpoint.
+        transaction.pool.give_back(transaction.link)
+
+    def sweep(self) -> None:
+        """Roll back idle transactions until the daemon stops."""
+        while self._runtime.sleep_ms(SWEEP_MS):
+            limit_ms = self._runtime.clock.now_ms() - IDLE_MS
+            with self._lock:
+                idle = [
+                    transaction
+                    for name, transaction in self._open.items()
+                    if self._touched_ms[name] < limit_ms
+                ]
+            for transaction in idle:
+                with transaction.lock:
+                    self._end(transaction)
--- a/bronzerelay/types.py
+++ b/bronzerelay/types.py
@@ -89,10 +89,15 @@
 
 
 class Roster(TypedDict):
-    """The daemons that share the workspaces' rates; each change is a new epoch."""
+    """The daemons that share the workspaces' rates; each change is a new epoch.
+
+    `settled` says that every member has applied the epoch: whoever reads it needs no
+    other proof that nobody spends a larger share of an older epoch.
+    """
 
     epoch: int
     members: list[MemberEntry]
+    settled: NotRequired[bool]
 
 
 class Stored(NamedTuple):
--- /dev/null
+++ b/bronzerelay/watch.py
@@ -0,0 +1,248 @@
+"""What a daemon knows of a database group: terms, positions, and their age."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from expression import Result
+
+from bronzerelay.dialect import EndpointError, EndpointLink, StatusAnswer
+from bronzerelay.runtime import Runtime
+from bronzerelay.types import EndpointSpec, GroupSpec, Position
+
+PRIMARY = "primary"
+# An instance that refuses a connection is asked again after this pause.
+REDIAL_MS = 40
+CONNECT_TIMEOUT_MS = 300
+# How much later than asked for an answer may come before it counts as lost.
+ANSWER_MARGIN_MS = 250
+# How many samples of the primary's position are kept as proofs of age.
+SAMPLES = 64
+
+Opener = Callable[
+    [EndpointSpec, str, float], Result[EndpointLink, EndpointError]
+]  # spec, kind, timeout_ms
+
+
+class InstanceState(NamedTuple):
+    """The last answer of an instance; `sent_at_ms` is when it was asked."""
+
+    term: int = 0
+    role: str = ""
+    log_term: int = 0
+    position: int = 0
+    sent_at_ms: float = float("-inf")
+    reachable: bool = False
+    failing_since_ms: float | None = None
+
+    def holds(self, need: Position) -> bool:
+        """Return whether the instance's log reaches `need`."""
+        return Position(self.log_term, self.position) >= need
+
+
+class Sample(NamedTuple):
+    """The primary's position was at most `position` at `at_ms`, own clock."""
+
+    at_ms: float
+    term: int
+    position: int
+
+
+class GroupWatch:
+    """Long polls each instance of one group, one task for each."""
+
+    def __init__(
+        self, runtime: Runtime, spec: GroupSpec, opener: Opener, status_wait_ms: int
+    ):
+        self._runtime = runtime
+        self._opener = opener
+        self._status_wait_ms = status_wait_ms
+        self.spec = spec
+        self.condition = runtime.make_condition()
+        self.states: dict[str, InstanceState] = {}
+        self._samples: list[Sample] = []
+        self._stopped = False
+        self._on_change: list[Callable[[], None]] = []
+        self._watched: dict[str, EndpointSpec] = {}
+        self.set_spec(spec)
+
+    def call_on_change(self, function: Callable[[], None]) -> None:
+        """Call `function` after each change of an instance's state."""
+        self._on_change.append(function)
+
+    def set_spec(self, spec: GroupSpec) -> None:
+        """Take over a new list of instances."""
+        with self.condition:
+            self.spec = spec
+            wanted = {endpoint.name: endpoint for endpoint in spec.endpoints}
+            for name in set(self.states) - set(wanted):
+                del self.states[name]
+            fresh = [
+                endpoint
+                for name, endpoint in wanted.items()
+                if not _is_same_target(self._watched.get(name), endpoint)
+            ]
+            self._watched = wanted
+            for endpoint in fresh:
+                self.states[endpoint.name] = InstanceState()
+        for endpoint in fresh:
+            self._runtime.start(self._watch, endpoint)
+
+    def stop(self) -> None:
+        """End the tasks; each ends after its current poll."""
+        with self.condition:
+            self._stopped = True
+            self.condition.notify_all()
+
+    # One task for each instance
+
+    def _watch(self, endpoint: EndpointSpec) -> None:
+        while self._wants(endpoint):
+            opened = self._opener(endpoint, "monitor", CONNECT_TIMEOUT_MS)
+            if opened.is_ok():
+                self._poll(endpoint, opened.ok)
+                opened.ok.close()
+            self._note_failure(endpoint)
+            if not self._runtime.sleep_ms(REDIAL_MS):
+                return
+
+    def _wants(self, endpoint: EndpointSpec) -> bool:
+        with self.condition:
+            current = self._watched.get(endpoint.name)
+            return not self._stopped and _is_same_target(current, endpoint)
+
+    def _poll(self, endpoint: EndpointSpec, link: EndpointLink) -> None:
+        state = InstanceState()
+        wait_ms = 0
+        while self._wants(endpoint):
+            sent_at_ms = self._runtime.clock.now_ms()
+            timeout_ms = wait_ms + ANSWER_MARGIN_MS
+            result = link.status(state.term, state.position, wait_ms, timeout_ms)
+            if not result.is_ok():
+                return
+            state = self._note_answer(endpoint, result.ok, sent_at_ms)
+            wait_ms = self._status_wait_ms
+
+    def _note_answer(
+        self, endpoint: EndpointSpec, answer: StatusAnswer, sent_at_ms: float
+    ) -> InstanceState:
+        state = InstanceState(
+            answer.term,
+            answer.role,
+            answer.log_term,
+            answer.position,
+            sent_at_ms,
+            reachable=True,
+        )
+        with self.condition:
+            if endpoint.name in self.states:
+                self.states[endpoint.name] = state
+            if state.role == PRIMARY:
+                self._samples.append(Sample(sent_at_ms, state.term, state.position))
+                del self._samples[:-SAMPLES]
+            self.condition.notify_all()
+        self._tell_change()
+        return state
+
+    def _note_failure(self, endpoint: EndpointSpec) -> None:
+        now_ms = self._runtime.clock.now_ms()
+        with self.condition:
+            state = self.states.get(endpoint.name)
+            if state is not None:
+                since_ms = state.failing_since_ms or now_ms
+                self.states[endpoint.name] = state._replace(
+                    reachable=False, failing_since_ms=since_ms
+                )
+            self.condition.notify_all()
+        self._tell_change()
+
+    def _tell_change(self) -> None:
+        for function in self._on_change:
+            function()
+
+    # Judgements; the caller may hold the condition
+
+    def majority(self) -> int:
+        """Return how many instances are more than half."""
+        return len(self.spec.endpoints) // 2 + 1
+
+    def highest_term(self) -> int:
+        """Return the highest term that any instance has told."""
+        return max((state.term for state in self.states.values()), default=0)
+
+    def primary(self) -> str | None:
+        """Return the reachable primary of the highest known term, or None."""
+        term = self.highest_term()
+        for name, state in self.states.items():
+            if state.role == PRIMARY and state.term == term and state.reachable:
+                return name
+        return None
+
+    def count_reachable(self) -> int:
+        """Return how many instances answer."""
+        return sum(state.reachable for state in self.states.values())
+
+    def is_held_by_majority(self, need: Position) -> bool:
+        """Return whether a majority, at the term of `need`, holds that position.
+
+        An instance that has accepted a later term doesn't count, so that a write
+        is never acknowledged on the word of a primary that has been replaced.
+        """
+        count = 0
+        for state in self.states.values():
+            same_term = state.term == need.term and state.log_term == need.term
+            if same_term and state.position >= need.position:
+                count += 1
+        return count >= self.majority()
+
+    def proven_age_ms(self, name: str) -> float:
+        """Return how old the data of instance `name` can be at most.
+
+        The primary's position counts as a proof for the moment at which it was
+        asked, and only up to the latest moment after which a majority was asked and
+        still stood at that term: a primary that was cut off and replaced goes on
+        telling its old position, and would pass for fresh without this.
+        """
+        state = self.states.get(name)
+        term = self.highest_term()
+        if state is None or state.log_term != term:
+            return float("inf")
+        still_ms = self._majority_asked_at_ms(term)
+        for sample in reversed(self._samples):
+            if sample.term == term and sample.position <= state.position:
+                proven_at_ms = min(sample.at_ms, still_ms)
+                return self._runtime.clock.now_ms() - proven_at_ms
+        return float("inf")
+
+    def _majority_asked_at_ms(self, term: int) -> float:
+        asked = [
+            state.sent_at_ms for state in self.states.values() if state.term == term
+        ]
+        asked.sort(reverse=True)
+        needed = self.majority()
+        return asked[needed - 1] if len(asked) >= needed else float("-inf")
+
+    # Waiting
+
+    def wait_primary(self, timeout_ms: float) -> tuple[str, int] | None:
+        """Return the primary and its term, waiting up to `timeout_ms` for one."""
+        with self.condition:
+            name = self._runtime.wait_for(self.condition, self.primary, timeout_ms)
+            if name is None:
+                return None
+            return name, self.states[name].term
+
+    def wait_majority(self, need: Position, timeout_ms: float) -> bool:
+        """Return whether a majority came to hold `need` before a newer term did."""
+        with self.condition:
+            self._runtime.wait_for(
+                self.condition,
+                lambda: (
+                    self.is_held_by_majority(need) or self.highest_term() > need.term
+                ),
+                timeout_ms,
+            )
+            return self.is_held_by_majority(need)
+
+
+def _is_same_target(known: EndpointSpec | None, endpoint: EndpointSpec) -> bool:
+    return known is not None and known.address == endpoint.address
