--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -92,6 +92,21 @@
             count -= len(part)
         return b"".join(parts)
 
+    def is_quiet(self) -> bool:
+        """Return whether the connection is open and no bytes wait; never block.
+
+        Call it between requests only: it leaves the connection without waiting,
+        so that a timeout has to be set before the next call.
+        """
+        self._sock.settimeout(0)
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def peer_address(self) -> Address:
         """Return the address of the other side."""
         name = self._sock.getpeername()
