Add the client of the key-value service

A PUT whose answer is lost is read back. When the old value still holds, the PUT may yet arrive, so it is sent once more: both name one revision, which is used once only, and at most one takes effect. 'Not run' is said only where nothing was sent or the service refused. The sockets of HTTP pools now belong to the runtime, so that a long watch can't hold up the end of the process.

--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import contextlib
+import functools
 import random
 import socket
 import ssl
@@ -97,6 +98,10 @@
         name = self._sock.getpeername()
         return Address(name[0], name[1])
 
+    def forget(self) -> None:
+        """Leave the connection out of the end of the runtime."""
+        self._on_close(self)
+
     def close(self) -> None:
         """Close the connection; a task that waits on it wakes with an error."""
         # Without the shutdown a task blocked in recv sleeps on for ever, and the
@@ -107,6 +112,29 @@
         self._on_close(self)
 
 
+class _HttpConnection(urllib3.connection.HTTPConnection):
+    """An HTTP connection that the end of the runtime closes.
+
+    A pool knows only its idle connections. A task in a long watch would hold up the
+    end of the process until the watch is answered.
+    """
+
+    def __init__(self, adopt: Callable[[socket.socket], Connection], *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._adopt = adopt
+        self._adopted: Connection | None = None
+
+    def connect(self) -> None:
+        super().connect()
+        self._adopted = self._adopt(self.sock)
+
+    def close(self) -> None:
+        super().close()
+        if self._adopted is not None:
+            self._adopted.forget()
+            self._adopted = None
+
+
 class Listener:
     """A listening TCP port."""
 
@@ -256,9 +284,11 @@
 
     def open_http(self, address: Address, pool_size: int) -> urllib3.HTTPConnectionPool:
         """Return a pool of HTTP connections that never retries by itself."""
-        return urllib3.HTTPConnectionPool(
+        pool = urllib3.HTTPConnectionPool(
             address.host, address.port, maxsize=pool_size, block=False, retries=False
         )
+        pool.ConnectionCls = functools.partial(_HttpConnection, self._adopt)
+        return pool
 
     def _adopt(self, sock: socket.socket) -> Connection:
         connection = Connection(sock, self._forget)
--- /dev/null
+++ b/tests/test_keyvalue.py
@@ -0,0 +1,303 @@
+"""Tests of the client of the key-value service, failures first."""
+
+import pytest
+from expression import Ok
+
+from bronzerelay import registry
+from bronzerelay.codes import NOT_RUN, UNKNOWN, Code
+from bronzerelay.keyvalue import KeyValueClient, KeyValueSettings
+from bronzerelay.runtime import Address, Runtime
+from bronzerelay.types import Stored, Vm
+from standins.platform import DOWN, LOSE_ANSWERS, REFUSE, SLOW, UP
+from standins.store import Store
+from tests.builders_platform import find_free_address, run_platform
+
+SHORT_MS = 250
+
+
+class RecordingStore(Store):
+    """A store that keeps the outcome of each PUT."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.outcomes = []
+
+    def put(self, *args):
+        answer = super().put(*args)
+        self.outcomes.append(answer[0])
+        return answer
+
+
+class RacingStore(Store):
+    """A store whose first read comes just after somebody else's write."""
+
+    raced = False
+
+    def get(self, key):
+        found = super().get(key)
+        if not self.raced:
+            self.raced = True
+            self.put(key, "theirs", found.revision)
+        return super().get(key)
+
+
+@pytest.fixture
+def platform():
+    with run_platform() as running:
+        yield running
+
+
+def outcome(result):
+    return (result.error.code, result.error.ran)
+
+
+def test_a_put_whose_answer_is_lost_succeeds_once(platform):
+    """The platform stores a bundle and the connection breaks before its answer. Told
+    "failed", an operator would roll the same bundle out once more.
+    """
+    client = platform.make_client()
+    platform.server.set_fault(LOSE_ANSWERS, count=1)
+    assert client.put("config/current", {"members": ("a", "b")}, 0) == Ok(1)
+    assert client.get("config/current") == Ok(Stored({"members": ["a", "b"]}, 1))
+
+
+def test_a_lost_put_that_was_replaced_since_is_not_called_not_run():
+    """Our write takes effect, its answer is lost, and another operator writes before
+    we read back. "Not run" would be false: ours was in force for a moment.
+    """
+    with run_platform(RacingStore) as platform:
+        platform.server.set_fault(LOSE_ANSWERS, count=1)
+        result = platform.make_client().put("config/current", "ours", 0)
+        assert outcome(result) == (Code.COMPARE_FAILED, UNKNOWN)
+
+
+def test_a_put_that_arrives_late_takes_effect_once():
+    """The platform is slow and the client gives up before the PUT runs. It reads the
+    old value, yet the PUT is still to come; the value must not be stored twice.
+    """
+    with run_platform(RecordingStore) as platform:
+        assert platform.make_client().put("roster", "old", 0) == Ok(1)
+        platform.server.set_fault(SLOW, delay_ms=3 * SHORT_MS, count=1)
+        client = platform.make_client(timeout_ms=SHORT_MS)
+        assert client.put("roster", "new", 1) == Ok(2)
+        outcomes = platform.server.store.outcomes
+        while len(outcomes) < 3 and platform.runtime.sleep_ms(10):
+            pass
+        assert outcomes == [True, True, False]
+        assert client.get("roster") == Ok(Stored("new", 2))
+
+
+def test_a_late_put_of_an_absent_key_is_unknown(platform):
+    """The key is absent when the client reads back, and appears a moment later. A
+    second PUT could bring back a key that was deleted meanwhile.
+    """
+    platform.server.set_fault(SLOW, delay_ms=3 * SHORT_MS, count=1)
+    client = platform.make_client(timeout_ms=SHORT_MS)
+    result = client.put("config/current", "new", 0)
+    assert outcome(result) == (Code.PLATFORM_UNAVAILABLE, UNKNOWN)
+    patient = platform.make_client()
+    assert patient.watch("config/current", 0, 5000) == Ok(Stored("new", 1))
+
+
+@pytest.mark.parametrize(
+    ("mode", "ran"), [(REFUSE, NOT_RUN), (DOWN, UNKNOWN), (LOSE_ANSWERS, UNKNOWN)]
+)
+def test_a_put_during_an_outage_tells_what_is_known(platform, mode, ran):
+    """The platform refuses, hangs or breaks off every call. An operator sees an error
+    that says whether the change can still come into force, and no call hangs.
+    """
+    client = platform.make_client(timeout_ms=SHORT_MS)
+    platform.server.set_fault(mode)
+    result = client.put("roster", "new", 7)
+    assert outcome(result) == (Code.PLATFORM_UNAVAILABLE, ran)
+    assert result.error.retry_after_ms > 0
+    assert sum(platform.server.show_calls()["by_caller"].values()) <= 3
+
+
+def test_a_put_to_nobody_has_not_run():
+    """Nobody listens at the address, so nothing was sent, and the error says so."""
+    runtime = Runtime(task_limit=2)
+    settings = KeyValueSettings((find_free_address(runtime),), "vm-1")
+    result = KeyValueClient(runtime, settings).put("roster", "new", 0)
+    assert outcome(result) == (Code.PLATFORM_UNAVAILABLE, NOT_RUN)
+    runtime.close(1000)
+
+
+def test_of_racing_puts_one_wins(platform):
+    """Eight daemons change the roster from one revision at the same time. Were two
+    told that they won, each would act on a roster that the other one has replaced.
+    """
+    clients = [platform.make_client(caller=f"vm-{n}") for n in range(8)]
+    tasks = [
+        platform.runtime.start(client.put, "roster", index, 0)
+        for index, client in enumerate(clients)
+    ]
+    results = [task.result(10) for task in tasks]
+    assert sum(result.is_ok() for result in results) == 1
+    losers = {outcome(result) for result in results if result.is_error()}
+    assert losers == {(Code.COMPARE_FAILED, NOT_RUN)}
+
+
+def test_a_lease_lapses_while_its_holder_is_paused(platform):
+    """A daemon is paused past its lease. When it goes on, its key has been deleted,
+    a renewal is refused, and nothing more can be stored under the lease.
+    """
+    client = platform.make_client()
+    lease = client.grant_lease(SHORT_MS).ok
+    revision = client.put("holder", "vm-1", 0, lease).ok
+    lapsed = platform.make_client(caller="vm-2").watch("holder", revision, 5000)
+    assert lapsed.error.code is Code.NOT_FOUND
+    assert client.renew_lease(lease).error.code is Code.NOT_FOUND
+    assert client.put("holder", "vm-1", 0, lease).is_error()
+
+
+def test_a_watch_over_an_outage_gets_the_newest_value(platform):
+    """An outage begins while a watch waits, and two versions come into force before
+    the watch can be renewed. The daemon must see the second one.
+    """
+    client = platform.make_client(timeout_ms=SHORT_MS)
+    assert client.put("config/current", "v1", 0) == Ok(1)
+    watch = platform.runtime.start(client.watch, "config/current", 1, SHORT_MS)
+    platform.server.set_fault(DOWN, callers=("vm-1",))
+    assert outcome(watch.result(10))[0] is Code.PLATFORM_UNAVAILABLE
+    operator = platform.make_client(caller="operator")
+    assert operator.put("config/current", "v2", 1) == Ok(2)
+    assert operator.put("config/current", "v3", 2) == Ok(3)
+    platform.server.set_fault(UP)
+    assert client.watch("config/current", 1, 5000) == Ok(Stored("v3", 3))
+
+
+def test_the_next_address_is_tried(platform):
+    """One address of the platform is unreachable. Calls take the other one, changes
+    too, because nothing had been sent.
+    """
+    client = platform.make_client(find_free_address(platform.runtime))
+    assert client.put("roster", "new", 0) == Ok(1)
+    assert client.get("roster") == Ok(Stored("new", 1))
+
+
+def test_a_hanging_address_is_left_alone(platform):
+    """One address of the platform takes calls and never answers. A change is settled
+    through the other address, and later calls no longer wait for the first one.
+    """
+    hanging = platform.add_server()
+    hanging.set_fault(DOWN)
+    platform.make_client().put("roster", "old", 0)
+    client = platform.make_client(hanging.address, timeout_ms=SHORT_MS)
+    assert client.put("roster", "new", 1) == Ok(2)
+    assert client.get("roster") == Ok(Stored("new", 2))
+    assert hanging.show_calls()["by_caller"] == {"vm-1": 1}
+    hanging.stop()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{}",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n\xff\xfe",
+        b'HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n{"value":1,"revision":"one"}',
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n" + b" " * 3_000_000,
+        b"HTTP/1.1 302 Found\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+        b"nonsense\r\n\r\n",
+        b"",
+    ],
+)
+def test_a_broken_answer_is_no_answer(answer):
+    """A balancer in front of the platform answers nonsense. The client reports an
+    outage; it doesn't fall over, and it takes nothing for a value.
+    """
+    runtime = Runtime(task_limit=4)
+    listener = runtime.listen(Address("127.0.0.1", 0))
+
+    def serve():
+        connection = listener.accept()
+        connection.receive()
+        connection.send(answer)
+        connection.close()
+
+    runtime.start(serve)
+    client = KeyValueClient(runtime, KeyValueSettings((listener.address,), "vm-1"))
+    assert outcome(client.get("roster"))[0] is Code.PLATFORM_UNAVAILABLE
+    runtime.close(1000)
+
+
+def test_an_answer_in_drops_ends_at_the_timeout():
+    """The platform sends a byte now and then, each before a timeout that counts from
+    the last byte. Without a bound on the whole answer the daemon would wait on.
+    """
+    runtime = Runtime(task_limit=4)
+    listener = runtime.listen(Address("127.0.0.1", 0))
+
+    def serve():
+        connection = listener.accept()
+        connection.receive()
+        connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n")
+        sent = 0
+        try:
+            while sent < 100000 and runtime.sleep_ms(10):
+                connection.send(b" ")
+                sent += 1
+        except OSError:
+            return sent
+        return sent
+
+    dripping = runtime.start(serve)
+    settings = KeyValueSettings((listener.address,), "vm-1", SHORT_MS)
+    result = KeyValueClient(runtime, settings).get("roster")
+    assert outcome(result)[0] is Code.PLATFORM_UNAVAILABLE
+    assert dripping.result(10) < 100000
+    runtime.close(1000)
+
+
+def test_the_end_of_the_runtime_ends_a_watch():
+    """A daemon stops while its watch has half a minute to go. The end of the process
+    joins all tasks, so a watch that slept on would hold it up.
+    """
+    with run_platform() as platform:
+        client_runtime = Runtime(task_limit=2)
+        settings = KeyValueSettings((platform.server.address,), "vm-1")
+        client = KeyValueClient(client_runtime, settings)
+        watch = client_runtime.start(client.watch, "roster", 0, 30_000)
+        while not platform.server.show_calls()["watches"]:
+            platform.runtime.sleep_ms(5)
+        assert client_runtime.close(5000)
+        assert watch.result(0).is_error()
+
+
+def test_a_watch_ends_empty_when_nothing_changes(platform):
+    client = platform.make_client()
+    client.put("roster", "one", 0)
+    assert client.watch("roster", 1, 20) == Ok(None)
+
+
+def test_delete_compares_and_survives_a_lost_answer(platform):
+    """The answer to a delete is lost after the key is gone; the client reads back. A
+    key that somebody has changed stays.
+    """
+    client = platform.make_client()
+    client.put("groups/orders", 1, 0)
+    assert outcome(client.delete("groups/orders", 9)) == (Code.COMPARE_FAILED, NOT_RUN)
+    platform.server.set_fault(LOSE_ANSWERS, count=1)
+    assert client.delete("groups/orders", 1) == Ok(None)
+    assert client.get("groups/orders").error.code is Code.NOT_FOUND
+
+
+def test_keys_vms_and_limits(platform):
+    client = platform.make_client()
+    client.put("config/proposals/sha256:b c?", 1, 0)
+    client.put("config/current", 2, 0)
+    assert client.list_keys("config/p") == Ok(["config/proposals/sha256:b c?"])
+    platform.server.store.set_vm("vm-1", "leaving")
+    assert client.list_vms() == Ok([Vm("vm-1", "leaving")])
+    assert client.put("roster", "x" * 2**20, 0).error.code is Code.BODY_TOO_LARGE
+    lease = client.grant_lease(60_000).ok
+    client.put("holder", 1, 0, lease)
+    assert client.renew_lease(lease) == Ok(None)
+    assert client.end_lease(lease) == Ok(None)
+    assert client.get("holder").is_error()
+
+
+def test_the_client_is_a_plugin():
+    assert registry.find(registry.KEY_VALUE, "http") is KeyValueClient
--- /dev/null
+++ b/tests/test_standin_platform.py
@@ -0,0 +1,183 @@
+"""Tests of the platform stand-in through plain HTTP, failures first."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+
+import msgspec
+import pytest
+import urllib3
+
+from bronzerelay.runtime import Address, Runtime
+from standins.platform import DOWN, LOSE_ANSWERS
+from tests.builders_platform import run_platform
+
+
+class Caller:
+    """Sends plain requests and returns status and decoded body."""
+
+    def __init__(self, runtime, address, name="vm-1"):
+        self._pool = runtime.open_http(address, 2)
+        self._headers = {"X-Caller": name}
+
+    def ask(self, method, path, body=None, timeout=5):
+        data = None if body is None else msgspec.json.encode(body)
+        answer = self._pool.urlopen(
+            method, path, body=data, headers=self._headers, timeout=timeout
+        )
+        return answer.status, msgspec.json.decode(answer.data or b"null")
+
+
+@pytest.fixture
+def platform():
+    with run_platform() as running:
+        yield running
+
+
+@pytest.fixture
+def caller(platform):
+    return Caller(platform.runtime, platform.server.address)
+
+
+def put(value, expected, **more):
+    return {"value": value, "expected_revision": expected, **more}
+
+
+def test_down_has_no_effect_and_gives_no_answer(platform, caller):
+    """The platform is down for one caller, which waits and gives up; another caller
+    is served. What was sent in vain must not take effect after the outage.
+    """
+    platform.server.set_fault(DOWN, callers=("vm-1",))
+    with pytest.raises(urllib3.exceptions.ReadTimeoutError):
+        caller.ask("PUT", "/v1/values/roster", put(1, 0), timeout=0.1)
+    other = Caller(platform.runtime, platform.server.address, "vm-2")
+    assert other.ask("PUT", "/v1/values/roster", put(2, 0)) == (200, {"revision": 1})
+    other.ask("POST", "/admin/faults", {"mode": "up"})
+    assert caller.ask("GET", "/v1/values/roster")[1]["value"] == 2
+
+
+def test_a_lost_answer_has_its_effect(platform, caller):
+    """The change takes effect and the connection closes; the next call goes well."""
+    platform.server.set_fault(LOSE_ANSWERS, count=1)
+    with pytest.raises(urllib3.exceptions.ProtocolError):
+        caller.ask("PUT", "/v1/values/roster", put(1, 0))
+    assert caller.ask("GET", "/v1/values/roster") == (200, {"value": 1, "revision": 1})
+
+
+def test_a_watch_that_waits_when_the_outage_begins_gets_no_answer(platform, caller):
+    """A change comes into force during an outage. A watch that began earlier must not
+    bring the news, or a test of the outage would test nothing.
+    """
+    caller.ask("PUT", "/v1/values/roster", put(1, 0))
+    path = "/v1/values/roster?after=1&wait_ms=9000"
+    watch = platform.runtime.start(caller.ask, "GET", path, None, 0.3)
+    while not platform.server.show_calls()["watches"]:
+        platform.runtime.sleep_ms(5)
+    platform.server.set_fault(DOWN)
+    platform.server.store.put("roster", 2, 1)
+    with pytest.raises(urllib3.exceptions.ReadTimeoutError):
+        watch.result(10)
+
+
+def test_an_outage_keeps_no_tasks_of_callers_that_left(platform, caller):
+    """Callers try again and again during an outage. Tasks that waited for its end
+    would add up until none is left for the first call afterwards.
+    """
+    platform.server.set_fault(DOWN)
+    for _ in range(10):
+        with contextlib.suppress(urllib3.exceptions.ReadTimeoutError):
+            caller.ask("GET", "/v1/values/roster", timeout=0.02)
+    for _ in range(1000):
+        if platform.runtime.running_tasks() == 1:
+            break
+        platform.runtime.sleep_ms(5)
+    assert platform.runtime.running_tasks() == 1
+
+
+def test_a_lapsed_lease_takes_its_keys_and_wakes_a_watch(platform, caller):
+    """A daemon dies without a word; its lease lapses, its key goes, and a watch of
+    the key is answered at once.
+    """
+    _, lease = caller.ask("POST", "/v1/leases", {"ttl_ms": 300})
+    lease = lease["lease"]
+    assert caller.ask("PUT", "/v1/values/holder", put(1, 0, lease=lease))[0] == 200
+    path = "/v1/values/holder?after=1&wait_ms=9000"
+    assert caller.ask("GET", path, timeout=20)[0] == 404
+    assert caller.ask("POST", f"/v1/leases/{lease}/renew")[0] == 404
+    assert caller.ask("PUT", "/v1/values/holder", put(1, 0, lease=lease))[0] == 404
+
+
+def test_a_revision_is_never_used_twice(caller):
+    """A key is deleted and made again. Were its revision the old one, a daemon that
+    holds the old value would take it for the new one.
+    """
+    assert caller.ask("PUT", "/v1/values/k", put("a", 0)) == (200, {"revision": 1})
+    assert caller.ask("DELETE", "/v1/values/k?expected_revision=1")[0] == 200
+    assert caller.ask("PUT", "/v1/values/k", put("a", 0))[1]["revision"] > 1
+    assert caller.ask("PUT", "/v1/values/k", put("b", 1))[0] == 409
+
+
+def test_a_watch_reports_a_change_and_else_nothing(platform, caller):
+    path = "/v1/values/roster?after=0&wait_ms="
+    assert caller.ask("GET", f"{path}20") == (204, None)
+    watch = platform.runtime.start(caller.ask, "GET", f"{path}9000", None, 20)
+    platform.server.store.put("roster", [1], 0)
+    assert watch.result(10) == (200, {"value": [1], "revision": 1})
+
+
+def test_the_vm_list_lags():
+    """A VM is gone, yet the list shows it for as long as the lag."""
+    with run_platform(vm_lag_ms=100) as platform:
+        platform.server.store.set_vm("vm-1", "live")
+        caller = Caller(platform.runtime, platform.server.address)
+        assert caller.ask("GET", "/v1/vms")[1] == {"revision": 0, "vms": []}
+        shown = {"revision": 1, "vms": [{"name": "vm-1", "state": "live"}]}
+        while caller.ask("GET", "/v1/vms")[1] != shown:
+            platform.runtime.sleep_ms(5)
+        body = {"name": "vm-1", "state": "gone"}
+        assert caller.ask("POST", "/admin/vms", body)[0] == 200
+        while caller.ask("GET", "/v1/vms")[1]["vms"]:
+            platform.runtime.sleep_ms(5)
+
+
+def test_calls_are_counted_by_kind_and_caller(caller):
+    caller.ask("GET", "/v1/vms")
+    caller.ask("PUT", "/v1/values/k", put("a", 0))
+    caller.ask("GET", "/v1/values/k?after=0&wait_ms=5")
+    counts = {"reads": 1, "writes": 1, "watches": 1, "by_caller": {"vm-1": 3}}
+    assert caller.ask("GET", "/admin/calls") == (200, counts)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status"),
+    [
+        ("GET", "/v1/nothing", None, 404),
+        ("POST", "/v1/leases/lease-1/end", {}, 404),
+        ("PUT", "/v1/values/k", {"value": 1}, 400),
+        ("PUT", "/v1/values/k", put("x" * 2**20, 0), 413),
+        ("GET", "/v1/values/k?wait_ms=soon", None, 400),
+        ("DELETE", "/v1/values/k", None, 400),
+        ("DELETE", "/v1/values/k?expected_revision=0", None, 409),
+        ("POST", "/admin/faults", {"mode": "away"}, 400),
+    ],
+)
+def test_a_wrong_request_gets_its_status(caller, method, path, body, status):
+    assert caller.ask(method, path, body)[0] == status
+
+
+def test_the_program_serves_and_ends_on_sigterm():
+    command = [sys.executable, "-m", "standins.platform", "--listen", "127.0.0.1:0"]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        address = process.stdout.readline().rpartition(" ")[2].strip()
+        host, _, port = address.rpartition(":")
+        runtime = Runtime(task_limit=1)
+        caller = Caller(runtime, Address(host, int(port)))
+        assert caller.ask("GET", "/v1/vms")[0] == 200
+        os.kill(process.pid, signal.SIGTERM)
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
+        process.wait()
