--- /dev/null
+++ b/bronzerelay/metrics.py
@@ -0,0 +1,132 @@
+"""Counters, gauges and latencies, rendered in the Prometheus text format."""
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    disable_created_metrics,
+    generate_latest,
+)
+
+from bronzerelay.codes import Code
+from bronzerelay.runtime import Runtime
+
+# Latencies are kept in microseconds, from 1 µs to 10 minutes, to two digits.
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+DIGITS = 2
+QUANTILES = {"p50": 50.0, "p99": 99.0, "p999": 99.9, "max": 100.0}
+
+# The time at which a counter was first touched tells an operator nothing.
+disable_created_metrics()
+
+CODE_LABELS = {code: (str(int(code)), code.name.lower()) for code in Code}
+
+# Some labels come from what callers send. Without a bound, a caller that invents
+# names would make the daemon's memory and its /metrics page grow for ever.
+LABEL_LIMIT = 2048
+OTHER = "other"
+
+
+class Metrics:
+    """All that one daemon counts; every method may be called from any task."""
+
+    def __init__(self, runtime: Runtime):
+        self._registry = CollectorRegistry()
+        self._lock = runtime.make_lock()
+        self._refusals = self._count(
+            "refusals", "Requests refused.", ["code", "name", "workspace"]
+        )
+        self._retries = self._count("retries", "Requests sent again.", ["reason"])
+        self._events = self._count("events", "Events of the daemon.", ["event"])
+        self._requests = self._count(
+            "requests", "Requests answered.", ["workspace", "group"]
+        )
+        self._latency = Gauge(
+            "bronzerelay_latency_ms",
+            "Latency of answered requests since the start, in milliseconds.",
+            ["workspace", "group", "quantile"],
+            registry=self._registry,
+        )
+        self._counters: dict[tuple, Counter] = {}
+        self._gauges: dict[str, Gauge] = {}
+        self._histograms: dict[tuple[str, str], HdrHistogram] = {}
+
+    def count_refusal(self, code: Code, workspace: str) -> None:
+        """Count a request of `workspace` that was refused with `code`."""
+        self._add_one(self._refusals, (*CODE_LABELS[code], workspace))
+
+    def count_retry(self, reason: str) -> None:
+        """Count a request that was sent again for `reason`."""
+        self._add_one(self._retries, (reason,))
+
+    def count_event(self, name: str) -> None:
+        """Count an event."""
+        self._add_one(self._events, (name,))
+
+    def record_latency(self, workspace: str, group: str, ms: float) -> None:
+        """Count an answered request that took `ms` milliseconds."""
+        value_us = min(max(LOWEST_US, int(ms * 1000)), HIGHEST_US)
+        with self._lock:
+            histogram = self._find_histogram(workspace, group)
+            histogram.record_value(value_us)
+        self._add_one(self._requests, (workspace, group))
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set the gauge `bronzerelay_NAME`."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = self._make_gauge(name)
+        gauge.set(value)
+
+    def render(self) -> bytes:
+        """Return the page for /metrics."""
+        with self._lock:
+            for (workspace, group), histogram in self._histograms.items():
+                self._show_latency(workspace, group, histogram)
+        return generate_latest(self._registry)
+
+    def _count(self, name: str, text: str, labels: list[str]) -> Counter:
+        return Counter(f"bronzerelay_{name}", text, labels, registry=self._registry)
+
+    def _add_one(self, counter: Counter, labels: tuple[str, ...]) -> None:
+        child = self._counters.get((counter, labels))
+        if child is None:
+            child = self._make_child(counter, labels)
+        child.inc()
+
+    def _make_child(self, counter: Counter, labels: tuple[str, ...]) -> Counter:
+        with self._lock:
+            if len(self._counters) >= LABEL_LIMIT:
+                labels = (*labels[:-1], OTHER)
+            child = counter.labels(*labels)
+            self._counters[counter, labels] = child
+        return child
+
+    def _make_gauge(self, name: str) -> Gauge:
+        with self._lock:
+            if name not in self._gauges:
+                self._gauges[name] = Gauge(
+                    f"bronzerelay_{name}",
+                    f"The daemon's {name.replace('_', ' ')}.",
+                    registry=self._registry,
+                )
+            return self._gauges[name]
+
+    def _find_histogram(self, workspace: str, group: str) -> HdrHistogram:
+        histogram = self._histograms.get((workspace, group))
+        if histogram is None:
+            if len(self._histograms) >= LABEL_LIMIT:
+                workspace, group = OTHER, OTHER
+            histogram = self._histograms.setdefault(
+                (workspace, group), HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            )
+        return histogram
+
+    def _show_latency(
+        self, workspace: str, group: str, histogram: HdrHistogram
+    ) -> None:
+        for name, percentile in QUANTILES.items():
+            value_ms = histogram.get_value_at_percentile(percentile) / 1000
+            self._latency.labels(workspace, group, name).set(value_ms)
