Serve callers over HTTP/1.1, one task for each connection

A drain wakes idle connections by a signal that they wait for beside their socket, and answers them before it closes, so that a request on its way is told that it did not run. Deeply nested JSON is refused before it is decoded: on a task's small stack the decoder ends the process with a segmentation fault.

--- /dev/null
+++ b/bronzerelay/front.py
@@ -0,0 +1,492 @@
+"""The HTTP/1.1 front: callers' connections, one task for each."""
+
+import contextlib
+import math
+import re
+from collections import deque
+from collections.abc import Callable
+from logging import Logger
+from typing import Any, NamedTuple
+from urllib.parse import unquote
+
+import msgspec
+from expression import Result
+
+from bronzerelay.codes import CODES, Code, Refusal, refuse
+from bronzerelay.logs import hide_key
+from bronzerelay.metrics import Metrics
+from bronzerelay.registry import FRONT, register
+from bronzerelay.runtime import (
+    Address,
+    Connection,
+    Runtime,
+    Signal,
+    TaskLimitError,
+)
+from bronzerelay.settings import DaemonSettings
+from bronzerelay.statements import decode_request
+from bronzerelay.types import StatementAnswer, StatementRequest
+from bronzerelay.wire import (
+    CONTINUE,
+    Answer,
+    CallerRequest,
+    RequestParser,
+    format_answer,
+)
+
+STATEMENTS_PATH = re.compile(r"/v1/workspaces/([^/]+)/statements")
+BEARER = re.compile(r"(?i:bearer) +([A-Za-z0-9._~+/=-]+)")
+REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,64}")
+PROMETHEUS_TEXT = "text/plain; version=0.0.4; charset=utf-8"
+
+# The workspace in counters of refusals that came before the key was judged. A name
+# that nobody has checked must not become a label.
+NO_WORKSPACE = "-"
+UNPROVEN_CODES = frozenset(
+    {
+        Code.KEY_MISSING,
+        Code.KEY_REJECTED,
+        Code.WORKSPACE_UNKNOWN,
+        Code.NO_CONFIGURATION,
+        Code.ISOLATED,
+        Code.STOPPING,
+        Code.INTERNAL_ERROR,
+    }
+)
+
+# When a caller that met the limit of connections, or the drain, should come back.
+COME_BACK_MS = 1000
+# How long the accepting task may take to send a refusal.
+REFUSAL_SEND_MS = 100
+# How long the front reads on after its last answer. Closing a socket that holds
+# unread bytes resets the connection, and the answer would be lost on its way.
+LINGER_MS = 1000
+# Refused connections that wait to be closed; the oldest give way to more.
+REFUSED_LIMIT = 256
+# Connections accepted after a drain began; a flood must not hold up the end.
+LATE_CONNECTIONS = 1024
+# Pause after a failed accept, such as one for want of file descriptors.
+ACCEPT_PAUSE_MS = 50
+
+
+class FrontSettings(NamedTuple):
+    """Limits of the front; times are milliseconds, sizes are bytes."""
+
+    listen: Address
+    max_connections: int = 400
+    max_body_bytes: int = 1_048_576
+    max_header_bytes: int = 16_384
+    request_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 60_000
+    tls_certificate: str = ""
+    tls_key: str = ""
+
+
+def pick_front_settings(settings: DaemonSettings) -> FrontSettings:
+    """Return the part of the daemon's settings that the front needs."""
+    return FrontSettings(*(getattr(settings, field) for field in FrontSettings._fields))
+
+
+class Handlers(NamedTuple):
+    """What the front calls; each may be called from many tasks at once."""
+
+    run_statement: Callable[
+        [str, str, StatementRequest, str], Result[StatementAnswer, Refusal]
+    ]
+    check_ready: Callable[[], Result[None, Refusal]]
+    show_status: Callable[[], dict[str, Any]]
+    render_metrics: Callable[[], bytes]
+
+
+@register(FRONT, "http")
+class HttpFront:
+    """Accepts callers' connections and answers each request in its order."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        settings: FrontSettings,
+        handlers: Handlers,
+        metrics: Metrics,
+        log: Logger,
+    ):
+        self._runtime = runtime
+        self._settings = settings
+        self._handlers = handlers
+        self._metrics = metrics
+        self._log = log
+        self._changed = runtime.make_condition()
+        self._open = 0
+        self._accepting = False
+        self._refused: deque[tuple[Connection, float]] = deque()
+        self._draining = False
+        self._drain: Signal = runtime.make_signal()
+        self._listener = runtime.listen(settings.listen)
+        self.address = self._listener.address
+
+    # The life of the front
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        self._accepting = True
+        self._runtime.start(self._close_refused)
+        self._runtime.start(self._accept)
+        self._log.info("Callers can connect.", extra={"address": str(self.address)})
+
+    def drain(self, deadline_ms: float) -> bool:
+        """Stop accepting, answer what runs, close; return whether all ended.
+
+        Requests that arrive on open connections meanwhile are answered, too.
+        """
+        with self._changed:
+            self._draining = True
+            self._changed.notify_all()
+            self._drain.set()
+            ended = self._runtime.wait_for(
+                self._changed,
+                lambda: not self._accepting and not self._open,
+                deadline_ms,
+            )
+            left = self._open
+        self._log.info("The drain is over.", extra={"connections_left": left})
+        return bool(ended)
+
+    # Accepting
+
+    def _accept(self) -> None:
+        late = 0
+        try:
+            while late < LATE_CONNECTIONS and self._listener.wait_readable(self._drain):
+                late += self._draining
+                self._accept_one()
+        except OSError:
+            # The runtime closed the listener, because the process ends.
+            self._log.info("The listener is closed.")
+        finally:
+            self._listener.close()
+            with self._changed:
+                self._accepting = False
+                self._changed.notify_all()
+
+    def _accept_one(self) -> None:
+        try:
+            connection = self._listener.accept()
+        except OSError as error:
+            if self._runtime.stopping:
+                raise
+            self._metrics.count_event("accept_failed")
+            self._log.warning("A connection was not accepted: %s.", error)
+            self._runtime.sleep_ms(ACCEPT_PAUSE_MS)
+            return
+        if not self._reserve():
+            self._refuse_connection(connection)
+            return
+        try:
+            self._runtime.start(self._serve, connection)
+        except (TaskLimitError, RuntimeError):
+            self._release()
+            self._refuse_connection(connection)
+
+    def _reserve(self) -> bool:
+        with self._changed:
+            if self._open >= self._settings.max_connections:
+                return False
+            self._open += 1
+            count = self._open
+        self._metrics.count_event("connection_accepted")
+        self._metrics.set_gauge("connections", count)
+        return True
+
+    def _release(self) -> None:
+        with self._changed:
+            self._open -= 1
+            count = self._open
+            self._changed.notify_all()
+        self._metrics.set_gauge("connections", count)
+
+    def _refuse_connection(self, connection: Connection) -> None:
+        """Answer a connection over the limit at once, from the accepting task.
+
+        No task is free for it, and in a queue it would wait in silence until its
+        caller's own timeout.
+        """
+        self._metrics.count_refusal(Code.CONNECTION_LIMIT, NO_WORKSPACE)
+        limit = self._settings.max_connections
+        message = f"The daemon serves {limit} connections already."
+        refusal = refuse(Code.CONNECTION_LIMIT, message, COME_BACK_MS).error
+        request_id = self._make_request_id()
+        answer = format_answer(format_refusal(refusal, request_id), request_id, False)
+        try:
+            connection.set_timeout(REFUSAL_SEND_MS)
+            connection.send(answer)
+            connection.finish_sending()
+        except OSError:
+            connection.close()
+            return
+        self._queue_refused(connection)
+
+    def _queue_refused(self, connection: Connection) -> None:
+        end_ms = self._runtime.clock.now_ms() + LINGER_MS
+        oldest = None
+        with self._changed:
+            if len(self._refused) >= REFUSED_LIMIT:
+                oldest, _ = self._refused.popleft()
+            self._refused.append((connection, end_ms))
+            self._changed.notify_all()
+        if oldest is not None:
+            oldest.close()
+
+    def _close_refused(self) -> None:
+        while True:
+            with self._changed:
+                while not self._refused:
+                    if not self._accepting:
+                        return
+                    self._changed.wait()
+                connection, end_ms = self._refused.popleft()
+            self._linger(connection, end_ms)
+            connection.close()
+
+    # One connection
+
+    def _serve(self, connection: Connection) -> None:
+        try:
+            connection.set_timeout(self._settings.request_timeout_ms)
+            connection.complete_handshake()
+            self._converse(connection)
+        except OSError:
+            # Callers leave whenever they like, also before their answer.
+            self._metrics.count_event("caller_disconnected")
+        except Exception:
+            self._metrics.count_event("connection_failed")
+            self._log.exception("A connection ended by a fault.")
+        finally:
+            connection.close()
+            self._release()
+
+    def _converse(self, connection: Connection) -> None:
+        settings = self._settings
+        parser = RequestParser(settings.max_header_bytes, settings.max_body_bytes)
+        keep_alive = True
+        while keep_alive:
+            request = self._read_request(connection, parser)
+            if request is None:
+                return
+            if isinstance(request, Refusal):
+                self._send_refusal(connection, request)
+                break
+            request_id = self._choose_request_id(request)
+            answer = self._answer(request, request_id)
+            keep_alive = request.keep_alive and self._stays_open(connection, parser)
+            connection.set_timeout(settings.request_timeout_ms)
+            connection.send(format_answer(answer, request_id, keep_alive))
+        connection.finish_sending()
+        self._linger(connection, self._runtime.clock.now_ms() + LINGER_MS)
+
+    def _stays_open(self, connection: Connection, parser: RequestParser) -> bool:
+        """Return whether the answer may leave the connection open.
+
+        During a drain it may only where the caller has sent more already, which
+        would otherwise be cut.
+        """
+        if not self._draining:
+            return True
+        more = parser.requests or parser.begun
+        return bool(more) or connection.wait_readable(0)
+
+    def _read_request(
+        self, connection: Connection, parser: RequestParser
+    ) -> CallerRequest | Refusal | None:
+        """Return the next request, why there is none, or None at the end."""
+        if not parser.requests and parser.fault is None and not parser.begun:
+            refusal = self._wait_idle(connection)
+            if refusal is not None:
+                return refusal
+        clock = self._runtime.clock
+        end_ms = clock.now_ms() + self._settings.request_timeout_ms
+        while not parser.requests:
+            if parser.fault is not None:
+                return parser.fault
+            left_ms = end_ms - clock.now_ms()
+            if left_ms <= 0:
+                return self._refuse_slow()
+            connection.set_timeout(left_ms)
+            try:
+                data = connection.receive()
+            except TimeoutError:
+                return self._refuse_slow()
+            if not data:
+                return None
+            parser.feed(data)
+            if parser.take_continue() and parser.fault is None:
+                connection.send(CONTINUE)
+        return parser.requests.popleft()
+
+    def _wait_idle(self, connection: Connection) -> Refusal | None:
+        """Wait for the first bytes of a request; return why the wait is over.
+
+        A request may be on its way while the front gives up. Closing without a
+        word would cut it; with an answer sent first, its caller reads that nothing
+        ran, and may send it to another daemon.
+        """
+        timeout_ms = self._settings.idle_timeout_ms
+        if connection.wait_readable(timeout_ms, self._drain):
+            return None
+        if self._draining:
+            message = "The daemon is stopping."
+            return refuse(Code.STOPPING, message, COME_BACK_MS).error
+        message = f"No request came within {timeout_ms} ms."
+        return refuse(Code.CALLER_TOO_SLOW, message).error
+
+    def _refuse_slow(self) -> Refusal:
+        timeout_ms = self._settings.request_timeout_ms
+        message = f"The request did not arrive whole within {timeout_ms} ms."
+        return refuse(Code.CALLER_TOO_SLOW, message).error
+
+    def _send_refusal(self, connection: Connection, refusal: Refusal) -> None:
+        self._metrics.count_refusal(refusal.code, NO_WORKSPACE)
+        request_id = self._make_request_id()
+        answer = format_refusal(refusal, request_id)
+        connection.set_timeout(self._settings.request_timeout_ms)
+        connection.send(format_answer(answer, request_id, False))
+
+    def _linger(self, connection: Connection, end_ms: float) -> None:
+        """Read until the caller closes or time is up, and drop what comes."""
+        clock = self._runtime.clock
+        with contextlib.suppress(OSError):
+            while (left_ms := end_ms - clock.now_ms()) > 0:
+                connection.set_timeout(left_ms)
+                if not connection.receive():
+                    return
+
+    # One request
+
+    def _make_request_id(self) -> str:
+        return f"{self._runtime.random.getrandbits(64):016x}"
+
+    def _choose_request_id(self, request: CallerRequest) -> str:
+        """Return the caller's own id where it is fit for logs and headers."""
+        request_id = request.headers.get("x-request-id", "")
+        key = read_key(request)
+        if not REQUEST_ID.fullmatch(request_id) or (key and key in request_id):
+            return self._make_request_id()
+        return request_id
+
+    def _answer(self, request: CallerRequest, request_id: str) -> Answer:
+        with hide_key(read_key(request)):
+            try:
+                return self._route(request, request_id)
+            except Exception:
+                self._log.exception(
+                    "A request ended by a fault.", extra={"request_id": request_id}
+                )
+        message = "The daemon failed while it handled the request."
+        refusal = refuse(Code.INTERNAL_ERROR, message).error
+        return self._refuse(refusal, NO_WORKSPACE, request_id)
+
+    def _route(self, request: CallerRequest, request_id: str) -> Answer:
+        match = STATEMENTS_PATH.fullmatch(request.path)
+        if match:
+            if request.method != "POST":
+                return self._refuse_method("POST", request, request_id)
+            return self._run_statement(unquote(match[1]), request, request_id)
+        show = self._find_page(request.path)
+        if show is None:
+            message = f"There is no path {request.path!r}."
+            refusal = refuse(Code.UNKNOWN_PATH, message).error
+            return self._refuse(refusal, NO_WORKSPACE, request_id)
+        if request.method != "GET":
+            return self._refuse_method("GET", request, request_id)
+        return show(request_id)
+
+    def _find_page(self, path: str) -> Callable[[str], Answer] | None:
+        pages = {
+            "/health": self._show_health,
+            "/ready": self._show_ready,
+            "/metrics": self._show_metrics,
+            "/status": self._show_status,
+        }
+        return pages.get(path)
+
+    def _show_health(self, request_id: str) -> Answer:
+        return Answer(200, msgspec.json.encode({"alive": True}))
+
+    def _show_ready(self, request_id: str) -> Answer:
+        ready = self._handlers.check_ready()
+        if self._draining:
+            ready = refuse(Code.STOPPING, "The daemon is stopping.", COME_BACK_MS)
+        if ready.is_error():
+            return self._refuse(ready.error, NO_WORKSPACE, request_id)
+        return Answer(200, msgspec.json.encode({"ready": True}))
+
+    def _show_metrics(self, request_id: str) -> Answer:
+        return Answer(200, self._handlers.render_metrics(), PROMETHEUS_TEXT)
+
+    def _show_status(self, request_id: str) -> Answer:
+        return Answer(200, msgspec.json.encode(self._handlers.show_status()))
+
+    def _run_statement(
+        self, workspace: str, request: CallerRequest, request_id: str
+    ) -> Answer:
+        key = read_key(request)
+        if not key:
+            message = "The request has no key."
+            refusal = refuse(Code.KEY_MISSING, message).error
+            return self._refuse(refusal, NO_WORKSPACE, request_id)
+        decoded = decode_request(request.body)
+        if decoded.is_error():
+            return self._refuse(decoded.error, NO_WORKSPACE, request_id)
+        clock = self._runtime.clock
+        begun_ms = clock.now_ms()
+        result = self._handlers.run_statement(workspace, key, decoded.ok, request_id)
+        if result.is_error():
+            return self._refuse(result.error, workspace, request_id)
+        group = decoded.ok["group"]
+        self._metrics.record_latency(workspace, group, clock.now_ms() - begun_ms)
+        return format_result(result.ok, request_id)
+
+    def _refuse(self, refusal: Refusal, workspace: str, request_id: str) -> Answer:
+        label = NO_WORKSPACE if refusal.code in UNPROVEN_CODES else workspace
+        self._metrics.count_refusal(refusal.code, label)
+        return format_refusal(refusal, request_id)
+
+    def _refuse_method(
+        self, allowed: str, request: CallerRequest, request_id: str
+    ) -> Answer:
+        message = f"The path takes {allowed}, not {request.method}."
+        refusal = refuse(Code.WRONG_METHOD, message).error
+        answer = self._refuse(refusal, NO_WORKSPACE, request_id)
+        return answer._replace(headers=(("Allow", allowed),))
+
+
+def read_key(request: CallerRequest) -> str:
+    """Return the bearer key of a request; empty when it has none."""
+    match = BEARER.fullmatch(request.headers.get("authorization", ""))
+    return match[1] if match else ""
+
+
+def format_result(result: StatementAnswer, request_id: str) -> Answer:
+    """Return the answer to a request that ran."""
+    body = {**result, "code": Code.OK, "ran": "ran", "request_id": request_id}
+    return Answer(200, msgspec.json.encode(body))
+
+
+def format_refusal(refusal: Refusal, request_id: str) -> Answer:
+    """Return the answer to a refused request."""
+    entry = CODES[refusal.code]
+    body = {
+        "code": refusal.code,
+        "name": refusal.code.name,
+        "ran": refusal.ran,
+        "message": refusal.message,
+        "advice": entry.advice,
+        "request_id": request_id,
+        "retry_after_ms": math.ceil(refusal.retry_after_ms),
+    }
+    headers = (("WWW-Authenticate", "Bearer"),) if entry.status == 401 else ()
+    return Answer(
+        entry.status,
+        msgspec.json.encode(body),
+        retry_after_ms=refusal.retry_after_ms,
+        headers=headers,
+    )
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -2,11 +2,14 @@
 
 import concurrent.futures
 import contextlib
+import os
 import random
+import select
 import socket
 import ssl
 import threading
 import time
+import weakref
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -62,6 +65,39 @@
             time.sleep(duration_ms / 1000)
 
 
+class Signal:
+    """A flag that tasks wait for together with the bytes of a connection.
+
+    An event can't be awaited at the same time as a socket, and a task that looked at
+    it now and then would cost processor time on every idle connection.
+    """
+
+    def __init__(self):
+        self._descriptor = os.eventfd(0)
+        self._closer = weakref.finalize(self, os.close, self._descriptor)
+
+    def set(self) -> None:
+        """Wake every task that waits for the signal; it stays set for good."""
+        os.eventfd_write(self._descriptor, 1)
+
+    def fileno(self) -> int:
+        """Return the descriptor, for `poll`."""
+        return self._descriptor
+
+
+def _wait_readable(
+    sock: socket.socket, timeout_ms: float | None, signal: Signal | None
+) -> bool:
+    descriptor = sock.fileno()
+    if descriptor < 0:
+        raise ConnectionLostError("the socket is closed")
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    if signal is not None:
+        poller.register(signal, select.POLLIN)
+    return any(ready == descriptor for ready, _ in poller.poll(timeout_ms))
+
+
 class Connection:
     """A TCP connection with a timeout for each call."""
 
@@ -92,6 +128,27 @@
             count -= len(part)
         return b"".join(parts)
 
+    def wait_readable(
+        self, timeout_ms: float | None, signal: Signal | None = None
+    ) -> bool:
+        """Return whether bytes (or the end) can be received without waiting.
+
+        Return False when time is up or `signal` is set and nothing has come.
+        """
+        if isinstance(self._sock, ssl.SSLSocket) and self._sock.pending():
+            return True
+        return _wait_readable(self._sock, timeout_ms, signal)
+
+    def complete_handshake(self) -> None:
+        """Complete the TLS handshake, if there is one, within the set timeout."""
+        if isinstance(self._sock, ssl.SSLSocket):
+            self._sock.do_handshake()
+
+    def finish_sending(self) -> None:
+        """Tell the other side that nothing more comes; receiving goes on."""
+        # An SSLSocket's own shutdown would forget the keys of both directions.
+        socket.socket.shutdown(self._sock, socket.SHUT_WR)
+
     def peer_address(self) -> Address:
         """Return the address of the other side."""
         name = self._sock.getpeername()
@@ -128,13 +185,24 @@
         slow caller holds up only its own task.
         """
         sock, _ = self._sock.accept()
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self._tls is not None:
-            sock = self._tls().wrap_socket(
-                sock, server_side=True, do_handshake_on_connect=False
-            )
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._tls is not None:
+                sock = self._tls().wrap_socket(
+                    sock, server_side=True, do_handshake_on_connect=False
+                )
+        except BaseException:
+            sock.close()
+            raise
         return self._adopt(sock)
 
+    def wait_readable(self, signal: Signal) -> bool:
+        """Wait; return True when a connection is there to accept.
+
+        Return False once `signal` is set and no connection is left to accept.
+        """
+        return _wait_readable(self._sock, None, signal)
+
     def close(self) -> None:
         """Stop listening and wake the task that waits in `accept`."""
         with contextlib.suppress(OSError):
@@ -204,6 +272,10 @@
         """Return a new event."""
         return threading.Event()
 
+    def make_signal(self) -> Signal:
+        """Return a new signal."""
+        return Signal()
+
     def wait_for(
         self,
         condition: threading.Condition,
--- /dev/null
+++ b/bronzerelay/statements.py
@@ -0,0 +1,127 @@
+"""Checks of the body that a caller sends to run a statement."""
+
+import re
+from typing import Any, get_type_hints
+
+import msgspec
+from expression import Error, Ok, Result
+
+from bronzerelay.codes import Code, Refusal, refuse
+from bronzerelay.types import Statement, StatementRequest
+
+# A decoder calls itself once for each level. The stack of a task is small, and some
+# thousand brackets in one body end the whole process with a segmentation fault.
+MAX_NESTING = 64
+NESTING_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[{]|[\]}]', re.DOTALL)
+OPENING = (b"[", b"{")
+
+IDEMPOTENCY_KEY_LENGTH = 200
+# The fields that a verb needs, besides `row`.
+VERB_FIELDS = {
+    "get": set(),
+    "delete": set(),
+    "put": {"value"},
+    "append": {"value"},
+    "add": {"amount"},
+}
+ACTION_FIELDS = {
+    "statement": {"statement"},
+    "begin": set(),
+    "commit": {"transaction"},
+    "rollback": {"transaction"},
+}
+EXCLUDED_FIELDS = {
+    "statement": set(),
+    "begin": {"statement", "transaction"},
+    "commit": {"statement"},
+    "rollback": {"statement"},
+}
+REQUEST_FIELDS = frozenset(get_type_hints(StatementRequest))
+STATEMENT_FIELDS = frozenset(get_type_hints(Statement))
+
+
+def decode_request(body: bytes) -> Result[StatementRequest, Refusal]:
+    """Return the checked request that `body` holds.
+
+    Refuse a body that isn't JSON (MALFORMED_JSON), and one with a wrong, missing or
+    unknown field (INVALID_STATEMENT).
+    """
+    if not check_nesting(body):
+        message = f"The body nests deeper than {MAX_NESTING} levels."
+        return refuse(Code.MALFORMED_JSON, message)
+    try:
+        decoded = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return refuse(Code.MALFORMED_JSON, f"The body is not JSON: {error}.")
+    try:
+        request = msgspec.convert(decoded, StatementRequest)
+    except msgspec.ValidationError as error:
+        return refuse(Code.INVALID_STATEMENT, f"{error}.")
+    mistake = find_mistake(decoded)
+    if mistake:
+        return Error(refuse(Code.INVALID_STATEMENT, mistake).error)
+    return Ok(request)
+
+
+def check_nesting(body: bytes) -> bool:
+    """Return whether arrays and objects nest no deeper than MAX_NESTING."""
+    if body.count(b"[") + body.count(b"{") <= MAX_NESTING:
+        return True
+    depth = 0
+    for match in NESTING_TOKENS.finditer(body):
+        token = match.group()
+        if token in OPENING:
+            depth += 1
+        elif not token.startswith(b'"'):
+            depth -= 1
+        if depth > MAX_NESTING:
+            return False
+    return True
+
+
+def find_mistake(request: dict[str, Any]) -> str:
+    """Return what is wrong with a request of the right types, or an empty text."""
+    # A misspelt `idempotency_key` that was passed over would let a repeated order
+    # run twice, so an unknown field is refused.
+    unknown = set(request) - REQUEST_FIELDS
+    if unknown:
+        return f"Unknown field `{min(unknown)}`."
+    action = request.get("action", "statement")
+    missing = ACTION_FIELDS[action] - set(request)
+    if missing:
+        return f"The action `{action}` needs the field `{min(missing)}`."
+    excluded = EXCLUDED_FIELDS[action] & set(request)
+    if excluded:
+        return f"The action `{action}` takes no field `{min(excluded)}`."
+    if "statement" in request:
+        mistake = _find_statement_mistake(request["statement"])
+        if mistake:
+            return mistake
+    return _find_range_mistake(request)
+
+
+def _find_statement_mistake(statement: dict[str, Any]) -> str:
+    unknown = set(statement) - STATEMENT_FIELDS
+    if unknown:
+        return f"Unknown field `{min(unknown)}` - at `$.statement`."
+    verb = statement["verb"]
+    missing = VERB_FIELDS[verb] - set(statement)
+    if missing:
+        return f"The verb `{verb}` needs the field `{min(missing)}` - at `$.statement`."
+    if not statement["row"]:
+        return "The row has no name - at `$.statement.row`."
+    return ""
+
+
+def _find_range_mistake(request: dict[str, Any]) -> str:
+    if request.get("max_age_ms", 0) < 0:
+        return "`max_age_ms` is less than 0 - at `$.max_age_ms`."
+    if request.get("deadline_ms", 1) < 1:
+        return "`deadline_ms` is less than 1 - at `$.deadline_ms`."
+    length = len(request.get("idempotency_key", "-"))
+    if not 1 <= length <= IDEMPOTENCY_KEY_LENGTH:
+        return (
+            f"`idempotency_key` has not 1 to {IDEMPOTENCY_KEY_LENGTH} characters "
+            "- at `$.idempotency_key`."
+        )
+    return ""
