Speak TLS with callers, rereading a changed certificate

The last good pair of files stays in use, since whoever renews a certificate replaces two files one after the other. A caller over the connection limit is answered by another task than the accepting one, because a handshake can take long.

--- a/bronzerelay/front.py
+++ b/bronzerelay/front.py
@@ -25,6 +25,7 @@
 )
 from bronzerelay.settings import DaemonSettings
 from bronzerelay.statements import decode_request
+from bronzerelay.tls import open_tls
 from bronzerelay.types import StatementAnswer, StatementRequest
 from bronzerelay.wire import (
     CONTINUE,
@@ -121,7 +122,10 @@
         self._refused: deque[tuple[Connection, float]] = deque()
         self._draining = False
         self._drain: Signal = runtime.make_signal()
-        self._listener = runtime.listen(settings.listen)
+        self._tls = None
+        if settings.tls_certificate:
+            self._tls = open_tls(settings.tls_certificate, settings.tls_key, log)
+        self._listener = runtime.listen(settings.listen, self._tls)
         self.address = self._listener.address
 
     # The life of the front
@@ -160,7 +164,7 @@
                 late += self._draining
                 self._accept_one()
         except OSError:
-            # The runtime closed the listener, because the process ends.
+            # The runtime closed the listener because the process ends.
             self._log.info("The listener is closed.")
         finally:
             self._listener.close()
@@ -211,19 +215,27 @@
         caller's own timeout.
         """
         self._metrics.count_refusal(Code.CONNECTION_LIMIT, NO_WORKSPACE)
+        # A handshake takes as long as the caller likes, and would hold up all others.
+        if self._tls is None and not self._send_limit(connection, REFUSAL_SEND_MS):
+            connection.close()
+            return
+        self._queue_refused(connection)
+
+    def _send_limit(self, connection: Connection, timeout_ms: float) -> bool:
+        """Send the refusal for too many connections; return whether it went out."""
         limit = self._settings.max_connections
         message = f"The daemon serves {limit} connections already."
         refusal = refuse(Code.CONNECTION_LIMIT, message, COME_BACK_MS).error
         request_id = self._make_request_id()
         answer = format_answer(format_refusal(refusal, request_id), request_id, False)
         try:
-            connection.set_timeout(REFUSAL_SEND_MS)
+            connection.set_timeout(timeout_ms)
+            connection.complete_handshake()
             connection.send(answer)
             connection.finish_sending()
         except OSError:
-            connection.close()
-            return
-        self._queue_refused(connection)
+            return False
+        return True
 
     def _queue_refused(self, connection: Connection) -> None:
         end_ms = self._runtime.clock.now_ms() + LINGER_MS
@@ -244,6 +256,9 @@
                         return
                     self._changed.wait()
                 connection, end_ms = self._refused.popleft()
+            if self._tls is not None:
+                left_ms = end_ms - self._runtime.clock.now_ms()
+                self._send_limit(connection, max(left_ms, REFUSAL_SEND_MS))
             self._linger(connection, end_ms)
             connection.close()
 
