--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -83,6 +83,15 @@
             return refuse(Code.ISOLATED, message, ISOLATED_RETRY_MS)
         return Ok(None)
 
+    def check_ready(self) -> Result[None, Refusal]:
+        """Return Ok when the balancer should send callers here.
+
+        A daemon that is about to stop still runs what comes, but wants no more.
+        """
+        if not self._membership.is_alive(self._membership.name):
+            return refuse(Code.STOPPING, "The daemon is stopping.", STOP_RETRY_MS)
+        return self.check_admission()
+
     def run_statement(
         self, workspace: str, key: str, request: StatementRequest, request_id: str
     ) -> Result[StatementAnswer, Refusal]:
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -3,7 +3,6 @@
 import concurrent.futures
 import contextlib
 import functools
-
 import os
 import random
 import select
@@ -13,7 +12,6 @@
 import threading
 import time
 import traceback
-
 import weakref
 from collections.abc import Callable
 from typing import Any, NamedTuple
--- a/bronzerelay/settings.py
+++ b/bronzerelay/settings.py
@@ -24,6 +24,7 @@
     peer_listen: Address
     platform: tuple[Address, ...]
     peer_secret: str
+    seeds: tuple[Address, ...] = ()
     max_connections: int = 400
     max_body_bytes: int = 1_048_576
     max_header_bytes: int = 16_384
@@ -36,7 +37,7 @@
     suspect_ms: int = 700
     isolation_ms: int = 3_000
     drain_ms: int = 10_000
-    status_wait_ms: int = 300
+    status_wait_ms: int = 150
     statement_timeout_ms: int = 1_000
     tls_certificate: str = ""
     tls_key: str = ""
@@ -135,6 +136,11 @@
     Setting("peer_listen", ADDRESS, "Where other daemons connect."),
     Setting("platform", ADDRESSES, "The platform's key-value service."),
     Setting("peer_secret", SECRET, "Secret that all daemons share."),
+    Setting(
+        "seeds",
+        ADDRESSES,
+        "Peers to ask for roster and configuration while the platform is out.",
+    ),
     Setting(
         "max_connections",
         make_number_type(1, 20_000),
