Say whether a settled outcome was in the log before

An attempt that somebody gave up on earlier may have been followed by the next one: a second daemon that settles must go on to that one before it says not_run.

--- a/bronzerelay/dialect.py
+++ b/bronzerelay/dialect.py
@@ -79,12 +79,16 @@
 
 
 class SettleAnswer(NamedTuple):
-    """Whether a request ran; a cancelled one never will."""
+    """Whether a request ran; a cancelled one never will.
+
+    `duplicate` says that the outcome stood in the log before this call.
+    """
 
     outcome: Literal["ran", "cancelled"]
     value: Any
     log_term: int
     position: int
+    duplicate: bool
 
 
 class BeginAnswer(NamedTuple):
--- a/bronzerelay/group.py
+++ b/bronzerelay/group.py
@@ -27,6 +27,7 @@
 NO_PRIMARY_RETRY_MS = 300
 LEND_TIMEOUT_MS = 300
 SETTLE_TIMEOUT_MS = 300
+SETTLE_PAUSE_MS = 20.0
 # The endpoint keeps an attempt's number behind the request's own id.
 ATTEMPT_MARK = "#"
 
@@ -65,6 +66,19 @@
     served_by: str
 
 
+class Settled(NamedTuple):
+    """What became of an attempt, as a majority holds it.
+
+    `was_cancelled_before` says that it had been given up on earlier already.
+    """
+
+    ran: bool
+    was_cancelled_before: bool
+    value: Any
+    at: Position
+    name: str
+
+
 class GroupParts(NamedTuple):
     """What a group is served with."""
 
@@ -294,13 +308,20 @@
         self._metrics.count_retry("settle")
         while self.left_ms(work) > 0:
             settled = self._try_settle(work, attempt)
-            if settled is not None:
-                return settled
-            self._runtime.sleep_ms(min(20.0, max(0.0, self.left_ms(work))))
+            if settled is None:
+                self._runtime.sleep_ms(min(SETTLE_PAUSE_MS, self.left_ms(work)))
+            elif settled.ran:
+                session = advance_session(work.session, work.group, settled.at)
+                return Ok(self._make_answer(settled.name, session, settled.value))
+            elif settled.was_cancelled_before:
+                # Whoever gave this attempt up may have sent the next one since.
+                attempt += 1
+            else:
+                return self._give_up_attempt(work, attempt)
         message = "The answer was lost, and the outcome can't be told in time."
         return refuse(Code.OUTCOME_UNKNOWN, message, NO_PRIMARY_RETRY_MS, UNKNOWN)
 
-    def _try_settle(self, work: Work, attempt: int) -> Result | None:
+    def _try_settle(self, work: Work, attempt: int) -> Settled | None:
         found = self.acquire_primary(work)
         if not found.is_ok():
             return None
@@ -315,9 +336,13 @@
         at = Position(term, answer.position)
         if not self._watch.wait_majority(at, self.left_ms(work)):
             return None
-        if answer.outcome == "ran":
-            session = advance_session(work.session, work.group, at)
-            return Ok(self._make_answer(name, session, answer.value))
+        return Settled(
+            answer.outcome == "ran", answer.duplicate, answer.value, at, name
+        )
+
+    def _give_up_attempt(
+        self, work: Work, attempt: int
+    ) -> Result[StatementAnswer, Refusal]:
         if work.request.get("repeatable") and self.parts.budget.allow(attempt):
             return self._repeat(work, attempt + 1)
         message = "The primary was lost before the request ran."
--- a/bronzerelay/transactions.py
+++ b/bronzerelay/transactions.py
@@ -196,6 +196,9 @@
             return self._finish_commit(transaction, work, result.ok.position)
         if result.error.may_have_run:
             return self._settle_commit(transaction, work)
+        if result.error.kind == "cancelled":
+            message = "An earlier commit with this idempotency key was given up on."
+            return refuse(Code.IDEMPOTENCY_CONFLICT, message)
         message = f"Nothing was committed: {result.error.message}."
         return refuse(Code.TRANSACTION_LOST, message)
 
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -328,10 +328,9 @@
         try:
             recorded = self._find_recorded(request_id)
         except RefusedError:
-            return {"outcome": "cancelled", "value": None, **self._end_of_log()}
+            return self._settled("cancelled", None, True)
         if recorded is not None:
-            value = recorded["value"]
-            return {"outcome": "ran", "value": value, **self._end_of_log()}
+            return self._settled("ran", recorded["value"], True)
         entry = Entry(
             term=self.term,
             kind="cancel",
@@ -340,7 +339,11 @@
             value=None,
         )
         self.append(entry)
-        return {"outcome": "cancelled", "value": None, **self._end_of_log()}
+        return self._settled("cancelled", None, False)
+
+    def _settled(self, outcome: str, value: Any, duplicate: bool) -> dict:
+        answer = {"outcome": outcome, "value": value, "duplicate": duplicate}
+        return {**answer, **self._end_of_log()}
 
     # Transactions
 
