--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -96,7 +96,7 @@
         """Return whether the connection is open and no bytes wait; never block.
 
         Call it between requests only: it leaves the connection without waiting,
-        so that a timeout has to be set before the next call.
+        so that a timeout has to be set before the next call. TLS can't do it.
         """
         self._sock.settimeout(0)
         try:
--- /dev/null
+++ b/bronzerelay/slots.py
@@ -0,0 +1,274 @@
+"""The queue for a group's slots, fair between workspaces."""
+
+import math
+from collections import deque
+from collections.abc import Callable
+
+from expression import Ok, Result
+
+from bronzerelay.codes import Code, Refusal, refuse
+from bronzerelay.runtime import Runtime
+
+# What a workspace's turn adds to its credit, and what a slot costs.
+QUANTUM = 1
+SLOT_COST = 1
+# Turns that a workspace may save up while no free endpoint suits its waiters.
+CREDIT_LIMIT = 4
+# A waiter that refused all free endpoints is asked again after this time at the
+# latest, as its choice may depend on the time.
+CHOICE_AGE_MS = 5
+# The assumed time in a slot before any was measured, and the weight of a new one.
+FIRST_HOLD_MS = 5
+HOLD_WEIGHT = 0.05
+# A measured time counts as at most this many times the estimate. The few timeouts
+# of one frozen endpoint would otherwise make all waits look lost for a while, and
+# requests that the other endpoints could serve would be turned away.
+HOLD_GROWTH = 4
+HOLD_FLOOR_MS = 0.1
+# A deadline is plainly lost when the best case alone is this many times too long.
+SURE_FACTOR = 2
+
+Choose = Callable[[list[str]], str | None]
+
+
+class Waiter:
+    """A task that waits for a slot."""
+
+    def __init__(self, choose: Choose, event):
+        self.choose = choose
+        self.event = event
+        self.endpoint: str | None = None
+        self.failure: Exception | None = None
+        self.refused: frozenset[str] = frozenset()
+        self.refused_version = -1
+        self.refused_ms = -math.inf
+
+
+class Line:
+    """A workspace's waiters, first come first, and its credit."""
+
+    def __init__(self):
+        # A dict keeps the order and lets a waiter leave from the middle.
+        self.waiters: dict[Waiter, None] = {}
+        self.credit = 0
+
+
+class SlotQueue:
+    """Hands out the slots of a group's endpoints by deficit round robin."""
+
+    def __init__(self, runtime: Runtime, workspace_limit: int):
+        self._runtime = runtime
+        self._clock = runtime.clock
+        self._workspace_limit = workspace_limit
+        self._lock = runtime.make_lock()
+        self._slots: dict[str, int] = {}
+        self._granted_ms: dict[str, deque[float]] = {}
+        self._lines: dict[str, Line] = {}
+        self._ring: deque[str] = deque()
+        # The workspace whose turn has begun, so that it gets its quantum once.
+        self._turn: str | None = None
+        self._hold_ms: float = FIRST_HOLD_MS
+        self._version = 0
+
+    def set_endpoints(self, slots: dict[str, int]) -> None:
+        """Replace the endpoints; slots held on one that is left out stay held."""
+        with self._lock:
+            self._slots = dict(slots)
+            self._version += 1
+            self._hand_out()
+
+    def acquire(
+        self, workspace: str, choose: Choose, deadline_ms: float
+    ) -> Result[str, Refusal]:
+        """Return the endpoint on which a slot was taken; the caller releases it.
+
+        `choose` gets the endpoints with a free slot and returns one or None. It is
+        called under the queue's lock. `deadline_ms` is a point on the clock.
+        """
+        with self._lock:
+            endpoint = self._choose_now(choose)
+            if endpoint is not None:
+                return Ok(endpoint)
+            refused = self._turn_away(workspace, deadline_ms)
+            if refused is not None:
+                return refused
+            waiter = Waiter(choose, self._runtime.make_event())
+            self._join(workspace, waiter)
+        waiter.event.wait(max(0, deadline_ms - self._clock.now_ms()) / 1000)
+        with self._lock:
+            self._leave(workspace, waiter)
+            if waiter.failure is not None:
+                raise waiter.failure
+            if waiter.endpoint is not None:
+                return Ok(waiter.endpoint)
+            wait_ms = self._estimate_wait(workspace)
+            return _refuse_late("no slot came free in time", wait_ms)
+
+    def release(self, endpoint: str) -> None:
+        """Give a slot back and hand it to the next waiter that it suits."""
+        with self._lock:
+            held_ms = self._clock.now_ms() - self._granted_ms[endpoint].popleft()
+            held_ms = min(held_ms, HOLD_GROWTH * max(self._hold_ms, HOLD_FLOOR_MS))
+            self._hold_ms += HOLD_WEIGHT * (held_ms - self._hold_ms)
+            self._hand_out()
+
+    def wake(self) -> None:
+        """Ask the waiters again: their choices may have changed."""
+        with self._lock:
+            self._version += 1
+            self._hand_out()
+
+    def count_waiting(self) -> dict[str, int]:
+        """Return how many wait, by workspace; those with none are left out."""
+        with self._lock:
+            return {name: len(line.waiters) for name, line in self._lines.items()}
+
+    def count_used(self) -> dict[str, int]:
+        """Return how many slots are taken, by endpoint."""
+        with self._lock:
+            return {name: len(taken) for name, taken in self._granted_ms.items()}
+
+    # All below: the lock is held.
+
+    def _list_free(self) -> list[str]:
+        return [
+            name
+            for name, slots in self._slots.items()
+            if len(self._granted_ms.get(name, ())) < slots
+        ]
+
+    def _take(self, endpoint: str) -> None:
+        granted = self._granted_ms.setdefault(endpoint, deque())
+        granted.append(self._clock.now_ms())
+
+    def _choose_now(self, choose: Choose) -> str | None:
+        # Whoever waits has refused every endpoint that is free now, so taking one
+        # passes nobody over.
+        free = self._list_free()
+        endpoint = choose(free) if free else None
+        if endpoint not in free:
+            return None
+        self._take(endpoint)
+        return endpoint
+
+    def _turn_away(
+        self, workspace: str, deadline_ms: float
+    ) -> Result[str, Refusal] | None:
+        """Return a refusal when waiting is not allowed or plainly of no use."""
+        wait_ms = self._estimate_wait(workspace)
+        line = self._lines.get(workspace)
+        if line is not None and len(line.waiters) >= self._workspace_limit:
+            message = f"{len(line.waiters)} requests of the workspace wait already"
+            return refuse(Code.QUEUE_FULL, message, math.ceil(wait_ms))
+        left_ms = deadline_ms - self._clock.now_ms()
+        if left_ms <= 0 or wait_ms > SURE_FACTOR * left_ms:
+            return _refuse_late("no slot can come free in time", wait_ms)
+        return None
+
+    def _estimate_wait(self, workspace: str) -> float:
+        """Return the milliseconds until a newcomer's turn, in the best case.
+
+        Each workspace gets one slot a round, so of the others only as many come
+        before as the newcomer has of its own workspace before it, and one.
+        """
+        line = self._lines.get(workspace)
+        ahead = len(line.waiters) if line is not None else 0
+        turns = ahead + 1
+        for name, other in self._lines.items():
+            if name != workspace:
+                turns += min(len(other.waiters), ahead + 1)
+        return turns * self._hold_ms / max(1, sum(self._slots.values()))
+
+    def _join(self, workspace: str, waiter: Waiter) -> None:
+        line = self._lines.get(workspace)
+        if line is None:
+            line = self._lines[workspace] = Line()
+            self._ring.append(workspace)
+        line.waiters[waiter] = None
+        self._note_refusal(waiter, frozenset(self._list_free()))
+
+    def _leave(self, workspace: str, waiter: Waiter) -> None:
+        line = self._lines.get(workspace)
+        if line is None:
+            return
+        line.waiters.pop(waiter, None)
+        if not line.waiters:
+            # Credit ends with the line: saved up while idle, it would let the
+            # workspace pass the others later.
+            del self._lines[workspace]
+            self._ring.remove(workspace)
+            if self._turn == workspace:
+                self._turn = None
+
+    def _hand_out(self) -> None:
+        free = self._list_free()
+        while free and self._ring and self._grant_one(free):
+            free = self._list_free()
+
+    def _grant_one(self, free: list[str]) -> bool:
+        """Grant a slot to the next workspace in turn that one suits."""
+        free_set = frozenset(free)
+        for _ in range(len(self._ring)):
+            workspace = self._ring[0]
+            line = self._lines[workspace]
+            if self._turn != workspace:
+                self._turn = workspace
+                line.credit = min(line.credit + QUANTUM, CREDIT_LIMIT)
+            waiter = self._find_suited(line, free, free_set)
+            if waiter is not None:
+                self._grant(workspace, line, waiter)
+                return True
+            self._end_turn()
+        return False
+
+    def _end_turn(self) -> None:
+        self._ring.rotate(-1)
+        self._turn = None
+
+    def _grant(self, workspace: str, line: Line, waiter: Waiter) -> None:
+        if waiter.endpoint is not None:
+            self._take(waiter.endpoint)
+            line.credit -= SLOT_COST
+        if line.credit < SLOT_COST:
+            self._end_turn()
+        self._leave(workspace, waiter)
+        waiter.event.set()
+
+    def _find_suited(
+        self, line: Line, free: list[str], free_set: frozenset[str]
+    ) -> Waiter | None:
+        """Return the first waiter that chooses one of the free endpoints."""
+        now_ms = self._clock.now_ms()
+        for waiter in line.waiters:
+            if self._has_refused(waiter, free_set, now_ms):
+                continue
+            try:
+                endpoint = waiter.choose(list(free))
+            except Exception as error:
+                # Raised here it would hit the task that releases, and every one
+                # after it, while the waiter that caused it never learned of it.
+                waiter.failure = error
+                return waiter
+            if endpoint in free_set:
+                waiter.endpoint = endpoint
+                return waiter
+            self._note_refusal(waiter, free_set)
+        return None
+
+    def _has_refused(
+        self, waiter: Waiter, free_set: frozenset[str], now_ms: float
+    ) -> bool:
+        return (
+            waiter.refused_version == self._version
+            and now_ms - waiter.refused_ms < CHOICE_AGE_MS
+            and free_set <= waiter.refused
+        )
+
+    def _note_refusal(self, waiter: Waiter, free_set: frozenset[str]) -> None:
+        waiter.refused = free_set
+        waiter.refused_version = self._version
+        waiter.refused_ms = self._clock.now_ms()
+
+
+def _refuse_late(message: str, wait_ms: float) -> Result[str, Refusal]:
+    return refuse(Code.DEADLINE_PASSED, message, math.ceil(wait_ms))
