Start whole deployments as processes on loopback

Tests, demo and bench need the platform, the endpoints and the daemons as real processes that can be frozen, killed and restarted by name, and that are gone by their pid whatever the test did.

--- /dev/null
+++ b/standins/admin.py
@@ -0,0 +1,116 @@
+"""Faults and records of the stand-ins, asked for as tests and operators would."""
+
+import contextlib
+from typing import Any
+
+import msgspec
+import urllib3
+
+from bronzerelay.runtime import Address, Connection, Runtime
+
+ADMIN_NAME = "lab"
+TIMEOUT_MS = 5000
+
+
+class AdminError(Exception):
+    """A stand-in refused a fault or a record, or gave no answer."""
+
+
+class EndpointAdmin:
+    """An `admin` connection to one endpoint."""
+
+    def __init__(self, runtime: Runtime, address: Address):
+        self._connection: Connection = runtime.dial(address, TIMEOUT_MS)
+        self._connection.set_timeout(TIMEOUT_MS)
+        self._rest = b""
+        self._last_id = 0
+        self.ask("hello", caller=ADMIN_NAME, kind="admin")
+
+    def ask(self, op: str, **fields: Any) -> dict[str, Any]:
+        """Return the endpoint's answer to `op`, or raise AdminError."""
+        self._last_id += 1
+        message = {"id": self._last_id, "op": op, **fields}
+        self._connection.send(msgspec.json.encode(message) + b"\n")
+        answer = msgspec.json.decode(self._receive_line())
+        if not answer.get("ok"):
+            error = f"{answer.get('error')}: {answer.get('message')}"
+            raise AdminError(f"{op} was refused, {error}")
+        return answer
+
+    def _receive_line(self) -> bytes:
+        while b"\n" not in self._rest:
+            data = self._connection.receive()
+            if not data:
+                raise AdminError("the endpoint closed the admin connection")
+            self._rest += data
+        line, _, self._rest = self._rest.partition(b"\n")
+        return line
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+
+@contextlib.contextmanager
+def open_admin(runtime: Runtime, address: Address):
+    """Yield an EndpointAdmin that is closed at the end of the block."""
+    admin = EndpointAdmin(runtime, address)
+    try:
+        yield admin
+    finally:
+        admin.close()
+
+
+class PlatformAdmin:
+    """Reads and writes of the platform that no fault may hit, and its faults."""
+
+    def __init__(self, runtime: Runtime, address: Address):
+        self._pool = runtime.open_http(address, pool_size=2)
+
+    def call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """Return status and decoded body; raise AdminError when none comes."""
+        try:
+            response = self._pool.request(
+                method,
+                path,
+                body=None if body is None else msgspec.json.encode(body),
+                headers={"X-Caller": ADMIN_NAME, "Content-Type": "application/json"},
+                timeout=TIMEOUT_MS / 1000,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise AdminError(f"{method} {path}: {error}") from None
+        data = response.data
+        return response.status, msgspec.json.decode(data) if data else None
+
+    def check_call(self, method: str, path: str, body: Any = None) -> Any:
+        """Return the decoded body of an answer 200; raise AdminError on others."""
+        status, answer = self.call(method, path, body)
+        if status != 200:
+            raise AdminError(f"{method} {path} was answered {status}: {answer}")
+        return answer
+
+    def set_vm(self, name: str, state: str) -> None:
+        """Make a VM `live`, `leaving` or `gone`; the list shows it after its lag."""
+        self.check_call("POST", "/admin/vms", {"name": name, "state": state})
+
+    def set_fault(self, mode: str, **fields: Any) -> None:
+        """Set a fault, with `delay_ms`, `callers` and `count` as PLATFORM.md says."""
+        self.check_call("POST", "/admin/faults", {"mode": mode, **fields})
+
+    def count_calls(self) -> dict[str, Any]:
+        """Return how many calls the platform had, in all and by caller."""
+        return self.check_call("GET", "/admin/calls")
+
+    def read_value(self, key: str) -> tuple[Any, int]:
+        """Return value and revision of a key; None and 0 when it is absent."""
+        status, answer = self.call("GET", f"/v1/values/{key}")
+        if status == 404:
+            return None, 0
+        if status != 200:
+            raise AdminError(f"reading {key} was answered {status}: {answer}")
+        return answer["value"], answer["revision"]
+
+    def write_value(self, key: str, value: Any, expected_revision: int) -> int:
+        """Return the new revision; raise AdminError when another write was first."""
+        body = {"value": value, "expected_revision": expected_revision}
+        return self.check_call("PUT", f"/v1/values/{key}", body)["revision"]
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,377 @@
+"""Starts a whole deployment as processes on loopback, and ends all of them."""
+
+import atexit
+import contextlib
+import shutil
+import signal
+import tempfile
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import urllib3
+
+from bronzerelay.bundle import digest_bundle
+from bronzerelay.keys import hash_key, make_key
+from bronzerelay.runtime import Runtime
+from bronzerelay.types import Bundle, ConfigRecord
+from standins.admin import EndpointAdmin, PlatformAdmin, open_admin
+from standins.layout import (
+    DEMO,
+    FIRST_TERM,
+    LAYOUTS,
+    RETURNS,
+    VIANDA,
+    Layout,
+    WorkspaceLayout,
+    build_bundle,
+    name_daemons,
+    name_endpoints,
+    pick_domain,
+)
+from standins.processes import (
+    POLL_MS,
+    ClusterError,
+    Process,
+    find_free_addresses,
+    wait_until_listening,
+)
+
+__all__ = [
+    "DEMO",
+    "LAYOUTS",
+    "RETURNS",
+    "VIANDA",
+    "Cluster",
+    "ClusterError",
+    "Layout",
+    "WorkspaceLayout",
+]
+
+PLATFORM = "platform"
+CONFIG_KEY = "config/current"
+AUTHOR = "lab"
+START_TIMEOUT_MS = 15_000
+STOP_TIMEOUT_MS = 15_000
+READY_TIMEOUT_MS = 15_000
+HTTP_TIMEOUT_MS = 2000
+
+
+class Cluster:
+    """A deployment on stand-ins: the platform, the groups' instances, the daemons.
+
+    Use it as a context manager; whatever happens in the block, every process is
+    ended by its pid. `keys` holds a key for each workspace, `folder` the logs.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        layout: Layout,
+        daemon_flags: Iterable[str] = (),
+        keep_logs: bool = False,
+    ):
+        self.runtime = runtime
+        self.layout = layout
+        self.keys = {workspace.name: make_key() for workspace in layout.workspaces}
+        self.folder = Path(tempfile.mkdtemp(prefix="bronzerelay-"))
+        self.endpoint_names = [
+            name for group in layout.groups for name in name_endpoints(layout, group)
+        ]
+        self.daemon_names = name_daemons(layout)
+        self._daemon_flags = list(daemon_flags)
+        self._keep_logs = keep_logs
+        self._peer_secret = make_key()
+        self._processes: dict[str, Process] = {}
+        names = [PLATFORM, *self.endpoint_names, *self.daemon_names]
+        peers = [_name_peer(name) for name in self.daemon_names]
+        free = find_free_addresses(runtime, len(names) + len(peers))
+        self.addresses = dict(zip(names + peers, free, strict=True))
+        self.platform = PlatformAdmin(runtime, self.addresses[PLATFORM])
+        self._add_processes()
+
+    # Start and end
+
+    def __enter__(self) -> "Cluster":
+        atexit.register(self.close)
+        try:
+            self.start_all()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, kind: Any, error: Any, traceback: Any) -> None:
+        # The logs of a run that failed are what explains it.
+        self._keep_logs = self._keep_logs or kind is not None
+        self.close()
+
+    def start_all(self) -> None:
+        """Start platform, endpoints and daemons, and wait until each one listens."""
+        self._start_together([PLATFORM])
+        for name in self.daemon_names:
+            self.set_vm(name, "live")
+        # The primaries go first: a follower that can't reach its own would retry.
+        primaries = [name_endpoints(self.layout, group)[0] for group in self.groups]
+        followers = [name for name in self.endpoint_names if name not in primaries]
+        self._start_together(primaries)
+        self._start_together(followers)
+        self._start_together(self.daemon_names)
+
+    def close(self) -> None:
+        """End every process by its pid, frozen ones too, and remove the logs."""
+        atexit.unregister(self.close)
+        for process in self._processes.values():
+            process.kill()
+        if not self._keep_logs:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    @property
+    def groups(self) -> tuple[str, ...]:
+        """The names of the database groups."""
+        return self.layout.groups
+
+    # One process
+
+    def start(self, name: str) -> None:
+        """Start a daemon that was stopped, and wait until it listens.
+
+        Endpoints and the platform keep everything in memory. One that came back
+        empty would break promises that only a lost disk could break in earnest, so
+        these stay down: use `freeze`, or a fault, for one that is to come back.
+        """
+        if name not in self.daemon_names:
+            raise ClusterError(f"{name} lost its data when it ended; it can't return")
+        self._start_together([name])
+
+    def stop(self, name: str, timeout_ms: float = STOP_TIMEOUT_MS) -> int:
+        """Ask a process to end (SIGTERM) and return its exit code."""
+        self._find(name).send_signal(signal.SIGTERM)
+        return self.wait_stopped(name, timeout_ms)
+
+    def begin_stop(self, name: str) -> None:
+        """Ask a process to end (SIGTERM) and return without waiting for it."""
+        self._find(name).send_signal(signal.SIGTERM)
+
+    def wait_stopped(self, name: str, timeout_ms: float = STOP_TIMEOUT_MS) -> int:
+        """Return the exit code of a process that was asked to end."""
+        process = self._find(name)
+        code = process.wait(timeout_ms)
+        if code is None:
+            tail = process.read_tail()
+            raise ClusterError(f"{name} did not end in {timeout_ms} ms\n{tail}")
+        return code
+
+    def kill(self, name: str) -> None:
+        """End a process without warning (SIGKILL)."""
+        self._find(name).kill()
+
+    def freeze(self, name: str) -> None:
+        """Hold a process where it is (SIGSTOP); its connections stay open."""
+        self._find(name).send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on (SIGCONT)."""
+        self._find(name).send_signal(signal.SIGCONT)
+
+    def restart(self, name: str) -> None:
+        """Stop a daemon with SIGTERM, if it still runs, and start it anew."""
+        if self._find(name).is_running():
+            self.stop(name)
+        self.start(name)
+
+    def is_running(self, name: str) -> bool:
+        """Return whether the process runs; a frozen one does."""
+        return self._find(name).is_running()
+
+    def pid(self, name: str) -> int | None:
+        """Return the pid of a process, or None when it doesn't run."""
+        return self._find(name).pid
+
+    def read_log(self, name: str) -> str:
+        """Return all that a process has written."""
+        return self._find(name).read_log()
+
+    # The platform
+
+    def set_vm(self, name: str, state: str) -> None:
+        """Make a VM `live`, `leaving` or `gone`; the list shows it after its lag."""
+        self.platform.set_vm(name, state)
+
+    def set_platform_fault(self, mode: str, **fields: Any) -> None:
+        """Set a fault of the platform; `up` ends it."""
+        self.platform.set_fault(mode, **fields)
+
+    # Endpoints
+
+    def ask_endpoint(self, name: str, op: str, **fields: Any) -> dict[str, Any]:
+        """Return an endpoint's answer to a fault or record on an admin connection."""
+        with open_admin(self.runtime, self.addresses[name]) as admin:
+            return admin.ask(op, **fields)
+
+    def open_admin(self, name: str) -> EndpointAdmin:
+        """Return an admin connection to an endpoint; the caller closes it."""
+        return EndpointAdmin(self.runtime, self.addresses[name])
+
+    def find_primary(self, group: str) -> str:
+        """Return the name of the group's primary of the highest term."""
+        found = []
+        for name in name_endpoints(self.layout, group):
+            with contextlib.suppress(OSError):
+                status = self.ask_endpoint(name, "status")
+                if status["role"] == "primary":
+                    found.append((status["term"], name))
+        if not found:
+            raise ClusterError(f"{group} has no primary that answers")
+        return max(found)[1]
+
+    # Configuration
+
+    def build_bundle(self, version: int = 0) -> Bundle:
+        """Return the layout's bundle with the hashes of `keys`, for changes."""
+        hashes = {name: hash_key(key) for name, key in self.keys.items()}
+        return build_bundle(self.layout, version, self.addresses, hashes)
+
+    def put_bundle(self, bundle: Bundle | None = None) -> int:
+        """Put a bundle (or the layout's) in force as the next version; return that.
+
+        It is written at the platform itself, without the review and signatures
+        that the command line asks for.
+        """
+        current, revision = self.platform.read_value(CONFIG_KEY)
+        version = current["version"] + 1 if current else 1
+        bundle = Bundle(**{**(bundle or self.build_bundle()), "version": version})
+        record = ConfigRecord(
+            version=version,
+            digest=digest_bundle(bundle),
+            bundle=bundle,
+            author=AUTHOR,
+            signatures=[],
+        )
+        self.platform.write_value(CONFIG_KEY, record, revision)
+        return version
+
+    # Daemons
+
+    def fetch(self, name: str, path: str) -> tuple[int, bytes]:
+        """Return status and body of a GET at a daemon; raise OSError without one."""
+        pool = self.runtime.open_http(self.addresses[name], pool_size=1)
+        try:
+            response = pool.request("GET", path, timeout=HTTP_TIMEOUT_MS / 1000)
+        except urllib3.exceptions.HTTPError as error:
+            raise OSError(f"{name} did not answer {path}: {error}") from None
+        finally:
+            pool.close()
+        return response.status, response.data
+
+    def fetch_status(self, name: str) -> dict[str, Any]:
+        """Return a daemon's /status; raise OSError when it doesn't answer."""
+        return msgspec.json.decode(self.fetch(name, "/status")[1])
+
+    def is_ready(self, name: str, version: int = 0) -> bool:
+        """Return whether a daemon is ready and has `version` or a later one."""
+        try:
+            if self.fetch(name, "/ready")[0] != 200:
+                return False
+            return (self.fetch_status(name).get("config_version") or 0) >= version
+        except OSError:
+            return False
+
+    def wait_ready(
+        self,
+        version: int = 0,
+        names: Iterable[str] | None = None,
+        timeout_ms: float = READY_TIMEOUT_MS,
+    ) -> None:
+        """Wait until these daemons, or all running ones, are ready with `version`."""
+        if names is None:
+            names = [name for name in self.daemon_names if self.is_running(name)]
+        for name in names:
+            self.wait_until(
+                lambda name=name: self.is_ready(name, version),
+                f"{name} to be ready with configuration {version}",
+                timeout_ms,
+                name,
+            )
+
+    def wait_until(
+        self,
+        predicate: Callable[[], bool],
+        what: str,
+        timeout_ms: float = READY_TIMEOUT_MS,
+        name: str = "",
+    ) -> None:
+        """Poll until `predicate` holds; raise ClusterError that says `what` else.
+
+        With the `name` of a process, its end ends the wait and its log is shown.
+        """
+        clock = self.runtime.clock
+        end_ms = clock.now_ms() + timeout_ms
+        while not predicate():
+            gone = bool(name) and not self.is_running(name)
+            if gone or clock.now_ms() >= end_ms:
+                tail = self._find(name).read_tail() if name else ""
+                why = f"{name} ended" if gone else f"{timeout_ms:.0f} ms passed"
+                raise ClusterError(f"waiting for {what}: {why}\n{tail}")
+            clock.sleep_ms(POLL_MS)
+
+    # Inside
+
+    def _find(self, name: str) -> Process:
+        if name not in self._processes:
+            known = ", ".join(self._processes)
+            raise ClusterError(f"no process is named {name!r}; there are: {known}")
+        return self._processes[name]
+
+    def _start_together(self, names: list[str]) -> None:
+        for name in names:
+            self._find(name).start()
+        for name in names:
+            wait_until_listening(
+                self.runtime, self._find(name), self.addresses[name], START_TIMEOUT_MS
+            )
+
+    def _add_processes(self) -> None:
+        self._add(PLATFORM, "standins.platform", self._list_platform_flags())
+        for group in self.groups:
+            names = name_endpoints(self.layout, group)
+            for name in names:
+                flags = self._list_endpoint_flags(group, name, names[0])
+                self._add(name, "standins.endpoint", flags)
+        for number, name in enumerate(self.daemon_names):
+            self._add(name, "bronzerelay.daemon", self._list_flags(number, name))
+
+    def _add(self, name: str, module: str, flags: list[str]) -> None:
+        self._processes[name] = Process(name, module, flags, self.folder)
+
+    def _list_platform_flags(self) -> list[str]:
+        listen = str(self.addresses[PLATFORM])
+        lag = str(self.layout.vm_lag_ms)
+        return ["--listen", listen, "--vm-lag-ms", lag]
+
+    def _list_endpoint_flags(self, group: str, name: str, primary: str) -> list[str]:
+        layout = self.layout
+        flags = ["--name", name, "--group", group]
+        flags += ["--listen", str(self.addresses[name])]
+        flags += ["--slots", str(layout.slots)]
+        flags += ["--connections", str(layout.connections)]
+        flags += ["--connect-ms", str(layout.connect_ms)]
+        flags += ["--service-ms", str(layout.service_ms)]
+        flags += ["--lag-ms", str(layout.lag_ms)]
+        if name == primary:
+            return [*flags, "--primary-term", str(FIRST_TERM)]
+        return [*flags, "--follow", str(self.addresses[primary])]
+
+    def _list_flags(self, number: int, name: str) -> list[str]:
+        flags = ["--name", name]
+        flags += ["--failure-domain", pick_domain(self.layout, number)]
+        flags += ["--listen", str(self.addresses[name])]
+        flags += ["--peer-listen", str(self.addresses[_name_peer(name)])]
+        flags += ["--platform", str(self.addresses[PLATFORM])]
+        flags += ["--peer-secret", self._peer_secret]
+        return [*flags, *self._daemon_flags]
+
+
+def _name_peer(name: str) -> str:
+    return f"{name}/peer"
