--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -14,6 +14,8 @@
 
 RECEIVE_BYTES = 65536
 BACKLOG = 1024
+# The type of a random source, for modules that name it.
+Random = random.Random
 # An idle task's stack stays this small, so that thousands of them fit.
 TASK_STACK_BYTES = 256 * 1024
 
@@ -159,6 +161,10 @@
         self._listeners: set[Listener] = set()
         self._stopping = threading.Event()
 
+    def make_random(self, seed: int) -> Random:
+        """Return a random source of its own, which repeats itself with the seed."""
+        return Random(seed)
+
     # Tasks
 
     def start(
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,327 @@
+"""An open-loop load: requests go out at times fixed beforehand."""
+
+import itertools
+import signal
+from pathlib import Path
+from typing import Any, Literal, NamedTuple
+
+import click
+
+from bronzerelay.codes import UNKNOWN
+from bronzerelay.runtime import Address, Random, Runtime, parse_address
+from bronzerelay.types import Statement, StatementRequest
+from standins.caller import Caller, CallerSettings, make_request_id
+from standins.exchange import LinkPool
+from standins.record import Entry, save_record
+from standins.summary import print_summary
+
+SECOND_MS = 1000
+START_DELAY_MS = 50
+SPREADS = ("random", "one", "moving")
+ARRIVALS = ("poisson", "even")
+
+
+class LoadSettings(NamedTuple):
+    """What a load consists of; a share is a fraction of one.
+
+    `rates` gives the requests a second of each workspace. `once_share` of the writes
+    may not be repeated; the others are sent again, with the same idempotency key,
+    when their outcome is unknown, `resends` times at most. `age_share` of the reads
+    accept data up to `max_age_ms` old. With the spread `one` all requests of a
+    workspace go to one daemon, with `moving` to another one every `move_ms`.
+    """
+
+    rates: dict[str, float]
+    groups: tuple[str, ...]
+    seed: int
+    duration_ms: int = 5000
+    write_share: float = 0.1
+    once_share: float = 0.2
+    add_share: float = 0.2
+    age_share: float = 0.0
+    max_age_ms: int = 1000
+    rows: int = 20
+    spread: Literal["random", "one", "moving"] = "random"
+    move_ms: int = 1000
+    arrivals: Literal["poisson", "even"] = "poisson"
+    workers: int = 200
+    resends: int = 2
+    deadline_ms: int = 0
+    timeout_ms: int = 10_000
+
+
+class Arrival(NamedTuple):
+    """A request of the schedule; `due_ms` counts from the start of the load."""
+
+    due_ms: float
+    workspace: str
+    daemon: str
+    group: str
+    row: str
+    verb: str
+    repeatable: bool
+    accepts_age: bool
+
+
+class Load:
+    """A load that runs beside its starter; `record` grows while it runs."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        settings: LoadSettings,
+        addresses: dict[str, Address],
+        keys: dict[str, str],
+    ):
+        self.settings = settings
+        self.record: list[Entry] = []
+        self._runtime = runtime
+        self._keys = keys
+        self._links = LinkPool(runtime, addresses)
+        draw = runtime.make_random(settings.seed)
+        self.schedule = build_schedule(draw, settings, sorted(addresses))
+        self._waiting = iter(self.schedule)
+        self._lock = runtime.make_lock()
+        self._idle: dict[str, list[Caller]] = {name: [] for name in settings.rates}
+        self._numbers = itertools.count(1)
+        self._tasks: list[Any] = []
+        self._start_ms = 0.0
+
+    def start(self) -> None:
+        """Begin to send, and return at once."""
+        self._start_ms = self._runtime.clock.now_ms() + START_DELAY_MS
+        count = min(self.settings.workers, len(self.schedule))
+        self._tasks = [self._runtime.start(self._work) for _ in range(count)]
+
+    def wait(self) -> list[Entry]:
+        """Return the record once every request has its answer."""
+        for task in self._tasks:
+            task.result()
+        self._links.close()
+        return self.record
+
+    def stop(self) -> None:
+        """Send nothing more; requests on their way still get their answers."""
+        with self._lock:
+            self._waiting = iter(())
+
+    def _work(self) -> None:
+        clock = self._runtime.clock
+        while arrival := self._take_arrival():
+            due_ms = self._start_ms + arrival.due_ms
+            if not self._runtime.sleep_ms(due_ms - clock.now_ms()):
+                return
+            caller = self._take_caller(arrival.workspace)
+            self._send(caller, arrival, due_ms)
+            with self._lock:
+                self._idle[arrival.workspace].append(caller)
+
+    def _take_arrival(self) -> Arrival | None:
+        with self._lock:
+            return next(self._waiting, None)
+
+    def _take_caller(self, workspace: str) -> Caller:
+        # A session runs one request after another: with two at once, the token of
+        # the later change could be overwritten by that of the earlier one.
+        with self._lock:
+            if self._idle[workspace]:
+                return self._idle[workspace].pop(0)
+            name = f"{workspace}/{next(self._numbers)}"
+        settings = CallerSettings(
+            name, workspace, self._keys[workspace], self.settings.timeout_ms
+        )
+        return Caller(self._runtime, settings, self._links, self.record)
+
+    def _send(self, caller: Caller, arrival: Arrival, due_ms: float) -> None:
+        request = build_statement_request(self._runtime, self.settings, arrival)
+        entry = caller.send(request, arrival.daemon, due_ms)
+        resends = self.settings.resends if entry.is_write and entry.repeatable else 0
+        while entry.ran == UNKNOWN and resends:
+            resends -= 1
+            entry = caller.send(request)
+
+
+def build_schedule(
+    draw: Random, settings: LoadSettings, daemons: list[str]
+) -> list[Arrival]:
+    """Return all arrivals in the order of their times; one seed gives one list."""
+    arrivals = []
+    for workspace, rate in sorted(settings.rates.items()):
+        homes = draw.sample(daemons, len(daemons))
+        for due_ms in list_times(draw, settings, rate):
+            daemon = pick_daemon(draw, settings, homes, due_ms)
+            arrivals.append(draw_arrival(draw, settings, workspace, daemon, due_ms))
+    return sorted(arrivals)
+
+
+def list_times(draw: Random, settings: LoadSettings, rate: float) -> list[float]:
+    """Return the times at which a workspace's requests are due."""
+    if rate <= 0:
+        return []
+    gap_ms = SECOND_MS / rate
+    times = []
+    due_ms = draw.uniform(0, gap_ms)
+    while due_ms < settings.duration_ms:
+        times.append(due_ms)
+        due_ms += (
+            gap_ms if settings.arrivals == "even" else draw.expovariate(1 / gap_ms)
+        )
+    return times
+
+
+def pick_daemon(
+    draw: Random, settings: LoadSettings, homes: list[str], due_ms: float
+) -> str:
+    """Return the daemon that a request goes to."""
+    if settings.spread == "one":
+        return homes[0]
+    if settings.spread == "moving":
+        return homes[int(due_ms // settings.move_ms) % len(homes)]
+    return draw.choice(homes)
+
+
+def draw_arrival(
+    draw: Random, settings: LoadSettings, workspace: str, daemon: str, due_ms: float
+) -> Arrival:
+    """Return an arrival with a statement drawn at random.
+
+    Numbers and lists live in rows of their own, and each workspace in its own: what
+    one of them reads can then be compared with what it wrote.
+    """
+    is_write = draw.random() < settings.write_share
+    is_number = draw.random() < settings.add_share
+    row = f"{workspace}/{'number' if is_number else 'list'}-"
+    row += str(draw.randrange(settings.rows))
+    write_verb = "add" if is_number else "append"
+    return Arrival(
+        due_ms=due_ms,
+        workspace=workspace,
+        daemon=daemon,
+        group=draw.choice(settings.groups),
+        row=row,
+        verb=write_verb if is_write else "get",
+        repeatable=not is_write or draw.random() >= settings.once_share,
+        accepts_age=not is_write and draw.random() < settings.age_share,
+    )
+
+
+def build_statement_request(
+    runtime: Runtime, settings: LoadSettings, arrival: Arrival
+) -> StatementRequest:
+    """Return the request for an arrival; each append carries a unique value."""
+    token = make_request_id(runtime)
+    statement = Statement(verb=arrival.verb, row=arrival.row)
+    if arrival.verb == "append":
+        statement["value"] = token
+    if arrival.verb == "add":
+        statement["amount"] = 1
+    request = StatementRequest(group=arrival.group, statement=statement)
+    if arrival.verb != "get":
+        request["idempotency_key"] = token
+        request["repeatable"] = arrival.repeatable
+    if arrival.accepts_age:
+        request["max_age_ms"] = settings.max_age_ms
+    if settings.deadline_ms:
+        request["deadline_ms"] = settings.deadline_ms
+    return request
+
+
+def end_on_sigterm() -> None:
+    """Let SIGTERM end this process as Ctrl-C does, so that children end too."""
+
+    def end(number: int, frame: Any) -> None:
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, end)
+
+
+def parse_daemons(texts: tuple[str, ...]) -> dict[str, Address]:
+    """Return the addresses of daemons given as NAME=HOST:PORT."""
+    daemons = {}
+    for text in texts:
+        name, _, address = text.partition("=")
+        try:
+            daemons[name] = parse_address(address)
+        except ValueError as error:
+            raise click.BadParameter(f"{error}; give NAME=HOST:PORT") from None
+    return daemons
+
+
+@click.command()
+@click.option(
+    "--daemon",
+    "daemons",
+    multiple=True,
+    required=True,
+    metavar="NAME=HOST:PORT",
+    help="A daemon to send to; give one for each.",
+)
+@click.option(
+    "--workspace",
+    "workspaces",
+    multiple=True,
+    required=True,
+    type=(str, str, float),
+    metavar="NAME KEY RATE",
+    help="A workspace with its key and its requests a second.",
+)
+@click.option(
+    "--group", "groups", multiple=True, required=True, help="A database group to use."
+)
+@click.option(
+    "--seconds", type=click.FloatRange(0.1, 600), default=5, show_default=True
+)
+@click.option("--writes", type=click.FloatRange(0, 1), default=0.1, show_default=True)
+@click.option("--stale-reads", type=click.FloatRange(0, 1), default=0.0)
+@click.option("--spread", type=click.Choice(SPREADS), default="random")
+@click.option("--arrivals", type=click.Choice(ARRIVALS), default="poisson")
+@click.option("--seed", type=int, help="Repeat the schedule of an earlier run.")
+@click.option(
+    "--record",
+    "record_path",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="Write the record to this file, one JSON list on each line.",
+)
+def main(
+    daemons: tuple[str, ...],
+    workspaces: tuple[tuple[str, str, float], ...],
+    groups: tuple[str, ...],
+    seconds: float,
+    writes: float,
+    stale_reads: float,
+    spread: str,
+    arrivals: str,
+    seed: int | None,
+    record_path: Path | None,
+) -> None:
+    """Load running daemons and print what came of each request.
+
+    Requests go out at times fixed beforehand, whether or not earlier ones have been
+    answered, and latency counts from those times: a stall shows. Example:
+
+    \b
+        python -m standins.caller --daemon vm-1=127.0.0.1:8101 \\
+            --workspace caterer-1 KEY 50 --group orders --seconds 10
+    """
+    end_on_sigterm()
+    runtime = Runtime(task_limit=1024)
+    seed = runtime.random.randrange(2**31) if seed is None else seed
+    settings = LoadSettings(
+        rates={name: rate for name, _, rate in workspaces},
+        groups=groups,
+        seed=seed,
+        duration_ms=int(seconds * SECOND_MS),
+        write_share=writes,
+        age_share=stale_reads,
+        spread=spread,
+        arrivals=arrivals,
+    )
+    keys = {name: key for name, key, _ in workspaces}
+    load = Load(runtime, settings, parse_daemons(daemons), keys)
+    click.echo(f"{len(load.schedule)} requests in {seconds:g} s, seed {seed}")
+    load.start()
+    record = load.wait()
+    print_summary(record)
+    if record_path:
+        save_record(record, record_path)
+    runtime.close(SECOND_MS)
