--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -16,7 +16,8 @@
 from bronzerelay.keys import hash_key, make_key
 from bronzerelay.runtime import Runtime
 from bronzerelay.types import Bundle, ConfigRecord
-from standins.admin import EndpointAdmin, PlatformAdmin, open_admin
+from standins.admin import AdminClient, open_admin
+from standins.controls import PlatformAdmin
 from standins.layout import (
     DEMO,
     FIRST_TERM,
@@ -207,12 +208,12 @@
 
     def ask_endpoint(self, name: str, op: str, **fields: Any) -> dict[str, Any]:
         """Return an endpoint's answer to a fault or record on an admin connection."""
-        with open_admin(self.runtime, self.addresses[name]) as admin:
+        with contextlib.closing(self.open_admin(name)) as admin:
             return admin.ask(op, **fields)
 
-    def open_admin(self, name: str) -> EndpointAdmin:
+    def open_admin(self, name: str) -> AdminClient:
         """Return an admin connection to an endpoint; the caller closes it."""
-        return EndpointAdmin(self.runtime, self.addresses[name])
+        return open_admin(self.runtime, self.addresses[name])
 
     def find_primary(self, group: str) -> str:
         """Return the name of the group's primary of the highest term."""
--- a/standins/admin.py
+++ b/standins/controls.py
@@ -1,64 +1,18 @@
-"""Faults and records of the stand-ins, asked for as tests and operators would."""
+"""Values and faults of the platform, set as tests need them."""
 
-import contextlib
 from typing import Any
 
 import msgspec
 import urllib3
 
-from bronzerelay.runtime import Address, Connection, Runtime
+from bronzerelay.runtime import Address, Runtime
 
 ADMIN_NAME = "lab"
 TIMEOUT_MS = 5000
 
 
 class AdminError(Exception):
-    """A stand-in refused a fault or a record, or gave no answer."""
-
-
-class EndpointAdmin:
-    """An `admin` connection to one endpoint."""
-
-    def __init__(self, runtime: Runtime, address: Address):
-        self._connection: Connection = runtime.dial(address, TIMEOUT_MS)
-        self._connection.set_timeout(TIMEOUT_MS)
-        self._rest = b""
-        self._last_id = 0
-        self.ask("hello", caller=ADMIN_NAME, kind="admin")
-
-    def ask(self, op: str, **fields: Any) -> dict[str, Any]:
-        """Return the endpoint's answer to `op`, or raise AdminError."""
-        self._last_id += 1
-        message = {"id": self._last_id, "op": op, **fields}
-        self._connection.send(msgspec.json.encode(message) + b"\n")
-        answer = msgspec.json.decode(self._receive_line())
-        if not answer.get("ok"):
-            error = f"{answer.get('error')}: {answer.get('message')}"
-            raise AdminError(f"{op} was refused, {error}")
-        return answer
-
-    def _receive_line(self) -> bytes:
-        while b"\n" not in self._rest:
-            data = self._connection.receive()
-            if not data:
-                raise AdminError("the endpoint closed the admin connection")
-            self._rest += data
-        line, _, self._rest = self._rest.partition(b"\n")
-        return line
-
-    def close(self) -> None:
-        """Close the connection."""
-        self._connection.close()
-
-
-@contextlib.contextmanager
-def open_admin(runtime: Runtime, address: Address):
-    """Yield an EndpointAdmin that is closed at the end of the block."""
-    admin = EndpointAdmin(runtime, address)
-    try:
-        yield admin
-    finally:
-        admin.close()
+    """The platform refused a fault or a change, or gave no answer."""
 
 
 class PlatformAdmin:
