Check the record of callers and endpoints against the promises

Each finding is a type of its own and names the request at fault. When a daemon admitted a request is not seen, so the rate is judged by whether any choice of times between sending and answer passes through one bucket: delays on the way make no false findings.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -149,7 +149,7 @@
         served_by=body.get("served_by", ""),
         role=body.get("role", ""),
         duplicate=body.get("duplicate", False),
-        transaction=body.get("transaction", ""),
+        transaction=request.get("transaction") or body.get("transaction", ""),
         retry_after_ms=body.get("retry_after_ms", 0),
         retry_after_s=answer.headers.get("retry-after", "") if answer else "",
         answered_id=body.get("request_id", ""),
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -18,6 +18,7 @@
 from bronzerelay.types import Bundle, ConfigRecord
 from standins.admin import AdminClient, open_admin
 from standins.controls import PlatformAdmin
+from standins.evidence import Evidence, read_executions, read_log
 from standins.layout import (
     DEMO,
     FIRST_TERM,
@@ -227,6 +228,26 @@
             raise ClusterError(f"{group} has no primary that answers")
         return max(found)[1]
 
+    def collect_evidence(self) -> Evidence:
+        """Return what the groups hold and what the running instances were asked.
+
+        The log of a group is its primary's. An instance that gives no answer, since
+        it was killed or is frozen, adds nothing.
+        """
+        evidence = Evidence([], [])
+        for group in self.groups:
+            primary = self.find_primary(group)
+            for name in name_endpoints(self.layout, group):
+                try:
+                    found = self.ask_endpoint(name, "record")
+                except OSError:
+                    continue
+                runs = read_executions(group, name, found["executions"])
+                evidence.executions.extend(runs)
+                if name == primary:
+                    evidence.effects.extend(read_log(group, found["entries"]))
+        return evidence
+
     # Configuration
 
     def build_bundle(self, version: int = 0) -> Bundle:
--- /dev/null
+++ b/standins/rates.py
@@ -0,0 +1,178 @@
+"""Replays requests through a token bucket, to judge what was admitted and refused."""
+
+import heapq
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from bronzerelay.codes import RAN
+from standins.evidence import Evidence, name_change
+from standins.record import Entry
+from standins.violations import RateExceeded
+
+SECOND_MS = 1000
+STATEMENT = "statement"
+# Sums of fractions of tokens are off by less than this.
+TOLERANCE = 1e-6
+# Too many requests, and service unavailable: what a request inside its rate must
+# not be told.
+REFUSED_STATUSES = frozenset({429, 503})
+
+
+class RateLimit(NamedTuple):
+    """A workspace's rate and burst, in force everywhere from `from_ms` on."""
+
+    workspace: str
+    rate: float
+    burst: float
+    from_ms: float = float("-inf")
+
+
+class Admission(NamedTuple):
+    """A request that was admitted at some time from `sent_ms` to `latest_ms`."""
+
+    latest_ms: float
+    sent_ms: float
+    request_id: str
+
+
+class Bucket:
+    """A token bucket that starts full and follows changes of its limit."""
+
+    def __init__(self, limits: Iterable[RateLimit]):
+        self._limits = sorted(limits, key=lambda limit: limit.from_ms)
+        self._now_ms = float("-inf")
+        self.limit = self._limits.pop(0)
+        self.tokens = self.limit.burst
+
+    def advance(self, now_ms: float) -> None:
+        """Move on to `now_ms` and add the tokens that came meanwhile."""
+        while self._limits and self._limits[0].from_ms <= now_ms:
+            self._refill(self._limits[0].from_ms)
+            self.limit = self._limits.pop(0)
+            self.tokens = min(self.tokens, self.limit.burst)
+        self._refill(now_ms)
+
+    def _refill(self, now_ms: float) -> None:
+        if self._now_ms != float("-inf"):
+            passed_ms = max(0.0, now_ms - self._now_ms)
+            self.tokens += self.limit.rate * passed_ms / SECOND_MS
+        self.tokens = min(self.tokens, self.limit.burst)
+        self._now_ms = max(self._now_ms, now_ms)
+
+    def take(self) -> bool:
+        """Take a token; return False when there is none."""
+        if self.tokens < 1 - TOLERANCE:
+            return False
+        self.tokens -= 1
+        return True
+
+    def next_token_ms(self) -> float:
+        """Return when there is a whole token, if the limit stays."""
+        if self.limit.rate <= 0:
+            return float("inf")
+        missing = max(0.0, 1 - self.tokens)
+        return self._now_ms + missing * SECOND_MS / self.limit.rate
+
+
+def check_rates(
+    record: Iterable[Entry], limits: Iterable[RateLimit], evidence: Evidence
+) -> list[RateExceeded]:
+    """Return the requests that ran beyond their workspace's rate and burst.
+
+    When a daemon admitted a request is not seen, only that it did so between the
+    sending and the answer, and before the endpoint ran it. A workspace got too much
+    exactly when no choice of such times passes through one bucket; earliest latest
+    time first finds a choice if there is one. So no delay on the way can make a
+    false finding, and every window in which too much must have passed is found.
+    """
+    limits = list(limits)
+    by_workspace = collect_admissions(record, evidence)
+    found = []
+    for workspace, admissions in by_workspace.items():
+        own = [limit for limit in limits if limit.workspace == workspace]
+        if own:
+            found += replay_admissions(admissions, own)
+    return found
+
+
+def collect_admissions(
+    record: Iterable[Entry], evidence: Evidence
+) -> dict[str, list[Admission]]:
+    """Return for each workspace the requests that certainly were admitted."""
+    first_ms: dict[str, float] = {}
+    for execution in evidence.executions:
+        known_ms = first_ms.get(execution.change, float("inf"))
+        first_ms[execution.change] = min(known_ms, execution.time_ms)
+    admissions: dict[str, list[Admission]] = {}
+    for entry in record:
+        executed_ms = first_ms.get(name_change(entry), float("inf"))
+        # One that was sent again is judged by its own answer: the execution may
+        # belong to an earlier attempt.
+        executed = entry.sent_ms <= executed_ms <= entry.answered_ms
+        if entry.action != STATEMENT or not (entry.ran == RAN or executed):
+            continue
+        latest_ms = executed_ms if executed else entry.answered_ms
+        admission = Admission(latest_ms, entry.sent_ms, entry.request_id)
+        admissions.setdefault(entry.workspace, []).append(admission)
+    return admissions
+
+
+def replay_admissions(
+    admissions: list[Admission], limits: list[RateLimit]
+) -> list[RateExceeded]:
+    """Return the admissions of one workspace for which no token was left in time."""
+    coming = sorted(admissions, key=lambda one: one.sent_ms, reverse=True)
+    waiting: list[Admission] = []
+    bucket = Bucket(limits)
+    found = []
+    while coming or waiting:
+        now_ms = coming[-1].sent_ms if coming else float("inf")
+        if waiting:
+            now_ms = min(now_ms, bucket.next_token_ms())
+        if now_ms == float("inf"):
+            return found + [exceed(one, bucket.limit) for one in waiting]
+        bucket.advance(now_ms)
+        while coming and coming[-1].sent_ms <= now_ms:
+            heapq.heappush(waiting, coming.pop())
+        # What is too late takes no token, or all that come after would be late too.
+        while waiting and waiting[0].latest_ms < now_ms - TOLERANCE:
+            found.append(exceed(heapq.heappop(waiting), bucket.limit))
+        while waiting and bucket.take():
+            heapq.heappop(waiting)
+    return found
+
+
+def exceed(admission: Admission, limit: RateLimit) -> RateExceeded:
+    """Return the violation for an admission that no token was left for."""
+    return RateExceeded(
+        admission.request_id,
+        limit.workspace,
+        limit.rate,
+        limit.burst,
+        admission.latest_ms,
+    )
+
+
+def find_wrongful_refusals(
+    record: Iterable[Entry], limits: Iterable[RateLimit]
+) -> list[Entry]:
+    """Return the requests refused for want of room that one bucket would have let in.
+
+    The bucket sees the requests in the order in which they were sent, as a single
+    accountant without any delay would. It is a measure, not a promise.
+    """
+    limits = list(limits)
+    wrongful = []
+    entries = sorted(record, key=lambda entry: entry.sent_ms)
+    for workspace in sorted({entry.workspace for entry in entries}):
+        own = [limit for limit in limits if limit.workspace == workspace]
+        if not own:
+            continue
+        bucket = Bucket(own)
+        for entry in entries:
+            if entry.workspace != workspace or entry.action != STATEMENT:
+                continue
+            bucket.advance(entry.sent_ms)
+            if bucket.take() and entry.status in REFUSED_STATUSES:
+                wrongful.append(entry)
+    return wrongful
