--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -3,11 +3,16 @@
 import concurrent.futures
 import contextlib
 import functools
+import os
 import random
+import select
 import socket
 import ssl
+import sys
 import threading
 import time
+import traceback
+import weakref
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -65,6 +70,39 @@
             time.sleep(duration_ms / 1000)
 
 
+class Signal:
+    """A flag that tasks wait for together with the bytes of a connection.
+
+    An event can't be awaited at the same time as a socket, and a task that looked at
+    it now and then would cost processor time on every idle connection.
+    """
+
+    def __init__(self):
+        self._descriptor = os.eventfd(0)
+        self._closer = weakref.finalize(self, os.close, self._descriptor)
+
+    def set(self) -> None:
+        """Wake every task that waits for the signal; it stays set for good."""
+        os.eventfd_write(self._descriptor, 1)
+
+    def fileno(self) -> int:
+        """Return the descriptor, for `poll`."""
+        return self._descriptor
+
+
+def _wait_readable(
+    sock: socket.socket, timeout_ms: float | None, signal: Signal | None
+) -> bool:
+    descriptor = sock.fileno()
+    if descriptor < 0:
+        raise ConnectionLostError("the socket is closed")
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    if signal is not None:
+        poller.register(signal, select.POLLIN)
+    return any(ready == descriptor for ready, _ in poller.poll(timeout_ms))
+
+
 class Connection:
     """A TCP connection with a timeout for each call."""
 
@@ -95,11 +133,58 @@
             count -= len(part)
         return b"".join(parts)
 
+    def is_quiet(self) -> bool:
+        """Return whether the connection is open and no bytes wait; never block.
+
+        Call it between requests only: it leaves the connection without waiting,
+        so that a timeout has to be set before the next call.
+        """
+        self._sock.settimeout(0)
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def wait_readable(
+        self, timeout_ms: float | None, signal: Signal | None = None
+    ) -> bool:
+        """Return whether bytes (or the end) can be received without waiting.
+
+        Return False when time is up or `signal` is set and nothing has come.
+        """
+        if isinstance(self._sock, ssl.SSLSocket) and self._sock.pending():
+            return True
+        return _wait_readable(self._sock, timeout_ms, signal)
+
+    def complete_handshake(self) -> None:
+        """Complete the TLS handshake, if there is one, within the set timeout."""
+        if isinstance(self._sock, ssl.SSLSocket):
+            self._sock.do_handshake()
+
+    def finish_sending(self) -> None:
+        """Tell the other side that nothing more comes; receiving goes on."""
+        # An SSLSocket's own shutdown would forget the keys of both directions.
+        socket.socket.shutdown(self._sock, socket.SHUT_WR)
+
     def peer_address(self) -> Address:
         """Return the address of the other side."""
         name = self._sock.getpeername()
         return Address(name[0], name[1])
 
+    def has_ended(self) -> bool:
+        """Return whether the other side has closed, or sent what nobody awaits."""
+        try:
+            self._sock.settimeout(0)
+            self._sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, ssl.SSLWantReadError):
+            return False
+        except (OSError, ValueError):
+            return True
+        return True
+
     def forget(self) -> None:
         """Leave the connection out of the end of the runtime."""
         self._on_close(self)
@@ -158,13 +243,24 @@
         slow caller holds up only its own task.
         """
         sock, _ = self._sock.accept()
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self._tls is not None:
-            sock = self._tls().wrap_socket(
-                sock, server_side=True, do_handshake_on_connect=False
-            )
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._tls is not None:
+                sock = self._tls().wrap_socket(
+                    sock, server_side=True, do_handshake_on_connect=False
+                )
+        except BaseException:
+            sock.close()
+            raise
         return self._adopt(sock)
 
+    def wait_readable(self, signal: Signal) -> bool:
+        """Wait; return True when a connection is there to accept.
+
+        Return False once `signal` is set and no connection is left to accept.
+        """
+        return _wait_readable(self._sock, None, signal)
+
     def close(self) -> None:
         """Stop listening and wake the task that waits in `accept`."""
         with contextlib.suppress(OSError):
@@ -172,6 +268,11 @@
         self._sock.close()
 
 
+def write_failure(text: str) -> None:
+    """Write the traceback of a task that failed to standard error."""
+    sys.stderr.write(text)
+
+
 class Runtime:
     """All that a process needs of the world outside; tests hand in another one."""
 
@@ -188,6 +289,7 @@
         self._connections: set[Connection] = set()
         self._listeners: set[Listener] = set()
         self._stopping = threading.Event()
+        self.report_failure: Callable[[str], None] = write_failure
 
     def make_random(self, seed: int) -> Random:
         """Return a random source of its own, which repeats itself with the seed."""
@@ -217,6 +319,11 @@
     def _run(self, function: Callable[..., Any], args: tuple) -> Any:
         try:
             return function(*args)
+        except Exception:
+            # An executor keeps the error in a future that nobody may ever look at;
+            # the task would be gone without a word.
+            self.report_failure(traceback.format_exc())
+            raise
         finally:
             with self._lock:
                 self._running -= 1
@@ -238,6 +345,10 @@
         """Return a new event."""
         return threading.Event()
 
+    def make_signal(self) -> Signal:
+        """Return a new signal."""
+        return Signal()
+
     def wait_for(
         self,
         condition: threading.Condition,
