--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -20,6 +20,8 @@
 
 RECEIVE_BYTES = 65536
 BACKLOG = 1024
+# The type of a random source, for modules that name it.
+Random = random.Random
 # An idle task's stack stays this small, so that thousands of them fit.
 TASK_STACK_BYTES = 256 * 1024
 
@@ -289,6 +291,10 @@
         self._stopping = threading.Event()
         self.report_failure: Callable[[str], None] = write_failure
 
+    def make_random(self, seed: int) -> Random:
+        """Return a random source of its own, which repeats itself with the seed."""
+        return Random(seed)
+
     # Tasks
 
     def start(
