--- /dev/null
+++ b/tests/test_standin_endpoint.py
@@ -0,0 +1,330 @@
+"""Tests of the endpoint stand-in."""
+
+import base64
+import signal
+import subprocess
+import sys
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from standins.instance import Entry, Instance
+from tests.endpoints import (
+    TIMEOUT_MS,
+    add,
+    get,
+    open_group,
+    open_runtime,
+    put,
+    wait_until,
+)
+
+T = TIMEOUT_MS
+SHORT_MS = 100
+LONG_SERVICE_MS = 300
+
+
+def write(link, request_id, statement, term=1):
+    return link.write("kitchens", term, statement, request_id, T)
+
+
+def read_value(link, row):
+    return link.read("kitchens", get(row), T).ok.value
+
+
+def test_a_write_reaches_the_replicas_and_wakes_a_status_poll():
+    with open_group() as group:
+        monitor = group.link("orders-2", "monitor")
+        wait_until(group.runtime, lambda: group.instance("orders-2").position == 1)
+        assert write(group.link("orders-1"), "w1", put("tray", 4)).ok.position == 2
+        status = monitor.status(1, 1, T, 2 * T).ok
+        assert (status.role, status.log_term, status.position) == ("replica", 1, 2)
+        assert read_value(group.link("orders-2"), "tray") == 4
+
+
+def test_a_second_write_with_the_same_id_changes_nothing():
+    with open_group() as group:
+        link = group.link("orders-1")
+        assert write(link, "w1", add("lunches", 40)).ok.value == 40
+        again = write(link, "w1", add("lunches", 40)).ok
+        assert (again.value, again.duplicate) == (40, True)
+        assert read_value(link, "lunches") == 40
+
+
+def test_only_one_of_two_fences_with_one_term_is_accepted():
+    """Two daemons suspect the primary at the same moment and fence with the same
+    term. If both were accepted, both would promote and writes would be lost.
+    """
+    with open_group() as group:
+        first = group.link("orders-2", "monitor")
+        second = group.link("orders-2", "monitor")
+        assert first.fence(2, T).ok.term == 2
+        refused = second.fence(2, T).error
+        assert (refused.kind, refused.term) == ("stale_term", 2)
+        promoted = first.promote(2, T).ok
+        assert first.promote(2, T).ok == promoted
+        assert group.instance("orders-2").log_term == 2
+        assert second.promote(1, T).error.kind == "stale_term"
+
+
+def test_a_fence_keeps_out_a_write_that_is_being_served():
+    """A primary is replaced while a write is in one of its slots. A caller who
+    was told that it ran would find it gone after the failover.
+    """
+    with open_group(service_ms=LONG_SERVICE_MS) as group:
+        link = group.link("orders-1")
+        future = group.runtime.start(write, link, "w1", put("tray", 4))
+        instance = group.instance("orders-1")
+        wait_until(group.runtime, lambda: instance.slots_used == 1)
+        group.link("orders-1", "monitor").fence(2, T)
+        assert future.result().error.kind == "not_primary"
+        assert [entry["kind"] for entry in instance.entries] == ["promote"]
+
+
+def test_a_replaced_primary_drops_what_only_it_had():
+    """A primary that is cut off goes on writing while another is promoted. When
+    it comes back its own rows must go, or its readers see orders that never were.
+    """
+    with open_group() as group:
+        old = group.link("orders-1")
+        write(old, "w1", put("tray", 1))
+        group.wait_level("orders-1", "orders-2", "orders-3")
+        group.admin("orders-1", "cut", names=["orders-2", "orders-3"])
+        write(old, "w2", put("tray", 2))
+        write(old, "w3", put("gluten", "none"))
+        write(old, "w4", add("lunches", 1))
+        new = group.link("orders-2", "monitor")
+        third = group.link("orders-3", "monitor")
+        assert [new.fence(2, T).ok.position, third.fence(2, T).ok.position] == [2, 2]
+        new.promote(2, T)
+        address = str(group.servers["orders-2"].address)
+        third.follow(2, address, T)
+        write(group.link("orders-2"), "w5", put("tray", 5), term=2)
+        group.admin("orders-1", "heal", names=["orders-2", "orders-3"])
+        group.link("orders-1", "monitor").follow(2, address, T)
+        group.wait_level("orders-1", "orders-2", "orders-3")
+        assert read_value(old, "tray") == 5
+        assert read_value(old, "gluten") is None
+        assert write(old, "w2", put("tray", 2), 2).error.kind == "not_primary"
+
+
+def test_a_pull_answered_before_the_fence_is_dropped_after_it():
+    """A replica freezes with entries on their way to it and is fenced when it
+    thaws. Taking them in behind the fence would change the position it reported.
+    """
+    with open_group() as group:
+        group.wait_level("orders-1", "orders-2")
+        group.admin("orders-2", "freeze")
+        write(group.link("orders-1"), "w1", put("tray", 1))
+        instance = group.instance("orders-2")
+        with instance.condition:
+            instance.fence(2)
+        group.admin("orders-2", "thaw")
+        status = group.link("orders-2", "monitor").status(0, 0, 0, T).ok
+        assert (status.term, status.position) == (2, 1)
+        group.runtime.sleep_ms(SHORT_MS)
+        assert instance.position == 1
+
+
+def test_a_frozen_instance_answers_admins_only_and_runs_the_rest_at_the_thaw():
+    """An instance stops for seconds and then goes on with what had arrived. The
+    caller timed out in between, so a write may have run though nobody was told.
+    """
+    with open_group() as group:
+        link = group.link("orders-1")
+        group.admin("orders-1", "freeze")
+        lost = link.write("kitchens", 1, put("tray", 4), "w1", SHORT_MS).error
+        assert (lost.kind, lost.may_have_run) == ("lost", True)
+        assert not group.try_link("orders-1", timeout_ms=SHORT_MS).is_ok()
+        assert len(group.entries("orders-1")) == 1
+        group.admin("orders-1", "thaw")
+        wait_until(group.runtime, lambda: len(group.entries("orders-1")) == 2)
+        assert group.link("orders-1").settle(1, "w1", T).ok.outcome == "ran"
+
+
+def test_messages_from_a_cut_caller_have_no_effect():
+    """A partition lies between one daemon and the instance. The daemon gets no
+    answer, and after the heal nothing of what it sent has happened.
+    """
+    with open_group() as group:
+        link = group.link("orders-1")
+        group.admin("orders-1", "cut", names=["vm-1"])
+        error = link.write("kitchens", 1, put("tray", 4), "w1", SHORT_MS).error
+        assert error.kind == "lost"
+        group.admin("orders-1", "heal", names=["vm-1"])
+        assert read_value(group.link("orders-1"), "tray") is None
+
+
+def test_a_settle_tells_apart_an_answer_lost_after_and_before_the_effect():
+    """The connection ends without an answer, once after the write and once
+    before it. Only the endpoint knows which, and says so when asked.
+    """
+    with open_group() as group:
+        for request_id, before, outcome in (
+            ("after", False, "ran"),
+            ("before", True, "cancelled"),
+        ):
+            group.admin(
+                "orders-1", "drop_answers", ops=["write"], count=1, before=before
+            )
+            error = write(group.link("orders-1"), request_id, add("n", 1)).error
+            assert error.kind == "lost"
+            assert group.link("orders-1").settle(1, request_id, T).ok.outcome == outcome
+        late = write(group.link("orders-1"), "before", add("n", 1))
+        assert late.error.kind == "cancelled"
+        assert read_value(group.link("orders-1"), "n") == 1
+
+
+def test_a_write_that_ends_after_its_settle_does_not_run():
+    """A write is held up on its way and its outcome is settled meanwhile. If it
+    still ran, the caller who was told "not run" would order forty lunches twice.
+    """
+    with open_group(service_ms=LONG_SERVICE_MS) as group:
+        late, prompt = group.link("orders-1"), group.link("orders-1")
+        future = group.runtime.start(write, late, "w1", add("n", 1))
+        instance = group.instance("orders-1")
+        wait_until(group.runtime, lambda: instance.slots_used == 1)
+        group.admin("orders-1", "set", service_ms=0)
+        assert prompt.settle(1, "w1", T).ok.outcome == "cancelled"
+        assert future.result().error.kind == "cancelled"
+        assert read_value(prompt, "n") is None
+        group.wait_level("orders-1", "orders-2", "orders-3")
+
+
+def test_a_connection_too_many_is_turned_away_until_one_ends():
+    """More daemons connect than the instance takes. One too many is told so at
+    once, and monitors still get in, or nobody could order a promotion.
+    """
+    with open_group(connections=2) as group:
+        links = [group.link("orders-1"), group.link("orders-1")]
+        assert group.try_link("orders-1").error.kind == "too_many_connections"
+        assert group.try_link("orders-1", "monitor").is_ok()
+        links[0].close()
+        wait_until(group.runtime, lambda: group.try_link("orders-1").is_ok())
+
+
+def test_a_request_without_a_slot_is_busy_and_does_not_run():
+    """Every slot is taken when one more write comes. It is refused and leaves
+    nothing behind.
+    """
+    with open_group(slots=1, service_ms=LONG_SERVICE_MS) as group:
+        links = [group.link("orders-1"), group.link("orders-1")]
+        future = group.runtime.start(write, links[0], "w1", add("n", 1))
+        instance = group.instance("orders-1")
+        wait_until(group.runtime, lambda: instance.slots_used == 1)
+        assert write(links[1], "w2", add("n", 1)).error.kind == "busy"
+        assert future.result().ok.value == 1
+        outcomes = [
+            e["outcome"] for e in group.admin("orders-1", "record")["executions"]
+        ]
+        assert outcomes == ["ran"]
+
+
+def test_a_transaction_applies_together_and_dies_with_its_connection():
+    """A daemon dies between begin and commit. Nothing of its transaction may be
+    seen by anybody, and a finished one is seen as a whole.
+    """
+    with open_group() as group:
+        dying, link, other = (group.link("orders-1") for _ in range(3))
+        for begun in (dying, link):
+            begun.begin("kitchens", 1, T)
+        write(dying, "", put("soup", 1))
+        dying.close()
+        write(link, "", put("tray", 1))
+        write(link, "", add("tray", 1))
+        assert read_value(link, "tray") == 2
+        assert read_value(other, "tray") is None
+        assert link.commit(1, "c1", T).ok.position == 2
+        assert read_value(other, "tray") == 2
+        assert other.commit(1, "c1", T).ok.duplicate
+        assert read_value(other, "soup") is None
+
+
+def test_a_commit_after_somebody_changed_its_rows_is_a_conflict():
+    """Two callers change one row at a time, one inside a transaction. A commit
+    that went through would undo the other's change unseen.
+    """
+    with open_group() as group:
+        link, other = group.link("orders-1"), group.link("orders-1")
+        link.begin("kitchens", 1, T)
+        write(link, "", add("tray", 1))
+        write(link, "", put("soup", 1))
+        write(other, "w1", add("tray", 5))
+        assert link.commit(1, "c1", T).error.kind == "conflict"
+        assert (read_value(link, "tray"), read_value(link, "soup")) == (5, None)
+
+
+def test_after_a_fence_nothing_of_an_open_transaction_runs_alone():
+    """The primary is fenced and promoted anew while a transaction is open. A
+    later write of it that ran outside of it would be half of an order.
+    """
+    with open_group() as group:
+        link = group.link("orders-1")
+        monitor = group.link("orders-1", "monitor")
+        link.begin("kitchens", 1, T)
+        write(link, "", put("tray", 1))
+        monitor.fence(2, T)
+        monitor.promote(2, T)
+        assert write(link, "", put("soup", 1), 2).error.kind == "no_transaction"
+        assert link.commit(2, "c1", T).error.kind == "no_transaction"
+        assert group.instance("orders-1").rows == {}
+
+
+def test_the_record_holds_what_was_received_and_run():
+    with open_group() as group:
+        link = group.link("orders-1")
+        write(link, "w1", put("tray", "sentinel"))
+        write(link, "w2", {"verb": "add", "row": "tray", "amount": 1})
+        record = group.admin("orders-1", "record")
+        seen = [(e["workspace"], e["outcome"]) for e in record["executions"]]
+        assert seen == [("kitchens", "ran"), ("kitchens", "invalid_statement")]
+        received = group.admin("orders-1", "received")
+        assert received["complete"]
+        assert b"sentinel" in base64.b64decode(received["bytes"])
+
+
+def make_instance(runtime, terms, prefix):
+    instance = Instance(runtime, slots=1)
+    for place, term in enumerate(terms):
+        value = place if place < prefix else (place, term)
+        changes = {f"row-{place % 3}": value}
+        entry = Entry(
+            term=term, kind="write", request_id="", changes=changes, value=None
+        )
+        with instance.condition:
+            instance.append(entry)
+    return instance
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    common=st.lists(st.integers(1, 3), max_size=5).map(sorted),
+    own=st.lists(st.sampled_from([4, 6]), max_size=6).map(sorted),
+    primary=st.lists(st.sampled_from([5, 7]), min_size=1, max_size=6).map(sorted),
+)
+def test_any_two_logs_become_equal_by_rewinding(common, own, primary):
+    """Two instances each wrote under terms of their own after a split. Following
+    must leave exactly the primary's log and rows, whatever the two hold.
+    """
+    with open_runtime(1) as runtime:
+        source = make_instance(runtime, common + primary, len(common))
+        target = make_instance(runtime, common + own, len(common))
+        with target.condition:
+            while (
+                place := source.find_rewind(target.log_term, target.position)
+            ) is not None:
+                assert place < target.position
+                target.cut_log(place)
+            assert target.position >= len(common)
+            for entry in source.entries[target.position :]:
+                target.append(entry)
+        assert (target.entries, target.rows) == (source.entries, source.rows)
+
+
+def test_sigterm_ends_the_process_with_status_0():
+    command = [sys.executable, "-m", "standins.endpoint", "--name", "orders-1"]
+    command += ["--group", "orders", "--listen", "127.0.0.1:0", "--primary-term", "1"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        assert "orders-1 listens on 127.0.0.1:" in process.stdout.readline()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10) == 0
