--- a/bronzerelay/dialect.py
+++ b/bronzerelay/dialect.py
@@ -305,6 +305,8 @@
         end_ms = self._clock.now_ms() + timeout_ms
         self._connection.set_timeout(max(timeout_ms, 1))
         self._connection.send(question)
+        # Decoding fails when two answers came at once: some other request was
+        # answered as well, and which line is the right one can't be known.
         answer = _decoder.decode(self._receive_line(end_ms))
         if answer["id"] != self._last_id:
             raise BrokenLinkError("it answers another request")
@@ -325,10 +327,6 @@
             line += part
             if len(line) > ANSWER_LIMIT_BYTES:
                 raise BrokenLinkError("the answer is too long")
-        # More than one line says that some other request was answered as well;
-        # which line is the right one can't be known.
-        if line.find(b"\n") != len(line) - 1:
-            raise BrokenLinkError("more than one answer came")
         return line
 
 
--- a/tests/test_dialect.py
+++ b/tests/test_dialect.py
@@ -117,17 +117,18 @@
     request is not sent at all, so "not run" is certain.
     """
     asked = []
+    sent = []
 
     def reply(connection, line):
         asked.append(line)
         connection.send(SOUND)
-        sleep_ms(SHORT_MS)
+        runtime.sleep_ms(SHORT_MS)
         connection.send(SOUND)
+        sent.append(SOUND)
 
     with open_script(reply) as (runtime, link):
-        sleep_ms = runtime.sleep_ms
         assert read(link).ok.value == 7
-        wait_until(runtime, lambda: not link.is_usable())
+        wait_until(runtime, lambda: sent)
         error = read(link).error
         assert (error.kind, error.may_have_run) == (dialect.UNREACHABLE, False)
         assert len(asked) == 1
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -8,9 +8,7 @@
 from tests.endpoints import (
     TIMEOUT_MS,
     make_spec,
-    open_group,
     open_runtime,
-    put,
     wait_until,
 )
 
@@ -67,20 +65,29 @@
     """The endpoint ended an idle link. Found out at lending, it costs the caller
     nothing; found out after sending, the outcome would be unknown.
     """
-    with open_group() as group:
-        spec = make_spec(group.servers["orders-1"].address)
+    with open_runtime() as runtime:
+        listener = runtime.listen(Address("127.0.0.1", 0))
+        accepted = []
+
+        def accept():
+            for _ in range(2):
+                accepted.append(listener.accept())
+                accepted[-1].receive()
+                accepted[-1].send(b'{"id":1,"ok":true}\n')
+
+        runtime.start(accept)
+        spec = make_spec(listener.address)
 
         def open_link(timeout_ms):
-            return dialect.open_link(group.runtime, spec, "vm-1", "work", timeout_ms)
+            return dialect.open_link(runtime, spec, "vm-1", "work", timeout_ms)
 
-        pool = ConnectionPool(group.runtime, spec, open_link, 1)
+        pool = ConnectionPool(runtime, spec, open_link, 1)
         link = pool.lend(T).ok
         pool.give_back(link)
-        group.admin("orders-1", "drop_answers", ops=["status"], count=1)
-        assert link.status(0, 0, 0, T).error.kind == dialect.LOST
+        accepted[0].close()
         replaced = pool.lend(T).ok
-        assert replaced is not link
-        assert replaced.write("kitchens", 1, put("tray", 1), "w1", T).is_ok()
+        assert link.closed and not replaced.closed
+        assert pool.open_count == 1
 
 
 def test_a_borrower_waits_for_a_link_and_is_told_when_none_comes():
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -121,7 +121,8 @@
     for _ in range(5):
         trial.join("b", prefer("y"), "b on y")
     got = [trial.serve("y") for _ in range(CREDIT_LIMIT + 2)]
-    assert 1 <= got.index("b on y") <= CREDIT_LIMIT + 1
+    assert got == ["late"] * CREDIT_LIMIT + ["b on y", "late"]
+    trial.queue.set_endpoints({"x": 100, "y": 100})
 
 
 def test_a_wake_asks_the_waiters_again(runtime):
