--- /dev/null
+++ b/bronzerelay/signing.py
@@ -0,0 +1,119 @@
+"""Operators' signatures over the digest of a bundle."""
+
+from typing import NamedTuple
+
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PrivateKey,
+    Ed25519PublicKey,
+)
+from expression import Ok, Result
+
+from bronzerelay.bundle import digest_bundle
+from bronzerelay.codes import Code, Refusal, refuse
+from bronzerelay.types import Bundle, ConfigRecord
+
+PUBLIC_PREFIX = "ed25519:"
+PRIVATE_PREFIX = "ed25519-private:"
+# Put before the digest, so that a signature given elsewhere for the same text, by a
+# program with another purpose, is none for a bundle.
+PURPOSE = b"bronzerelay bundle\n"
+
+
+class OperatorKey(NamedTuple):
+    """A pair of keys as text; only `public` goes into a bundle."""
+
+    private: str
+    public: str
+
+
+def make_operator_key() -> OperatorKey:
+    """Return a new pair of keys."""
+    private = Ed25519PrivateKey.generate()
+    public = private.public_key().public_bytes_raw()
+    return OperatorKey(
+        PRIVATE_PREFIX + private.private_bytes_raw().hex(),
+        PUBLIC_PREFIX + public.hex(),
+    )
+
+
+def sign_digest(private: str, digest: str) -> str:
+    """Return the signature in hexadecimal digits.
+
+    Raise ValueError when `private` isn't a private key; the error doesn't show it.
+    """
+    data = _read_hex(private, PRIVATE_PREFIX)
+    try:
+        key = Ed25519PrivateKey.from_private_bytes(data)
+    except ValueError:
+        raise ValueError(f"a private key is {PRIVATE_PREFIX} and 64 digits") from None
+    return key.sign(_message(digest)).hex()
+
+
+def check_signatures(
+    record: ConfigRecord, in_force: Bundle | None
+) -> Result[None, Refusal]:
+    """Return Ok when the author and a second operator have signed the bundle.
+
+    The operators are those of the bundle in force. When there is none, or it names
+    none, they are those of the record's own bundle; when that names none either, no
+    signatures are needed. The operators of a new bundle don't count beside those in
+    force: anybody could name himself twice and sign.
+    """
+    operators = _list_operators(in_force) or _list_operators(record["bundle"])
+    if not operators:
+        return Ok(None)
+    # The record's own digest may be that of another bundle, one that was signed.
+    digest = digest_bundle(record["bundle"])
+    signers = {
+        entry["operator"]
+        for entry in record["signatures"]
+        if entry["operator"] in operators
+        and _verify(operators[entry["operator"]], digest, entry["signature"])
+    }
+    author = record["author"]
+    if author not in operators:
+        return _refuse_missing(f"the author {author!r} is no operator", operators)
+    if author not in signers:
+        message = f"there is no valid signature of the author {author!r}"
+        return _refuse_missing(message, operators)
+    if len(signers) < 2:
+        message = f"nobody but the author {author!r} has signed"
+        return _refuse_missing(message, operators)
+    return Ok(None)
+
+
+def _list_operators(bundle: Bundle | None) -> dict[str, str]:
+    """Return the public key of each operator that the bundle names."""
+    if bundle is None:
+        return {}
+    return {entry["name"]: entry["public_key"] for entry in bundle.get("operators", [])}
+
+
+def _verify(public: str, digest: str, signature: str) -> bool:
+    try:
+        key = Ed25519PublicKey.from_public_bytes(_read_hex(public, PUBLIC_PREFIX))
+        key.verify(bytes.fromhex(signature), _message(digest))
+    except (ValueError, InvalidSignature):
+        return False
+    return True
+
+
+def _read_hex(text: str, prefix: str) -> bytes:
+    """Return the bytes behind the prefix; none when the text has another form."""
+    digits = text.strip().removeprefix(prefix)
+    if not text.strip().startswith(prefix):
+        return b""
+    try:
+        return bytes.fromhex(digits)
+    except ValueError:
+        return b""
+
+
+def _message(digest: str) -> bytes:
+    return PURPOSE + digest.encode("utf-8", "surrogatepass")
+
+
+def _refuse_missing(message: str, operators: dict[str, str]) -> Result[None, Refusal]:
+    names = ", ".join(sorted(operators))
+    return refuse(Code.SIGNATURE_MISSING, f"{message}; operators are {names}")
