--- a/bronzerelay/bundle.py
+++ b/bronzerelay/bundle.py
@@ -318,6 +318,39 @@
         yield path, value
 
 
+def check_step(old: Bundle | None, new: Bundle) -> list[Mistake]:
+    """Return the mistakes of `new` as the bundle that follows `old`.
+
+    A write is acknowledged once a majority of its group's endpoints holds it, and a
+    promotion finds it because any two majorities share an endpoint. When too many
+    endpoints change in one step, a majority of the new ones may hold none of the
+    group's last writes; they would be lost without an error. So each majority of the
+    old endpoints must meet each majority of the new ones.
+    """
+    if old is None:
+        return []
+    mistakes: list[Mistake] = []
+    if new["version"] <= old["version"]:
+        allowed = f"more than {old['version']}, the version in force"
+        mistakes.append(Mistake("version", "doesn't grow", allowed))
+    groups = {group["name"]: group for group in old["groups"]}
+    for index, group in enumerate(new["groups"]):
+        before = groups.get(group["name"])
+        if before is not None and not _share_majorities(before, group):
+            path = join_field(join_item("groups", index, group), "endpoints")
+            allowed = "one endpoint more or less with each version"
+            mistakes.append(Mistake(path, "change too much at once", allowed))
+    return mistakes
+
+
+def _share_majorities(old: GroupEntry, new: GroupEntry) -> bool:
+    # An endpoint under another address may be a new one with nothing in it.
+    before = {(item["name"], item["address"]) for item in old["endpoints"]}
+    after = {(item["name"], item["address"]) for item in new["endpoints"]}
+    majorities = (len(before) // 2 + 1) + (len(after) // 2 + 1)
+    return majorities > len(before | after)
+
+
 # Compiling
 
 
--- a/tests/test_bundle.py
+++ b/tests/test_bundle.py
@@ -4,6 +4,7 @@
 import functools
 import json
 import operator
+import pathlib
 import re
 
 import pytest
@@ -14,6 +15,7 @@
     Change,
     check_bundle,
     check_record,
+    check_step,
     compile_bundle,
     diff_bundles,
     digest_bundle,
@@ -244,6 +246,27 @@
     assert diff_bundles(None, old)[0] == Change("format", None, 1)
 
 
+@pytest.mark.parametrize(
+    ("names", "allowed"),
+    [("abc", True), ("abcd", True), ("ab", True), ("abd", False), ("a", False)],
+)
+def test_a_step_keeps_an_endpoint_of_each_majority(names, allowed):
+    """An operator swaps one of three endpoints in one step. The new majority may be
+    the empty one and one that lags, and acknowledged orders would be gone.
+    """
+
+    def make(version, names):
+        endpoints = [make_endpoint(name, 5000 + ord(name)) for name in names]
+        return make_bundle(version, groups=[{"name": "orders", "endpoints": endpoints}])
+
+    old = make(1, "abc")
+    assert list_paths(check_step(old, make(2, names))) == (
+        [] if allowed else ["groups[0].endpoints"]
+    )
+    assert list_paths(check_step(old, make(1, "abc"))) == ["version"]
+    assert check_step(None, old) == []
+
+
 def test_compiling_fills_in_what_was_left_out():
     groups = [make_group("orders", 5001, max_age_ms=500), make_group("returns", 5101)]
     groups[0]["endpoints"][2]["leaving"] = True
@@ -259,3 +282,9 @@
         hash_key("north-key"): make_key_entry("north-key")["id"]
     }
     assert (north.rate, north.burst, north.groups) == (100.0, 20.0, {"orders"})
+
+
+def test_the_example_of_the_docs_is_a_bundle():
+    page = pathlib.Path(__file__).parent.parent / "docs" / "CONFIGURATION.md"
+    text = page.read_text().partition("```toml\n")[2].partition("```")[0]
+    assert parse_bundle(text).ok["version"] == 7
--- a/tests/test_keyvalue.py
+++ b/tests/test_keyvalue.py
@@ -55,12 +55,15 @@
 
 def test_a_put_whose_answer_is_lost_succeeds_once(platform):
     """The platform stores a bundle and the connection breaks before its answer. Told
-    "failed", an operator would roll the same bundle out once more.
+    "failed", an operator would roll the same bundle out once more; sent again to
+    another address of the platform, it would be refused as changed by somebody else.
     """
-    client = platform.make_client()
-    platform.server.set_fault(LOSE_ANSWERS, count=1)
+    losing = platform.add_server()
+    losing.set_fault(LOSE_ANSWERS)
+    client = platform.make_client(losing.address)
     assert client.put("config/current", {"members": ("a", "b")}, 0) == Ok(1)
     assert client.get("config/current") == Ok(Stored({"members": ["a", "b"]}, 1))
+    losing.stop()
 
 
 def test_a_lost_put_that_was_replaced_since_is_not_called_not_run():
@@ -147,8 +150,9 @@
     client = platform.make_client()
     lease = client.grant_lease(SHORT_MS).ok
     revision = client.put("holder", "vm-1", 0, lease).ok
-    lapsed = platform.make_client(caller="vm-2").watch("holder", revision, 5000)
-    assert lapsed.error.code is Code.NOT_FOUND
+    watcher = platform.make_client(caller="vm-2")
+    lapsed = platform.runtime.start(watcher.watch, "holder", revision, 60_000)
+    assert lapsed.result(20).error.code is Code.NOT_FOUND
     assert client.renew_lease(lease).error.code is Code.NOT_FOUND
     assert client.put("holder", "vm-1", 0, lease).is_error()
 
@@ -217,7 +221,8 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
         b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n\xff\xfe",
         b'HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n{"value":1,"revision":"one"}',
-        b"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n" + b" " * 3_000_000,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000024\r\n\r\n"
+        b'{"value":1,"revision":1}' + b" " * 3_000_000,
         b"HTTP/1.1 302 Found\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
         b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
         b"nonsense\r\n\r\n",
