--- a/bronzerelay/metrics.py
+++ b/bronzerelay/metrics.py
@@ -49,21 +49,25 @@
             ["workspace", "group", "quantile"],
             registry=self._registry,
         )
-        self._counters: dict[tuple, Counter] = {}
+        counters = (self._refusals, self._retries, self._events, self._requests)
+        self._children: dict[Counter, dict[tuple, Counter]] = {
+            counter: {} for counter in counters
+        }
         self._gauges: dict[str, Gauge] = {}
         self._histograms: dict[tuple[str, str], HdrHistogram] = {}
 
     def count_refusal(self, code: Code, workspace: str) -> None:
         """Count a request of `workspace` that was refused with `code`."""
-        self._add_one(self._refusals, (*CODE_LABELS[code], workspace))
+        labels = CODE_LABELS[code]
+        self._add_one(self._refusals, (*labels, workspace), (*labels, OTHER))
 
     def count_retry(self, reason: str) -> None:
         """Count a request that was sent again for `reason`."""
-        self._add_one(self._retries, (reason,))
+        self._add_one(self._retries, (reason,), (OTHER,))
 
     def count_event(self, name: str) -> None:
         """Count an event."""
-        self._add_one(self._events, (name,))
+        self._add_one(self._events, (name,), (OTHER,))
 
     def record_latency(self, workspace: str, group: str, ms: float) -> None:
         """Count an answered request that took `ms` milliseconds."""
@@ -71,7 +75,7 @@
         with self._lock:
             histogram = self._find_histogram(workspace, group)
             histogram.record_value(value_us)
-        self._add_one(self._requests, (workspace, group))
+        self._add_one(self._requests, (workspace, group), (OTHER, OTHER))
 
     def set_gauge(self, name: str, value: float) -> None:
         """Set the gauge `bronzerelay_NAME`."""
@@ -90,19 +94,24 @@
     def _count(self, name: str, text: str, labels: list[str]) -> Counter:
         return Counter(f"bronzerelay_{name}", text, labels, registry=self._registry)
 
-    def _add_one(self, counter: Counter, labels: tuple[str, ...]) -> None:
-        child = self._counters.get((counter, labels))
+    def _add_one(
+        self, counter: Counter, labels: tuple[str, ...], spare: tuple[str, ...]
+    ) -> None:
+        """Add one under `labels`, or under `spare` when there are too many labels."""
+        children = self._children[counter]
+        child = children.get(labels)
         if child is None:
-            child = self._make_child(counter, labels)
+            child = self._make_child(counter, labels, spare)
         child.inc()
 
-    def _make_child(self, counter: Counter, labels: tuple[str, ...]) -> Counter:
+    def _make_child(
+        self, counter: Counter, labels: tuple[str, ...], spare: tuple[str, ...]
+    ) -> Counter:
+        children = self._children[counter]
         with self._lock:
-            if len(self._counters) >= LABEL_LIMIT:
-                labels = (*labels[:-1], OTHER)
-            child = counter.labels(*labels)
-            self._counters[counter, labels] = child
-        return child
+            if labels not in children and len(children) >= LABEL_LIMIT:
+                labels = spare
+            return children.setdefault(labels, counter.labels(*labels))
 
     def _make_gauge(self, name: str) -> Gauge:
         with self._lock:
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,57 @@
+"""Tests of the log."""
+
+import io
+import json
+
+import pytest
+
+from bronzerelay.logs import hide_key, open_log, remove_keys
+
+KEY = "br-7Qz.k_3~9+/="
+
+
+def test_an_event_is_one_line_with_the_prefix_of_its_part():
+    stream = io.StringIO()
+    open_log("pool", stream).warning("A link\nis %s.", "closed", extra={"endpoint": 1})
+    open_log("pool", stream).info("Another one.")
+    first, second = map(json.loads, stream.getvalue().splitlines())
+    assert first["message"] == "pool: A link\nis closed."
+    assert (first["part"], first["level"], first["endpoint"]) == ("pool", "WARNING", 1)
+    assert second["message"] == "pool: Another one."
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        f"Authorization: Bearer {KEY}",
+        f"authorization:Basic {KEY}",
+        f"sent bearer\t{KEY} twice: BEARER  {KEY}",
+        f"{{'Authorization': 'Bearer {KEY}'}}",
+        json.dumps({"authorization": KEY}),
+    ],
+)
+def test_no_way_of_logging_a_header_writes_its_key(text):
+    """Somebody logs a caller's headers while looking for a fault. Whoever reads the
+    log could then send statements as that caller.
+    """
+    stream = io.StringIO()
+    log = open_log("front", stream)
+    log.info(text)
+    log.info("%s", text, extra={"headers": {"sent": [text]}, "more": text})
+    try:
+        raise ValueError(text)
+    except ValueError:
+        log.exception("A fault.")
+    assert KEY not in stream.getvalue()
+    assert all(json.loads(line) for line in stream.getvalue().splitlines())
+
+
+def test_the_key_of_the_running_request_is_hidden_wherever_it_stands():
+    """A library puts the bare key into the text of its exception, where no word
+    before it says what it is.
+    """
+    with hide_key(KEY):
+        assert KEY not in remove_keys(f"no such entry: {KEY!r}")
+    assert remove_keys("plain text, authorization is missing") == (
+        "plain text, authorization is missing"
+    )
--- /dev/null
+++ b/tests/test_statements.py
@@ -0,0 +1,85 @@
+"""Tests of the checks of a statement's body."""
+
+import json
+
+import pytest
+
+from bronzerelay.codes import Code
+from bronzerelay.runtime import Runtime
+from bronzerelay.statements import MAX_NESTING, decode_request
+
+GET = {"verb": "get", "row": "a"}
+PUT = {"verb": "put", "row": "a", "value": 1}
+
+
+def decode(**fields):
+    return decode_request(json.dumps({"group": "orders", **fields}).encode())
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"statement": GET, "max_age_ms": 0, "session": "t", "deadline_ms": 1},
+        {"statement": PUT, "idempotency_key": "k" * 200, "repeatable": False},
+        {"statement": {"verb": "add", "row": "a", "amount": -1.5}},
+        {"statement": {"verb": "put", "row": "a", "value": None}, "transaction": "t"},
+        {"action": "begin"},
+        {"action": "commit", "transaction": "t"},
+    ],
+)
+def test_a_valid_request_is_decoded(fields):
+    assert decode(**fields).ok == {"group": "orders", **fields}
+
+
+@pytest.mark.parametrize(
+    ("fields", "message"),
+    [
+        ({}, "needs the field `statement`"),
+        ({"statement": GET, "group": 1}, "Expected `str`, got `int` - at `$.group`"),
+        ({"statement": {"verb": "get"}}, "missing required field `row`"),
+        ({"statement": {"verb": "drop", "row": "a"}}, "Invalid enum value 'drop'"),
+        ({"statement": {**GET, "verb": "put"}}, "`put` needs the field `value`"),
+        ({"statement": {**PUT, "verb": "add"}}, "`add` needs the field `amount`"),
+        ({"statement": {**GET, "row": ""}}, "row has no name"),
+        ({"statement": {**GET, "rows": 1}}, "Unknown field `rows`"),
+        ({"statement": GET, "idempotencyKey": "k"}, "Unknown field `idempotencyKey`"),
+        ({"statement": GET, "idempotency_key": ""}, "1 to 200 characters"),
+        ({"statement": GET, "deadline_ms": 0}, "less than 1"),
+        ({"statement": GET, "max_age_ms": -1}, "less than 0"),
+        ({"statement": GET, "repeatable": 1}, "Expected `bool`"),
+        ({"action": "commit"}, "needs the field `transaction`"),
+        ({"action": "begin", "statement": GET}, "takes no field `statement`"),
+    ],
+)
+def test_a_mistake_is_told(fields, message):
+    refusal = decode(**fields).error
+    assert refusal.code == Code.INVALID_STATEMENT
+    assert message in refusal.message
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"{'a': 1}", b'"\xff"', b"1e999", b"{} {}", b"\x00"]
+)
+def test_a_broken_body_is_refused(body):
+    assert decode_request(body).error.code == Code.MALFORMED_JSON
+
+
+def test_a_deeply_nested_body_does_not_end_the_process():
+    """A hostile caller sends thousands of brackets. The decoder calls itself for
+    each, the small stack of the task overflows, and every caller of the daemon is
+    cut.
+    """
+    runtime = Runtime(task_limit=1)
+    body = b"[" * 100_000 + b"]" * 100_000
+    refusal = runtime.start(decode_request, body).result().error
+    assert refusal.code == Code.MALFORMED_JSON
+    assert runtime.close(1000)
+
+
+def test_brackets_that_do_not_nest_are_no_matter():
+    value = ["[{" * 200, '\\"[[' * 50, *[[{}]] * 200]
+    statement = {**PUT, "value": value}
+    assert decode(statement=statement).ok["statement"]["value"] == value
+    deepest = json.loads("[" * (MAX_NESTING - 2) + "]" * (MAX_NESTING - 2))
+    assert decode(statement={**PUT, "value": deepest}).is_ok()
+    assert decode(statement={**PUT, "value": [deepest]}).is_error()
