--- a/bronzerelay/front.py
+++ b/bronzerelay/front.py
@@ -318,11 +318,11 @@
             if refusal is not None:
                 return refusal
         clock = self._runtime.clock
-        end_ms = clock.now_ms() + self._settings.request_timeout_ms
+        left_ms = self._settings.request_timeout_ms
+        end_ms = clock.now_ms() + left_ms
         while not parser.requests:
             if parser.fault is not None:
                 return parser.fault
-            left_ms = end_ms - clock.now_ms()
             if left_ms <= 0:
                 return self._refuse_slow()
             connection.set_timeout(left_ms)
@@ -335,6 +335,7 @@
             parser.feed(data)
             if parser.take_continue() and parser.fault is None:
                 connection.send(CONTINUE)
+            left_ms = end_ms - clock.now_ms()
         return parser.requests.popleft()
 
     def _wait_idle(self, connection: Connection) -> Refusal | None:
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -104,10 +104,14 @@
     def __init__(self, sock: socket.socket, on_close: Callable[["Connection"], None]):
         self._sock = sock
         self._on_close = on_close
+        self._timeout_ms: float | None = -1
 
     def set_timeout(self, timeout_ms: float | None) -> None:
         """Let each later call wait `timeout_ms` at most; None waits for ever."""
-        self._sock.settimeout(None if timeout_ms is None else timeout_ms / 1000)
+        # Setting it costs a system call, and another task takes the interpreter.
+        if timeout_ms != self._timeout_ms:
+            self._sock.settimeout(None if timeout_ms is None else timeout_ms / 1000)
+            self._timeout_ms = timeout_ms
 
     def send(self, data: bytes) -> None:
         """Send all of `data`, or raise OSError."""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -80,6 +80,15 @@
         assert caller.read_to_end() == b""
 
 
+def test_a_caller_can_send_its_whole_body_and_still_read_that_it_is_too_large():
+    """A client reads the answer only after it has sent all. A connection closed
+    with bytes unread is reset, and the caller sees a broken pipe in place of 413.
+    """
+    with run_front(max_body_bytes=512) as running:
+        answer = running.call().ask(build_request(body=b"a" * 20_000_000))
+        assert_refused(answer, Code.BODY_TOO_LARGE)
+
+
 def test_a_connection_over_the_limit_gets_a_refusal_with_a_time():
     """More callers connect than the daemon has tasks for. One over the limit must
     not wait in silence until its own timeout.
