--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,207 @@
+"""Runs the main job once on stand-ins and says what each step did."""
+
+import sys
+from typing import NamedTuple
+
+import click
+import msgspec
+
+from bronzerelay.codes import NOT_RUN, RAN, Code
+from bronzerelay.runtime import Runtime
+from standins.caller import Caller, CallerSettings, exchange
+from standins.cluster import DEMO, Cluster, ClusterError
+from standins.exchange import HttpAnswer, LinkPool, build_request
+from standins.load import end_on_sigterm
+from standins.record import Entry
+
+TASKS = 64
+END_MS = 2000
+WRITE_LIMIT_MS = 10_000
+PAUSE_MS = 20
+TIMEOUT_MS = 5000
+# Larger than what a daemon takes unless its settings say more.
+OVERSIZED_BYTES = 2 * 1024 * 1024
+ROW = "school-12/lunches"
+
+
+class DemoError(Exception):
+    """A step didn't do what it should; the message says which and how."""
+
+
+class BadRequest(NamedTuple):
+    """A request that must be refused, and the code that it must be refused with."""
+
+    what: str
+    path: str
+    key: str
+    body: bytes
+    code: Code
+
+
+def say(text: str) -> None:
+    """Print a sentence at once, also when the output goes to a file."""
+    click.echo(text)
+    sys.stdout.flush()
+
+
+def require(condition: bool, message: str) -> None:
+    """Raise DemoError with the message unless the condition holds."""
+    if not condition:
+        raise DemoError(message)
+
+
+def put_first_bundle(cluster: Cluster) -> None:
+    """Put the first bundle in force and wait until every daemon has it."""
+    version = cluster.put_bundle()
+    cluster.wait_ready(version)
+    workspace = cluster.layout.workspaces[0]
+    say(
+        f"Put bundle {version} in force: workspace {workspace.name} with one key, "
+        f"{workspace.rate:g} requests a second and a burst of {workspace.burst:g}."
+    )
+    say(f"{len(cluster.daemon_names)} daemons are ready and have bundle {version}.")
+
+
+def check_ran(entry: Entry, step: str) -> None:
+    """Raise DemoError unless the request ran."""
+    message = f"{step}: code {entry.code}, {entry.ran}: {entry.message}"
+    require(entry.ran == RAN, message)
+
+
+def append(value: str) -> dict:
+    """Return the statement that adds a value to the demo's row."""
+    return {"verb": "append", "row": ROW, "value": value}
+
+
+def write_and_read(caller: Caller, group: str, daemons: list[str]) -> None:
+    """Write through one daemon and read it back through another."""
+    first, second = daemons[:2]
+    written = caller.run(group, append("no gluten"), first, idempotency_key="demo-1")
+    check_ran(written, "the write")
+    say(f"Wrote 'no gluten' to {ROW} through {first}; {written.served_by} ran it.")
+    read = caller.run(group, {"verb": "get", "row": ROW}, second)
+    check_ran(read, "the read")
+    require(read.value == ["no gluten"], f"the read gave {read.value}")
+    require(read.session_before != "", "the write's answer had no session token")
+    say(
+        f"Read {read.value} through {second} with the session token from the write; "
+        f"{read.served_by} ({read.role}) answered."
+    )
+
+
+def list_bad_requests(caller: Caller, group: str) -> list[BadRequest]:
+    """Return one request for each mistake that a caller is likely to make."""
+    path = f"/v1/workspaces/{caller.settings.workspace}/statements"
+    key = caller.settings.key
+    statement = {"verb": "get", "row": ROW}
+    body = msgspec.json.encode({"group": group, "statement": statement})
+    large = {"verb": "put", "row": ROW, "value": "x" * OVERSIZED_BYTES}
+    oversized = msgspec.json.encode({"group": group, "statement": large})
+    elsewhere = "/v1/workspaces/nobody/statements"
+    return [
+        BadRequest("A wrong key", path, "wrong-key", body, Code.KEY_REJECTED),
+        BadRequest(
+            "An unknown workspace", elsewhere, key, body, Code.WORKSPACE_UNKNOWN
+        ),
+        BadRequest("Malformed JSON", path, key, b'{"group": ', Code.MALFORMED_JSON),
+        BadRequest("An oversized body", path, key, oversized, Code.BODY_TOO_LARGE),
+        BadRequest("An unknown path", "/v2/nothing", key, body, Code.UNKNOWN_PATH),
+    ]
+
+
+def show_refusals(caller: Caller, links: LinkPool, group: str, daemon: str) -> None:
+    """Send requests that must be refused and show how each one was."""
+    for bad in list_bad_requests(caller, group):
+        headers = {"Authorization": f"Bearer {bad.key}"}
+        data = build_request("POST", bad.path, headers, bad.body)
+        outcome = exchange(links, daemon, data, TIMEOUT_MS)
+        require(outcome.answer is not None, f"{bad.what}: no answer, {outcome.error}")
+        show_refusal(bad, outcome.answer)
+
+
+def show_refusal(bad: BadRequest, answer: HttpAnswer) -> None:
+    """Check one refusal and print it."""
+    body = msgspec.json.decode(answer.body)
+    expected = f"{bad.what} must be refused with {int(bad.code)}, {NOT_RUN}"
+    good = body.get("code") == bad.code and body.get("ran") == NOT_RUN
+    require(good, f"{expected}; it was answered {answer.status} {body}")
+    require(bool(body.get("advice")), f"{bad.what}: the refusal has no advice")
+    say(
+        f"{bad.what}: refused with {body['code']} {body['name']} (HTTP "
+        f"{answer.status}, {body['ran']}). {body['advice']}"
+    )
+
+
+def survive_lost_primary(cluster: Cluster, caller: Caller, group: str) -> None:
+    """Kill the primary of a group, and write until the group goes on."""
+    clock = cluster.runtime.clock
+    primary = cluster.find_primary(group)
+    cluster.kill(primary)
+    start_ms = clock.now_ms()
+    say(f"Killed {primary}, the primary of {group}.")
+    refusals = 0
+    while True:
+        entry = caller.run(group, append("no nuts"), idempotency_key="demo-2")
+        if entry.ran == RAN:
+            break
+        refusals += 1
+        waited_ms = clock.now_ms() - start_ms
+        require(waited_ms < WRITE_LIMIT_MS, f"no write ran in {waited_ms:.0f} ms")
+        clock.sleep_ms(max(PAUSE_MS, entry.retry_after_ms))
+    gap_ms = clock.now_ms() - start_ms
+    say(
+        f"A write ran {gap_ms:.0f} ms later at {entry.served_by}, after {refusals} "
+        "refusals that said when to come back."
+    )
+    read = caller.run(group, {"verb": "get", "row": ROW})
+    check_ran(read, "the read after the failover")
+    require(read.value == ["no gluten", "no nuts"], f"the row holds {read.value}")
+    say(f"The row holds {read.value}: nothing lost, nothing doubled.")
+
+
+def stop_daemon(cluster: Cluster, name: str) -> None:
+    """Ask a daemon to end, and check that it does so properly."""
+    code = cluster.stop(name)
+    require(code == 0, f"{name} ended with {code}:\n{cluster.read_log(name)}")
+    say(f"Asked {name} to stop (SIGTERM): it finished its work and ended with 0.")
+
+
+def run_demo(runtime: Runtime) -> None:
+    """Run all steps, or raise DemoError or ClusterError at the first that fails."""
+    with Cluster(runtime, DEMO) as cluster:
+        groups, daemons = cluster.groups, cluster.daemon_names
+        say(
+            f"Started the platform, {len(groups)} groups of {DEMO.instances} "
+            f"endpoints and {len(daemons)} daemons, each a process on loopback."
+        )
+        put_first_bundle(cluster)
+        workspace = DEMO.workspaces[0].name
+        settings = CallerSettings("demo", workspace, cluster.keys[workspace])
+        links = LinkPool(runtime, {name: cluster.addresses[name] for name in daemons})
+        caller = Caller(runtime, settings, links)
+        write_and_read(caller, groups[0], daemons)
+        show_refusals(caller, links, groups[0], daemons[0])
+        survive_lost_primary(cluster, caller, groups[0])
+        links.close()
+        stop_daemon(cluster, daemons[0])
+    say("Ended every process. The demo is done.")
+
+
+def main() -> None:
+    """Run the demo; exit 1 with the reason when a step fails."""
+    end_on_sigterm()
+    runtime = Runtime(task_limit=TASKS)
+    try:
+        run_demo(runtime)
+    except (DemoError, ClusterError, OSError) as error:
+        click.echo(f"The demo failed: {error}", err=True)
+        sys.exit(1)
+    except KeyboardInterrupt:
+        click.echo("The demo was interrupted; every process was ended.", err=True)
+        sys.exit(130)
+    finally:
+        runtime.close(END_MS)
+
+
+if __name__ == "__main__":
+    main()
