--- a/bronzerelay/failover.py
+++ b/bronzerelay/failover.py
@@ -108,7 +108,9 @@
         followers = [item for item in accepted if item is not best]
         run_together(
             self._runtime,
-            lambda item: item.link.follow(term, best.endpoint.address, CALL_TIMEOUT_MS),
+            lambda item: item.link.follow(
+                term, str(best.endpoint.address), CALL_TIMEOUT_MS
+            ),
             followers,
         )
         return Outcome(best.endpoint.name, term, "promoted")
@@ -234,7 +236,7 @@
             endpoint, "monitor", CONNECT_TIMEOUT_MS
         )
         if opened.is_ok():
-            opened.ok.follow(term, address, CALL_TIMEOUT_MS)
+            opened.ok.follow(term, str(address), CALL_TIMEOUT_MS)
             opened.ok.close()
 
     def _move_off_leaving(self, primary: str) -> None:
--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -1,5 +1,6 @@
 """The groups that this daemon serves, made when they are first needed."""
 
+import functools
 from typing import Any, NamedTuple
 
 from bronzerelay.failover import GroupKeeper, Outcome
@@ -149,9 +150,6 @@
             self._runtime, spec, self._settings.name, kind, timeout_ms
         )
 
-    def _open_pooled(self, spec: EndpointSpec, timeout_ms: float) -> Any:
-        return self._open_watched(spec, "work", timeout_ms)
-
     def _apply_spec(self, parts: GroupParts, spec: GroupSpec) -> None:
         parts.watch.set_spec(spec)
         parts.slots.set_endpoints({one.name: one.slots for one in spec.endpoints})
@@ -162,8 +160,9 @@
         for name, endpoint in wanted.items():
             if name not in parts.pools:
                 limit = max(1, int(endpoint.connections * CONNECTION_PART))
+                open_link = functools.partial(self._open_watched, endpoint, "work")
                 parts.pools[name] = ConnectionPool(
-                    self._runtime, endpoint, self._open_pooled, limit
+                    self._runtime, endpoint, open_link, limit
                 )
 
     def _note_outcome(self, group: str, outcome: Outcome) -> None:
--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -90,6 +90,11 @@
         """
         if not self._membership.is_alive(self._membership.name):
             return refuse(Code.STOPPING, "The daemon is stopping.", STOP_RETRY_MS)
+        name = self._membership.name
+        in_roster = name in self._membership.member_names()
+        if not in_roster or not self.shares.has_begun():
+            message = "The daemon has no share of the rates yet."
+            return refuse(Code.NO_CONFIGURATION, message, ISOLATED_RETRY_MS)
         return self.check_admission()
 
     def run_statement(
--- a/bronzerelay/rendezvous.py
+++ b/bronzerelay/rendezvous.py
@@ -12,6 +12,6 @@
     """
     return sorted(
         members,
-        key=lambda member: xxhash.xxh64_intdigest(f"{name}\0{member}"),
+        key=lambda member: xxhash.xxh64_intdigest(f"{name}\0{member}".encode()),
         reverse=True,
     )
--- a/bronzerelay/shares.py
+++ b/bronzerelay/shares.py
@@ -190,6 +190,11 @@
         # Until then tokens that a process before this one lent may still be spent.
         self._begin_ms = runtime.clock.now_ms() + LOAN_LIFE_MS
 
+    def has_begun(self) -> bool:
+        """Return whether this daemon's parts are known and may fill up by now."""
+        has_members = bool(self._confirmed)
+        return has_members and self._runtime.clock.now_ms() >= self._begin_ms
+
     def set_workspaces(self, specs: list[WorkspaceSpec]) -> None:
         """Take over the workspaces of a configuration, with the members as set."""
         with self._lock:
