Let peers' links keep their timeout after a look at them

The look set the socket to not wait, past the connection's own note of its timeout, so that the next call on a kept link failed at once: every second forwarded write was settled as not run, and loans were lost.

--- a/bronzerelay/bundle.py
+++ b/bronzerelay/bundle.py
@@ -39,7 +39,7 @@
 
 FORMAT = 1
 DIGEST_PREFIX = "sha256:"
-DEFAULT_MAX_AGE_MS = 0
+DEFAULT_MAX_AGE_MS = 10_000
 MAX_VERSION = 2**53 - 1
 MAX_RATE = 1_000_000
 MAX_AGE_MS = 24 * 60 * 60 * 1000
--- a/bronzerelay/peers.py
+++ b/bronzerelay/peers.py
@@ -265,7 +265,7 @@
                 return self._open(address, timeout_ms)
             # A peer that has restarted left a dead link behind. A call sent on it
             # would count as one that may have run; a look first avoids the doubt.
-            if not link.connection.has_ended():
+            if link.connection.is_quiet():
                 return link
             link.connection.close()
 
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -143,7 +143,7 @@
         Call it between requests only: it leaves the connection without waiting,
         so that a timeout has to be set before the next call. TLS can't do it.
         """
-        self._sock.settimeout(0)
+        self.set_timeout(0)
         try:
             self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -178,17 +178,6 @@
         name = self._sock.getpeername()
         return Address(name[0], name[1])
 
-    def has_ended(self) -> bool:
-        """Return whether the other side has closed, or sent what nobody awaits."""
-        try:
-            self._sock.settimeout(0)
-            self._sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, ssl.SSLWantReadError):
-            return False
-        except (OSError, ValueError):
-            return True
-        return True
-
     def forget(self) -> None:
         """Leave the connection out of the end of the runtime."""
         self._on_close(self)
