Set the routing of a request apart from its connection

An answer to HEAD carries no body, which its caller would take for the next answer; accepting pauses only when descriptors or memory ran out, so that a caller's reset doesn't hold up the next.

--- a/bronzerelay/front.py
+++ b/bronzerelay/front.py
@@ -1,59 +1,21 @@
 """The HTTP/1.1 front: callers' connections, one task for each."""
 
 import contextlib
-import math
-import re
+import errno
 from collections import deque
-from collections.abc import Callable
 from logging import Logger
-from typing import Any, NamedTuple
-from urllib.parse import unquote
+from typing import NamedTuple
 
-import msgspec
 from expression import Result
 
-from bronzerelay.codes import CODES, Code, Refusal, refuse
-from bronzerelay.logs import hide_key
+from bronzerelay.codes import Code, Refusal, refuse
 from bronzerelay.metrics import Metrics
 from bronzerelay.registry import FRONT, register
-from bronzerelay.runtime import (
-    Address,
-    Connection,
-    Runtime,
-    Signal,
-    TaskLimitError,
-)
+from bronzerelay.router import NO_WORKSPACE, Handlers, RequestRouter, format_refusal
+from bronzerelay.runtime import Address, Connection, Runtime, Signal
 from bronzerelay.settings import DaemonSettings
-from bronzerelay.statements import decode_request
 from bronzerelay.tls import open_tls
-from bronzerelay.types import StatementAnswer, StatementRequest
-from bronzerelay.wire import (
-    CONTINUE,
-    Answer,
-    CallerRequest,
-    RequestParser,
-    format_answer,
-)
-
-STATEMENTS_PATH = re.compile(r"/v1/workspaces/([^/]+)/statements")
-BEARER = re.compile(r"(?i:bearer) +([A-Za-z0-9._~+/=-]+)")
-REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,64}")
-PROMETHEUS_TEXT = "text/plain; version=0.0.4; charset=utf-8"
-
-# The workspace in counters of refusals that came before the key was judged. A name
-# that nobody has checked must not become a label.
-NO_WORKSPACE = "-"
-UNPROVEN_CODES = frozenset(
-    {
-        Code.KEY_MISSING,
-        Code.KEY_REJECTED,
-        Code.WORKSPACE_UNKNOWN,
-        Code.NO_CONFIGURATION,
-        Code.ISOLATED,
-        Code.STOPPING,
-        Code.INTERNAL_ERROR,
-    }
-)
+from bronzerelay.wire import CONTINUE, CallerRequest, RequestParser, format_answer
 
 # When a caller that met the limit of connections, or the drain, should come back.
 COME_BACK_MS = 1000
@@ -66,7 +28,10 @@
 REFUSED_LIMIT = 256
 # Connections accepted after a drain began; a flood must not hold up the end.
 LATE_CONNECTIONS = 1024
-# Pause after a failed accept, such as one for want of file descriptors.
+# Without descriptors or memory the waiting connection can't be taken off the queue,
+# and the accepting task would try again and again without a pause. Any other error is
+# one connection's own, which must not hold up the next.
+EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 ACCEPT_PAUSE_MS = 50
 
 
@@ -88,17 +53,6 @@
     return FrontSettings(*(getattr(settings, field) for field in FrontSettings._fields))
 
 
-class Handlers(NamedTuple):
-    """What the front calls; each may be called from many tasks at once."""
-
-    run_statement: Callable[
-        [str, str, StatementRequest, str], Result[StatementAnswer, Refusal]
-    ]
-    check_ready: Callable[[], Result[None, Refusal]]
-    show_status: Callable[[], dict[str, Any]]
-    render_metrics: Callable[[], bytes]
-
-
 @register(FRONT, "http")
 class HttpFront:
     """Accepts callers' connections and answers each request in its order."""
@@ -113,7 +67,9 @@
     ):
         self._runtime = runtime
         self._settings = settings
-        self._handlers = handlers
+        self._check_ready = handlers.check_ready
+        own_handlers = handlers._replace(check_ready=self._check_open)
+        self._router = RequestRouter(runtime, own_handlers, metrics, log)
         self._metrics = metrics
         self._log = log
         self._changed = runtime.make_condition()
@@ -155,6 +111,15 @@
         self._log.info("The drain is over.", extra={"connections_left": left})
         return bool(ended)
 
+    def _check_open(self) -> Result[None, Refusal]:
+        if self._draining:
+            return self._refuse_stopping()
+        return self._check_ready()
+
+    def _refuse_stopping(self) -> Result[None, Refusal]:
+        message = "The daemon is stopping."
+        return refuse(Code.STOPPING, message, COME_BACK_MS)
+
     # Accepting
 
     def _accept(self) -> None:
@@ -180,14 +145,16 @@
                 raise
             self._metrics.count_event("accept_failed")
             self._log.warning("A connection was not accepted: %s.", error)
-            self._runtime.sleep_ms(ACCEPT_PAUSE_MS)
+            if error.errno in EXHAUSTED:
+                self._runtime.sleep_ms(ACCEPT_PAUSE_MS)
             return
         if not self._reserve():
             self._refuse_connection(connection)
             return
         try:
             self._runtime.start(self._serve, connection)
-        except (TaskLimitError, RuntimeError):
+        except RuntimeError:
+            # Other work has taken every task, or the process ends.
             self._release()
             self._refuse_connection(connection)
 
@@ -226,7 +193,7 @@
         limit = self._settings.max_connections
         message = f"The daemon serves {limit} connections already."
         refusal = refuse(Code.CONNECTION_LIMIT, message, COME_BACK_MS).error
-        request_id = self._make_request_id()
+        request_id = self._router.make_request_id()
         answer = format_answer(format_refusal(refusal, request_id), request_id, False)
         try:
             connection.set_timeout(timeout_ms)
@@ -290,11 +257,12 @@
             if isinstance(request, Refusal):
                 self._send_refusal(connection, request)
                 break
-            request_id = self._choose_request_id(request)
-            answer = self._answer(request, request_id)
+            request_id = self._router.choose_request_id(request)
+            answer = self._router.answer(request, request_id)
             keep_alive = request.keep_alive and self._stays_open(connection, parser)
             connection.set_timeout(settings.request_timeout_ms)
-            connection.send(format_answer(answer, request_id, keep_alive))
+            data = format_answer(answer, request_id, keep_alive, request.method)
+            connection.send(data)
         connection.finish_sending()
         self._linger(connection, self._runtime.clock.now_ms() + LINGER_MS)
 
@@ -349,8 +317,7 @@
         if connection.wait_readable(timeout_ms, self._drain):
             return None
         if self._draining:
-            message = "The daemon is stopping."
-            return refuse(Code.STOPPING, message, COME_BACK_MS).error
+            return self._refuse_stopping().error
         message = f"No request came within {timeout_ms} ms."
         return refuse(Code.CALLER_TOO_SLOW, message).error
 
@@ -361,7 +328,7 @@
 
     def _send_refusal(self, connection: Connection, refusal: Refusal) -> None:
         self._metrics.count_refusal(refusal.code, NO_WORKSPACE)
-        request_id = self._make_request_id()
+        request_id = self._router.make_request_id()
         answer = format_refusal(refusal, request_id)
         connection.set_timeout(self._settings.request_timeout_ms)
         connection.send(format_answer(answer, request_id, False))
@@ -374,135 +341,3 @@
                 connection.set_timeout(left_ms)
                 if not connection.receive():
                     return
-
-    # One request
-
-    def _make_request_id(self) -> str:
-        return f"{self._runtime.random.getrandbits(64):016x}"
-
-    def _choose_request_id(self, request: CallerRequest) -> str:
-        """Return the caller's own id where it is fit for logs and headers."""
-        request_id = request.headers.get("x-request-id", "")
-        key = read_key(request)
-        if not REQUEST_ID.fullmatch(request_id) or (key and key in request_id):
-            return self._make_request_id()
-        return request_id
-
-    def _answer(self, request: CallerRequest, request_id: str) -> Answer:
-        with hide_key(read_key(request)):
-            try:
-                return self._route(request, request_id)
-            except Exception:
-                self._log.exception(
-                    "A request ended by a fault.", extra={"request_id": request_id}
-                )
-        message = "The daemon failed while it handled the request."
-        refusal = refuse(Code.INTERNAL_ERROR, message).error
-        return self._refuse(refusal, NO_WORKSPACE, request_id)
-
-    def _route(self, request: CallerRequest, request_id: str) -> Answer:
-        match = STATEMENTS_PATH.fullmatch(request.path)
-        if match:
-            if request.method != "POST":
-                return self._refuse_method("POST", request, request_id)
-            return self._run_statement(unquote(match[1]), request, request_id)
-        show = self._find_page(request.path)
-        if show is None:
-            message = f"There is no path {request.path!r}."
-            refusal = refuse(Code.UNKNOWN_PATH, message).error
-            return self._refuse(refusal, NO_WORKSPACE, request_id)
-        if request.method != "GET":
-            return self._refuse_method("GET", request, request_id)
-        return show(request_id)
-
-    def _find_page(self, path: str) -> Callable[[str], Answer] | None:
-        pages = {
-            "/health": self._show_health,
-            "/ready": self._show_ready,
-            "/metrics": self._show_metrics,
-            "/status": self._show_status,
-        }
-        return pages.get(path)
-
-    def _show_health(self, request_id: str) -> Answer:
-        return Answer(200, msgspec.json.encode({"alive": True}))
-
-    def _show_ready(self, request_id: str) -> Answer:
-        ready = self._handlers.check_ready()
-        if self._draining:
-            ready = refuse(Code.STOPPING, "The daemon is stopping.", COME_BACK_MS)
-        if ready.is_error():
-            return self._refuse(ready.error, NO_WORKSPACE, request_id)
-        return Answer(200, msgspec.json.encode({"ready": True}))
-
-    def _show_metrics(self, request_id: str) -> Answer:
-        return Answer(200, self._handlers.render_metrics(), PROMETHEUS_TEXT)
-
-    def _show_status(self, request_id: str) -> Answer:
-        return Answer(200, msgspec.json.encode(self._handlers.show_status()))
-
-    def _run_statement(
-        self, workspace: str, request: CallerRequest, request_id: str
-    ) -> Answer:
-        key = read_key(request)
-        if not key:
-            message = "The request has no key."
-            refusal = refuse(Code.KEY_MISSING, message).error
-            return self._refuse(refusal, NO_WORKSPACE, request_id)
-        decoded = decode_request(request.body)
-        if decoded.is_error():
-            return self._refuse(decoded.error, NO_WORKSPACE, request_id)
-        clock = self._runtime.clock
-        begun_ms = clock.now_ms()
-        result = self._handlers.run_statement(workspace, key, decoded.ok, request_id)
-        if result.is_error():
-            return self._refuse(result.error, workspace, request_id)
-        group = decoded.ok["group"]
-        self._metrics.record_latency(workspace, group, clock.now_ms() - begun_ms)
-        return format_result(result.ok, request_id)
-
-    def _refuse(self, refusal: Refusal, workspace: str, request_id: str) -> Answer:
-        label = NO_WORKSPACE if refusal.code in UNPROVEN_CODES else workspace
-        self._metrics.count_refusal(refusal.code, label)
-        return format_refusal(refusal, request_id)
-
-    def _refuse_method(
-        self, allowed: str, request: CallerRequest, request_id: str
-    ) -> Answer:
-        message = f"The path takes {allowed}, not {request.method}."
-        refusal = refuse(Code.WRONG_METHOD, message).error
-        answer = self._refuse(refusal, NO_WORKSPACE, request_id)
-        return answer._replace(headers=(("Allow", allowed),))
-
-
-def read_key(request: CallerRequest) -> str:
-    """Return the bearer key of a request; empty when it has none."""
-    match = BEARER.fullmatch(request.headers.get("authorization", ""))
-    return match[1] if match else ""
-
-
-def format_result(result: StatementAnswer, request_id: str) -> Answer:
-    """Return the answer to a request that ran."""
-    body = {**result, "code": Code.OK, "ran": "ran", "request_id": request_id}
-    return Answer(200, msgspec.json.encode(body))
-
-
-def format_refusal(refusal: Refusal, request_id: str) -> Answer:
-    """Return the answer to a refused request."""
-    entry = CODES[refusal.code]
-    body = {
-        "code": refusal.code,
-        "name": refusal.code.name,
-        "ran": refusal.ran,
-        "message": refusal.message,
-        "advice": entry.advice,
-        "request_id": request_id,
-        "retry_after_ms": math.ceil(refusal.retry_after_ms),
-    }
-    headers = (("WWW-Authenticate", "Bearer"),) if entry.status == 401 else ()
-    return Answer(
-        entry.status,
-        msgspec.json.encode(body),
-        retry_after_ms=refusal.retry_after_ms,
-        headers=headers,
-    )
--- a/bronzerelay/wire.py
+++ b/bronzerelay/wire.py
@@ -178,8 +178,10 @@
         return refuse(Code.BODY_TOO_LARGE, message).error
 
 
-def format_answer(answer: Answer, request_id: str, keep_alive: bool) -> bytes:
-    """Return the bytes of an answer."""
+def format_answer(
+    answer: Answer, request_id: str, keep_alive: bool, method: str = ""
+) -> bytes:
+    """Return the bytes of an answer to a request of `method`."""
     lines = [
         f"HTTP/1.1 {answer.status} {HTTPStatus(answer.status).phrase}",
         f"Content-Type: {answer.content_type}",
@@ -190,7 +192,9 @@
         lines.append(f"Retry-After: {math.ceil(answer.retry_after_ms / 1000)}")
     lines += [f"{name}: {value}" for name, value in answer.headers]
     lines.append("Connection: keep-alive" if keep_alive else "Connection: close")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + answer.body
+    head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+    # A caller of HEAD reads no body; one that came would count as its next answer.
+    return head if method == "HEAD" else head + answer.body
 
 
 def _refuse_request(message: str) -> Refusal:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -258,6 +258,14 @@
         assert caller.ask(HEALTH).status == 200
 
 
+def test_the_answer_to_head_has_no_body():
+    with run_front() as running:
+        caller = running.call()
+        caller.send(HEALTH.replace(b"GET", b"HEAD") + HEALTH)
+        caller.connection.finish_sending()
+        assert caller.read_to_end().count(b'{"alive":true}') == 1
+
+
 def test_a_body_is_asked_for_and_may_come_in_chunks():
     whole = build_request("b")
     head, _, body = whole.partition(b"\r\n\r\n")
