--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -2,13 +2,16 @@
 
 import concurrent.futures
 import contextlib
+import functools
 import os
 import random
 import select
 import socket
 import ssl
+import sys
 import threading
 import time
+import traceback
 import weakref
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -17,6 +20,8 @@
 
 RECEIVE_BYTES = 65536
 BACKLOG = 1024
+# The type of a random source, for modules that name it.
+Random = random.Random
 # An idle task's stack stays this small, so that thousands of them fit.
 TASK_STACK_BYTES = 256 * 1024
 
@@ -132,6 +137,21 @@
             count -= len(part)
         return b"".join(parts)
 
+    def is_quiet(self) -> bool:
+        """Return whether the connection is open and no bytes wait; never block.
+
+        Call it between requests only: it leaves the connection without waiting,
+        so that a timeout has to be set before the next call. TLS can't do it.
+        """
+        self._sock.settimeout(0)
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def wait_readable(
         self, timeout_ms: float | None, signal: Signal | None = None
     ) -> bool:
@@ -158,6 +178,21 @@
         name = self._sock.getpeername()
         return Address(name[0], name[1])
 
+    def has_ended(self) -> bool:
+        """Return whether the other side has closed, or sent what nobody awaits."""
+        try:
+            self._sock.settimeout(0)
+            self._sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, ssl.SSLWantReadError):
+            return False
+        except (OSError, ValueError):
+            return True
+        return True
+
+    def forget(self) -> None:
+        """Leave the connection out of the end of the runtime."""
+        self._on_close(self)
+
     def close(self) -> None:
         """Close the connection; a task that waits on it wakes with an error."""
         # Without the shutdown a task blocked in recv sleeps on for ever, and the
@@ -168,6 +203,29 @@
         self._on_close(self)
 
 
+class _HttpConnection(urllib3.connection.HTTPConnection):
+    """An HTTP connection that the end of the runtime closes.
+
+    A pool knows only its idle connections. A task in a long watch would hold up the
+    end of the process until the watch is answered.
+    """
+
+    def __init__(self, adopt: Callable[[socket.socket], Connection], *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._adopt = adopt
+        self._adopted: Connection | None = None
+
+    def connect(self) -> None:
+        super().connect()
+        self._adopted = self._adopt(self.sock)
+
+    def close(self) -> None:
+        super().close()
+        if self._adopted is not None:
+            self._adopted.forget()
+            self._adopted = None
+
+
 class Listener:
     """A listening TCP port."""
 
@@ -214,6 +272,11 @@
         self._sock.close()
 
 
+def write_failure(text: str) -> None:
+    """Write the traceback of a task that failed to standard error."""
+    sys.stderr.write(text)
+
+
 class Runtime:
     """All that a process needs of the world outside; tests hand in another one."""
 
@@ -230,6 +293,11 @@
         self._connections: set[Connection] = set()
         self._listeners: set[Listener] = set()
         self._stopping = threading.Event()
+        self.report_failure: Callable[[str], None] = write_failure
+
+    def make_random(self, seed: int) -> Random:
+        """Return a random source of its own, which repeats itself with the seed."""
+        return Random(seed)
 
     # Tasks
 
@@ -255,6 +323,11 @@
     def _run(self, function: Callable[..., Any], args: tuple) -> Any:
         try:
             return function(*args)
+        except Exception:
+            # An executor keeps the error in a future that nobody may ever look at;
+            # the task would be gone without a word.
+            self.report_failure(traceback.format_exc())
+            raise
         finally:
             with self._lock:
                 self._running -= 1
@@ -332,9 +405,11 @@
 
     def open_http(self, address: Address, pool_size: int) -> urllib3.HTTPConnectionPool:
         """Return a pool of HTTP connections that never retries by itself."""
-        return urllib3.HTTPConnectionPool(
+        pool = urllib3.HTTPConnectionPool(
             address.host, address.port, maxsize=pool_size, block=False, retries=False
         )
+        pool.ConnectionCls = functools.partial(_HttpConnection, self._adopt)
+        return pool
 
     def _adopt(self, sock: socket.socket) -> Connection:
         connection = Connection(sock, self._forget)
