--- a/standins/demo.py
+++ b/standins/demo.py
@@ -146,7 +146,9 @@
             break
         refusals += 1
         waited_ms = clock.now_ms() - start_ms
-        require(waited_ms < WRITE_LIMIT_MS, f"no write ran in {waited_ms:.0f} ms")
+        last = f"the last answer was {entry.code}, {entry.ran}: {entry.message}"
+        message = f"no write ran in {waited_ms:.0f} ms; {last}"
+        require(waited_ms < WRITE_LIMIT_MS, message)
         clock.sleep_ms(max(PAUSE_MS, entry.retry_after_ms))
     gap_ms = clock.now_ms() - start_ms
     say(
--- a/standins/load.py
+++ b/standins/load.py
@@ -12,7 +12,7 @@
 from bronzerelay.types import Statement, StatementRequest
 from standins.caller import Caller, CallerSettings, make_request_id
 from standins.exchange import LinkPool
-from standins.record import Entry, save_record
+from standins.record import UNREACHABLE, Entry, save_record
 from standins.summary import print_summary
 
 SECOND_MS = 1000
@@ -78,6 +78,7 @@
         self._runtime = runtime
         self._keys = keys
         self._links = LinkPool(runtime, addresses)
+        self._daemons = sorted(addresses)
         draw = runtime.make_random(settings.seed)
         self.schedule = build_schedule(draw, settings, sorted(addresses))
         self._waiting = iter(self.schedule)
@@ -134,11 +135,26 @@
 
     def _send(self, caller: Caller, arrival: Arrival, due_ms: float) -> None:
         request = build_statement_request(self._runtime, self.settings, arrival)
-        entry = caller.send(request, arrival.daemon, due_ms)
+        entry = self._send_balanced(caller, request, arrival.daemon, due_ms)
         resends = self.settings.resends if entry.is_write and entry.repeatable else 0
         while entry.ran == UNKNOWN and resends:
             resends -= 1
-            entry = caller.send(request)
+            entry = self._send_balanced(caller, request, "", due_ms)
+
+    def _send_balanced(
+        self, caller: Caller, request: StatementRequest, daemon: str, due_ms: float
+    ) -> Entry:
+        """Send a request, and try other daemons as a balancer would.
+
+        A balancer tries the next VM when one refuses the connection. Counted as
+        refusals of the system, the connections to a dead VM would hide the rest.
+        """
+        entry = caller.send(request, daemon, due_ms)
+        others = [name for name in self._daemons if name != daemon]
+        self._runtime.random.shuffle(others)
+        while entry.code == UNREACHABLE and others:
+            entry = caller.send(request, others.pop(), due_ms)
+        return entry
 
 
 def build_schedule(
--- a/standins/summary.py
+++ b/standins/summary.py
@@ -14,6 +14,7 @@
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
 DIGITS = 3
+FILE_WIDTH = 120
 CALLER_CODES = {NO_ANSWER: "NO_ANSWER", UNREACHABLE: "UNREACHABLE"}
 
 
@@ -72,7 +73,13 @@
         own = [entry for entry in entries if entry.workspace == name]
         table.add_row(name, *list_cells(summarise(own)))
     table.add_row("all", *list_cells(summarise(entries)))
-    (console or Console()).print(table)
+    (console or make_console()).print(table)
+
+
+def make_console() -> Console:
+    """Return a console that is wide enough for the table, also in a file."""
+    console = Console()
+    return console if console.is_terminal else Console(width=FILE_WIDTH)
 
 
 def list_cells(summary: Summary) -> list[str]:
