--- a/bronzerelay/configuration.py
+++ b/bronzerelay/configuration.py
@@ -1,10 +1,11 @@
 """The configuration in force at this daemon; its version never goes back."""
 
 from collections.abc import Callable
+from typing import Any
 
 from expression import Ok, Result
 
-from bronzerelay.bundle import compile_bundle, digest_bundle
+from bronzerelay.bundle import check_record, compile_bundle
 from bronzerelay.codes import Code, Refusal, refuse
 from bronzerelay.keys import hash_key
 from bronzerelay.runtime import Runtime
@@ -39,14 +40,19 @@
         """Call `function` with each configuration that comes into force."""
         self._on_change.append(function)
 
-    def accept(self, record: ConfigRecord) -> bool:
-        """Put `record` in force if its version is higher; return whether it was.
+    def accept(self, data: Any) -> bool:
+        """Put the record in `data` in force if its version is higher.
+
+        Return whether it was; a malformed record, or one whose digest isn't that of
+        its bundle, never is.
 
         An old watch may answer late, and a peer may be behind. Taking their word
         would bring a withdrawn key back, so that only a higher version counts.
         """
-        if digest_bundle(record["bundle"]) != record["digest"]:
+        checked = check_record(data)
+        if not checked.is_ok():
             return False
+        record = checked.ok
         compiled = compile_bundle(record)
         with self._lock:
             if compiled.version <= self.version:
--- a/bronzerelay/platformwatch.py
+++ b/bronzerelay/platformwatch.py
@@ -12,7 +12,7 @@
 from bronzerelay.roster import ROSTER_KEY
 from bronzerelay.runtime import Runtime
 from bronzerelay.spread import Spreader
-from bronzerelay.types import ConfigRecord, Roster
+from bronzerelay.types import Roster
 
 CONFIG_KEY = "config/current"
 # This many daemons watch; the others learn from heartbeats. The calls at the
@@ -53,7 +53,7 @@
         )
 
     def _accept_config(self, value: Any) -> None:
-        self._store.accept(msgspec.convert(value, ConfigRecord))
+        self._store.accept(value)
 
     def _accept_roster(self, value: Any) -> None:
         self._spreader.accept_roster(msgspec.convert(value, Roster))
--- a/bronzerelay/spread.py
+++ b/bronzerelay/spread.py
@@ -10,13 +10,12 @@
 from bronzerelay.peerlink.ttypes import Beat, Record
 from bronzerelay.peers import PeerLinks
 from bronzerelay.runtime import Address, Runtime
-from bronzerelay.types import ConfigRecord, Roster
+from bronzerelay.types import Roster
 
 FETCH_TIMEOUT_MS = 2000
 # How often the liveness of peers is judged, to drop links to a silent one.
 JUDGE_MS = 50
 
-_config_decoder = msgspec.json.Decoder(ConfigRecord)
 _roster_decoder = msgspec.json.Decoder(Roster)
 
 
@@ -120,7 +119,7 @@
         version = self._store.version
         result = self._links.call(address, "fetch_config", version, FETCH_TIMEOUT_MS)
         if result.is_ok() and result.ok.value:
-            self._store.accept(_config_decoder.decode(result.ok.value))
+            self._store.accept(msgspec.json.decode(result.ok.value))
 
     def _fetch_roster(self, address: Address) -> None:
         epoch = self._membership.roster["epoch"]
--- a/tests/test_bundle.py
+++ b/tests/test_bundle.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from bronzerelay.bundle import (
+    DEFAULT_MAX_AGE_MS,
     Change,
     check_bundle,
     check_record,
@@ -276,7 +277,8 @@
     assert (configuration.version, configuration.digest) == (1, record["digest"])
     assert [endpoint.leaving for endpoint in orders.endpoints] == [False, False, True]
     assert orders.endpoints[0].address == Address("127.0.0.1", 5001)
-    assert (orders.max_age_ms, configuration.groups["returns"].max_age_ms) == (500, 0)
+    ages = (orders.max_age_ms, configuration.groups["returns"].max_age_ms)
+    assert ages == (500, DEFAULT_MAX_AGE_MS)
     north = configuration.workspaces["north"]
     assert north.key_hashes == {
         hash_key("north-key"): make_key_entry("north-key")["id"]
--- a/tests/test_dialect.py
+++ b/tests/test_dialect.py
@@ -43,7 +43,7 @@
         assert written == dialect.WriteAnswer(7, 5, 3, False)
         assert read(link).ok == dialect.ReadAnswer(7, 5, 3)
         settled = link.settle(5, "w1", T).ok
-        assert settled == dialect.SettleAnswer("ran", 7, 5, 3)
+        assert settled == dialect.SettleAnswer("ran", 7, 5, 3, True)
         assert link.begin("kitchens", 5, T).is_ok() and link.in_transaction
         assert link.rollback(T).is_ok() and not link.in_transaction
         assert link.begin("kitchens", 5, T).is_ok()
