Let shares grow only when no loan or version of before can be spent

The new property test and reading showed ways to pass rate and burst: - a roster read and a roster set could be two different ones, when two tasks brought rosters in; the parts of one were then confirmed by the members of another; - parts grew while loans from the larger parts of before were still out, or those of a daemon that had left or whose VM had just gone; - the number of holders of a small burst depends on the burst, so that two versions in force side by side added up to more than the whole (40 for 30 in the test); - a workspace removed and added again forgot its loans. Rosters now go through ShareKeeper, one at a time; an epoch counts as applied when the loans fit the smaller part; a leaver waits for its loans; a VM is gone at two looks.

Besides: sums of fractions a hair below one token refused the last of a burst (29 of 30), and crumbs of tokens kept a borrower asking without a pause.

--- a/bronzerelay/daemon.py
+++ b/bronzerelay/daemon.py
@@ -17,6 +17,7 @@
 from bronzerelay.roster import RosterKeeper
 from bronzerelay.runtime import Runtime
 from bronzerelay.settings import DaemonSettings, daemon_command
+from bronzerelay.sharekeeper import ShareKeeper
 from bronzerelay.spread import Spreader, SpreadSettings
 from bronzerelay.transactions import Transactions
 
@@ -34,6 +35,7 @@
     """The parts of a running daemon that its main touches again."""
 
     kernel: Kernel
+    share_keeper: ShareKeeper
     groups: Groups
     membership: Membership
     store: ConfigurationStore
@@ -99,6 +101,7 @@
         key_value = self._build_key_value()
         return Parts(
             kernel,
+            ShareKeeper(runtime, membership, kernel.shares),
             groups,
             membership,
             store,
@@ -171,32 +174,18 @@
 
         def apply_configuration(configuration: Any) -> None:
             parts.groups.set_configuration(configuration)
-            parts.kernel.shares.set_workspaces(list(configuration.workspaces.values()))
-            parts.membership.note_config(configuration.version)
+            parts.share_keeper.apply_configuration(configuration)
             self._log.info(
                 "A configuration is in force.", extra={"version": configuration.version}
             )
 
         parts.store.call_on_change(apply_configuration)
-        parts.spreader.call_on_roster(self._apply_roster)
-
-    def _apply_roster(self) -> None:
-        membership = self.parts.membership
-        epoch = membership.roster["epoch"]
-        names = membership.member_names()
-        self.parts.kernel.shares.set_members(names, membership.all_applied(epoch))
-        membership.note_applied(epoch)
-
-    def _confirm_roster(self) -> None:
-        """Grow into the shares of an epoch once every member has applied it."""
-        confirmed = 0
+        parts.spreader.call_on_roster(parts.share_keeper.apply_roster)
+
+    def _confirm_shares(self) -> None:
+        """Let the shares grow once every member is known to have shrunk."""
         while self._runtime.sleep_ms(self._settings.heartbeat_ms):
-            membership = self.parts.membership
-            epoch = membership.roster["epoch"]
-            if epoch != confirmed and membership.all_applied(epoch):
-                names = membership.member_names()
-                self.parts.kernel.shares.set_members(names, confirmed=True)
-                confirmed = epoch
+            self.parts.share_keeper.confirm()
 
     # What the pages show
 
@@ -242,7 +231,7 @@
         self._runtime.start(parts.roster.clean)
         self._runtime.start(parts.groups.tend)
         self._runtime.start(parts.transactions.sweep)
-        self._runtime.start(self._confirm_roster)
+        self._runtime.start(self._confirm_shares)
         self._runtime.start(self._ask_seeds)
         parts.front.start()
 
@@ -262,12 +251,15 @@
         parts = self.parts
         self._log.info("The daemon is stopping.")
         parts.membership.note_stopping()
+        lent_until_ms = parts.kernel.shares.stop_lending()
         beats_ms = ANNOUNCE_BEATS * self._settings.heartbeat_ms
         self._runtime.sleep_ms(beats_ms)
         callers_ended = parts.front.drain(self._settings.drain_ms)
         parts.kernel.stopping = True
         self._end_transactions()
         peers_ended = parts.server.drain(self._settings.drain_ms)
+        # The others take over this daemon's part, which its loans still belong to.
+        self._runtime.sleep_ms(lent_until_ms - self._runtime.clock.now_ms())
         parts.roster.leave()
         return callers_ended and peers_ended
 
--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -68,7 +68,13 @@
     def note_applied(self, epoch: int) -> None:
         """Note the roster epoch whose shares are in force here."""
         with self._lock:
-            self._own = self._own._replace(applied_epoch=epoch)
+            applied = max(self._own.applied_epoch, epoch)
+            self._own = self._own._replace(applied_epoch=applied)
+
+    @property
+    def applied_epoch(self) -> int:
+        """Return the roster epoch whose shares are in force here."""
+        return self._own.applied_epoch
 
     def note_stopping(self) -> None:
         """Tell peers from now on that this daemon is stopping."""
@@ -197,12 +203,25 @@
         heard = [name for name in names if self.view_of(name).heard_at_ms >= oldest_ms]
         return len(heard) * 2 <= len(names)
 
-    def all_applied(self, epoch: int) -> bool:
-        """Return whether each member is known to have applied `epoch` or later."""
-        if self._roster["epoch"] == epoch and self._roster.get("settled"):
+    def all_applied(self, roster: Roster) -> bool:
+        """Return whether each member of `roster` is known to have applied it.
+
+        The names are those of the roster that was handed in: another one may come
+        into force meanwhile, and its members say nothing about this one.
+        """
+        if roster.get("settled"):
             return True
+        epoch = roster["epoch"]
+        return all(
+            self.view_of(name).applied_epoch >= epoch for name in names_of(roster)
+        )
+
+    def all_configured(self, version: int) -> bool:
+        """Return whether each member is known to go by `version` or a later one."""
         names = self.member_names()
-        return all(self.view_of(name).applied_epoch >= epoch for name in names)
+        return bool(names) and all(
+            self.view_of(name).config_version >= version for name in names
+        )
 
     def newest_config(self) -> tuple[int, str]:
         """Return the highest configuration version of a peer, and that peer."""
@@ -211,6 +230,11 @@
         return max(pairs, default=(0, ""))
 
 
+def names_of(roster: Roster) -> list[str]:
+    """Return the names of a roster's members."""
+    return [member["name"] for member in roster["members"]]
+
+
 def _pack_view(name: str, view: View, now_ms: float) -> MemberView:
     return MemberView(
         name=name,
--- a/bronzerelay/roster.py
+++ b/bronzerelay/roster.py
@@ -69,6 +69,7 @@
         self._spreader = spreader
         self._log = log
         self._stopping = False
+        self._missing: set[str] = set()
 
     def change(self, edit: Callable[[Roster], Roster | None]) -> bool:
         """Store what `edit` makes of the roster; return whether it is in the platform.
@@ -139,7 +140,11 @@
         listed = self._key_value.list_vms()
         if not listed.is_ok():
             return
-        gone = members - {vm.name for vm in listed.ok}
+        missing = members - {vm.name for vm in listed.ok}
+        # What a VM lent before it went can be spent for `LOAN_LIFE_MS`, and the
+        # others would grow into it. From one look to the next more has passed.
+        gone = missing & self._missing
+        self._missing = missing
         if gone:
             self._log.info("VMs are gone.", extra={"vms": sorted(gone)})
             self.change(lambda roster: remove_members(roster, gone))
@@ -147,6 +152,6 @@
     def _settle(self) -> None:
         roster = self._membership.roster
         epoch = roster["epoch"]
-        if roster.get("settled") or not self._membership.all_applied(epoch):
+        if roster.get("settled") or not self._membership.all_applied(roster):
             return
         self.change(lambda current: settle_epoch(current, epoch))
--- a/bronzerelay/shares.py
+++ b/bronzerelay/shares.py
@@ -18,7 +18,10 @@
 from bronzerelay.runtime import Runtime
 from bronzerelay.types import WorkspaceSpec
 
-LOAN_LIFE_MS = 1000
+# While a loan may be spent its lender can't refill its place. A lender that gives away
+# all it gets must get its burst back before it would be full: the life has to be well
+# below burst / rate, which is a second at today's sizes.
+LOAN_LIFE_MS = 400
 # A holder's part of the burst should hold some whole tokens, and a borrower should
 # not have to ask hundreds of holders: both bound how many daemons hold a workspace.
 MIN_HOLDER_BURST = 2.0
@@ -29,6 +32,13 @@
 # overloaded workspace would otherwise send every refusal around the whole fleet.
 DRY_MS = 40
 BORROW_WAIT_MS = 250
+# Fractions that were lent by several daemons add up to a little less than the whole.
+# What is taken too much stays as a debt.
+SUM_ERROR = 1e-9
+MIN_LOAN = 0.01
+# How long a fresh process puts off its readiness for members whose configuration it
+# doesn't know. After that it lives on loans: a VM may be dead and listed for long.
+SPECS_WAIT_MS = 2000
 # How fast the estimate of the own demand follows a change.
 DEMAND_MEMORY_MS = 500
 
@@ -49,15 +59,10 @@
     return rank(f"share/{workspace.name}", members)[:count]
 
 
-def work_out_holding(
-    workspace: WorkspaceSpec, members: list[str], name: str
-) -> Holding:
-    """Return the part of the workspace that daemon `name` holds; it may be nothing."""
+def work_out_part(workspace: WorkspaceSpec, members: list[str], name: str) -> float:
+    """Return the fraction of the workspace that daemon `name` holds; it may be 0."""
     holders = list_holders(workspace, members)
-    if name not in holders:
-        return Holding(0.0, 0.0)
-    count = len(holders)
-    return Holding(workspace.rate / count, workspace.burst / count)
+    return 1 / len(holders) if name in holders else 0.0
 
 
 class Lot(NamedTuple):
@@ -83,7 +88,8 @@
         """Take a new part; tokens above a smaller one are gone at once."""
         self._fill(now_ms)
         self.holding = holding
-        self._tokens = min(self._tokens, holding.burst)
+        room = max(0.0, holding.burst - self._sum_lent())
+        self._tokens = min(self._tokens, room)
 
     def empty(self, now_ms: float, from_ms: float) -> None:
         """Begin with no tokens, and fill up only from `from_ms` on."""
@@ -96,11 +102,23 @@
         elapsed_ms = now_ms - self._filled_at_ms
         if elapsed_ms <= 0:
             return
-        room = self.holding.burst - sum(lot.amount for lot in self._lent)
+        room = self.holding.burst - self._sum_lent()
         grown = self._tokens + elapsed_ms * self.holding.rate / 1000
         self._tokens = max(0.0, min(room, grown))
         self._filled_at_ms = now_ms
 
+    def _sum_lent(self) -> float:
+        return sum(lot.amount for lot in self._lent)
+
+    def fits_holding(self, now_ms: float) -> bool:
+        """Return whether the loans that may be spent still are within the burst."""
+        self._fill(now_ms)
+        return self._sum_lent() <= self.holding.burst
+
+    def lent_until_ms(self) -> float:
+        """Return when the last loan lapses; one that has lapsed counts too."""
+        return max((lot.until_ms for lot in self._lent), default=0.0)
+
     def note_demand(self, now_ms: float) -> None:
         """Count one request towards the demand, in requests a second."""
         elapsed_ms = now_ms - self._demand_at_ms
@@ -117,7 +135,7 @@
         """Spend one token, borrowed ones first; return whether there was one."""
         self._fill(now_ms)
         available = self._tokens + sum(lot.amount for lot in self._borrowed)
-        if available < 1.0:
+        if available < 1.0 - SUM_ERROR:
             return False
         missing = 1.0
         while missing > 0 and self._borrowed:
@@ -133,10 +151,11 @@
         """Take up to `amount` out for a peer; return it and what is left to lend."""
         self._fill(now_ms)
         spare = self._tokens - min(self.expected_demand(now_ms), self._tokens / 2)
-        lent = max(0.0, min(amount, spare))
-        if lent > 0:
-            self._tokens -= lent
-            self._lent.append(Lot(lent, now_ms + LOAN_LIFE_MS))
+        lent = min(amount, spare)
+        if lent < MIN_LOAN:
+            return 0.0, spare
+        self._tokens -= lent
+        self._lent.append(Lot(lent, now_ms + LOAN_LIFE_MS))
         return lent, spare - lent
 
     def receive(self, amount: float, until_ms: float) -> None:
@@ -167,6 +186,8 @@
         self.condition = runtime.make_condition()
         self.bucket = Bucket(runtime.clock.now_ms())
         self.spec = spec
+        # The bursts that some member may still go by; none while that is unknown.
+        self.bursts_in_use: set[float] = set()
         self.lenders: list[str] = []
         self.spare: dict[str, float] = {}
         self.waiting = 0
@@ -184,37 +205,78 @@
         self._ask_peer = ask_peer
         self._lock = runtime.make_lock()
         self._accounts: dict[str, Account] = {}
+        # Workspaces that were removed while loans of theirs could be spent.
+        self._removed: dict[str, Account] = {}
         self._members: list[str] = []
         # The members of the last roster that all are known to have applied.
         self._confirmed: list[str] = []
+        self._knows_specs = False
+        self._wait_specs_until_ms = float("inf")
+        self._lends = True
         # Until then tokens that a process before this one lent may still be spent.
         self._begin_ms = runtime.clock.now_ms() + LOAN_LIFE_MS
 
     def has_begun(self) -> bool:
         """Return whether this daemon's parts are known and may fill up by now."""
-        has_members = bool(self._confirmed)
-        return has_members and self._runtime.clock.now_ms() >= self._begin_ms
+        now_ms = self._runtime.clock.now_ms()
+        if not self._confirmed or now_ms < self._begin_ms:
+            return False
+        return self._knows_specs or now_ms >= self._wait_specs_until_ms
 
     def set_workspaces(self, specs: list[WorkspaceSpec]) -> None:
         """Take over the workspaces of a configuration, with the members as set."""
         with self._lock:
+            now_ms = self._runtime.clock.now_ms()
+            wait_until_ms = now_ms + SPECS_WAIT_MS
+            self._wait_specs_until_ms = min(self._wait_specs_until_ms, wait_until_ms)
             names = {spec.name for spec in specs}
             for gone in set(self._accounts) - names:
-                del self._accounts[gone]
+                self._removed[gone] = self._accounts.pop(gone)
             for spec in specs:
-                self._set_workspace(spec)
+                self._set_workspace(spec, now_ms)
+            self._forget_removed(now_ms)
 
-    def _set_workspace(self, spec: WorkspaceSpec) -> None:
-        now_ms = self._runtime.clock.now_ms()
+    def _set_workspace(self, spec: WorkspaceSpec, now_ms: float) -> None:
         account = self._accounts.get(spec.name)
         if account is None:
-            account = Account(self._runtime, spec)
-            account.bucket.empty(now_ms, self._begin_ms)
-            self._accounts[spec.name] = account
+            account = self._add_account(spec, now_ms)
         with account.condition:
             account.spec = spec
+            # A fresh process doesn't know what the others go by.
+            if self._knows_specs:
+                account.bursts_in_use.add(spec.burst)
             self._apply_members(account, now_ms)
 
+    def _add_account(self, spec: WorkspaceSpec, now_ms: float) -> Account:
+        # A workspace that comes back must not forget its loans: they could be spent
+        # beside the tokens that grow in their place.
+        account = self._removed.pop(spec.name, None)
+        if account is None:
+            account = Account(self._runtime, spec)
+            account.bucket.empty(now_ms, self._begin_ms)
+        self._accounts[spec.name] = account
+        return account
+
+    def _forget_removed(self, now_ms: float) -> None:
+        for name, account in list(self._removed.items()):
+            if account.bucket.lent_until_ms() <= now_ms:
+                del self._removed[name]
+
+    def confirm_workspaces(self) -> None:
+        """Note that every member goes by the workspaces as they are set here.
+
+        How many daemons hold a workspace depends on its burst. Two versions that
+        differ in it would give out more than the whole together, so that until all
+        have the same one, each holds the smallest part that any of them gives it.
+        """
+        with self._lock:
+            self._knows_specs = True
+            now_ms = self._runtime.clock.now_ms()
+            for account in self._accounts.values():
+                with account.condition:
+                    account.bursts_in_use = {account.spec.burst}
+                    self._apply_members(account, now_ms)
+
     def set_members(self, members: list[str], confirmed: bool) -> None:
         """Split the rates over `members`.
 
@@ -232,13 +294,42 @@
                     self._apply_members(account, now_ms)
 
     def _apply_members(self, account: Account, now_ms: float) -> None:
-        wanted = work_out_holding(account.spec, self._members, self._name)
-        safe = work_out_holding(account.spec, self._confirmed, self._name)
-        holding = Holding(min(wanted.rate, safe.rate), min(wanted.burst, safe.burst))
-        account.bucket.set_holding(holding, now_ms)
-        holders = list_holders(account.spec, self._members)
+        spec = account.spec
+        parts = [
+            work_out_part(spec._replace(burst=burst), members, self._name)
+            for burst in account.bursts_in_use
+            for members in (self._members, self._confirmed)
+        ]
+        part = min(parts, default=0.0)
+        account.bucket.set_holding(Holding(part * spec.rate, part * spec.burst), now_ms)
+        holders = list_holders(spec, self._members)
         account.lenders = [holder for holder in holders if holder != self._name]
 
+    def has_shrunk(self) -> bool:
+        """Return whether no loan from a larger part than today's can be spent.
+
+        Only then may others grow into what this daemon gave up.
+        """
+        with self._lock:
+            now_ms = self._runtime.clock.now_ms()
+            accounts = list(self._accounts.values())
+        for account in accounts:
+            with account.condition:
+                if not account.bucket.fits_holding(now_ms):
+                    return False
+        return True
+
+    def stop_lending(self) -> float:
+        """Lend nothing any more; return when the last loan lapses."""
+        with self._lock:
+            self._lends = False
+            accounts = [*self._accounts.values(), *self._removed.values()]
+        until_ms = 0.0
+        for account in accounts:
+            with account.condition:
+                until_ms = max(until_ms, account.bucket.lent_until_ms())
+        return until_ms
+
     def spend(self, workspace: str) -> Result[None, Refusal]:
         """Spend one token of the workspace, or say when to come back."""
         account = self._accounts.get(workspace)
@@ -292,18 +383,20 @@
 
     def _borrow(self, account: Account) -> None:
         """Ask lenders, the one with most to spare first, until all are served."""
-        found = False
         try:
             for lender in self._order_lenders(account):
-                found = self._borrow_from(account, lender) or found
-                if found and not self._still_wanted(account):
+                self._borrow_from(account, lender)
+                if not self._still_wanted(account):
                     break
         finally:
             with account.condition:
                 account.borrowing = False
                 account.rounds += 1
-                if not found:
-                    account.dry_until_ms = self._runtime.clock.now_ms() + DRY_MS
+                now_ms = self._runtime.clock.now_ms()
+                # Crumbs of a token don't count as found. Lenders that refill have
+                # some at any time, and the next round would begin at once.
+                if account.bucket.available(now_ms) < 1.0 - SUM_ERROR:
+                    account.dry_until_ms = now_ms + DRY_MS
                 account.condition.notify_all()
 
     def _order_lenders(self, account: Account) -> list[str]:
@@ -316,9 +409,9 @@
     def _still_wanted(self, account: Account) -> bool:
         now_ms = self._runtime.clock.now_ms()
         with account.condition:
-            return account.bucket.available(now_ms) < account.waiting
+            return account.bucket.available(now_ms) < account.waiting - SUM_ERROR
 
-    def _borrow_from(self, account: Account, lender: str) -> bool:
+    def _borrow_from(self, account: Account, lender: str) -> None:
         asked_at_ms = self._runtime.clock.now_ms()
         with account.condition:
             expected = account.bucket.expected_demand(asked_at_ms)
@@ -327,7 +420,7 @@
         with account.condition:
             if loan is None:
                 account.spare[lender] = 0.0
-                return False
+                return
             account.spare[lender] = loan.spare
             # The lender counts the loan for its whole life from a later moment, so
             # an answer that was held up is thrown away before the lender refills.
@@ -336,12 +429,11 @@
                 account.bucket.receive(loan.amount, until_ms)
                 account.rounds += 1
                 account.condition.notify_all()
-        return loan.amount > 0
 
     def lend(self, workspace: str, amount: float) -> Loan:
         """Lend a peer what can be spared of a workspace."""
         account = self._accounts.get(workspace)
-        if account is None:
+        if account is None or not self._lends:
             return Loan(0.0, 0.0)
         with account.condition:
             now_ms = self._runtime.clock.now_ms()
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,281 @@
+"""A fleet of share holders on one clock that tests move, without processes."""
+
+from typing import NamedTuple
+
+from bronzerelay.membership import Membership, MembershipSettings
+from bronzerelay.runtime import Random
+from bronzerelay.sharekeeper import ShareKeeper
+from bronzerelay.shares import LOAN_LIFE_MS, Loan, Shares
+from bronzerelay.types import Configuration, WorkspaceSpec
+
+WORKSPACE = "caterer-1"
+TOLERANCE = 1e-6
+STEP_MS = 50
+
+
+class Clock:
+    """Milliseconds that pass only when a test says so."""
+
+    def __init__(self):
+        self.time_ms = 10_000.0
+
+    def now_ms(self):
+        return self.time_ms
+
+
+class NoLock:
+    """Stands for a lock or a condition where one task runs at a time."""
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        return False
+
+    def notify_all(self):
+        return None
+
+
+class StillRuntime:
+    """The seam with a clock that stands still; waiting lets the time pass."""
+
+    def __init__(self, clock=None, seed=1):
+        self.clock = clock or Clock()
+        self.random = Random(seed)
+
+    def make_lock(self):
+        return NoLock()
+
+    make_condition = make_lock
+
+    def wait_for(self, condition, predicate, timeout_ms):
+        self.clock.time_ms += max(0.0, timeout_ms)
+        return predicate()
+
+
+class Fate(NamedTuple):
+    """What becomes of a loan call: how long each way takes, and whether it is lost."""
+
+    before_ms: float = 0
+    after_ms: float = 0
+    lost: bool = False
+
+
+class Limit(NamedTuple):
+    """The largest rate and burst that some daemon goes by, from `from_ms` on."""
+
+    from_ms: float
+    rate: float
+    burst: float
+
+
+def make_spec(rate, burst, name=WORKSPACE):
+    return WorkspaceSpec(name, rate, burst, frozenset({"orders"}), {})
+
+
+def make_roster(epoch, names, settled=False):
+    members = [
+        {"name": name, "address": "127.0.0.1:1", "failure_domain": "a"}
+        for name in sorted(names)
+    ]
+    roster = {"epoch": epoch, "members": members}
+    return {**roster, "settled": True} if settled else roster
+
+
+class Member:
+    """One daemon's membership, shares, and what joins the two."""
+
+    def __init__(self, fleet, name):
+        self.name = name
+        self.version = 0
+        self.membership = Membership(fleet.runtime, MembershipSettings(name))
+        self.shares = Shares(fleet.runtime, name, fleet.make_asker(name))
+        self.keeper = ShareKeeper(fleet.runtime, self.membership, self.shares)
+
+    def take_roster(self, roster):
+        if self.membership.accept_roster(roster):
+            self.keeper.apply_roster()
+
+    def take_config(self, version, spec):
+        if version > self.version:
+            self.version = version
+            self.keeper.apply_configuration(
+                Configuration(version, "", {}, {spec.name: spec})
+            )
+
+
+class Fleet:
+    """Daemons that lend to each other; each step is one a real fleet may take.
+
+    `spent_ms` holds when each token was spent. A daemon that is frozen takes no step,
+    one that is gone never will again.
+    """
+
+    def __init__(self, names, spec, seed=1):
+        self.runtime = StillRuntime(seed=seed)
+        self.clock = self.runtime.clock
+        self.draw = Random(seed)
+        self.fates = lambda: Fate()
+        self.epoch = 1
+        self.names = set(names)
+        self.version = 1
+        self.specs = {1: spec}
+        self.spent_ms = []
+        self.limits = []
+        self.members = {}
+        self.frozen = set()
+        self.depth = 0
+        for name in names:
+            self.start(name)
+
+    @property
+    def roster(self):
+        return make_roster(self.epoch, self.names)
+
+    def make_asker(self, borrower):
+        def ask(lender, workspace, amount):
+            return self.carry_loan(borrower, lender, workspace, amount)
+
+        return ask
+
+    def carry_loan(self, borrower, lender, workspace, amount):
+        fate = self.fates()
+        self.pass_time(fate.before_ms)
+        if lender not in self.members or lender in self.frozen:
+            self.pass_time(150)
+            return None
+        loan = self.members[lender].shares.lend(workspace, amount)
+        # While an answer is on its way the lender goes on, and others ask it.
+        if fate.after_ms and self.depth < 2:
+            self.depth += 1
+            self.pass_time(fate.after_ms)
+            self.spend(lender, 3)
+            self.depth -= 1
+        return None if fate.lost else Loan(*loan)
+
+    # Steps
+
+    def pass_time(self, duration_ms):
+        self.clock.time_ms += duration_ms
+
+    def start(self, name):
+        """Start a daemon, or start it anew; it learns what the platform holds."""
+        self.frozen.discard(name)
+        self.members[name] = Member(self, name)
+        self.learn(name)
+
+    def learn(self, name):
+        if name in self.members and name not in self.frozen:
+            self.members[name].take_roster(self.roster)
+            self.members[name].take_config(self.version, self.specs[self.version])
+            self.note_limit()
+
+    def beat(self, sender, receiver):
+        """Let `sender` ask `receiver` what it knows, and act on it."""
+        if sender not in self.members or sender in self.frozen:
+            return
+        if receiver not in self.members or receiver in self.frozen:
+            return
+        views = self.members[receiver].membership.make_views()
+        member = self.members[sender]
+        member.membership.merge_reply(views, self.clock.now_ms())
+        member.keeper.confirm()
+
+    def beat_all(self):
+        """Let every daemon hear of every other one, with the news of the platform."""
+        for name in sorted(self.members):
+            self.learn(name)
+        for _ in range(3):
+            for sender in sorted(self.members):
+                for receiver in sorted(self.members):
+                    if sender != receiver:
+                        self.beat(sender, receiver)
+                self.settle(sender)
+
+    def settle(self, name):
+        """Let a daemon that hears of nobody go on by itself."""
+        if name in self.members and name not in self.frozen:
+            self.members[name].keeper.confirm()
+
+    def spend(self, name, count):
+        """Let callers send `count` requests to a daemon; return how many got in."""
+        spent = 0
+        for _ in range(count):
+            if name in self.members and name not in self.frozen:
+                spent += self.spend_one(name)
+        return spent
+
+    def spend_one(self, name):
+        ended = self.members[name].shares.spend(WORKSPACE)
+        if ended.is_ok():
+            self.spent_ms.append(self.clock.now_ms())
+        return ended.is_ok()
+
+    def add(self, name):
+        """Let a new VM into the roster."""
+        if name not in self.names:
+            self.names.add(name)
+            self.epoch += 1
+            self.start(name)
+
+    def remove(self, name):
+        """Let a VM be gone for good; the roster learns it when its loans lapsed."""
+        if len(self.names) > 1 and name in self.names:
+            self.members.pop(name, None)
+            self.frozen.discard(name)
+            self.pass_time(LOAN_LIFE_MS)
+            self.names.discard(name)
+            self.epoch += 1
+
+    def set_spec(self, spec):
+        """Put another rate and burst in force; each daemon learns it by itself."""
+        self.version += 1
+        self.specs[self.version] = spec
+        self.note_limit()
+
+    # The check
+
+    def note_limit(self):
+        """Note what is in force where; lent tokens keep it for their life."""
+        specs = [self.specs[one.version] for one in self.members.values()]
+        specs.append(self.specs[self.version])
+        rate = max(spec.rate for spec in specs)
+        burst = max(spec.burst for spec in specs)
+        self.limits.append(Limit(self.clock.now_ms(), rate, burst))
+
+    def limit_at(self, time_ms):
+        """Return the limit that holds at a time, loans of before included."""
+        last = [one for one in self.limits if one.from_ms <= time_ms][-1:]
+        late = [
+            one
+            for number, one in enumerate(self.limits)
+            if one.from_ms <= time_ms
+            and number + 1 < len(self.limits)
+            and self.limits[number + 1].from_ms > time_ms - LOAN_LIFE_MS
+        ]
+        held = last + late
+        return max(one.rate for one in held), max(one.burst for one in held)
+
+    def find_excess(self):
+        """Return by how many tokens the fleet passed one bucket at the worst time.
+
+        One bucket that starts full gives out no more than its burst and its rate times
+        the length of any window, and all that such windows allow.
+        """
+        excess = 0.0
+        tokens = None
+        last_ms = 0.0
+        for time_ms in sorted(self.spent_ms):
+            if tokens is None:
+                tokens = self.limit_at(time_ms)[1]
+                last_ms = time_ms
+            marks = [one.from_ms for one in self.limits]
+            marks += [mark + LOAN_LIFE_MS for mark in marks]
+            marks = sorted(mark for mark in marks if last_ms < mark < time_ms)
+            for mark in [*marks, time_ms]:
+                rate, burst = self.limit_at((last_ms + mark) / 2)
+                tokens = min(burst, tokens + max(0.0, mark - last_ms) * rate / 1000)
+                last_ms = mark
+            tokens -= 1
+            excess = max(excess, -tokens)
+        return excess if excess > TOLERANCE else 0.0
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,244 @@
+"""Tests of the shares of a workspace's rate, and of loans between them."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bronzerelay.codes import Code
+from bronzerelay.shares import LOAN_LIFE_MS, Bucket, Holding, list_holders
+from tests.fleet import STEP_MS, WORKSPACE, Clock, Fate, Fleet, make_spec
+
+NAMES = ("vm-1", "vm-2", "vm-3", "vm-4", "vm-5")
+NAME = st.sampled_from(NAMES)
+DELAYS_MS = (0, 0, 0, 0, 20, 100, 300, 700)
+BURSTS = (1, 2, 3, 5, 8, 20, 60)
+RATES = (2, 10, 90)
+
+STEP = st.one_of(
+    st.tuples(st.just("spend"), NAME, st.sampled_from((1, 5, 40))),
+    st.tuples(st.just("spend"), NAME, st.sampled_from((1, 5, 40))),
+    st.tuples(st.just("wait"), st.sampled_from((1, 60, 60, 300, 401, 4000))),
+    st.tuples(st.just("flood"), st.sampled_from((5, 40))),
+    st.tuples(st.just("beat_all")),
+    st.tuples(st.just("learn"), NAME),
+    st.tuples(st.just("beat"), NAME, NAME),
+    st.tuples(st.just("freeze"), NAME),
+    st.tuples(st.just("thaw"), NAME),
+    st.tuples(st.just("start"), NAME),
+    st.tuples(st.just("add"), NAME),
+    st.tuples(st.just("remove"), NAME),
+    st.tuples(
+        st.just("set_spec"),
+        st.builds(make_spec, st.sampled_from(RATES), st.sampled_from(BURSTS)),
+    ),
+)
+
+
+def open_fleet(count=3, rate=30, burst=30, seed=1):
+    """Return a fleet whose buckets are full, with nothing left to confirm."""
+    fleet = Fleet(NAMES[:count], make_spec(rate, burst), seed)
+    fleet.beat_all()
+    fleet.pass_time(LOAN_LIFE_MS + 1000 * burst / rate)
+    return fleet
+
+
+def run_step(fleet, step):
+    kind, *fields = step
+    if kind == "wait":
+        fleet.pass_time(*fields)
+    elif kind == "flood":
+        for name in sorted(fleet.members):
+            fleet.spend(name, *fields)
+    elif kind == "freeze":
+        fleet.frozen.update(fields)
+    elif kind == "thaw":
+        fleet.frozen.difference_update(fields)
+    elif kind == "start":
+        # Only a listed VM starts anew; `add` starts the others.
+        if fields[0] in fleet.names:
+            fleet.start(*fields)
+    else:
+        getattr(fleet, kind)(*fields)
+
+
+def draw_fates(draw):
+    def draw_fate():
+        before_ms, after_ms = draw.choice(DELAYS_MS), draw.choice(DELAYS_MS)
+        return Fate(before_ms, after_ms, draw.random() < 0.2)
+
+    return draw_fate
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(
+    st.lists(STEP, max_size=40),
+    st.integers(1, 4),
+    st.sampled_from(BURSTS),
+    st.integers(0, 999),
+)
+def test_no_window_sees_more_than_rate_and_burst(steps, count, burst, seed):
+    """Daemons freeze, restart, join and go while tokens are on loan, answers come late
+    or never, and the rate changes. If tokens of before counted twice, a workspace
+    would get more than it is due and the others would wait for it.
+    """
+    fleet = open_fleet(count, rate=90, burst=burst, seed=seed)
+    fleet.fates = draw_fates(fleet.draw)
+    for step in steps:
+        run_step(fleet, step)
+    fleet.fates = Fate
+    for name in sorted(fleet.members):
+        fleet.spend(name, 2 * burst + 5)
+    assert fleet.find_excess() == 0
+
+
+def test_all_daemons_together_give_the_burst_once_and_then_the_rate():
+    fleet = open_fleet(rate=30, burst=30)
+    assert sum(fleet.spend(name, 40) for name in NAMES[:3]) == 30
+    spent = 0
+    for _ in range(100):
+        fleet.pass_time(STEP_MS)
+        spent += sum(fleet.spend(name, 4) for name in NAMES[:3])
+    # Some tokens lapse on loan when every daemon is asked for more than there is.
+    assert 0.9 * 150 <= spent <= 150
+    assert fleet.find_excess() == 0
+
+
+def test_callers_of_one_daemon_get_the_whole_burst():
+    fleet = open_fleet(rate=30, burst=30)
+    assert fleet.spend("vm-2", 40) == 30
+
+
+def test_a_refusal_says_when_to_come_back():
+    fleet = open_fleet(rate=30, burst=2)
+    fleet.spend("vm-1", 4)
+    refusal = fleet.members["vm-1"].shares.spend(WORKSPACE).error
+    assert refusal.code == Code.RATE_EXCEEDED
+    assert refusal.retry_after_ms > 0
+
+
+def test_an_empty_workspace_asks_its_lenders_only_now_and_then():
+    """A workspace sends far more than its rate. If each refusal asked every daemon for
+    a loan, the flood would be multiplied inside the fleet and slow down the others.
+    """
+    fleet = open_fleet(rate=30, burst=30)
+    calls = []
+    fleet.fates = lambda: calls.append(1) or Fate()
+    fleet.spend("vm-1", 30)
+    calls.clear()
+    fleet.spend("vm-1", 200)
+    assert len(calls) <= 2
+
+
+def test_a_loan_keeps_its_place_in_the_lenders_burst_until_it_lapses():
+    """The lender refills while a loan of its is out. If both counted, they could be
+    spent at the same moment.
+    """
+    clock = Clock()
+    bucket = Bucket(clock.now_ms())
+    bucket.set_holding(Holding(10.0, 10.0), clock.now_ms())
+    clock.time_ms += 1000
+    assert bucket.lend(4.0, clock.now_ms())[0] == 4.0
+    clock.time_ms += LOAN_LIFE_MS - 1
+    assert bucket.available(clock.now_ms()) == 6.0
+    clock.time_ms += 1000
+    assert bucket.available(clock.now_ms()) == 10.0
+
+
+def test_a_loan_whose_answer_was_held_up_is_worth_nothing():
+    """An answer with a loan comes after the loan lapsed, while its lender refilled."""
+    fleet = open_fleet(count=2, rate=30, burst=30)
+    fleet.spend("vm-1", 15)
+    fleet.fates = lambda: Fate(after_ms=LOAN_LIFE_MS + 500)
+    shares = fleet.members["vm-1"].shares
+    account = shares._accounts[WORKSPACE]
+    shares._borrow_from(account, "vm-2")
+    assert account.bucket.available(fleet.clock.now_ms()) <= 15
+
+
+def test_a_restarted_daemon_waits_until_its_predecessors_loans_have_lapsed():
+    """A daemon lends its tokens and is restarted. The new process knows of no loan; if
+    it filled up at once, they could be spent twice.
+    """
+    fleet = open_fleet(count=2, rate=60, burst=20)
+    fleet.members["vm-1"].shares.lend(WORKSPACE, 10)
+    fleet.start("vm-1")
+    fleet.beat_all()
+    fleet.pass_time(LOAN_LIFE_MS - 1)
+    bucket = fleet.members["vm-1"].shares._accounts[WORKSPACE].bucket
+    assert bucket.available(fleet.clock.now_ms()) == 0
+    assert not fleet.members["vm-1"].shares.has_begun()
+    fleet.pass_time(LOAN_LIFE_MS)
+    assert bucket.available(fleet.clock.now_ms()) == 10
+    assert fleet.members["vm-1"].shares.has_begun()
+
+
+def test_a_part_shrinks_at_once_and_grows_when_all_have_shrunk():
+    """A VM joins while another daemon hasn't heard of it. If the new one took its part
+    at once, the fleet would give out more than the whole.
+    """
+    fleet = open_fleet(count=2, rate=30, burst=30)
+    fleet.add("vm-3")
+    fleet.learn("vm-1")
+    for _ in range(5):
+        for pair in (("vm-1", "vm-3"), ("vm-3", "vm-1")):
+            fleet.beat(*pair)
+        fleet.pass_time(1000)
+    holdings = [part_of(fleet, name) for name in NAMES[:3]]
+    assert holdings == [10.0, 15.0, 0.0]
+    fleet.beat_all()
+    assert [part_of(fleet, name) for name in NAMES[:3]] == [10.0, 10.0, 10.0]
+
+
+def part_of(fleet, name):
+    return fleet.members[name].shares._accounts[WORKSPACE].bucket.holding.rate
+
+
+def test_nobody_grows_while_loans_of_a_larger_part_are_out():
+    """A daemon lends all of its burst, and then a VM joins. Were the newcomer to fill
+    up before those loans lapse, borrower and newcomer could spend the same tokens.
+    """
+    fleet = open_fleet(count=2, rate=60, burst=20)
+    borrower = fleet.members["vm-2"].shares._accounts[WORKSPACE]
+    fleet.members["vm-2"].shares._borrow_from(borrower, "vm-1")
+    borrower.bucket.receive(*fleet.members["vm-1"].shares.lend(WORKSPACE, 9)[:1], 12e9)
+    fleet.add("vm-3")
+    fleet.beat_all()
+    assert part_of(fleet, "vm-3") == 0
+    fleet.pass_time(LOAN_LIFE_MS)
+    fleet.beat_all()
+    assert part_of(fleet, "vm-3") == 20
+
+
+def test_two_versions_that_split_a_small_burst_differently_share_one_whole():
+    """A burst of 4 is held by two daemons, one of 6 by three. While some daemons have
+    the new version and some the old, the parts must not add up to more than one.
+    """
+    fleet = open_fleet(count=5, rate=30, burst=4)
+    fleet.set_spec(make_spec(30, 6))
+    holders = list_holders(make_spec(30, 6), list(NAMES))
+    for name in reversed(holders):
+        fleet.learn(name)
+        assert sum(part_of(fleet, one) for one in NAMES) <= 30
+    fleet.beat_all()
+    assert [part_of(fleet, one) for one in holders] == [10.0] * 3
+
+
+def test_a_workspace_that_comes_back_remembers_its_loans():
+    """An operator removes a workspace and adds it again at once. A bucket that forgot
+    its loans would refill beside them.
+    """
+    fleet = open_fleet(count=2, rate=60, burst=20)
+    shares = fleet.members["vm-1"].shares
+    assert shares.lend(WORKSPACE, 8).amount == 8
+    shares.set_workspaces([])
+    shares.set_workspaces([make_spec(60, 20)])
+    fleet.pass_time(LOAN_LIFE_MS - 100)
+    bucket = shares._accounts[WORKSPACE].bucket
+    assert bucket.available(fleet.clock.now_ms()) <= 2
+
+
+def test_a_daemon_that_stops_lends_no_more_and_says_how_long_its_loans_last():
+    fleet = open_fleet(count=2, rate=30, burst=30)
+    shares = fleet.members["vm-1"].shares
+    shares.lend(WORKSPACE, 3)
+    assert shares.stop_lending() == fleet.clock.now_ms() + LOAN_LIFE_MS
+    assert shares.lend(WORKSPACE, 3).amount == 0
