Replace a primary that its replicas can't follow; prove promotion

Cause: a primary cut from its replicas but not from the daemons answers every poll and takes writes that no majority can hold; each write waited for its deadline and ended unknown, for as long as the cut lasted. The watch now measures how long a majority usually needs and replaces a primary after three times that, 600 ms at least, leaving it out of the fence, since its log is the longest. Ruled out: a fixed timeout, which a lag of 500 ms would trip. Found by the new tests: a second configuration broke off half-way in the pools, which knew no spec; the pools now tell theirs.

--- a/bronzerelay/failover.py
+++ b/bronzerelay/failover.py
@@ -25,6 +25,12 @@
 CHECK_MS = 25
 # How often an instance that lags behind a change of primary is pointed to it again.
 REDIRECT_MS = 200
+# A primary is taken for cut from its replicas when these need this many times longer
+# than usual, and never sooner than the floor. The first is a guess of the usual time.
+STALL_FACTOR = 3.0
+STALL_FLOOR_MS = 600.0
+FIRST_CATCH_UP_MS = 400.0
+CATCH_UP_MEMORY = 0.9
 # A planned change of primary waits this long for a replica to catch up.
 CATCH_UP_MS = 1000
 
@@ -116,6 +122,46 @@
         return Outcome(best.endpoint.name, term, "promoted")
 
 
+class StallDetector:
+    """Notices that a primary's log grows and no majority follows.
+
+    A primary that is cut from its replicas, but not from us, takes writes that can
+    never be acknowledged, and looks healthy otherwise. How long replicas usually need
+    is measured, so that a long lag alone isn't taken for a cut.
+    """
+
+    def __init__(self, runtime: Runtime):
+        self._runtime = runtime
+        self._usual_ms = FIRST_CATCH_UP_MS
+        self._awaited: Position | None = None
+        self._since_ms = 0.0
+
+    def restart(self) -> None:
+        """Forget what is awaited; the primary changes."""
+        self._awaited = None
+
+    def is_stalled(self, watch: GroupWatch, primary: str) -> bool:
+        """Return whether the majority has been behind for far longer than usual."""
+        state = watch.states.get(primary)
+        if state is None:
+            return False
+        now_ms = self._runtime.clock.now_ms()
+        if self._awaited is not None and watch.is_held_by_majority(self._awaited):
+            self._learn(now_ms - self._since_ms)
+            self._awaited = None
+        end = Position(state.log_term, state.position)
+        if self._awaited is None or self._awaited.term != end.term:
+            self._awaited = None if watch.is_held_by_majority(end) else end
+            self._since_ms = now_ms
+            return False
+        limit_ms = max(STALL_FLOOR_MS, STALL_FACTOR * self._usual_ms)
+        return now_ms - self._since_ms > limit_ms
+
+    def _learn(self, took_ms: float) -> None:
+        """Follow a longer time at once and a shorter one slowly."""
+        self._usual_ms = max(took_ms, self._usual_ms * CATCH_UP_MEMORY)
+
+
 class GroupKeeper:
     """Keeps one group served: promotes when needed, and points strays to the primary.
 
@@ -139,6 +185,7 @@
         self._note_outcome = note_outcome
         self._failures = 0
         self._redirect_at_ms = 0.0
+        self._stall = StallDetector(runtime)
         # While true, no write may start: the primary is being changed on purpose.
         self.holds_writes = False
         self._stopped = False
@@ -155,13 +202,28 @@
             primary = self._watch.primary()
             if primary is None:
                 self._replace_primary()
+            elif self._stall.is_stalled(self._watch, primary):
+                self._replace_stalled(primary)
             else:
                 self._failures = 0
                 self._redirect_strays(primary)
                 self._move_off_leaving(primary)
 
+    def _replace_stalled(self, primary: str) -> None:
+        """Replace a primary that we reach and its replicas don't.
+
+        It is left out of the fence, for its log is the longest: it would be chosen
+        again. The others are a majority by themselves, so they hold every
+        acknowledged write.
+        """
+        spec = self._watch.spec
+        others = [one for one in self._list_reachable(spec) if one.name != primary]
+        if len(others) >= self._watch.majority():
+            self._stall.restart()
+            self._promote(self._watch.highest_term() + 1, others)
+
     def _replace_primary(self) -> None:
-        if self._watch.count_reachable() < self._watch.majority():
+        if not self._watch.has_majority():
             return
         known_term = self._watch.highest_term()
         if self._rival_is_at_work():
@@ -171,7 +233,7 @@
         moved_on = self._watch.highest_term() != known_term
         if moved_on or self._watch.primary() is not None:
             return
-        self._promote(known_term + 1)
+        self._promote(known_term + 1, self._list_reachable(self._watch.spec))
 
     def _rival_is_at_work(self) -> bool:
         """Return whether the instances stand at a term that has no primary yet."""
@@ -188,9 +250,8 @@
             spread = self._runtime.random.uniform(0.5, 1.5)
             self._runtime.sleep_ms(RETRY_PAUSE_MS[step] * spread)
 
-    def _promote(self, term: int) -> None:
-        spec = self._watch.spec
-        outcome = self._promoter.promote(spec, term, self._list_reachable(spec))
+    def _promote(self, term: int, endpoints: list[EndpointSpec]) -> None:
+        outcome = self._promoter.promote(self._watch.spec, term, endpoints)
         self._failures = 0 if outcome.primary else self._failures + 1
         self._note_outcome(outcome)
         if outcome.primary:
@@ -218,20 +279,20 @@
         now_ms = self._runtime.clock.now_ms()
         if now_ms < self._redirect_at_ms:
             return
-        term = self._watch.states[primary].term
+        states = self._watch.states
+        term = self._watch.highest_term()
         for endpoint in self._watch.spec.endpoints:
-            state = self._watch.states.get(endpoint.name)
+            state = states.get(endpoint.name)
             if state is None or not state.reachable or state.log_term >= term:
                 continue
             self._redirect_at_ms = now_ms + REDIRECT_MS
             self._follow(endpoint, term, primary)
 
     def _follow(self, endpoint: EndpointSpec, term: int, primary: str) -> None:
-        address = next(
-            other.address
-            for other in self._watch.spec.endpoints
-            if other.name == primary
-        )
+        addresses = {one.name: one.address for one in self._watch.spec.endpoints}
+        address = addresses.get(primary)
+        if address is None:
+            return
         opened: Result[EndpointLink, EndpointError] = self._opener(
             endpoint, "monitor", CONNECT_TIMEOUT_MS
         )
@@ -252,7 +313,8 @@
         self.holds_writes = True
         try:
             if self._wait_until_caught_up(primary, leaving):
-                self._promote(self._watch.highest_term() + 1)
+                term = self._watch.highest_term() + 1
+                self._promote(term, self._list_reachable(spec))
         finally:
             self.holds_writes = False
 
@@ -260,12 +322,13 @@
         watch = self._watch
 
         def is_caught_up() -> bool:
-            end = watch.states[primary].position
+            states = watch.states
             others = [
                 state.position
-                for name, state in watch.states.items()
+                for name, state in states.items()
                 if name not in leaving and state.term == watch.highest_term()
             ]
+            end = states[primary].position if primary in states else 0
             return max(others, default=-1) >= end
 
         with watch.condition:
--- a/bronzerelay/group.py
+++ b/bronzerelay/group.py
@@ -280,7 +280,7 @@
             if self._watch.primary() == name and not self.parts.keeper.holds_writes:
                 return Ok((name, term))
             self.parts.slots.release(name)
-        if self._watch.count_reachable() < self._watch.majority():
+        if not self._watch.has_majority():
             message = f"Most endpoints of {work.group} can't be reached from here."
             return refuse(Code.ENDPOINT_UNREACHABLE, message, NO_PRIMARY_RETRY_MS)
         message = f"{work.group} has no primary just now."
--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -154,8 +154,8 @@
         parts.watch.set_spec(spec)
         parts.slots.set_endpoints({one.name: one.slots for one in spec.endpoints})
         wanted = {one.name: one for one in spec.endpoints}
-        for name in list(parts.pools):
-            if wanted.get(name) != parts.pools[name].spec:
+        for name, pool in list(parts.pools.items()):
+            if name not in wanted or not _fits(pool.spec, wanted[name]):
                 parts.pools.pop(name).close()
         for name, endpoint in wanted.items():
             if name not in parts.pools:
@@ -179,6 +179,12 @@
         return {name: _show_group(one.server) for name, one in served.items()}
 
 
+def _fits(known: EndpointSpec, wanted: EndpointSpec) -> bool:
+    """Return whether a pool made for `known` serves `wanted` as well."""
+    same_place = known.address == wanted.address
+    return same_place and known.connections == wanted.connections
+
+
 def _show_group(server: GroupServer) -> dict[str, Any]:
     watch = server.parts.watch
     return {
--- a/bronzerelay/pool.py
+++ b/bronzerelay/pool.py
@@ -26,7 +26,7 @@
         self, runtime: Runtime, spec: EndpointSpec, open_link: OpenLink, limit: int
     ):
         self._runtime = runtime
-        self._spec = spec
+        self.spec = spec
         self._open_link = open_link
         self._limit = limit
         self._condition = runtime.make_condition()
@@ -62,7 +62,7 @@
         return self._open(end_ms)
 
     def _fail(self, kind: str, message: str) -> Result[EndpointLink, EndpointError]:
-        return Error(EndpointError(kind, f"{self._spec.name}: {message}"))
+        return Error(EndpointError(kind, f"{self.spec.name}: {message}"))
 
     def _has_room(self) -> bool:
         return bool(self._closed or self._idle or self._open_count < self._limit)
--- a/bronzerelay/watch.py
+++ b/bronzerelay/watch.py
@@ -15,6 +15,8 @@
 CONNECT_TIMEOUT_MS = 300
 # How much later than asked for an answer may come before it counts as lost.
 ANSWER_MARGIN_MS = 250
+# How long a request waits for a group of which no majority answers.
+CUT_OFF_WAIT_MS = 250
 # How many samples of the primary's position are kept as proofs of age.
 SAMPLES = 64
 
@@ -32,7 +34,6 @@
     position: int = 0
     sent_at_ms: float = float("-inf")
     reachable: bool = False
-    failing_since_ms: float | None = None
 
     def holds(self, need: Position) -> bool:
         """Return whether the instance's log reaches `need`."""
@@ -58,8 +59,10 @@
         self._status_wait_ms = status_wait_ms
         self.spec = spec
         self.condition = runtime.make_condition()
+        # Both are replaced whole at each change, so that a reader without the
+        # condition never meets one that changes under it.
         self.states: dict[str, InstanceState] = {}
-        self._samples: list[Sample] = []
+        self._samples: tuple[Sample, ...] = ()
         self._stopped = False
         self._on_change: list[Callable[[], None]] = []
         self._watched: dict[str, EndpointSpec] = {}
@@ -74,16 +77,14 @@
         with self.condition:
             self.spec = spec
             wanted = {endpoint.name: endpoint for endpoint in spec.endpoints}
-            for name in set(self.states) - set(wanted):
-                del self.states[name]
+            kept = {name: self.states[name] for name in wanted if name in self.states}
             fresh = [
                 endpoint
                 for name, endpoint in wanted.items()
                 if not _is_same_target(self._watched.get(name), endpoint)
             ]
             self._watched = wanted
-            for endpoint in fresh:
-                self.states[endpoint.name] = InstanceState()
+            self.states = kept | {one.name: InstanceState() for one in fresh}
         for endpoint in fresh:
             self._runtime.start(self._watch, endpoint)
 
@@ -135,23 +136,20 @@
         )
         with self.condition:
             if endpoint.name in self.states:
-                self.states[endpoint.name] = state
+                self.states = {**self.states, endpoint.name: state}
             if state.role == PRIMARY:
-                self._samples.append(Sample(sent_at_ms, state.term, state.position))
-                del self._samples[:-SAMPLES]
+                sample = Sample(sent_at_ms, state.term, state.position)
+                self._samples = (*self._samples[1 - SAMPLES :], sample)
             self.condition.notify_all()
         self._tell_change()
         return state
 
     def _note_failure(self, endpoint: EndpointSpec) -> None:
-        now_ms = self._runtime.clock.now_ms()
         with self.condition:
             state = self.states.get(endpoint.name)
             if state is not None:
-                since_ms = state.failing_since_ms or now_ms
-                self.states[endpoint.name] = state._replace(
-                    reachable=False, failing_since_ms=since_ms
-                )
+                failed = state._replace(reachable=False)
+                self.states = {**self.states, endpoint.name: failed}
             self.condition.notify_all()
         self._tell_change()
 
@@ -181,6 +179,10 @@
         """Return how many instances answer."""
         return sum(state.reachable for state in self.states.values())
 
+    def has_majority(self) -> bool:
+        """Return whether a majority of the instances answers."""
+        return self.count_reachable() >= self.majority()
+
     def is_held_by_majority(self, need: Position) -> bool:
         """Return whether a majority, at the term of `need`, holds that position.
 
@@ -224,9 +226,20 @@
     # Waiting
 
     def wait_primary(self, timeout_ms: float) -> tuple[str, int] | None:
-        """Return the primary and its term, waiting up to `timeout_ms` for one."""
+        """Return the primary and its term, waiting up to `timeout_ms` for one.
+
+        Without a majority in reach it waits only `CUT_OFF_WAIT_MS`: another daemon
+        may reach the group, and the time would be lost to it.
+        """
         with self.condition:
-            name = self._runtime.wait_for(self.condition, self.primary, timeout_ms)
+            short_ms = min(timeout_ms, CUT_OFF_WAIT_MS)
+            self._runtime.wait_for(
+                self.condition, lambda: self.primary() or self.has_majority(), short_ms
+            )
+            if self.has_majority():
+                left_ms = timeout_ms - short_ms
+                self._runtime.wait_for(self.condition, self.primary, left_ms)
+            name = self.primary()
             if name is None:
                 return None
             return name, self.states[name].term
--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,214 @@
+"""Tests of promotion: one primary at a time, and nothing acknowledged is lost."""
+
+import pytest
+
+from bronzerelay.failover import Promoter
+from tests.builders_group import (
+    make_configuration,
+    make_group_spec,
+    make_groups,
+    make_server,
+    make_work,
+)
+from tests.endpoints import Group, add, get, open_runtime, wait_until
+
+
+@pytest.fixture
+def runtime():
+    with open_runtime(200) as runtime:
+        yield runtime
+
+
+@pytest.fixture
+def group(runtime):
+    group = Group(runtime)
+    yield group
+    for server in group.servers.values():
+        server.stop()
+
+
+def write_until_acknowledged(runtime, server):
+    """Return the answer of the first write that is acknowledged, of ten tries."""
+    for _ in range(10):
+        result = server.write(make_work(runtime, add("count", 1)))
+        if result.is_ok():
+            return result.ok
+    raise AssertionError(f"no write was acknowledged: {result.error}")
+
+
+def read_count(runtime, server, session=""):
+    work = make_work(runtime, get("count"), session=session)
+    return server.read(work).ok["value"]
+
+
+def primaries(group):
+    return {name for name in group.servers if group.instance(name).role == "primary"}
+
+
+def test_a_killed_primary_is_replaced_and_its_writes_are_kept(runtime, group):
+    """The primary's process dies just after it acknowledged writes.
+
+    Replicas were behind or not; a caller that reads after the change of primary
+    would miss a refund that it was told had run.
+    """
+    server = make_server(runtime, group)
+    before = [write_until_acknowledged(runtime, server) for _ in range(5)]
+    group.servers["orders-1"].stop()
+    answer = write_until_acknowledged(runtime, server)
+    assert answer["served_by"] != "orders-1"
+    assert answer["value"] == len(before) + 1
+    assert read_count(runtime, server, answer["session"]) == len(before) + 1
+
+
+def test_a_frozen_primary_that_thaws_acknowledges_nothing_more(runtime, group):
+    """The primary stops for a while and is replaced, then goes on where it was.
+
+    It still takes itself for the primary. Writes that wait in its buffers run on it;
+    a caller that got them acknowledged would see them vanish.
+    """
+    server = make_server(runtime, group)
+    write_until_acknowledged(runtime, server)
+    group.admin("orders-1", "freeze")
+    answer = write_until_acknowledged(runtime, server)
+    assert answer["served_by"] != "orders-1"
+    stale = group.link("orders-2", "monitor").status(0, 0, 0, 1000).ok.term
+    group.admin("orders-1", "thaw")
+    link = group.link("orders-1")
+    late = link.write("north", stale - 1, add("count", 1), "late#1", 1000)
+    wait_until(runtime, lambda: group.instance("orders-1").role == "replica")
+    final = write_until_acknowledged(runtime, server)
+    assert not late.is_ok() or final["value"] == answer["value"] + 1
+    wait_until(
+        runtime, lambda: group.instance("orders-1").rows.get("count") == final["value"]
+    )
+
+
+def test_a_primary_cut_from_its_replicas_is_replaced(runtime, group):
+    """The primary answers the daemon, but its replicas can't reach it.
+
+    It takes writes that no majority can ever hold. Without a replacement every
+    write of the group would wait for its deadline, for as long as the cut lasts.
+    """
+    server = make_server(runtime, group)
+    first = write_until_acknowledged(runtime, server)
+    group.admin("orders-1", "cut", names=["orders-2", "orders-3"])
+    answer = write_until_acknowledged(runtime, server)
+    assert answer["served_by"] != "orders-1"
+    assert answer["value"] == first["value"] + 1
+
+
+def test_a_primary_cut_from_the_daemon_is_replaced(runtime, group):
+    """The daemon can't reach the primary any more, but the replicas can.
+
+    The old primary still has followers until they are fenced; without the fence it
+    could go on acknowledging other daemons' writes beside the new one.
+    """
+    server = make_server(runtime, group, "vm-9")
+    write_until_acknowledged(runtime, server)
+    group.admin("orders-1", "cut", names=["vm-9"])
+    answer = write_until_acknowledged(runtime, server)
+    assert answer["served_by"] != "orders-1"
+    old = group.link("orders-1").write("north", 1, add("count", 1), "other#1", 1000)
+    if old.is_ok():
+        position = old.ok.position
+        others = [group.instance(name) for name in ("orders-2", "orders-3")]
+        held = [one for one in others if one.log_term == 1 and one.position >= position]
+        assert not held
+
+
+@pytest.mark.parametrize("step", ["fenced", "promoted"])
+def test_a_promotion_that_ends_half_way_is_taken_up(runtime, group, step):
+    """The promoting daemon dies after the fence, or before it told the followers.
+
+    The group then has no primary, or one that nobody follows. The next daemon has to
+    go on from there, or the group takes no write until somebody looks.
+    """
+    server = make_server(runtime, group, "vm-2")
+    write_until_acknowledged(runtime, server)
+    links = {name: group.link(name, "monitor") for name in group.servers}
+    ends = {name: link.fence(2, 1000).ok for name, link in links.items()}
+    if step == "promoted":
+        best = max(ends, key=lambda name: (ends[name].log_term, ends[name].position))
+        assert links[best].promote(2, 1000).is_ok()
+    answer = write_until_acknowledged(runtime, server)
+    assert answer["value"] == 2
+
+
+def test_of_two_daemons_with_one_term_at_most_one_promotes(runtime, group):
+    """Two daemons suspect the primary at the same moment and try the same term.
+
+    If both succeeded, two primaries would take writes at one term, and each caller
+    would see only half of the changes.
+    """
+    spec = make_group_spec(group)
+
+    def open_as(name):
+        def opener(endpoint, kind, timeout_ms):
+            return group.try_link(endpoint.name, kind, timeout_ms)
+
+        return opener
+
+    futures = [
+        runtime.start(
+            Promoter(runtime, open_as(name)).promote, spec, 2, list(spec.endpoints)
+        )
+        for name in ("vm-1", "vm-2")
+    ]
+    promoted = [future.result() for future in futures]
+    assert len([outcome for outcome in promoted if outcome.primary]) <= 1
+    assert len(primaries(group)) <= 1
+
+
+def test_without_a_majority_nothing_is_promoted(runtime, group):
+    """Two of the three instances are gone.
+
+    The last one may lack acknowledged writes that only the others hold; promoting it
+    would lose them without an error.
+    """
+    server = make_server(runtime, group)
+    write_until_acknowledged(runtime, server)
+    group.servers["orders-1"].stop()
+    group.servers["orders-3"].stop()
+    result = server.write(make_work(runtime, add("count", 1), deadline_ms=1500))
+    assert not result.is_ok()
+    assert result.error.ran != "ran"
+    assert "orders-2" not in primaries(group)
+
+
+def test_the_new_primary_dies_at_once_and_the_old_one_is_back(runtime, group):
+    """The primary freezes, its successor dies, and the first one thaws.
+
+    The thawed one and the last replica are a majority; what the successor
+    acknowledged is in the replica's log and must survive.
+    """
+    server = make_server(runtime, group)
+    write_until_acknowledged(runtime, server)
+    group.admin("orders-1", "freeze")
+    second = write_until_acknowledged(runtime, server)
+    group.admin("orders-1", "thaw")
+    group.servers[second["served_by"]].stop()
+    third = write_until_acknowledged(runtime, server)
+    assert third["value"] == second["value"] + 1
+
+
+def test_a_leaving_primary_hands_over_without_a_refusal(runtime, group):
+    """An operator marks the primary's endpoint as leaving while writes run.
+
+    Each write has to be acknowledged, before the change of primary or after it, and
+    the leaving endpoint must take no more of them.
+    """
+    groups = make_groups(runtime, make_group_spec(group))
+    server = groups.find("orders")
+    write_until_acknowledged(runtime, server)
+    spec = make_group_spec(group, leaving=("orders-1",))
+    groups.set_configuration(make_configuration(spec, 2))
+    answers = []
+    wait_until(
+        runtime,
+        lambda: (
+            answers.append(server.write(make_work(runtime, add("count", 1))))
+            or answers[-1].ok["served_by"] != "orders-1"
+        ),
+    )
+    assert all(answer.is_ok() for answer in answers)
+    assert answers[-1].ok["value"] == len(answers) + 1
