--- a/standins/caller.py
+++ b/standins/caller.py
@@ -51,7 +51,7 @@
         self.settings = settings
         self.record = [] if record is None else record
         self.session = ""
-        self._runtime = runtime
+        self.runtime = runtime
         self._links = links
 
     def run(
@@ -69,10 +69,10 @@
         Without the name of a daemon one is picked at random. `due_ms` is when the
         request should have been sent, if that was earlier.
         """
-        daemon = daemon or self._runtime.random.choice(list(self._links.addresses))
+        daemon = daemon or self.runtime.random.choice(list(self._links.addresses))
         if self.session and "session" not in request:
             request = StatementRequest(**request, session=self.session)
-        request_id = make_request_id(self._runtime)
+        request_id = make_request_id(self.runtime)
         path = f"/v1/workspaces/{self.settings.workspace}/statements"
         headers = {
             "Authorization": f"Bearer {self.settings.key}",
@@ -80,10 +80,10 @@
             "X-Request-Id": request_id,
         }
         body = msgspec.json.encode(request)
-        sent_ms = self._runtime.clock.now_ms()
+        sent_ms = self.runtime.clock.now_ms()
         data = build_request("POST", path, headers, body)
         outcome = exchange(self._links, daemon, data, self.settings.timeout_ms)
-        answered_ms = self._runtime.clock.now_ms()
+        answered_ms = self.runtime.clock.now_ms()
         times = (sent_ms if due_ms is None else due_ms, sent_ms, answered_ms)
         entry = build_entry(self.settings, daemon, request, request_id, times, outcome)
         self.session = entry.session_after
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -100,6 +100,7 @@
         try:
             self.start_all()
         except BaseException:
+            self._keep_logs = True
             self.close()
             raise
         return self
@@ -127,7 +128,11 @@
         for process in self._processes.values():
             process.kill()
         if not self._keep_logs:
-            shutil.rmtree(self.folder, ignore_errors=True)
+            self.remove_logs()
+
+    def remove_logs(self) -> None:
+        """Remove the logs, which a run that failed has left."""
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     @property
     def groups(self) -> tuple[str, ...]:
@@ -276,11 +281,13 @@
 
     # Daemons
 
-    def fetch(self, name: str, path: str) -> tuple[int, bytes]:
+    def fetch(
+        self, name: str, path: str, timeout_ms: float = HTTP_TIMEOUT_MS
+    ) -> tuple[int, bytes]:
         """Return status and body of a GET at a daemon; raise OSError without one."""
         pool = self.runtime.open_http(self.addresses[name], pool_size=1)
         try:
-            response = pool.request("GET", path, timeout=HTTP_TIMEOUT_MS / 1000)
+            response = pool.request("GET", path, timeout=timeout_ms / 1000)
         except urllib3.exceptions.HTTPError as error:
             raise OSError(f"{name} did not answer {path}: {error}") from None
         finally:
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,105 @@
+"""Tests of the deployment on stand-ins: that it starts, obeys, and ends."""
+
+import os
+
+import pytest
+
+from bronzerelay.bundle import check_bundle
+from bronzerelay.runtime import Runtime
+from standins.cluster import DEMO, RETURNS, VIANDA, Cluster, ClusterError
+
+TINY = DEMO._replace(groups=("orders",), instances=1, daemons=1, connect_ms=0)
+NAMES = ["platform", "orders-1", "vm-1"]
+END_MS = 2000
+
+
+@pytest.fixture
+def runtime():
+    runtime = Runtime(task_limit=20)
+    yield runtime
+    assert runtime.close(END_MS)
+
+
+def exists(pid):
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+def list_pids(cluster):
+    return [cluster.pid(name) for name in NAMES if cluster.pid(name)]
+
+
+@pytest.mark.parametrize("layout", [DEMO, VIANDA, RETURNS])
+def test_the_bundle_of_each_layout_is_valid(runtime, layout):
+    cluster = Cluster(runtime, layout)
+    try:
+        assert check_bundle(cluster.build_bundle(version=1)) == []
+        addresses = set(cluster.addresses.values())
+        assert len(addresses) == 1 + 3 * layout.instances + 2 * layout.daemons
+    finally:
+        cluster.close()
+
+
+def test_each_process_is_held_stopped_and_started_by_name(runtime):
+    """Tests freeze, stop and kill one process among many. A deployment that touched
+    another one, or left one running, would spoil every run after it.
+    """
+    with Cluster(runtime, TINY) as cluster:
+        cluster.wait_ready(cluster.put_bundle())
+        assert cluster.find_primary("orders") == "orders-1"
+        cluster.freeze("vm-1")
+        with pytest.raises(OSError):
+            cluster.fetch("vm-1", "/health", timeout_ms=200)
+        cluster.thaw("vm-1")
+        assert cluster.fetch("vm-1", "/health")[0] == 200
+        assert cluster.put_bundle() == 2
+        cluster.wait_ready(2)
+        assert cluster.stop("vm-1") == 0
+        assert not cluster.is_ready("vm-1")
+        cluster.start("vm-1")
+        cluster.wait_until(lambda: cluster.fetch("vm-1", "/health")[0] == 200, "health")
+        cluster.freeze("orders-1")
+        pids = list_pids(cluster)
+        assert len(pids) == len(NAMES)
+    assert not any(exists(pid) for pid in pids)
+    assert not cluster.folder.exists()
+
+
+def test_an_endpoint_that_lost_its_data_stays_down(runtime):
+    """An endpoint is killed and started anew with an empty log. It would vote for a
+    new primary as if it had never seen what it acknowledged, and changes would be
+    lost that no failure of the real system loses.
+    """
+    with Cluster(runtime, TINY) as cluster:
+        cluster.kill("orders-1")
+        with pytest.raises(ClusterError, match="lost its data"):
+            cluster.start("orders-1")
+
+
+def test_every_process_ends_when_the_block_is_interrupted(runtime):
+    """Somebody presses Ctrl-C in the middle of a run. Processes that stayed would
+    hold their ports, and load the machine for the runs after it.
+    """
+    pids = []
+    with pytest.raises(KeyboardInterrupt), Cluster(runtime, TINY) as cluster:
+        pids += list_pids(cluster)
+        raise KeyboardInterrupt
+    assert len(pids) == len(NAMES)
+    assert not any(exists(pid) for pid in pids)
+    # What was logged is kept, since it explains the run.
+    assert "listens" in cluster.read_log("orders-1")
+    cluster.remove_logs()
+
+
+def test_a_process_that_does_not_start_is_named_with_its_log(runtime):
+    """A daemon refuses its settings and ends at once. The message must say which one
+    and why, and the others must not stay behind.
+    """
+    cluster = Cluster(runtime, TINY, daemon_flags=["--no-such-flag"])
+    with pytest.raises(ClusterError, match=r"(?s)vm-1 does not listen.*no-such-flag"):
+        cluster.__enter__()
+    assert list_pids(cluster) == []
+    cluster.remove_logs()
