--- a/standins/demo.py
+++ b/standins/demo.py
@@ -174,24 +174,37 @@
     say(f"Asked {name} to stop (SIGTERM): it finished its work and ended with 0.")
 
 
-def run_demo(runtime: Runtime) -> None:
+def run_steps(cluster: Cluster) -> None:
     """Run all steps, or raise DemoError or ClusterError at the first that fails."""
-    with Cluster(runtime, DEMO) as cluster:
-        groups, daemons = cluster.groups, cluster.daemon_names
-        say(
-            f"Started the platform, {len(groups)} groups of {DEMO.instances} "
-            f"endpoints and {len(daemons)} daemons, each a process on loopback."
-        )
-        put_first_bundle(cluster)
-        workspace = DEMO.workspaces[0].name
-        settings = CallerSettings("demo", workspace, cluster.keys[workspace])
-        links = LinkPool(runtime, {name: cluster.addresses[name] for name in daemons})
-        caller = Caller(runtime, settings, links)
-        write_and_read(caller, groups[0], daemons)
-        show_refusals(caller, links, groups[0], daemons[0])
-        survive_lost_primary(cluster, caller, groups[0])
-        links.close()
-        stop_daemon(cluster, daemons[0])
+    groups, daemons = cluster.groups, cluster.daemon_names
+    say(
+        f"Started the platform, {len(groups)} groups of {DEMO.instances} "
+        f"endpoints and {len(daemons)} daemons, each a process on loopback."
+    )
+    put_first_bundle(cluster)
+    workspace = DEMO.workspaces[0].name
+    settings = CallerSettings("demo", workspace, cluster.keys[workspace])
+    addresses = {name: cluster.addresses[name] for name in daemons}
+    links = LinkPool(cluster.runtime, addresses)
+    caller = Caller(cluster.runtime, settings, links)
+    write_and_read(caller, groups[0], daemons)
+    show_refusals(caller, links, groups[0], daemons[0])
+    survive_lost_primary(cluster, caller, groups[0])
+    links.close()
+    stop_daemon(cluster, daemons[0])
+
+
+def run_demo(runtime: Runtime) -> None:
+    """Run the demo; where the logs are goes into the error of a failure."""
+    cluster = Cluster(runtime, DEMO)
+    try:
+        with cluster:
+            run_steps(cluster)
+    except (DemoError, ClusterError, OSError) as error:
+        raise DemoError(f"{error}\nThe logs are in {cluster.folder}") from error
+    except KeyboardInterrupt:
+        cluster.remove_logs()
+        raise
     say("Ended every process. The demo is done.")
 
 
@@ -201,7 +214,7 @@
     runtime = Runtime(task_limit=TASKS)
     try:
         run_demo(runtime)
-    except (DemoError, ClusterError, OSError) as error:
+    except DemoError as error:
         click.echo(f"The demo failed: {error}", err=True)
         sys.exit(1)
     except KeyboardInterrupt:
--- a/standins/load.py
+++ b/standins/load.py
@@ -3,66 +3,30 @@
 import itertools
 import signal
 from pathlib import Path
-from typing import Any, Literal, NamedTuple
+from typing import Any
 
 import click
 
-from bronzerelay.codes import UNKNOWN
-from bronzerelay.runtime import Address, Random, Runtime, parse_address
+from bronzerelay.codes import RAN, UNKNOWN
+from bronzerelay.runtime import Address, Runtime, parse_address
 from bronzerelay.types import Statement, StatementRequest
 from standins.caller import Caller, CallerSettings, make_request_id
 from standins.exchange import LinkPool
 from standins.record import UNREACHABLE, Entry, save_record
+from standins.schedule import (
+    SECOND_MS,
+    TRANSACTION,
+    Arrival,
+    LoadSettings,
+    build_schedule,
+)
 from standins.summary import print_summary
 
-SECOND_MS = 1000
 START_DELAY_MS = 50
 SPREADS = ("random", "one", "moving")
 ARRIVALS = ("poisson", "even")
 
 
-class LoadSettings(NamedTuple):
-    """What a load consists of; a share is a fraction of one.
-
-    `rates` gives the requests a second of each workspace. `once_share` of the writes
-    may not be repeated; the others are sent again, with the same idempotency key,
-    when their outcome is unknown, `resends` times at most. `age_share` of the reads
-    accept data up to `max_age_ms` old. With the spread `one` all requests of a
-    workspace go to one daemon, with `moving` to another one every `move_ms`.
-    """
-
-    rates: dict[str, float]
-    groups: tuple[str, ...]
-    seed: int
-    duration_ms: int = 5000
-    write_share: float = 0.1
-    once_share: float = 0.2
-    add_share: float = 0.2
-    age_share: float = 0.0
-    max_age_ms: int = 1000
-    rows: int = 20
-    spread: Literal["random", "one", "moving"] = "random"
-    move_ms: int = 1000
-    arrivals: Literal["poisson", "even"] = "poisson"
-    workers: int = 200
-    resends: int = 2
-    deadline_ms: int = 0
-    timeout_ms: int = 10_000
-
-
-class Arrival(NamedTuple):
-    """A request of the schedule; `due_ms` counts from the start of the load."""
-
-    due_ms: float
-    workspace: str
-    daemon: str
-    group: str
-    row: str
-    verb: str
-    repeatable: bool
-    accepts_age: bool
-
-
 class Load:
     """A load that runs beside its starter; `record` grows while it runs."""
 
@@ -134,6 +98,9 @@
         return Caller(self._runtime, settings, self._links, self.record)
 
     def _send(self, caller: Caller, arrival: Arrival, due_ms: float) -> None:
+        if arrival.verb == TRANSACTION:
+            self._run_transaction(caller, arrival, due_ms)
+            return
         request = build_statement_request(self._runtime, self.settings, arrival)
         entry = self._send_balanced(caller, request, arrival.daemon, due_ms)
         resends = self.settings.resends if entry.is_write and entry.repeatable else 0
@@ -141,6 +108,23 @@
             resends -= 1
             entry = self._send_balanced(caller, request, "", due_ms)
 
+    def _run_transaction(self, caller: Caller, arrival: Arrival, due_ms: float) -> None:
+        """Append to two rows in a transaction; roll back when one is refused."""
+        begin = StatementRequest(group=arrival.group, action="begin")
+        begun = self._send_balanced(caller, begin, arrival.daemon, due_ms)
+        if begun.ran != RAN:
+            return
+        ends = {"group": arrival.group, "transaction": begun.transaction}
+        action = "commit"
+        for row in (arrival.row, f"{arrival.row}-second"):
+            token = make_request_id(self._runtime)
+            statement = Statement(verb="append", row=row, value=token)
+            entry = caller.send(StatementRequest(**ends, statement=statement))
+            if entry.ran != RAN:
+                action = "rollback"
+                break
+        caller.send(StatementRequest(**ends, action=action))
+
     def _send_balanced(
         self, caller: Caller, request: StatementRequest, daemon: str, due_ms: float
     ) -> Entry:
@@ -157,70 +141,6 @@
         return entry
 
 
-def build_schedule(
-    draw: Random, settings: LoadSettings, daemons: list[str]
-) -> list[Arrival]:
-    """Return all arrivals in the order of their times; one seed gives one list."""
-    arrivals = []
-    for workspace, rate in sorted(settings.rates.items()):
-        homes = draw.sample(daemons, len(daemons))
-        for due_ms in list_times(draw, settings, rate):
-            daemon = pick_daemon(draw, settings, homes, due_ms)
-            arrivals.append(draw_arrival(draw, settings, workspace, daemon, due_ms))
-    return sorted(arrivals)
-
-
-def list_times(draw: Random, settings: LoadSettings, rate: float) -> list[float]:
-    """Return the times at which a workspace's requests are due."""
-    if rate <= 0:
-        return []
-    gap_ms = SECOND_MS / rate
-    times = []
-    due_ms = draw.uniform(0, gap_ms)
-    while due_ms < settings.duration_ms:
-        times.append(due_ms)
-        due_ms += (
-            gap_ms if settings.arrivals == "even" else draw.expovariate(1 / gap_ms)
-        )
-    return times
-
-
-def pick_daemon(
-    draw: Random, settings: LoadSettings, homes: list[str], due_ms: float
-) -> str:
-    """Return the daemon that a request goes to."""
-    if settings.spread == "one":
-        return homes[0]
-    if settings.spread == "moving":
-        return homes[int(due_ms // settings.move_ms) % len(homes)]
-    return draw.choice(homes)
-
-
-def draw_arrival(
-    draw: Random, settings: LoadSettings, workspace: str, daemon: str, due_ms: float
-) -> Arrival:
-    """Return an arrival with a statement drawn at random.
-
-    Numbers and lists live in rows of their own, and each workspace in its own: what
-    one of them reads can then be compared with what it wrote.
-    """
-    is_write = draw.random() < settings.write_share
-    is_number = draw.random() < settings.add_share
-    row = f"{workspace}/{'number' if is_number else 'list'}-"
-    row += str(draw.randrange(settings.rows))
-    write_verb = "add" if is_number else "append"
-    return Arrival(
-        due_ms=due_ms,
-        workspace=workspace,
-        daemon=daemon,
-        group=draw.choice(settings.groups),
-        row=row,
-        verb=write_verb if is_write else "get",
-        repeatable=not is_write or draw.random() >= settings.once_share,
-        accepts_age=not is_write and draw.random() < settings.age_share,
-    )
-
-
 def build_statement_request(
     runtime: Runtime, settings: LoadSettings, arrival: Arrival
 ) -> StatementRequest:
@@ -288,6 +208,7 @@
     "--seconds", type=click.FloatRange(0.1, 600), default=5, show_default=True
 )
 @click.option("--writes", type=click.FloatRange(0, 1), default=0.1, show_default=True)
+@click.option("--transactions", type=click.FloatRange(0, 1), default=0.0)
 @click.option("--stale-reads", type=click.FloatRange(0, 1), default=0.0)
 @click.option("--spread", type=click.Choice(SPREADS), default="random")
 @click.option("--arrivals", type=click.Choice(ARRIVALS), default="poisson")
@@ -304,6 +225,7 @@
     groups: tuple[str, ...],
     seconds: float,
     writes: float,
+    transactions: float,
     stale_reads: float,
     spread: str,
     arrivals: str,
@@ -328,6 +250,7 @@
         seed=seed,
         duration_ms=int(seconds * SECOND_MS),
         write_share=writes,
+        transaction_share=transactions,
         age_share=stale_reads,
         spread=spread,
         arrivals=arrivals,
--- a/standins/rates.py
+++ b/standins/rates.py
@@ -11,6 +11,8 @@
 
 SECOND_MS = 1000
 STATEMENT = "statement"
+# Ending a transaction takes no token.
+COUNTED_ACTIONS = frozenset({STATEMENT, "begin"})
 # Sums of fractions of tokens are off by less than this.
 TOLERANCE = 1e-6
 # Too many requests, and service unavailable: what a request inside its rate must
@@ -109,7 +111,7 @@
         # One that was sent again is judged by its own answer: the execution may
         # belong to an earlier attempt.
         executed = entry.sent_ms <= executed_ms <= entry.answered_ms
-        if entry.action != STATEMENT or not (entry.ran == RAN or executed):
+        if entry.action not in COUNTED_ACTIONS or not (entry.ran == RAN or executed):
             continue
         latest_ms = executed_ms if executed else entry.answered_ms
         admission = Admission(latest_ms, entry.sent_ms, entry.request_id)
@@ -170,7 +172,7 @@
             continue
         bucket = Bucket(own)
         for entry in entries:
-            if entry.workspace != workspace or entry.action != STATEMENT:
+            if entry.workspace != workspace or entry.action not in COUNTED_ACTIONS:
                 continue
             bucket.advance(entry.sent_ms)
             if bucket.take() and entry.status in REFUSED_STATUSES:
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -6,8 +6,9 @@
 from bronzerelay.runtime import Address, Runtime
 from standins.caller import Caller, CallerSettings
 from standins.exchange import LinkPool
-from standins.load import Load, LoadSettings, build_schedule
+from standins.load import Load
 from standins.record import NO_ANSWER, UNREACHABLE, load_record, save_record
+from standins.schedule import LoadSettings, build_schedule
 
 LOOPBACK = Address("127.0.0.1", 0)
 TIMEOUT_MS = 2000
@@ -186,3 +187,24 @@
         record = load.wait()
         assert len(record) == expected
         assert len({entry.idempotency_key for entry in record}) == 1
+
+
+def test_a_transaction_is_rolled_back_when_a_part_is_refused(runtime):
+    """The second half of a transfer is refused. A caller that committed the first one
+    by itself would move goods out of one shop and into none.
+    """
+    begun = frame_answer({**OK_ANSWER, "transaction": "vm-1~1"})
+    refused = frame_answer({**OK_ANSWER, "code": 301, "ran": "not_run"})
+    done = frame_answer(OK_ANSWER)
+    for answers, end in (([done, done], "commit"), ([done, refused], "rollback")):
+        fake = FakeDaemon(runtime, [begun, *answers, done])
+        settings = make_settings(
+            rates={"large": 10}, duration_ms=100, arrivals="even", write_share=1.0
+        )._replace(transaction_share=1.0)
+        addresses = {"vm-1": fake.listener.address}
+        load = Load(runtime, settings, addresses, {"large": "key"})
+        load.start()
+        record = load.wait()
+        assert [entry.action for entry in record][-1] == end
+        assert {entry.transaction for entry in record} == {"vm-1~1"}
+        assert len(fake.received) == 4
