Join requests and executions by the idempotency key alone

A daemon names a write without a key by itself, so such a change is counted by its unique value or not at all; before, an add without a key would have passed for lost. Reads stand in the endpoints' record without a name and must not count as a time at which some request was admitted.

--- a/standins/evidence.py
+++ b/standins/evidence.py
@@ -44,10 +44,14 @@
 
 
 def name_change(entry: Entry) -> str:
-    """Return the name under which a request's change stands in the log."""
+    """Return the name under which a request's change stands in the log.
+
+    It is empty without an idempotency key: a daemon then takes a name of its own,
+    which the caller doesn't see.
+    """
     if entry.idempotency_key:
         return f"{entry.workspace}/{entry.idempotency_key}"
-    return entry.request_id
+    return ""
 
 
 def strip_attempt(endpoint_id: str) -> str:
--- a/standins/rates.py
+++ b/standins/rates.py
@@ -103,6 +103,9 @@
     """Return for each workspace the requests that certainly were admitted."""
     first_ms: dict[str, float] = {}
     for execution in evidence.executions:
+        # Reads stand there without a name, and a settle runs without a token.
+        if not execution.change or execution.op != "write":
+            continue
         known_ms = first_ms.get(execution.change, float("inf"))
         first_ms[execution.change] = min(known_ms, execution.time_ms)
     admissions: dict[str, list[Admission]] = {}
