Switch off mechanisms one by one, as a command

make mutations copies the tree, patches one mechanism out and runs its test; a test that still passes proves nothing.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 PYTHON ?= python3.11
 RUN := $(VENV)/bin/python -m
 
-.PHONY: help setup demo test lint format format-check check
+# Each name here stands for a job, not for a file.
+.PHONY: help setup demo test mutations lint format format-check check
 
 help:  ## Show this list.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -22,6 +23,9 @@
 test: setup  ## Run all tests.
 	$(RUN) pytest
 
+mutations: setup  ## Switch off one mechanism after another and see its test fail.
+	$(RUN) lab.mutations
+
 lint: setup  ## Check the code with the linter.
 	$(RUN) ruff check .
 
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Measured experiments on the stand-ins; nothing here is shipped."""
--- /dev/null
+++ b/lab/mutations.py
@@ -0,0 +1,140 @@
+"""Switches off one mechanism after another and sees that its test fails.
+
+Each mutation is made in a copy of the tree, never in the tree itself. A mutation that
+its test lets pass means that the promise isn't proved by that test.
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+import click
+
+ROOT = Path(__file__).resolve().parent.parent
+COPIED = ("bronzerelay", "standins", "tests", "lab", "docs", "pyproject.toml")
+TIMEOUT_S = 180
+
+
+class Mutation(NamedTuple):
+    """A mechanism, the text that switches it off, and the test that must notice."""
+
+    mechanism: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+MUTATIONS = (
+    Mutation(
+        "a write is acknowledged only when a majority holds it",
+        "bronzerelay/group.py",
+        "if self._watch.wait_majority(written.at, self.left_ms(work)):",
+        "if True:",
+        "tests/test_failover.py::test_a_write_that_only_the_primary_holds_is_not_acknowledged",
+    ),
+    Mutation(
+        "an instance of a later term doesn't count for an acknowledgement",
+        "bronzerelay/watch.py",
+        "same_term = state.term == need.term and state.log_term == need.term",
+        "same_term = True",
+        "tests/test_watch.py",
+    ),
+    Mutation(
+        "nothing is promoted without a majority of fences",
+        "bronzerelay/failover.py",
+        "needed = len(spec.endpoints) // 2 + 1",
+        "needed = 1",
+        "tests/test_failover.py::test_of_two_daemons_with_one_term_at_most_one_promotes",
+    ),
+    Mutation(
+        "the instance with the longest log is promoted",
+        "bronzerelay/failover.py",
+        "best = max(accepted, key=lambda item: (item.end, not item.endpoint.leaving))",
+        "best = min(accepted, key=lambda item: item.end)",
+        "tests/test_failover.py::test_the_replica_with_the_longest_log_is_promoted",
+    ),
+    Mutation(
+        "a primary that no majority follows is replaced",
+        "bronzerelay/failover.py",
+        "return now_ms - self._since_ms > limit_ms",
+        "return False",
+        "tests/test_failover.py::test_a_primary_cut_from_its_replicas_is_replaced",
+    ),
+    Mutation(
+        "instances that follow nobody are pointed to the primary",
+        "bronzerelay/failover.py",
+        "self._follow(endpoint, term, primary)",
+        "pass",
+        "tests/test_failover.py::test_a_promotion_that_ends_half_way_is_taken_up",
+    ),
+    Mutation(
+        "writes wait while a leaving primary is replaced",
+        "bronzerelay/failover.py",
+        "if self._wait_until_caught_up(primary, leaving):",
+        "if False:",
+        "tests/test_failover.py::test_a_leaving_primary_hands_over_without_a_refusal",
+    ),
+)
+
+
+def copy_tree(folder: Path) -> None:
+    """Copy what the tests need into `folder`."""
+    for name in COPIED:
+        source = ROOT / name
+        if source.is_dir():
+            ignore = shutil.ignore_patterns("__pycache__")
+            shutil.copytree(source, folder / name, ignore=ignore)
+        elif source.exists():
+            shutil.copy(source, folder / name)
+
+
+def run_test(folder: Path, test: str) -> tuple[bool, str]:
+    """Return whether `test` passes in `folder`, and its closing line."""
+    command = [sys.executable, "-m", "pytest", "-q", "-x", test]
+    try:
+        done = subprocess.run(
+            command, cwd=folder, capture_output=True, text=True, timeout=TIMEOUT_S
+        )
+    except subprocess.TimeoutExpired:
+        return False, f"no end within {TIMEOUT_S} s"
+    lines = done.stdout.strip().splitlines()
+    failed = [line for line in lines if line.startswith(("FAILED", "ERROR"))]
+    return done.returncode == 0, (failed or lines or ["no output"])[-1]
+
+
+def try_mutation(mutation: Mutation) -> tuple[str, str]:
+    """Return "caught", "missed" or "stale", and the closing line of the test."""
+    with tempfile.TemporaryDirectory(prefix="bronzerelay-mutation-") as name:
+        folder = Path(name)
+        copy_tree(folder)
+        path = folder / mutation.file
+        text = path.read_text()
+        if text.count(mutation.old) != 1:
+            return "stale", f"{mutation.file} holds the text not just once"
+        path.write_text(text.replace(mutation.old, mutation.new))
+        passes, closing = run_test(folder, mutation.test)
+        return "missed" if passes else "caught", closing
+
+
+@click.command()
+@click.option("--only", default="", help="Only mechanisms that contain this text.")
+def main(only: str) -> None:
+    """Try every mutation and end with 1 if a test missed one."""
+    outcomes = []
+    for mutation in MUTATIONS:
+        if only not in mutation.mechanism:
+            continue
+        outcome, closing = try_mutation(mutation)
+        outcomes.append(outcome)
+        click.echo(f"{outcome:7} {mutation.mechanism}\n        {closing}")
+    missed = len(outcomes) - outcomes.count("caught")
+    click.echo(f"{outcomes.count('caught')} caught, {missed} not caught")
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -132,6 +132,8 @@
         assert links[best].promote(2, 1000).is_ok()
     answer = write_until_acknowledged(runtime, server)
     assert answer["value"] == 2
+    if step == "promoted":
+        assert answer["served_by"] == best
 
 
 def test_of_two_daemons_with_one_term_at_most_one_promotes(runtime, group):
@@ -212,3 +214,34 @@
     )
     assert all(answer.is_ok() for answer in answers)
     assert answers[-1].ok["value"] == len(answers) + 1
+
+
+def test_a_write_that_only_the_primary_holds_is_not_acknowledged(runtime, group):
+    """The primary took a write, and both replicas are cut off before they have it.
+
+    If the primary dies then, nobody else has the change; a caller that was told it
+    had run would never see it again.
+    """
+    server = make_server(runtime, group)
+    for name in ("orders-2", "orders-3"):
+        group.admin(name, "cut", names=["orders-1"])
+    wait_until(runtime, lambda: group.instance("orders-1").role == "primary")
+    result = server.write(make_work(runtime, add("count", 1), deadline_ms=500))
+    assert not result.is_ok()
+    assert result.error.ran == "unknown"
+
+
+def test_the_replica_with_the_longest_log_is_promoted(runtime, group):
+    """One replica lags behind when the primary dies.
+
+    A write that the other one holds was acknowledged; promoting the lagging one
+    would lose it.
+    """
+    server = make_server(runtime, group)
+    write_until_acknowledged(runtime, server)
+    group.admin("orders-2", "cut", names=["orders-1"])
+    latest = [write_until_acknowledged(runtime, server) for _ in range(3)][-1]
+    group.servers["orders-1"].stop()
+    group.admin("orders-2", "heal", names=["orders-1"])
+    answer = write_until_acknowledged(runtime, server)
+    assert answer["value"] == latest["value"] + 1
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,82 @@
+"""Tests of what a daemon concludes from the instances' answers."""
+
+import pytest
+
+from bronzerelay.runtime import Address, Runtime
+from bronzerelay.types import EndpointSpec, GroupSpec, Position
+from bronzerelay.watch import GroupWatch, InstanceState, Sample
+
+NAMES = ("orders-1", "orders-2", "orders-3")
+NOW_MS = 10_000.0
+
+
+class FixedClock:
+    """A clock that stands still."""
+
+    def now_ms(self):
+        return NOW_MS
+
+
+@pytest.fixture
+def watch():
+    """A watch without tasks, whose states a test sets itself."""
+    runtime = Runtime(4)
+    runtime.start = lambda *_: None
+    runtime.clock = FixedClock()
+    endpoints = tuple(
+        EndpointSpec(name, Address("127.0.0.1", 1), "a", 1, 1, False) for name in NAMES
+    )
+    return GroupWatch(runtime, GroupSpec("orders", endpoints, 1000), None, 100)
+
+
+def set_states(watch, *states):
+    watch.states = dict(zip(NAMES, states, strict=True))
+
+
+def make_state(term, log_term, position, sent_at_ms=NOW_MS, role="replica"):
+    return InstanceState(term, role, log_term, position, sent_at_ms, reachable=True)
+
+
+def test_a_replaced_primary_gathers_no_majority(watch):
+    """The primary was replaced after it took a write, by a fence of the others.
+
+    Both replicas may even hold the position, from the new primary's own entries.
+    Counting them would acknowledge a write that the new log doesn't hold.
+    """
+    set_states(
+        watch,
+        make_state(1, 1, 8, role="primary"),
+        make_state(2, 2, 9, role="primary"),
+        make_state(2, 2, 9),
+    )
+    assert not watch.is_held_by_majority(Position(1, 8))
+    assert watch.is_held_by_majority(Position(2, 9))
+    assert watch.primary() == "orders-2"
+
+
+def test_a_primary_cut_off_proves_no_age(watch):
+    """The daemon hears only from a primary that may have been replaced long ago.
+
+    Its position is fresh and says nothing: the new primary takes changes elsewhere.
+    A read would be answered with data far older than the caller allowed.
+    """
+    set_states(
+        watch,
+        make_state(1, 1, 8, role="primary"),
+        make_state(1, 1, 8, sent_at_ms=NOW_MS - 5000),
+        make_state(1, 1, 8, sent_at_ms=NOW_MS - 6000),
+    )
+    watch._samples = (Sample(NOW_MS, 1, 8),)
+    assert watch.proven_age_ms("orders-1") == 5000
+
+
+def test_the_age_counts_from_the_question_not_from_the_answer(watch):
+    """A long poll was asked long before it was answered.
+
+    Changes may have come in between, so only the moment of asking proves anything.
+    """
+    fresh = make_state(1, 1, 9, role="primary")
+    set_states(watch, fresh, make_state(1, 1, 8), make_state(1, 1, 9))
+    watch._samples = (Sample(NOW_MS - 300, 1, 8), Sample(NOW_MS - 20, 1, 9))
+    assert watch.proven_age_ms("orders-2") == 300
+    assert watch.proven_age_ms("orders-3") == 20
