--- a/bronzerelay/signing.py
+++ b/bronzerelay/signing.py
@@ -60,17 +60,10 @@
     signatures are needed. The operators of a new bundle don't count beside those in
     force: anybody could name himself twice and sign.
     """
-    operators = _list_operators(in_force) or _list_operators(record["bundle"])
+    operators = list_operators(record, in_force)
     if not operators:
         return Ok(None)
-    # The record's own digest may be that of another bundle, one that was signed.
-    digest = digest_bundle(record["bundle"])
-    signers = {
-        entry["operator"]
-        for entry in record["signatures"]
-        if entry["operator"] in operators
-        and _verify(operators[entry["operator"]], digest, entry["signature"])
-    }
+    signers = find_signers(record, in_force)
     author = record["author"]
     if author not in operators:
         return _refuse_missing(f"the author {author!r} is no operator", operators)
@@ -83,7 +76,25 @@
     return Ok(None)
 
 
-def _list_operators(bundle: Bundle | None) -> dict[str, str]:
+def list_operators(record: ConfigRecord, in_force: Bundle | None) -> dict[str, str]:
+    """Return the public key of each operator whose signature counts."""
+    return _read_operators(in_force) or _read_operators(record["bundle"])
+
+
+def find_signers(record: ConfigRecord, in_force: Bundle | None) -> set[str]:
+    """Return the operators whose valid signatures the record holds."""
+    operators = list_operators(record, in_force)
+    # The record's own digest may be that of another bundle, one that was signed.
+    digest = digest_bundle(record["bundle"])
+    return {
+        entry["operator"]
+        for entry in record["signatures"]
+        if entry["operator"] in operators
+        and _verify(operators[entry["operator"]], digest, entry["signature"])
+    }
+
+
+def _read_operators(bundle: Bundle | None) -> dict[str, str]:
     """Return the public key of each operator that the bundle names."""
     if bundle is None:
         return {}
