Add the operators' command line

Every command has help with examples, text or JSON, and exit codes for scripts. A withdrawal says that a key has stopped only when each daemon has the version, and not while a live daemon is missing from the list. A file that still lists a withdrawn key is refused, since raising its version would let the key in again.

--- /dev/null
+++ b/bronzerelay/cli.py
@@ -0,0 +1,163 @@
+"""The operators' command line."""
+
+from typing import Any
+
+import click
+from click.shell_completion import get_completion_class
+
+from bronzerelay.bundlecommands import bundle
+from bronzerelay.codes import CODES, Code, refuse
+from bronzerelay.filecommands import endpoint, workspace
+from bronzerelay.fleet import Counters, DaemonState, find_unasked
+from bronzerelay.keycommands import key
+from bronzerelay.options import DAEMONS, Session, takes, write_examples
+from bronzerelay.printing import (
+    DONE,
+    FAILED,
+    describe_state,
+    list_state_lines,
+    show,
+    show_refusal,
+)
+
+PROGRAM = "bronzerelay"
+COMPLETE_VARIABLE = "_BRONZERELAY_COMPLETE"
+SHELLS = ("bash", "zsh", "fish")
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name=PROGRAM)
+def main() -> None:
+    """Run the database proxy bronzerelay by signed configuration bundles.
+
+    Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 another operator was
+    faster, 4 the platform is unavailable, 5 not in force everywhere in time.
+    """
+
+
+main.add_command(bundle)
+main.add_command(workspace)
+main.add_command(endpoint)
+main.add_command(key)
+
+
+@main.command(
+    epilog=write_examples(
+        "bronzerelay status --daemons 10.0.0.1:8101,10.0.0.2:8101",
+        "bronzerelay status --output json",
+    )
+)
+@takes(DAEMONS)
+def status(session: Session) -> int:
+    """Show each daemon's version and what it knows of the database groups.
+
+    It exits with 1 when a daemon gives no answer.
+    """
+    states = session.open_fleet().read_states()
+    unasked = find_unasked(states)
+    data = {
+        "daemons": [describe_state(state) for state in states],
+        "unasked": list(unasked),
+    }
+    lines = [*list_state_lines(states), *_list_group_lines(states)]
+    if unasked:
+        lines.append(f"alive but not in --daemons: {', '.join(unasked)}")
+    show(session.output, data, lines)
+    silent = any(state.status is None for state in states)
+    return FAILED if silent else DONE
+
+
+def _list_group_lines(states: list[DaemonState]) -> list[str]:
+    lines = []
+    for state in states:
+        groups: dict[str, Any] = (state.shown or {}).get("groups", {})
+        for name, group in sorted(groups.items()):
+            lines.append(
+                f"  group {name} at {state.name}: primary "
+                f"{group.get('primary') or 'none'}, term {group.get('term')}"
+            )
+            lines += [
+                f"    {endpoint}: {_show_endpoint(shown)}"
+                for endpoint, shown in sorted(group.get("endpoints", {}).items())
+            ]
+    return lines
+
+
+def _show_endpoint(shown: dict[str, Any]) -> str:
+    reachable = "reachable" if shown.get("reachable") else "not reachable"
+    return (
+        f"{shown.get('role')}, term {shown.get('term')}, "
+        f"position {shown.get('position')}, {reachable}"
+    )
+
+
+@main.command(epilog=write_examples("bronzerelay counters --output json"))
+@takes(DAEMONS)
+def counters(session: Session) -> int:
+    """Sum the daemons' counters of refusals, retries and events.
+
+    It exits with 1 when a daemon gives no answer.
+    """
+    found = session.open_fleet().read_counters()
+    lines = [
+        *_list_counter_lines("refusals", found.refusals),
+        *_list_counter_lines("retries", found.retries),
+        *_list_counter_lines("events", found.events),
+        *(f"no answer from {address}" for address in found.silent),
+    ]
+    show(session.output, Counters._asdict(found), lines)
+    return FAILED if found.silent else DONE
+
+
+def _list_counter_lines(title: str, table: dict[str, float]) -> list[str]:
+    rows = [f"  {name}: {value:g}" for name, value in sorted(table.items())]
+    return [f"{title}:", *(rows or ["  none"])]
+
+
+@main.command(epilog=write_examples("bronzerelay explain 301"))
+@click.argument("code")
+@takes()
+def explain(session: Session, code: str) -> int:
+    """Explain a result CODE, given as its number or name."""
+    found = _find_code(code)
+    if found is None:
+        names = ", ".join(f"{int(one)} {one.name.lower()}" for one in Code)
+        refused = refuse(Code.NOT_FOUND, f"no code {code!r}; there are {names}")
+        return show_refusal(session.output, refused.error)
+    entry = CODES[found]
+    data = {"code": int(found), "name": found.name.lower(), **entry._asdict()}
+    lines = [
+        f"{int(found)} {found.name.lower()}: HTTP status {entry.status}, {entry.ran}",
+        entry.advice,
+    ]
+    show(session.output, data, lines)
+    return DONE
+
+
+def _find_code(text: str) -> Code | None:
+    for code in Code:
+        if text in (str(int(code)), code.name.lower(), code.name):
+            return code
+    return None
+
+
+@main.command(
+    epilog=write_examples(
+        'eval "$(bronzerelay completion bash)"',
+        "bronzerelay completion fish > ~/.config/fish/completions/bronzerelay.fish",
+    )
+)
+@click.argument("shell", type=click.Choice(SHELLS))
+@takes()
+def completion(session: Session, shell: str) -> int:
+    """Print the script that completes commands in a SHELL."""
+    complete = get_completion_class(shell)(main, {}, PROGRAM, COMPLETE_VARIABLE)
+    # Its method source() would start a bash to learn its version; a process of this
+    # project starts no other.
+    script = complete.source_template % complete.source_vars()
+    show(session.output, {"shell": shell, "script": script}, [script])
+    return DONE
+
+
+if __name__ == "__main__":
+    main(prog_name=PROGRAM)
--- /dev/null
+++ b/bronzerelay/following.py
@@ -0,0 +1,55 @@
+"""Following a version until it is in force on every daemon."""
+
+from typing import Any
+
+from bronzerelay.fleet import Arrival, Fleet
+from bronzerelay.options import Session
+from bronzerelay.outcomes import InForce
+from bronzerelay.printing import (
+    DONE,
+    NOT_EVERYWHERE,
+    Progress,
+    describe_arrival,
+    list_arrival_lines,
+    show,
+)
+
+
+def follow(
+    session: Session, fleet: Fleet | None, in_force: InForce, done: str = ""
+) -> int:
+    """Wait for every daemon, print the outcome and return the exit code.
+
+    `done` is the sentence to print once the version is in force everywhere. Without
+    a fleet nothing is waited for.
+    """
+    record = in_force.record
+    data: dict[str, Any] = {
+        "version": record["version"],
+        "digest": record["digest"],
+        "author": record["author"],
+        "notes": list(in_force.notes),
+    }
+    lines = [f"version {record['version']} is in force, {record['digest']}"]
+    lines += [f"note: {note}" for note in in_force.notes]
+    if fleet is None:
+        show(session.output, data, lines)
+        return DONE
+    arrival = _wait(session, fleet, in_force)
+    data.update(describe_arrival(arrival))
+    lines += list_arrival_lines(arrival)
+    if done and arrival.is_complete:
+        lines.append(done)
+    show(session.output, data, lines)
+    return DONE if arrival.is_complete else NOT_EVERYWHERE
+
+
+def _wait(session: Session, fleet: Fleet, in_force: InForce) -> Arrival:
+    record = in_force.record
+    with Progress(session.output) as progress:
+        return fleet.wait_in_force(
+            record["version"],
+            record["digest"],
+            session.settings.wait_ms,
+            progress.report,
+        )
--- /dev/null
+++ b/bronzerelay/keycommands.py
@@ -0,0 +1,123 @@
+"""The commands for keys: operators' own ones and those of callers."""
+
+import os
+
+import click
+
+from bronzerelay import edits
+from bronzerelay.codes import Code, refuse
+from bronzerelay.filecommands import check_entry, edit_file
+from bronzerelay.following import follow
+from bronzerelay.keys import hash_key, make_key
+from bronzerelay.options import (
+    DAEMONS,
+    OPERATOR,
+    SIGNER,
+    WAIT,
+    Session,
+    takes,
+    write_examples,
+)
+from bronzerelay.outcomes import RolloutError
+from bronzerelay.printing import DONE, show, show_error
+from bronzerelay.signing import make_operator_key
+
+PRIVATE_MODE = 0o600
+
+
+@click.group()
+def key() -> None:
+    """Make operators' keys; grant and withdraw callers' keys."""
+
+
+@key.command(
+    epilog=write_examples(
+        "bronzerelay key make --operator ana",
+        "bronzerelay key make --operator ana --file ~/.bronzerelay-ana.key",
+    )
+)
+@click.option("--file", help="Where the private key goes; OPERATOR.key by default.")
+@takes(OPERATOR)
+def make(session: Session, file: str | None) -> int:
+    """Make an operator's key pair for signing bundles."""
+    name = session.settings.operator
+    path = file or f"{name}.key"
+    pair = make_operator_key()
+    try:
+        _write_private(path, pair.private)
+    except OSError as error:
+        message = f"{path} can't be written: {error.strerror}"
+        refused = refuse(Code.NOT_FOUND, message).map_error(RolloutError)
+        return show_error(session.output, refused.error)
+    data = {"operator": name, "public_key": pair.public, "private_key_file": path}
+    lines = [
+        f"the private key is in {path}; keep it to yourself",
+        f"public key: {pair.public}",
+        "for the bundle:",
+        "[[operators]]",
+        f'name = "{name}"',
+        f'public_key = "{pair.public}"',
+    ]
+    show(session.output, data, lines)
+    return DONE
+
+
+def _write_private(path: str, private: str) -> None:
+    """Write a new file that only its owner may read.
+
+    An existing one is left alone: to replace an operator's key by mistake would lock
+    him out.
+    """
+    flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+    descriptor = os.open(path, flags, PRIVATE_MODE)
+    with os.fdopen(descriptor, "w", encoding="ascii") as file:
+        os.fchmod(descriptor, PRIVATE_MODE)
+        file.write(private + "\n")
+
+
+@key.command(epilog=write_examples("bronzerelay key grant bundle.toml north till-7"))
+@click.argument("file")
+@click.argument("workspace")
+@click.argument("key_id", metavar="ID")
+@takes()
+def grant(session: Session, file: str, workspace: str, key_id: str) -> int:
+    """Add a key ID for WORKSPACE to FILE and print the key, this once."""
+    missing = check_entry(session, file, "workspace", workspace)
+    if missing:
+        return missing
+    secret = make_key()
+    edit = edits.add_key(workspace, {"id": key_id, "hash": hash_key(secret)})
+    return edit_file(
+        session,
+        file,
+        edit,
+        f"key {key_id} of workspace {workspace}; it is shown only now:",
+        secret,
+        workspace=workspace,
+        id=key_id,
+        key=secret,
+    )
+
+
+@key.command(
+    epilog=write_examples(
+        "bronzerelay key withdraw north till-7",
+        "bronzerelay key withdraw north till-7 --wait-ms 30000 --output json",
+    )
+)
+@click.argument("workspace")
+@click.argument("key_id", metavar="ID")
+@takes(*SIGNER, DAEMONS, WAIT)
+def withdraw(session: Session, workspace: str, key_id: str) -> int:
+    """Withdraw the key ID of WORKSPACE now, and wait until it has stopped.
+
+    It makes a new version of what is in force; one operator's signature is enough.
+    """
+    fleet = session.open_fleet()
+    result = session.open_rollout().withdraw(workspace, key_id)
+    if result.is_error():
+        return show_error(session.output, result.error)
+    note = f"take key {key_id} out of your bundle file as well"
+    in_force = result.ok._replace(notes=(*result.ok.notes, note))
+    done = f"key {key_id} of workspace {workspace} has stopped on every daemon"
+    return follow(session, fleet, in_force, done)
--- a/bronzerelay/records.py
+++ b/bronzerelay/records.py
@@ -38,6 +38,13 @@
             return fail(checked.error)
         return Ok(Current(checked.ok, found.ok.revision))
 
+    def read_in_force(self) -> Result[ConfigRecord, RolloutError]:
+        """Return the record in force, or NOT_FOUND before the first."""
+        current = self.read_current()
+        if current.is_ok() and current.ok.record is None:
+            return refuse_command(Code.NOT_FOUND, "nothing is in force yet")
+        return current.map(lambda found: found.record)
+
     def read_version(self, version: int) -> Result[ConfigRecord, RolloutError]:
         """Return the record of a version that is or was in force."""
         current = self.read_current()
--- a/bronzerelay/rollout.py
+++ b/bronzerelay/rollout.py
@@ -32,13 +32,14 @@
     check_withdrawal,
     find_workspace,
     list_hashes,
+    list_key_names,
     rebuild_bundle,
     remove_key,
 )
 
 # Each lost race means that somebody else got through, so a few tries are plenty.
 TRIES = 8
-# How far back a withdrawal is looked for when its command is run a second time.
+# How far back withdrawals are looked for.
 WITHDRAWAL_VERSIONS = 50
 
 
@@ -76,10 +77,39 @@
             return current
         if current.ok.record and current.ok.digest == digest_bundle(bundle):
             return Ok(current.ok.record)
-        return check_version(bundle, current.ok).bind(
-            lambda _: self._store_proposal(bundle, current.ok)
+        return (
+            check_version(bundle, current.ok)
+            .bind(lambda _: self._check_withdrawn(bundle, current.ok))
+            .bind(lambda _: self._store_proposal(bundle, current.ok))
         )
 
+    def _check_withdrawn(
+        self, bundle: Bundle, current: Current
+    ) -> Result[None, RolloutError]:
+        """Return Ok unless the bundle brings back a key withdrawn of late.
+
+        A withdrawal makes a version that no file knows of. Whoever then only raises
+        the version in his file would let a leaked key in again.
+        """
+        if current.record is None:
+            return Ok(None)
+        known = set().union(*list_hashes(current.record["bundle"]).values())
+        hashes = set().union(*list_hashes(bundle).values())
+        if hashes <= known:
+            return Ok(None)
+        oldest = max(1, current.version - WITHDRAWAL_VERSIONS)
+        withdrawn = self._list_withdrawn(oldest, current)
+        if withdrawn.is_error():
+            return withdrawn
+        names = list_key_names(bundle, withdrawn.ok)
+        if not names:
+            return Ok(None)
+        message = (
+            f"the bundle brings back withdrawn keys: {', '.join(names)}; "
+            "take them out, and grant new ones where they are needed"
+        )
+        return refuse_command(Code.BUNDLE_INVALID, message)
+
     def _store_proposal(
         self, bundle: Bundle, current: Current
     ) -> Result[ConfigRecord, RolloutError]:
--- a/bronzerelay/withdrawal.py
+++ b/bronzerelay/withdrawal.py
@@ -36,13 +36,7 @@
         }
         for entry in old["workspaces"]
     ]
-    left_out = tuple(
-        f"{entry['name']}/{key['id']}"
-        for entry in old["workspaces"]
-        for key in entry["keys"]
-        if key["hash"] in withdrawn
-    )
-    return bundle, left_out
+    return bundle, list_key_names(old, withdrawn)
 
 
 def check_withdrawal(
@@ -78,6 +72,16 @@
     return bundle == {**in_force, "version": expected, "workspaces": allowed}
 
 
+def list_key_names(bundle: Bundle, hashes: set[str]) -> tuple[str, ...]:
+    """Return `WORKSPACE/ID` of each key whose hash is one of `hashes`."""
+    return tuple(
+        f"{entry['name']}/{key['id']}"
+        for entry in bundle["workspaces"]
+        for key in entry["keys"]
+        if key["hash"] in hashes
+    )
+
+
 def list_hashes(bundle: Bundle) -> dict[str, set[str]]:
     """Return the hashes of each workspace's keys."""
     return {
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -307,6 +307,18 @@
     assert (bundle["version"], north["rate"], north["keys"]) == (4, 100.0, [])
 
 
+def test_a_file_that_still_lists_a_withdrawn_key_is_refused(team):
+    """Ana withdraws a leaked key. Beto raises the version in his file, which lists the
+    key still; rolled out, it would let the thief in again.
+    """
+    team.put_in_force(team.make_bundle())
+    key_id = make_key_entry("north-key")["id"]
+    assert team.make_rollout("ana").withdraw("north", key_id).is_ok()
+    result = team.make_rollout("beto").propose(team.make_bundle(3))
+    assert refusal_of(result) == (Code.BUNDLE_INVALID, NOT_RUN)
+    assert f"north/{key_id}" in result.error.refusal.message
+
+
 def test_a_rollback_brings_back_a_workspace_with_its_keys(team):
     team.put_in_force(team.make_bundle())
     team.put_in_force(team.make_bundle(2, workspaces=[make_workspace("north")]))
