--- a/bronzerelay/rollout.py
+++ b/bronzerelay/rollout.py
@@ -136,6 +136,10 @@
             if found.is_error():
                 return found
             record, revision = found.ok
+            # A signature under what can't come into force any more is a wasted review.
+            fits = check_version(record["bundle"], current.ok)
+            if fits.is_error() and record["digest"] != current.ok.digest:
+                return fits
             signed = self._add_signature(record, current.ok.bundle)
             if signed.is_error() or signed.ok == record:
                 return signed
