--- a/bronzerelay/fleet.py
+++ b/bronzerelay/fleet.py
@@ -1,5 +1,6 @@
 """What the daemons say about themselves, asked over HTTP by an operator."""
 
+import re
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, NamedTuple, TypedDict
@@ -22,6 +23,7 @@
 REFUSALS = "bronzerelay_refusals_total"
 RETRIES = "bronzerelay_retries_total"
 EVENTS = "bronzerelay_events_total"
+OBJECT_NAME = re.compile(r"^\w+\([^)]*\): ")
 
 
 class StatusBody(TypedDict):
@@ -149,7 +151,7 @@
         try:
             response = self._pools[address].urlopen("GET", path, timeout=timeout)
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            return refuse(Code.PEER_UNREACHABLE, f"gave no answer: {error}")
+            return refuse(Code.PEER_UNREACHABLE, f"gave no answer: {_shorten(error)}")
         if response.status != HTTPStatus.OK:
             return refuse(Code.PEER_UNREACHABLE, f"answered {response.status}")
         return Ok(response.data)
@@ -219,3 +221,8 @@
     else:
         return
     table[line] = table.get(line, 0) + value
+
+
+def _shorten(error: Exception) -> str:
+    """Return the reason without the object that urllib3 names before it."""
+    return OBJECT_NAME.sub("", str(error))
