--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -20,6 +20,8 @@
 
 RECEIVE_BYTES = 65536
 BACKLOG = 1024
+# The type of a random source, for modules that name it.
+Random = random.Random
 # An idle task's stack stays this small, so that thousands of them fit.
 TASK_STACK_BYTES = 256 * 1024
 
@@ -107,10 +109,14 @@
     def __init__(self, sock: socket.socket, on_close: Callable[["Connection"], None]):
         self._sock = sock
         self._on_close = on_close
+        self._timeout_ms: float | None = -1
 
     def set_timeout(self, timeout_ms: float | None) -> None:
         """Let each later call wait `timeout_ms` at most; None waits for ever."""
-        self._sock.settimeout(None if timeout_ms is None else timeout_ms / 1000)
+        # Setting it costs a system call, and another task takes the interpreter.
+        if timeout_ms != self._timeout_ms:
+            self._sock.settimeout(None if timeout_ms is None else timeout_ms / 1000)
+            self._timeout_ms = timeout_ms
 
     def send(self, data: bytes) -> None:
         """Send all of `data`, or raise OSError."""
@@ -135,7 +141,7 @@
         """Return whether the connection is open and no bytes wait; never block.
 
         Call it between requests only: it leaves the connection without waiting,
-        so that a timeout has to be set before the next call.
+        so that a timeout has to be set before the next call. TLS can't do it.
         """
         self._sock.settimeout(0)
         try:
@@ -289,6 +295,10 @@
         self._stopping = threading.Event()
         self.report_failure: Callable[[str], None] = write_failure
 
+    def make_random(self, seed: int) -> Random:
+        """Return a random source of its own, which repeats itself with the seed."""
+        return Random(seed)
+
     # Tasks
 
     def start(
