--- a/bronzerelay/bundlecommands.py
+++ b/bronzerelay/bundlecommands.py
@@ -10,7 +10,7 @@
 from bronzerelay.codes import Code
 from bronzerelay.following import follow
 from bronzerelay.options import (
-    DAEMONS,
+    FLEET,
     PLATFORM,
     SIGNER,
     WAIT,
@@ -142,7 +142,7 @@
 )
 @click.argument("target", metavar="FILE|DIGEST")
 @NO_WAIT
-@takes(*SIGNER, DAEMONS, WAIT)
+@takes(*SIGNER, *FLEET, WAIT)
 def rollout(session: Session, target: str, no_wait: bool) -> int:
     """Put a bundle in force and wait until every daemon has it.
 
@@ -241,7 +241,7 @@
 @bundle.command(epilog=write_examples("bronzerelay bundle rollback 41"))
 @click.argument("version", type=click.IntRange(min=1))
 @NO_WAIT
-@takes(*SIGNER, DAEMONS, WAIT)
+@takes(*SIGNER, *FLEET, WAIT)
 def rollback(session: Session, version: int, no_wait: bool) -> int:
     """Make a new version with the content of an old VERSION.
 
--- a/bronzerelay/cli.py
+++ b/bronzerelay/cli.py
@@ -10,7 +10,7 @@
 from bronzerelay.filecommands import endpoint, workspace
 from bronzerelay.fleet import Counters, DaemonState, find_unasked
 from bronzerelay.keycommands import key
-from bronzerelay.options import DAEMONS, Session, takes, write_examples
+from bronzerelay.options import FLEET, Session, takes, write_examples
 from bronzerelay.printing import (
     DONE,
     FAILED,
@@ -47,7 +47,7 @@
         "bronzerelay status --output json",
     )
 )
-@takes(DAEMONS)
+@takes(*FLEET)
 def status(session: Session) -> int:
     """Show each daemon's version and what it knows of the database groups.
 
@@ -92,7 +92,7 @@
 
 
 @main.command(epilog=write_examples("bronzerelay counters --output json"))
-@takes(DAEMONS)
+@takes(*FLEET)
 def counters(session: Session) -> int:
     """Sum the daemons' counters of refusals, retries and events.
 
--- a/bronzerelay/fleet.py
+++ b/bronzerelay/fleet.py
@@ -1,6 +1,7 @@
 """What the daemons say about themselves, asked over HTTP by an operator."""
 
 import re
+import ssl
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, NamedTuple, TypedDict
@@ -82,10 +83,16 @@
 class Fleet:
     """The daemons that an operator names, with a pool of connections for each."""
 
-    def __init__(self, runtime: Runtime, addresses: Iterable[Address]):
+    def __init__(
+        self,
+        runtime: Runtime,
+        addresses: Iterable[Address],
+        tls: ssl.SSLContext | None = None,
+    ):
         self._runtime = runtime
         self._pools = {
-            address: runtime.open_http(address, pool_size=1) for address in addresses
+            address: runtime.open_http(address, pool_size=1, tls=tls)
+            for address in addresses
         }
 
     def read_states(self) -> list[DaemonState]:
--- a/bronzerelay/keycommands.py
+++ b/bronzerelay/keycommands.py
@@ -10,7 +10,7 @@
 from bronzerelay.following import follow
 from bronzerelay.keys import hash_key, make_key
 from bronzerelay.options import (
-    DAEMONS,
+    FLEET,
     OPERATOR,
     SIGNER,
     WAIT,
@@ -107,7 +107,7 @@
 )
 @click.argument("workspace")
 @click.argument("key_id", metavar="ID")
-@takes(*SIGNER, DAEMONS, WAIT)
+@takes(*SIGNER, *FLEET, WAIT)
 def withdraw(session: Session, workspace: str, key_id: str) -> int:
     """Withdraw the key ID of WORKSPACE now, and wait until it has stopped.
 
--- a/bronzerelay/options.py
+++ b/bronzerelay/options.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import ssl
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
@@ -39,9 +40,11 @@
 OPERATOR = "operator"
 OPERATOR_KEY = "operator_key"
 DAEMONS = "daemons"
+DAEMON_CA = "daemon_ca"
 WAIT = "wait_ms"
 OUTPUT = "output"
 SIGNER = (PLATFORM, OPERATOR, OPERATOR_KEY)
+FLEET = (DAEMONS, DAEMON_CA)
 
 
 class ToolSettings(NamedTuple):
@@ -51,6 +54,7 @@
     operator: str = ""
     operator_key: str = ""
     daemons: tuple[Address, ...] = ()
+    daemon_ca: str = ""
     wait_ms: int = DEFAULT_WAIT_MS
     output: str = TEXT
 
@@ -82,6 +86,12 @@
     DAEMONS: _make_option(
         DAEMONS, "Every daemon's address for callers.", type=ADDRESSES, default=None
     ),
+    DAEMON_CA: _make_option(
+        DAEMON_CA,
+        "The file with the certificates (PEM) to trust; turns TLS on.",
+        type=click.Path(exists=True, dir_okay=False),
+        default=None,
+    ),
     WAIT: _make_option(
         WAIT,
         "How long to wait for all daemons, in milliseconds.",
@@ -125,7 +135,16 @@
                 "The value must be HOST:PORT, or several with commas between."
             )
             raise click.UsageError(message)
-        return Fleet(self.runtime, self.settings.daemons)
+        return Fleet(self.runtime, self.settings.daemons, self._open_tls())
+
+    def _open_tls(self) -> ssl.SSLContext | None:
+        if not self.settings.daemon_ca:
+            return None
+        try:
+            return ssl.create_default_context(cafile=self.settings.daemon_ca)
+        except OSError as error:
+            message = f"--daemon-ca can't be used: {error.strerror}"
+            raise click.UsageError(message) from None
 
     def _read_private_key(self) -> str:
         if not self.settings.operator_key:
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -403,8 +403,23 @@
             self._listeners.add(listener)
         return listener
 
-    def open_http(self, address: Address, pool_size: int) -> urllib3.HTTPConnectionPool:
-        """Return a pool of HTTP connections that never retries by itself."""
+    def open_http(
+        self, address: Address, pool_size: int, tls: ssl.SSLContext | None = None
+    ) -> urllib3.HTTPConnectionPool:
+        """Return a pool of HTTP connections that never retries by itself.
+
+        With TLS the end of the runtime doesn't close them: they last as long as the
+        timeout of their request.
+        """
+        if tls is not None:
+            return urllib3.HTTPSConnectionPool(
+                address.host,
+                address.port,
+                maxsize=pool_size,
+                block=False,
+                retries=False,
+                ssl_context=tls,
+            )
         pool = urllib3.HTTPConnectionPool(
             address.host, address.port, maxsize=pool_size, block=False, retries=False
         )
--- a/tests/builders_daemons.py
+++ b/tests/builders_daemons.py
@@ -19,7 +19,9 @@
 class SmallDaemon:
     """A daemon that follows the platform's configuration until it is cut off."""
 
-    def __init__(self, platform: Platform, name: str, members: tuple[str, ...]):
+    def __init__(
+        self, platform: Platform, name: str, members: tuple[str, ...], **settings: str
+    ):
         self._runtime = platform.runtime
         self._key_value = platform.make_client(caller=name)
         self._name = name
@@ -29,7 +31,7 @@
         self.cut_off = False
         self.front = HttpFront(
             self._runtime,
-            FrontSettings(Address("127.0.0.1", 0)),
+            FrontSettings(Address("127.0.0.1", 0), **settings),
             Handlers(
                 lambda *_: refuse(Code.NO_PRIMARY, "No groups here."),
                 lambda: Ok(None),
--- a/tests/builders_front.py
+++ b/tests/builders_front.py
@@ -3,6 +3,7 @@
 import contextlib
 import datetime
 import io
+import ipaddress
 import json
 import ssl
 from typing import Any, NamedTuple
@@ -131,12 +132,14 @@
     """Write `cert.pem` and `key.pem` for a new certificate; return their paths."""
     key = ec.generate_private_key(ec.SECP256R1())
     subject = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, name)])
+    host = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
     start = datetime.datetime(2020, 1, 1)
     certificate = (
         x509.CertificateBuilder(subject, subject, key.public_key())
         .serial_number(x509.random_serial_number())
         .not_valid_before(start)
         .not_valid_after(start + datetime.timedelta(days=36500))
+        .add_extension(x509.SubjectAlternativeName([host]), critical=False)
         .sign(key, hashes.SHA256())
     )
     pem = serialization.Encoding.PEM
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -22,6 +22,7 @@
 from standins.platform import REFUSE
 from tests.builders_config import make_bundle, make_key_entry, make_workspace
 from tests.builders_daemons import SmallDaemon
+from tests.builders_front import write_certificate
 from tests.builders_operators import make_team
 from tests.builders_platform import find_free_address, run_platform
 from tests.test_rollout import RacingStore
@@ -305,6 +306,22 @@
         assert gone in result.stdout
 
 
+def test_a_daemon_with_tls_is_believed_only_with_a_trusted_certificate(tool):
+    """Somebody listens in a daemon's place and would tell an operator that a leaked
+    key has stopped.
+    """
+    platform = tool.team.platform
+    certificate, key = write_certificate(tool.folder, "vm-3")
+    daemon = SmallDaemon(platform, "vm-3", (), tls_certificate=certificate, tls_key=key)
+    address = {"BRONZERELAY_DAEMONS": daemon.address}
+    trusted = tool.run("status", "--daemon-ca", certificate, **address)
+    assert trusted.exit_code == DONE, trusted.output
+    (tool.folder / "other").mkdir()
+    other, _ = write_certificate(tool.folder / "other", "vm-3")
+    for doubted in (("--daemon-ca", other), ()):
+        assert tool.run("status", *doubted, **address).exit_code == FAILED
+
+
 def test_explain_and_completion_and_wrong_usage(tool):
     assert "rate_exceeded" in tool.run("explain", "301").stdout
     assert tool.run("explain", "rate_exceeded").exit_code == DONE
