--- a/bronzerelay/printing.py
+++ b/bronzerelay/printing.py
@@ -195,7 +195,7 @@
         if self._output == JSON:
             return
         if self._live:
-            self._live.update(_draw_arrival(arrival), refresh=True)
+            self._live.update(draw_arrival(arrival), refresh=True)
             return
         for state in arrival.states:
             if has_version(state, arrival.version) and state.name not in self._shown:
@@ -203,7 +203,8 @@
                 click.echo(f"{state.name}: version {state.version}", err=True)
 
 
-def _draw_arrival(arrival: Arrival) -> Table:
+def draw_arrival(arrival: Arrival) -> Table:
+    """Return the table of a rollout."""
     count = len(arrival.states) - len(arrival.lacking)
     title = f"version {arrival.version}: {count} of {len(arrival.states)} daemons"
     table = Table("daemon", "address", "version", "", title=title)
