--- a/bronzerelay/outcomes.py
+++ b/bronzerelay/outcomes.py
@@ -4,7 +4,7 @@
 
 from expression import Error, Ok, Result
 
-from bronzerelay.bundle import Change, diff_bundles
+from bronzerelay.bundle import Change, check_step, diff_bundles
 from bronzerelay.codes import NOT_RUN, Code, Refusal, refuse
 from bronzerelay.schema import Mistake
 from bronzerelay.types import Bundle, ConfigRecord
@@ -71,13 +71,14 @@
 
 
 def check_version(bundle: Bundle, current: Current) -> Result[None, RolloutError]:
-    """Return Ok when the bundle is the next version after the one in force.
+    """Return Ok when the bundle may follow the one in force as its next version.
 
     A bundle written against an older version would undo what has changed since.
     """
     wanted = current.version + 1
     if bundle["version"] == wanted:
-        return Ok(None)
+        mistakes = check_step(current.bundle, bundle)
+        return refuse_mistakes(mistakes) if mistakes else Ok(None)
     if bundle["version"] < wanted:
         return refuse_rival(bundle, current)
     message = (
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -8,7 +8,12 @@
 from bronzerelay.withdrawal import check_withdrawal
 from standins.platform import DOWN, LOSE_ANSWERS, REFUSE, UP
 from standins.store import Store
-from tests.builders_config import make_bundle, make_key_entry, make_workspace
+from tests.builders_config import (
+    make_bundle,
+    make_group,
+    make_key_entry,
+    make_workspace,
+)
 from tests.builders_operators import make_team
 from tests.builders_platform import run_platform
 
@@ -221,6 +226,18 @@
     assert read_current(team).version == 1
 
 
+def test_a_bundle_that_swaps_too_many_endpoints_is_refused(team):
+    """A file names new addresses for all endpoints of a group. No majority of them
+    need hold the last orders, so these would be lost without an error.
+    """
+    team.put_in_force(team.make_bundle())
+    moved = make_group("orders", 6001)
+    swapped = team.make_bundle(2, groups=[moved])
+    result = team.make_rollout("ana").propose(swapped)
+    assert refusal_of(result) == (Code.BUNDLE_INVALID, NOT_RUN)
+    assert "too much at once" in result.error.mistakes[0].message
+
+
 # Signatures
 
 
