--- a/bronzerelay/fleet.py
+++ b/bronzerelay/fleet.py
@@ -24,7 +24,7 @@
 REFUSALS = "bronzerelay_refusals_total"
 RETRIES = "bronzerelay_retries_total"
 EVENTS = "bronzerelay_events_total"
-OBJECT_NAME = re.compile(r"^\w+\([^)]*\): ")
+OBJECT_NAME = re.compile(r"^\w+\([^)]*\): | \(read timeout=[^)]*\)$")
 
 
 class StatusBody(TypedDict):
