--- a/tests/builders_operators.py
+++ b/tests/builders_operators.py
@@ -7,7 +7,7 @@
 from bronzerelay.signing import OperatorKey, make_operator_key
 from bronzerelay.types import Bundle
 from standins.platform import LOSE_ANSWERS
-from tests.builders_config import make_bundle, make_operators
+from tests.builders_config import make_bundle, make_operators, make_workspace
 from tests.builders_platform import Platform
 
 PATIENT_MS = 5000
@@ -45,6 +45,11 @@
         """Let the platform lose the answer to the next call."""
         self.platform.server.set_fault(LOSE_ANSWERS, count=1)
 
+    def propose_rate(self, rate: float, *names: str, version: int = 2) -> str:
+        """Propose and sign a bundle that sets the rate of the workspace north."""
+        workspaces = [make_workspace("north", rate=rate), make_workspace("south")]
+        return self.propose(self.make_bundle(version, workspaces=workspaces), *names)
+
     def put_in_force(self, bundle: Bundle) -> None:
         """Put the bundle in force with two signatures."""
         digest = self.propose(bundle)
