--- /dev/null
+++ b/lab/failover.py
@@ -0,0 +1,243 @@
+"""Measures the gap in service when a primary or its serving daemon fails."""
+
+import json
+import statistics
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+import click
+
+from bronzerelay.rendezvous import rank
+from bronzerelay.runtime import Runtime
+from standins.checks import run_checks
+from standins.cluster import VIANDA, Cluster
+from standins.layout import Layout
+from standins.load import Load, LoadSettings
+from standins.record import Entry
+
+RATE = 60.0
+BEFORE_MS = 700
+AFTER_MS = 4000
+HEAL_MS = 1500
+WORKSPACE = "caterer-1"
+OUTPUT = Path("docs/measurements/failover.json")
+
+
+class Round(NamedTuple):
+    """One failure: the gap in milliseconds and what the callers were told."""
+
+    kind: str
+    gap_ms: float
+    answered: int
+    refused: int
+    unknown: int
+    violations: int
+
+
+class Scene(NamedTuple):
+    """What a failure needs to know."""
+
+    cluster: Cluster
+    group: str
+
+
+Undo = Callable[[], None]
+
+
+def kill_primary(scene: Scene) -> Undo:
+    """Kill the group's primary; it doesn't come back."""
+    scene.cluster.kill(scene.cluster.find_primary(scene.group))
+    return lambda: None
+
+
+def freeze_primary(scene: Scene) -> Undo:
+    """Freeze the group's primary, as a paused VM is."""
+    name = scene.cluster.find_primary(scene.group)
+    scene.cluster.freeze(name)
+    return lambda: scene.cluster.thaw(name)
+
+
+def cut_primary_off(scene: Scene) -> Undo:
+    """Cut the primary from its replicas, but not from the daemons."""
+    name = scene.cluster.find_primary(scene.group)
+    others = [
+        f"{scene.group}-{number}"
+        for number in (1, 2, 3)
+        if f"{scene.group}-{number}" != name
+    ]
+    scene.cluster.ask_endpoint(name, "cut", names=others)
+    return lambda: scene.cluster.ask_endpoint(name, "heal", names=others)
+
+
+def cut_half(scene: Scene) -> Undo:
+    """Cut the primary from half of the daemons, the serving one among them."""
+    name = scene.cluster.find_primary(scene.group)
+    daemons = rank(f"group/{scene.group}", scene.cluster.daemon_names)
+    half = daemons[: len(daemons) // 2]
+    scene.cluster.ask_endpoint(name, "cut", names=half)
+    return lambda: scene.cluster.ask_endpoint(name, "heal", names=half)
+
+
+def freeze_serving_daemon(scene: Scene) -> Undo:
+    """Freeze the daemon that serves the group."""
+    name = rank(f"group/{scene.group}", scene.cluster.daemon_names)[0]
+    scene.cluster.freeze(name)
+    return lambda: scene.cluster.thaw(name)
+
+
+def kill_serving_daemon(scene: Scene) -> Undo:
+    """Kill the daemon that serves the group, and start it again later."""
+    name = rank(f"group/{scene.group}", scene.cluster.daemon_names)[0]
+    scene.cluster.kill(name)
+    return lambda: scene.cluster.start(name)
+
+
+def freeze_primary_without_platform(scene: Scene) -> Undo:
+    """Freeze the primary while the platform is out."""
+    scene.cluster.set_platform_fault("down")
+    undo = freeze_primary(scene)
+
+    def heal() -> None:
+        undo()
+        scene.cluster.set_platform_fault("up")
+
+    return heal
+
+
+def freeze_two_primaries(scene: Scene) -> Undo:
+    """Freeze the primaries of two groups at once."""
+    other = next(name for name in scene.cluster.groups if name != scene.group)
+    undone = [freeze_primary(scene), freeze_primary(scene._replace(group=other))]
+
+    def heal() -> None:
+        for undo in undone:
+            undo()
+
+    return heal
+
+
+FAILURES = {
+    "primary frozen": freeze_primary,
+    "primary cut from its replicas": cut_primary_off,
+    "primary cut from half the daemons": cut_half,
+    "primary frozen, platform out": freeze_primary_without_platform,
+    "two primaries frozen": freeze_two_primaries,
+    "serving daemon frozen": freeze_serving_daemon,
+    "serving daemon killed": kill_serving_daemon,
+    "primary killed": kill_primary,
+}
+
+
+def find_gap(record: list[Entry], from_ms: float) -> float:
+    """Return the longest time without an acknowledged write from `from_ms` on."""
+    times = sorted(entry.answered_ms for entry in record if entry.ran == "ran")
+    before = [time for time in times if time <= from_ms]
+    points = [before[-1] if before else from_ms]
+    points += [time for time in times if time > from_ms]
+    gaps = [later - earlier for earlier, later in zip(points, points[1:], strict=False)]
+    return max(gaps, default=float(AFTER_MS))
+
+
+def run_round(scene: Scene, kind: str, seed: int) -> Round:
+    """Cause one failure under a steady load of writes, and heal it."""
+    cluster = scene.cluster
+    settings = LoadSettings(
+        rates={WORKSPACE: RATE},
+        groups=(scene.group,),
+        seed=seed,
+        duration_ms=BEFORE_MS + AFTER_MS,
+        write_share=1.0,
+        arrivals="even",
+    )
+    addresses = {name: cluster.addresses[name] for name in cluster.daemon_names}
+    load = Load(cluster.runtime, settings, addresses, cluster.keys)
+    load.start()
+    cluster.runtime.sleep_ms(BEFORE_MS)
+    failed_at_ms = cluster.runtime.clock.now_ms()
+    undo = FAILURES[kind](scene)
+    cluster.runtime.sleep_ms(AFTER_MS)
+    undo()
+    record = load.wait()
+    cluster.runtime.sleep_ms(HEAL_MS)
+    cluster.wait_ready()
+    return count_round(scene, kind, record, failed_at_ms)
+
+
+def count_round(
+    scene: Scene, kind: str, record: list[Entry], failed_at_ms: float
+) -> Round:
+    """Return what a round's record says, after all checks."""
+    violations = run_checks(record, scene.cluster.collect_evidence())
+    for violation in violations[:5]:
+        click.echo(f"    {violation}")
+    return Round(
+        kind,
+        find_gap(record, failed_at_ms),
+        sum(entry.ran == "ran" for entry in record),
+        sum(entry.ran == "not_run" for entry in record),
+        sum(entry.ran not in ("ran", "not_run") for entry in record),
+        len(violations),
+    )
+
+
+def measure(layout: Layout, kinds: list[str], runs: int, seed: int) -> list[Round]:
+    """Return `runs` rounds of each kind, the groups taken by turns."""
+    rounds = []
+    runtime = Runtime(600, seed=seed)
+    with Cluster(runtime, layout) as cluster:
+        cluster.wait_ready(cluster.put_bundle())
+        runtime.sleep_ms(1000)
+        for kind in kinds:
+            # A killed instance is gone, so that each group can lose one at most.
+            count = min(runs, len(cluster.groups)) if "killed" in kind else runs
+            for number in range(count):
+                group = cluster.groups[number % len(cluster.groups)]
+                done = run_round(Scene(cluster, group), kind, seed + number)
+                click.echo(f"  {done.kind}: {done.gap_ms:.0f} ms")
+                rounds.append(done)
+    runtime.close(2000)
+    return rounds
+
+
+def summarise(rounds: list[Round]) -> list[dict]:
+    """Return one line for each kind of failure."""
+    lines = []
+    for kind in dict.fromkeys(done.kind for done in rounds):
+        own = [done for done in rounds if done.kind == kind]
+        gaps = [done.gap_ms for done in own]
+        lines.append(
+            {
+                "kind": kind,
+                "runs": len(own),
+                "median_ms": round(statistics.median(gaps)),
+                "worst_ms": round(max(gaps)),
+                "answered": sum(done.answered for done in own),
+                "not_run": sum(done.refused for done in own),
+                "unknown": sum(done.unknown for done in own),
+                "violations": sum(done.violations for done in own),
+            }
+        )
+    return lines
+
+
+@click.command()
+@click.option("--runs", default=5, show_default=True, help="Rounds of each kind.")
+@click.option("--kind", "kinds", multiple=True, help="Only these kinds of failure.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--lag-ms", default=5, show_default=True, help="Replication lag.")
+@click.option("--output", default=str(OUTPUT), show_default=True)
+def main(runs: int, kinds: tuple[str, ...], seed: int, lag_ms: int, output: str):
+    """Measure the failover gap, and check that no write is lost or doubled."""
+    layout = VIANDA._replace(lag_ms=lag_ms, vm_lag_ms=200)
+    rounds = measure(layout, list(kinds) or list(FAILURES), runs, seed)
+    lines = summarise(rounds)
+    for line in lines:
+        click.echo(json.dumps(line))
+    Path(output).parent.mkdir(parents=True, exist_ok=True)
+    result = {"runs": runs, "seed": seed, "lag_ms": lag_ms, "lines": lines}
+    Path(output).write_text(json.dumps(result, indent=2) + "\n")
+
+
+if __name__ == "__main__":
+    main()
