Prove at most once at every place where an answer gets lost

Daemons run inside the test's process before real endpoint stand-ins; a small TCP relay between them cuts, holds or repeats one request or reply. Effects in the primary's log are counted against what the caller was told.

--- /dev/null
+++ b/tests/nodes.py
@@ -0,0 +1,209 @@
+"""Builders of daemons inside the test's process, before endpoint stand-ins."""
+
+import contextlib
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from expression import Ok, Result
+
+from bronzerelay import dialect
+from bronzerelay.bundle import digest_bundle
+from bronzerelay.configuration import ConfigurationStore
+from bronzerelay.groups import Groups, GroupSettings
+from bronzerelay.kernel import Kernel, PeerHandler
+from bronzerelay.logs import open_log
+from bronzerelay.membership import Membership, MembershipSettings
+from bronzerelay.metrics import Metrics
+from bronzerelay.peerlink.ttypes import MemberView
+from bronzerelay.peers import PeerLinks, PeerServer
+from bronzerelay.runtime import Address
+from bronzerelay.transactions import Transactions
+from bronzerelay.types import ConfigRecord
+from standins.cutter import Cutter
+from standins.instance import Execution
+from tests.builders_config import make_endpoint, make_workspace
+from tests.endpoints import NAMES, Group, open_runtime, wait_until
+
+SECRET = "peer-secret-of-the-tests"
+WORKSPACE = "shop"
+KEY = "shop-key"
+NEVER_MS = 10**9
+DEADLINE_MS = 1500
+
+
+class KernelSettings(NamedTuple):
+    """What the kernel needs of a daemon's settings."""
+
+    name: str
+    default_deadline_ms: int = DEADLINE_MS
+    max_deadline_ms: int = 30_000
+
+
+class FreeShares:
+    """Rates without a limit."""
+
+    def spend(self, workspace: str) -> Result:
+        return Ok(None)
+
+
+class Node:
+    """A daemon without front and platform; its peers reach it through `cutter`."""
+
+    def __init__(self, group: Group, name: str, statement_timeout_ms: int):
+        self.runtime = runtime = group.runtime
+        self.name = name
+        # Through these it reaches the instances, and no other daemon does.
+        self.relays = {
+            one: Cutter(runtime, group.servers[one].address) for one in NAMES
+        }
+        for relay in self.relays.values():
+            relay.start()
+        self.membership = Membership(
+            runtime, MembershipSettings(name, NEVER_MS, NEVER_MS)
+        )
+        self.metrics = Metrics(runtime)
+        self.store = ConfigurationStore(runtime)
+        self.links = PeerLinks(runtime, SECRET)
+        self.groups = Groups(
+            runtime,
+            GroupSettings(name, 200, 100, statement_timeout_ms),
+            self.membership,
+            dialect.open_link,
+            self.metrics,
+            open_log("group"),
+        )
+        self.transactions = Transactions(runtime, name, statement_timeout_ms)
+        self.kernel = Kernel(
+            runtime,
+            KernelSettings(name),
+            self.store,
+            self.membership,
+            self.links,
+            None,
+            self.groups,
+            self.transactions,
+            self.metrics,
+        )
+        self.kernel.shares = FreeShares()
+        self.server = PeerServer(
+            runtime,
+            Address("127.0.0.1", 0),
+            SECRET,
+            PeerHandler(self.kernel),
+            self.metrics.count_event,
+        )
+        self.server.start()
+        self.cutter = Cutter(runtime, self.server.address)
+        self.cutter.start()
+        self.store.call_on_change(self.groups.set_configuration)
+
+    def join(self, nodes: list["Node"]) -> None:
+        """Let this daemon hear of all `nodes`, as if heartbeats never stopped."""
+        members = [
+            {"name": one.name, "address": str(one.cutter.address), "failure_domain": ""}
+            for one in nodes
+        ]
+        self.membership.accept_roster({"epoch": 1, "members": members})
+        views = [MemberView(one.name, 1, 1, 1, 0, 0, False) for one in nodes]
+        self.membership.merge_reply(views, self.runtime.clock.now_ms())
+        self.membership.note_platform(self.runtime.clock.now_ms())
+
+    def send(self, action: str = "", key: str = "", **fields: Any) -> Result:
+        """Run a request as a caller's; `key` is its idempotency key."""
+        request = {"group": "orders", **fields}
+        if key:
+            request["idempotency_key"] = key
+        if action:
+            request["action"] = action
+        return self.kernel.run_statement(WORKSPACE, KEY, request, "request")
+
+
+def build_record(node: Node) -> ConfigRecord:
+    """Return a configuration with the instances as `node` reaches them."""
+    endpoints = [
+        make_endpoint(name, relay.address.port) for name, relay in node.relays.items()
+    ]
+    bundle = {
+        "format": 1,
+        "version": 1,
+        "groups": [{"name": "orders", "endpoints": endpoints}],
+        "workspaces": [make_workspace(WORKSPACE), make_workspace("rival")],
+    }
+    return ConfigRecord(
+        version=1,
+        digest=digest_bundle(bundle),
+        bundle=bundle,
+        author="test",
+        signatures=[],
+    )
+
+
+class Deployment:
+    """A group of three instances, and daemons before it."""
+
+    def __init__(self, group: Group, count: int, statement_timeout_ms: int):
+        self.group = group
+        self.runtime = group.runtime
+        self.nodes = [
+            Node(group, f"vm-{number + 1}", statement_timeout_ms)
+            for number in range(count)
+        ]
+        for node in self.nodes:
+            node.join(self.nodes)
+            assert node.store.accept(build_record(node))
+        # The daemons in the order in which they serve the group.
+        ranked = self.nodes[0].groups.rank_daemons("orders")
+        by_name = {node.name: node for node in self.nodes}
+        self.ranked = [by_name[name] for name in ranked]
+
+    def warm_up(self) -> None:
+        """Open the links that the tests cut, so that no greeting is struck."""
+        for node in self.nodes:
+            server = node.groups.find("orders")
+            wait_until(self.runtime, lambda s=server: s.parts.watch.primary())
+        for node in self.nodes:
+            assert node.send(statement={"verb": "add", "row": "warm", "amount": 1})
+
+    def find_primary(self) -> str:
+        """Return the name of the primary of the highest term."""
+        instances = {name: self.group.instance(name) for name in NAMES}
+        primaries = [
+            (one.term, name) for name, one in instances.items() if one.role == "primary"
+        ]
+        return max(primaries)[1]
+
+    def read_row(self, row: str) -> Any:
+        """Return what the group holds, as its primary says."""
+        return self.group.instance(self.find_primary()).rows.get(row)
+
+    def count_writes(self, row: str) -> int:
+        """Return how many changes of the row stand in the primary's log."""
+        entries = self.group.instance(self.find_primary()).entries
+        return sum(row in entry["changes"] for entry in entries)
+
+    def list_executions(self, *ops: str) -> list[Execution]:
+        """Return what the instances were asked to run, of these ops."""
+        return [
+            execution
+            for name in NAMES
+            for execution in self.group.instance(name).executions
+            if execution.op in ops
+        ]
+
+
+@contextlib.contextmanager
+def open_deployment(
+    count: int = 2, statement_timeout_ms: int = 250, **changes: Any
+) -> Iterator[Deployment]:
+    """Give a deployment of `count` daemons; `changes` go to the instances."""
+    with open_runtime(task_limit=800) as runtime:
+        group = Group(runtime, **changes)
+        deployment = Deployment(group, count, statement_timeout_ms)
+        try:
+            yield deployment
+        finally:
+            for node in deployment.nodes:
+                for cutter in [node.cutter, *node.relays.values()]:
+                    cutter.stop()
+            for server in group.servers.values():
+                server.stop()
--- /dev/null
+++ b/tests/test_promise_once.py
@@ -0,0 +1,225 @@
+"""Every change runs at most once, and what its caller was told about it is true."""
+
+import pytest
+
+from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN
+from bronzerelay.group import Work
+from standins.cutter import (
+    CUT_HALF_REPLY,
+    CUT_HALF_REQUEST,
+    CUT_REPLY,
+    CUT_REQUEST,
+    HOLD_REQUEST,
+    REPEAT_REPLY,
+)
+from tests.endpoints import add, wait_until
+from tests.nodes import WORKSPACE, Deployment, Node, open_deployment
+
+FAULTS = (
+    CUT_REQUEST,
+    CUT_HALF_REQUEST,
+    CUT_REPLY,
+    CUT_HALF_REPLY,
+    REPEAT_REPLY,
+    HOLD_REQUEST,
+)
+
+
+def tell(result) -> str:
+    """Return what a caller reads about its request."""
+    return RAN if result.is_ok() else result.error.ran
+
+
+def check_told(deployment: Deployment, told: str, row: str) -> None:
+    """Check what a caller was told against the effects at the endpoint."""
+    effects = deployment.count_writes(row)
+    assert effects <= 1
+    if told != UNKNOWN:
+        assert effects == (told == RAN), f"told {told}, {effects} effects"
+
+
+def send_add(node: Node, row: str, **fields):
+    return node.send(statement=add(row, 1), **fields)
+
+
+def make_work(node: Node, row: str, name: str, **fields) -> Work:
+    request = {"group": "orders", "statement": add(row, 1), **fields}
+    deadline_ms = node.runtime.clock.now_ms() + 1500
+    return Work(name, WORKSPACE, request, {}, deadline_ms)
+
+
+# Answers lost between a daemon and an endpoint
+
+
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_answer_of_endpoint_lost(repeatable):
+    """A connection breaks just before a write runs, or just after.
+
+    The caller would send the order again and get it twice, or never again and lose
+    it, if the daemon guessed.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        primary = deployment.find_primary()
+        for before in (False, True):
+            row = f"row-{before}"
+            fault = {"ops": ["write"], "count": 1, "before": before}
+            deployment.group.admin(primary, "drop_answers", **fault)
+            result = send_add(deployment.ranked[0], row, repeatable=repeatable)
+            lost = before and not repeatable
+            assert tell(result) == (NOT_RUN if lost else RAN)
+            check_told(deployment, tell(result), row)
+
+
+@pytest.mark.parametrize("before", [False, True])
+@pytest.mark.parametrize("settle_before", [False, True])
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_answer_lost_while_finding_out(before, settle_before, repeatable):
+    """The connection breaks again while the daemon finds out about a lost answer.
+
+    A second guess would be as bad as the first.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        primary = deployment.find_primary()
+        for ops, first in ((["write"], before), (["settle"], settle_before)):
+            fault = {"ops": ops, "count": 1, "before": first}
+            deployment.group.admin(primary, "drop_answers", **fault)
+        result = send_add(deployment.ranked[0], "row", repeatable=repeatable)
+        assert tell(result) != UNKNOWN
+        check_told(deployment, tell(result), "row")
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_link_to_endpoint_cut(fault, repeatable):
+    """The network between daemon and endpoint cuts a request or an answer anywhere.
+
+    A request that is held up runs when nobody waits for it any more, unless it was
+    given up on for good before its caller heard "not run".
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        relay = deployment.ranked[0].relays[deployment.find_primary()]
+        relay.arm(fault)
+        result = send_add(deployment.ranked[0], "row", repeatable=repeatable)
+        assert relay.struck == 1
+        relay.release()
+        assert send_add(deployment.ranked[0], "other").is_ok()
+        assert tell(result) != UNKNOWN
+        check_told(deployment, tell(result), "row")
+
+
+# Answers lost between daemons
+
+
+@pytest.mark.parametrize("fault", [one for one in FAULTS if one != HOLD_REQUEST])
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_link_between_daemons_cut(fault, repeatable):
+    """The link between two daemons breaks around a forwarded write.
+
+    The daemon that took the request can't see whether the serving one had begun.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        cutter = deployment.ranked[0].cutter
+        cutter.arm(fault)
+        result = send_add(deployment.ranked[1], "row", repeatable=repeatable)
+        assert cutter.struck == 1
+        assert tell(result) != UNKNOWN
+        settle_down(deployment)
+        check_told(deployment, tell(result), "row")
+
+
+def settle_down(deployment: Deployment) -> None:
+    """Wait until no daemon runs a request of a peer."""
+    servers = [node.server for node in deployment.nodes]
+    wait_until(
+        deployment.runtime, lambda: not any(server._active for server in servers)
+    )
+
+
+@pytest.mark.parametrize("first_repeats", [False, True])
+def test_two_daemons_settle_together(first_repeats):
+    """A peer link and the link to the endpoint break at once.
+
+    Two daemons find out about the same write, and one of them may send it again.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        for number in range(10):
+            row = f"row-{number}"
+            futures = [
+                deployment.runtime.start(
+                    node.kernel.run_here,
+                    make_work(node, row, row, repeatable=first_repeats),
+                    True,
+                )
+                for node in deployment.nodes
+            ]
+            told = [tell(future.result()) for future in futures]
+            effects = deployment.count_writes(row)
+            assert effects <= 1
+            # Whoever said "not run" had seen each number given up that was tried.
+            if effects:
+                assert RAN in told
+            else:
+                assert told == [NOT_RUN, NOT_RUN]
+
+
+# The same change sent several times
+
+
+def test_same_key_through_all_daemons_at_once():
+    """A caller loses patience and sends the same refund through every daemon.
+
+    Connections to the endpoint break meanwhile, before and after the effect. Two
+    effects would pay the refund out twice.
+    """
+    with open_deployment(3, service_ms=2) as deployment:
+        deployment.warm_up()
+        primary = deployment.find_primary()
+        for number in range(12):
+            row, key = f"row-{number}", f"refund-{number}"
+            fault = {"ops": ["write"], "count": number % 3, "before": number % 2 == 0}
+            deployment.group.admin(primary, "drop_answers", **fault)
+            futures = [
+                deployment.runtime.start(
+                    lambda node=node, row=row, key=key: send_add(node, row, key=key)
+                )
+                for node in deployment.nodes
+            ]
+            told = [tell(future.result()) for future in futures]
+            effects = deployment.count_writes(row)
+            assert effects <= 1
+            assert UNKNOWN not in told
+            assert (RAN in told) == (effects == 1), (told, effects)
+
+
+def test_key_answers_the_recorded_result():
+    """A caller that lost its answer sends the refund again through another daemon."""
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        first, second = deployment.nodes
+        assert send_add(first, "row", key="refund-1").ok["value"] == 1
+        again = send_add(second, "row", key="refund-1").ok
+        assert (again["value"], again["duplicate"]) == (1, True)
+        check_told(deployment, RAN, "row")
+
+
+# Retries
+
+
+def test_not_repeatable_is_sent_once():
+    """Answers get lost again and again, each before its write ran.
+
+    A request that may not be repeated must reach an endpoint under one name only.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        count = len(deployment.list_executions("write"))
+        fault = {"ops": ["write"], "count": 100, "before": False}
+        deployment.group.admin(deployment.find_primary(), "drop_answers", **fault)
+        for number in range(20):
+            assert tell(send_add(deployment.nodes[number % 2], f"row-{number}")) == RAN
+        assert len(deployment.list_executions("write")) == count + 20
