Never send a write that another daemon has given up on

Cause: a daemon whose write was answered 'cancelled' sent it again under the next attempt's number. It did so too when the cancelling daemon had given up this very request and told its caller 'not run': the serving daemon froze before it read the forwarded call and went on later. A second way: two daemons settle one write; the later one finds it cancelled, cancels the next number and, for a repeatable write, sends the number after that, when the first had told 'not run'.

Ruled out: telling the two kinds of 'cancelled' apart. The endpoint keeps no reason with an id, and a look before sending leaves a gap in which a daemon can freeze.

Before: test_thawed_daemon_runs_nothing_given_up failed for both not repeatable cases ('told not_run, 1 effects'), test_late_finder_repeats_nothing too. After: both pass. Conclusion: only the daemon that itself recorded an attempt as cancelled may send the next one. An idempotency key that was given up on stays so, as PROTOCOL.md says already, and is answered IDEMPOTENCY_CONFLICT.

--- a/bronzerelay/group.py
+++ b/bronzerelay/group.py
@@ -215,10 +215,11 @@
             if error.may_have_run:
                 return self.settle(work, attempt)
             if error.kind == "cancelled":
-                # An earlier attempt was given up on for good; the next number is
-                # free, and no attempt before it can run any more.
-                attempt += 1
-                continue
+                # Another daemon gave up this very request, frozen here meanwhile, and
+                # has told its caller "not run"; or an earlier request with the same
+                # idempotency key was given up on. The two can't be told apart, and
+                # under the next number a request given up on would run after all.
+                return self.settle(work, attempt)
             final = self._judge_refused(work, error, attempt)
             if final is not None:
                 return final
@@ -304,8 +305,11 @@
 
         The primary either has the attempt in its log, or records it as cancelled,
         after which it can't run any more. Both count only once a majority holds them.
+        Whoever records an attempt as cancelled, and nobody else, may send the next
+        one: any other daemon that did could do so after the caller heard "not run".
         """
         self._metrics.count_retry("settle")
+        first = attempt
         while self.left_ms(work) > 0:
             settled = self._try_settle(work, attempt)
             if settled is None:
@@ -317,7 +321,7 @@
                 # Whoever gave this attempt up may have sent the next one since.
                 attempt += 1
             else:
-                return self._give_up_attempt(work, attempt)
+                return self._give_up_attempt(work, attempt, attempt == first)
         message = "The answer was lost, and the outcome can't be told in time."
         return refuse(Code.OUTCOME_UNKNOWN, message, NO_PRIMARY_RETRY_MS, UNKNOWN)
 
@@ -341,10 +345,15 @@
         )
 
     def _give_up_attempt(
-        self, work: Work, attempt: int
+        self, work: Work, attempt: int, may_repeat: bool
     ) -> Result[StatementAnswer, Refusal]:
-        if work.request.get("repeatable") and self.parts.budget.allow(attempt):
+        """Repeat the write if it may be, or refuse it; no attempt can run any more."""
+        repeatable = may_repeat and work.request.get("repeatable")
+        if repeatable and self.parts.budget.allow(attempt):
             return self._repeat(work, attempt + 1)
+        if "idempotency_key" in work.request:
+            message = "The request didn't run, and its idempotency key is given up on."
+            return refuse(Code.IDEMPOTENCY_CONFLICT, message, 1, NOT_RUN)
         message = "The primary was lost before the request ran."
         return refuse(Code.PRIMARY_REPLACED, message, 1, NOT_RUN)
 
@@ -356,8 +365,8 @@
             return self._finish_write(work, attempt, tried.ok)
         if isinstance(tried.error, EndpointError) and tried.error.may_have_run:
             return self.settle(work, attempt)
-        message = "The primary was lost before the request ran."
-        return refuse(Code.PRIMARY_REPLACED, message, 1, NOT_RUN)
+        # The attempt was refused for certain, and nobody else may send a later one.
+        return self._give_up_attempt(work, attempt, may_repeat=False)
 
     # Links
 
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN
+from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN, Code
 from bronzerelay.group import Work
 from standins.cutter import (
     CUT_HALF_REPLY,
@@ -139,6 +139,48 @@
     )
 
 
+@pytest.mark.parametrize("key", ["", "order-7"])
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_thawed_daemon_runs_nothing_given_up(key, repeatable):
+    """The serving daemon freezes before it has read a request, and goes on later.
+
+    Its peer finds out that the write hasn't run and tells the caller so. The thawed
+    daemon then runs it: forty lunches that nobody ordered.
+    """
+    with open_deployment(3) as deployment:
+        deployment.warm_up()
+        serving = deployment.ranked[0]
+        serving.cutter.arm(HOLD_REQUEST)
+        result = send_add(deployment.ranked[1], "row", key=key, repeatable=repeatable)
+        told = tell(result)
+        assert told == (RAN if repeatable else NOT_RUN)
+        count = len(deployment.list_executions("write"))
+        serving.cutter.release()
+        wait_until(
+            deployment.runtime,
+            lambda: len(deployment.list_executions("write")) > count,
+        )
+        settle_down(deployment)
+        check_told(deployment, told, "row")
+
+
+def test_late_finder_repeats_nothing():
+    """Two daemons find out about one lost write, one long after the other.
+
+    The first gives it up, and the caller hears "not run". The second, frozen since it
+    sent the write, must not take its turn to repeat it.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        first, late = deployment.ranked
+        work = make_work(first, "row", "request-1")
+        told = tell(first.kernel.run_here(work, settle=True))
+        assert told == NOT_RUN
+        again = make_work(late, "row", "request-1", repeatable=True)
+        assert tell(late.groups.find("orders").settle(again, 1)) == NOT_RUN
+        check_told(deployment, told, "row")
+
+
 @pytest.mark.parametrize("first_repeats", [False, True])
 def test_two_daemons_settle_together(first_repeats):
     """A peer link and the link to the endpoint break at once.
@@ -196,6 +238,25 @@
             assert (RAN in told) == (effects == 1), (told, effects)
 
 
+def test_key_given_up_stays_given_up():
+    """A refund was given up on, and its caller sends it again under the same key.
+
+    The daemon can't tell this request from one that a frozen daemon still holds, so
+    it says that nothing ran and asks for a new key. With that the refund runs.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        fault = {"ops": ["write"], "count": 1, "before": True}
+        deployment.group.admin(deployment.find_primary(), "drop_answers", **fault)
+        first, second = deployment.nodes
+        assert tell(send_add(first, "row", key="refund-1")) == NOT_RUN
+        again = send_add(second, "row", key="refund-1")
+        assert again.error.code == Code.IDEMPOTENCY_CONFLICT
+        assert deployment.count_writes("row") == 0
+        assert send_add(second, "row", key="refund-2").is_ok()
+        check_told(deployment, RAN, "row")
+
+
 def test_key_answers_the_recorded_result():
     """A caller that lost its answer sends the refund again through another daemon."""
     with open_deployment() as deployment:
