Take only a settlement for proof that a lost write has not run

Cause: once the serving daemon was lost, the next ones were asked to find out, and any refusal of theirs was handed to the caller. GROUP_UNKNOWN or STOPPING from a daemon that had found out nothing said 'not run' of a write that had run. The same held for a commit whose daemon was lost.

The search now goes on until the deadline, each daemon with a part of the time, so that one that can't reach the group doesn't use it up.

--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -18,11 +18,12 @@
     StatementReply,
 )
 from bronzerelay.peers import PeerLinks
+from bronzerelay.retries import RetryBudget
 from bronzerelay.runtime import Runtime
 from bronzerelay.sessions import Session, decode_session
 from bronzerelay.shares import Loan, Shares
 from bronzerelay.spread import Spreader
-from bronzerelay.transactions import Transactions, daemon_of
+from bronzerelay.transactions import Transactions, daemon_of, explain_commit
 from bronzerelay.types import StatementAnswer, StatementRequest
 
 # How many daemons are tried for a request that the first ones didn't run.
@@ -36,6 +37,11 @@
 # Refusals after which another daemon may do better: nothing ran, and the cause lies
 # with the daemon or its view of the group.
 ELSEWHERE_CODES = {Code.ENDPOINT_UNREACHABLE, Code.STOPPING, Code.GROUP_UNKNOWN}
+# What a daemon that finds out about a lost write may say that it has not run.
+SETTLED_CODES = {Code.PRIMARY_REPLACED, Code.IDEMPOTENCY_CONFLICT}
+# How long one daemon may take for that before the next one is asked.
+FIND_OUT_MS = 600
+FIND_OUT_PAUSE_MS = 10
 
 _request_decoder = msgspec.json.Decoder(StatementRequest)
 _answer_decoder = msgspec.json.Decoder(StatementAnswer)
@@ -65,6 +71,7 @@
         self._groups = groups
         self._transactions = transactions
         self._metrics = metrics
+        self._budget = RetryBudget(runtime)
         self.shares = Shares(runtime, settings.name, self._ask_for_loan)
         self.stopping = False
 
@@ -149,32 +156,67 @@
     def _route(self, work: Work) -> Result[StatementAnswer, Refusal]:
         if "transaction" in work.request:
             return self._run_at(daemon_of(work.request["transaction"]), work, False)
+        self._budget.note_request()
         result: Result = refuse(
             Code.PEER_UNREACHABLE, "No daemon serves the group.", ISOLATED_RETRY_MS
         )
-        settle = False
-        for daemon in self._groups.rank_daemons(work.group)[:DAEMONS_TRIED]:
-            result = self._run_at(daemon, work, settle)
+        ranked = self._groups.rank_daemons(work.group)[:DAEMONS_TRIED]
+        for number, daemon in enumerate(ranked, start=1):
+            result = self._run_at(daemon, work, False)
             if result.is_ok():
                 return result
-            if self._was_lost(result.error, work):
-                # Reads may run twice. A write may not: from now on the next daemons
-                # only find out what became of it.
-                settle = settle or _is_write(work)
+            if _is_write(work) and _was_lost(result.error):
+                # A read may run twice. A write may not: from now on the other
+                # daemons only find out what became of it.
                 self._metrics.count_retry("peer_lost")
-            elif result.error.code in ELSEWHERE_CODES and not settle:
-                self._metrics.count_retry("elsewhere")
-            elif result.error.code != Code.PEER_UNREACHABLE:
+                return self._find_out(work, daemon)
+            if not self._may_try_elsewhere(result.error, number):
                 return result
-            if work.deadline_ms <= self._runtime.clock.now_ms():
+            if self._is_late(work):
                 break
-        if settle:
-            message = "The serving daemon was lost, and the outcome isn't known."
-            return refuse(Code.OUTCOME_UNKNOWN, message, ran=UNKNOWN)
         return result
 
-    def _was_lost(self, refusal: Refusal, work: Work) -> bool:
-        return refusal.code == Code.PEER_UNREACHABLE and refusal.ran == UNKNOWN
+    def _may_try_elsewhere(self, refusal: Refusal, attempt: int) -> bool:
+        if refusal.code == Code.PEER_UNREACHABLE:
+            if _was_lost(refusal):
+                self._metrics.count_retry("peer_lost")
+            return True
+        if refusal.code not in ELSEWHERE_CODES:
+            return False
+        # The daemon has spent its own retries on the endpoints. Without a budget the
+        # next ones would spend theirs too, and multiply the work of a failing group.
+        did_work = refusal.code == Code.ENDPOINT_UNREACHABLE
+        if did_work and not self._budget.allow(attempt):
+            return False
+        self._metrics.count_retry("elsewhere")
+        return True
+
+    def _is_late(self, work: Work) -> bool:
+        return work.deadline_ms <= self._runtime.clock.now_ms()
+
+    def _find_out(self, work: Work, lost: str) -> Result[StatementAnswer, Refusal]:
+        """Let other daemons find out what became of a write that `lost` was given.
+
+        Only their finding counts. A refusal for any other reason, as from a daemon
+        that doesn't know the group yet, says nothing about the write. One that can't
+        reach the group gets a part of the time, so that the next one still has some.
+        """
+        while not self._is_late(work):
+            ranked = self._groups.rank_daemons(work.group)
+            # The lost one may be frozen and would cost time; it is asked last.
+            ranked.sort(key=lambda daemon: daemon == lost)
+            for daemon in ranked[:DAEMONS_TRIED]:
+                slice_end_ms = self._runtime.clock.now_ms() + FIND_OUT_MS
+                deadline_ms = min(work.deadline_ms, slice_end_ms)
+                part = work._replace(deadline_ms=deadline_ms)
+                result = self._run_at(daemon, part, True)
+                if result.is_ok() or result.error.code in SETTLED_CODES:
+                    return result
+                if self._is_late(work):
+                    break
+            self._runtime.sleep_ms(FIND_OUT_PAUSE_MS)
+        message = "The serving daemon was lost, and the outcome isn't known."
+        return refuse(Code.OUTCOME_UNKNOWN, message, STOP_RETRY_MS, UNKNOWN)
 
     def _run_at(
         self, daemon: str, work: Work, settle: bool
@@ -210,22 +252,17 @@
             message = f"The daemon that held the transaction is lost: {error.message}."
             return refuse(Code.TRANSACTION_LOST, message)
         if "transaction" in work.request:
-            return self._settle_elsewhere(work)
+            return self._settle_elsewhere(daemon, work)
         ran = UNKNOWN if error.sent else NOT_RUN
         return refuse(Code.PEER_UNREACHABLE, f"{error.message}.", STOP_RETRY_MS, ran)
 
-    def _settle_elsewhere(self, work: Work) -> Result:
-        """Find out at another daemon what became of a commit."""
+    def _settle_elsewhere(self, daemon: str, work: Work) -> Result:
+        """Find out at other daemons what became of a commit that `daemon` got."""
         request = {
             key: work.request[key] for key in work.request if key != "transaction"
         }
         bare = work._replace(request={**request, "repeatable": False})
-        for daemon in self._groups.rank_daemons(work.group)[:DAEMONS_TRIED]:
-            result = self._run_at(daemon, bare, True)
-            if result.is_ok() or result.error.code != Code.PEER_UNREACHABLE:
-                return result
-        message = "The daemon was lost during the commit."
-        return refuse(Code.OUTCOME_UNKNOWN, message, ran=UNKNOWN)
+        return explain_commit(self._find_out(bare, daemon))
 
     # Serving
 
@@ -292,6 +329,10 @@
     return statement is not None and statement["verb"] != "get"
 
 
+def _was_lost(refusal: Refusal) -> bool:
+    return refusal.code == Code.PEER_UNREACHABLE and refusal.ran == UNKNOWN
+
+
 class PeerHandler:
     """The kernel under the names of the thrift service."""
 
--- a/bronzerelay/transactions.py
+++ b/bronzerelay/transactions.py
@@ -4,7 +4,7 @@
 
 from expression import Error, Ok, Result
 
-from bronzerelay.codes import Code, Refusal, refuse
+from bronzerelay.codes import NOT_RUN, Code, Refusal, refuse
 from bronzerelay.dialect import EndpointError, EndpointLink
 from bronzerelay.group import LEND_TIMEOUT_MS, GroupServer, Work
 from bronzerelay.pool import ConnectionPool
@@ -28,6 +28,14 @@
     return transaction.rpartition(MARK)[0]
 
 
+def explain_commit(settled: Result[StatementAnswer, Refusal]) -> Result:
+    """Return what a commit's caller is told after its outcome was found out."""
+    if settled.is_ok() or settled.error.ran != NOT_RUN:
+        return settled
+    message = "The commit was lost before it ran, and nothing is kept."
+    return Error(settled.error._replace(code=Code.TRANSACTION_LOST, message=message))
+
+
 class Transaction(NamedTuple):
     """An open transaction; a lock keeps its statements one after the other."""
 
@@ -225,12 +233,7 @@
         # A commit can't be sent again, since its statements went with the connection.
         request = {**work.request, "repeatable": False}
         settled = transaction.group.settle(work._replace(request=request), 1)
-        if settled.is_ok() or settled.error.code != Code.PRIMARY_REPLACED:
-            return settled
-        message = "The primary was lost before the commit, and nothing is kept."
-        return Error(
-            settled.error._replace(code=Code.TRANSACTION_LOST, message=message)
-        )
+        return explain_commit(settled)
 
     def _roll_back(self, transaction: Transaction) -> Result[StatementAnswer, Refusal]:
         transaction.link.rollback(self._timeout_ms)
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -12,7 +12,7 @@
     HOLD_REQUEST,
     REPEAT_REPLY,
 )
-from tests.endpoints import add, wait_until
+from tests.endpoints import add, get, wait_until
 from tests.nodes import WORKSPACE, Deployment, Node, open_deployment
 
 FAULTS = (
@@ -209,6 +209,24 @@
                 assert told == [NOT_RUN, NOT_RUN]
 
 
+def test_unknown_group_is_not_proof_of_not_run():
+    """The daemon that should find out about a lost write lacks the configuration.
+
+    It refuses because it doesn't know the group. That says nothing about the write.
+    """
+    with open_deployment(2) as deployment:
+        deployment.warm_up()
+        serving, other = deployment.ranked
+        other.groups.set_configuration(
+            other.store.current._replace(groups={}),
+        )
+        serving.cutter.arm(CUT_REPLY)
+        result = send_add(other, "row")
+        settle_down(deployment)
+        assert deployment.count_writes("row") == 1
+        assert tell(result) != NOT_RUN
+
+
 # The same change sent several times
 
 
@@ -284,3 +302,47 @@
         for number in range(20):
             assert tell(send_add(deployment.nodes[number % 2], f"row-{number}")) == RAN
         assert len(deployment.list_executions("write")) == count + 20
+
+
+def test_retries_stay_within_budget():
+    """Every instance refuses all work, while callers go on sending.
+
+    Each layer that retried by itself would multiply the work of the failing group.
+    """
+    requests = 140
+    with open_deployment(3, slots=0) as deployment:
+        tries = [count_tries(node) for node in deployment.nodes]
+        futures = [
+            deployment.runtime.start(send_refused, node, requests)
+            for node in deployment.nodes
+        ]
+        for future in futures:
+            future.result()
+        total = 3 * requests
+        sent = sum(len(one) for one in tries)
+        # The serving daemon and the one that took the request may each add a fifth,
+        # and what their budgets hold at the start.
+        assert total <= sent <= total * 1.5 + 130
+
+
+def count_tries(node: Node) -> list[str]:
+    """Return a list to which each try at an endpoint adds its name."""
+    server = node.groups.find("orders")
+    wait_until(node.runtime, server.parts.watch.primary)
+    tries = []
+    run_at = server._run_at
+
+    def note_and_run(name, call):
+        tries.append(name)
+        return run_at(name, call)
+
+    server._run_at = note_and_run
+    return tries
+
+
+def send_refused(node: Node, count: int) -> None:
+    """Send reads and writes by turns, none of which can run."""
+    for number in range(count):
+        result = node.send(statement=get("row") if number % 2 else add("row", 1))
+        assert tell(result) == NOT_RUN
+        assert result.error.retry_after_ms > 0
