Route without a look at every member

Each request judged every member alive or not, ranked all of them for its group, and looked through all views for the platform's last answer.

The list of live members is kept until time, a heartbeat, a refused connection, a roster or the own stop can change it, and the first four daemons of each group until that list changes.

--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -19,6 +19,9 @@
 # For this long after such a statement it also promotes, as the serving daemon does.
 SERVE_MS = 2_000
 TEND_MS = 200
+# How many daemons are kept for a group; a request tries fewer. All of 3,100 for each
+# of 23,000 groups would take 570 MB.
+RANKED_KEPT = 4
 # The part of an instance's connections that one serving daemon opens. Two daemons may
 # take themselves for the serving one while they see the fleet differently.
 CONNECTION_PART = 0.5
@@ -40,6 +43,13 @@
     used_at_ms: list[float]
 
 
+class Ranking(NamedTuple):
+    """The first daemons for each group, as long as `alive` are the live ones."""
+
+    alive: list[str]
+    first: dict[str, list[str]]
+
+
 class Groups:
     """All groups that this daemon has made a server for."""
 
@@ -61,10 +71,19 @@
         self._lock = runtime.make_lock()
         self._served: dict[str, Served] = {}
         self._specs: dict[str, GroupSpec] = {}
+        self._ranking = Ranking([], {})
 
     def rank_daemons(self, group: str) -> list[str]:
-        """Return the live daemons, the one that serves `group` first."""
-        return rank(f"group/{group}", self._membership.alive_names())
+        """Return the first few live daemons for `group`; the very first serves it."""
+        alive = self._membership.alive_names()
+        ranking = self._ranking
+        if ranking.alive is not alive:
+            ranking = self._ranking = Ranking(alive, {})
+        first = ranking.first.get(group)
+        if first is None:
+            first = rank(f"group/{group}", alive)[:RANKED_KEPT]
+            ranking.first[group] = first
+        return first
 
     def _is_first(self, group: str) -> bool:
         return self.rank_daemons(group)[:1] == [self._settings.name]
--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -46,6 +46,10 @@
         self._roster: Roster = {"epoch": 0, "members": []}
         self._addresses: dict[str, Address] = {}
         self._own = View(beat=0)
+        self._platform_at_ms: float = -NEVER_MS
+        # The live members, for as long as nothing but time can change them.
+        self._alive: list[str] = []
+        self._alive_until_ms: float = -NEVER_MS
 
     @property
     def name(self) -> str:
@@ -59,6 +63,7 @@
         with self._lock:
             latest = max(self._own.platform_at_ms, sent_at_ms)
             self._own = self._own._replace(platform_at_ms=latest)
+            self._platform_at_ms = max(self._platform_at_ms, latest)
 
     def note_config(self, version: int) -> None:
         """Note the version of the configuration that is in force here."""
@@ -74,6 +79,7 @@
         """Tell peers from now on that this daemon is stopping."""
         with self._lock:
             self._own = self._own._replace(stopping=True)
+            self._forget_alive()
 
     # Heartbeats
 
@@ -92,17 +98,28 @@
                 if packed.name == self.name:
                     continue
                 known = self._views.get(packed.name, View())
-                self._views[packed.name] = _merge_view(known, packed, sent_at_ms)
+                view = _merge_view(known, packed, sent_at_ms)
+                self._views[packed.name] = view
+                self._note_merged(packed.name, known, view)
+
+    def _note_merged(self, name: str, known: View, view: View) -> None:
+        self._platform_at_ms = max(self._platform_at_ms, view.platform_at_ms)
+        oldest_ms = self._runtime.clock.now_ms() - self._settings.suspect_ms
+        was_silent = known.heard_at_ms < oldest_ms <= view.heard_at_ms
+        if was_silent or known.stopping != view.stopping:
+            self._forget_alive()
 
     def clear_unreachable(self, name: str) -> None:
         """Trust `name` again, since it replied."""
         with self._lock:
-            self._unreachable.pop(name, None)
+            if self._unreachable.pop(name, None) is not None:
+                self._forget_alive()
 
     def mark_unreachable(self, name: str) -> None:
         """Distrust `name` at once, since it refused a connection."""
         with self._lock:
             self._unreachable[name] = self._runtime.clock.now_ms()
+            self._forget_alive()
 
     # The roster
 
@@ -130,6 +147,7 @@
             }
             for gone in set(self._views) - set(self._addresses):
                 del self._views[gone]
+            self._forget_alive()
         return True
 
     def member_names(self) -> list[str]:
@@ -166,18 +184,40 @@
         return age_ms <= self._settings.suspect_ms
 
     def alive_names(self) -> list[str]:
-        """Return the members that are alive; always itself unless it is stopping."""
-        names = {name for name in self._addresses if self.is_alive(name)}
-        if not self._own.stopping:
-            names.add(self.name)
-        return sorted(names)
+        """Return the members that are alive; always itself unless it is stopping.
 
-    def platform_age_ms(self) -> float:
-        """Return how long ago the platform answered any daemon that we hear of."""
+        It is the same list until that changes; nobody may edit it. Each request asks
+        for it, and judging all members anew took 6 ms of each request at 3,100.
+        """
         with self._lock:
-            views = [self._own, *self._views.values()]
-        latest = max(view.platform_at_ms for view in views)
-        return self._runtime.clock.now_ms() - latest
+            now_ms = self._runtime.clock.now_ms()
+            if now_ms > self._alive_until_ms:
+                self._judge_alive(now_ms)
+            return self._alive
+
+    def _forget_alive(self) -> None:
+        self._alive_until_ms = -NEVER_MS
+
+    def _judge_alive(self, now_ms: float) -> None:
+        """Judge all members, and note when silence could next change the outcome."""
+        suspect_ms = self._settings.suspect_ms
+        until_ms = now_ms + suspect_ms
+        names = set() if self._own.stopping else {self.name}
+        for name in self._addresses:
+            view = self._views.get(name)
+            if view is None or view.stopping or name in self._unreachable:
+                continue
+            if name != self.name and now_ms - view.heard_at_ms <= suspect_ms:
+                names.add(name)
+                until_ms = min(until_ms, view.heard_at_ms + suspect_ms)
+        alive = sorted(names)
+        if alive != self._alive:
+            self._alive = alive
+        self._alive_until_ms = until_ms
+
+    def platform_age_ms(self) -> float:
+        """Return how long ago the platform answered any daemon that we heard of."""
+        return self._runtime.clock.now_ms() - self._platform_at_ms
 
     def is_isolated(self) -> bool:
         """Return whether a key could be withdrawn without this daemon learning it.
