Tell a version as in force only when all parts have applied it

A handler that failed half-way left /status showing the version, and ended the watch for good when its error was of an unforeseen type. Found by the operators' command line, which waits for the version.

--- a/bronzerelay/configuration.py
+++ b/bronzerelay/configuration.py
@@ -19,6 +19,7 @@
         self._lock = runtime.make_lock()
         self._record: ConfigRecord | None = None
         self._current: Configuration | None = None
+        self._applied_version = 0
         self._on_change: list[Callable[[Configuration], None]] = []
 
     @property
@@ -33,8 +34,8 @@
 
     @property
     def version(self) -> int:
-        """Return the version in force; 0 before the first."""
-        return self._current.version if self._current else 0
+        """Return the version that is wholly in force; 0 before the first."""
+        return self._applied_version
 
     def call_on_change(self, function: Callable[[Configuration], None]) -> None:
         """Call `function` with each configuration that comes into force."""
@@ -55,14 +56,21 @@
         record = checked.ok
         compiled = compile_bundle(record)
         with self._lock:
-            if compiled.version <= self.version:
+            if compiled.version <= self._known_version():
                 return False
+            # The keys are checked against the new version from here on.
             self._record = record
             self._current = compiled
             for function in self._on_change:
                 function(compiled)
+            # Told to peers and operators only now: a version that is shown as in
+            # force while its groups or rates aren't would end a rollout too early.
+            self._applied_version = compiled.version
         return True
 
+    def _known_version(self) -> int:
+        return self._current.version if self._current else 0
+
     # What a request needs
 
     def check_key(self, workspace: str, key: str) -> Result[WorkspaceSpec, Refusal]:
--- a/bronzerelay/platformwatch.py
+++ b/bronzerelay/platformwatch.py
@@ -90,8 +90,14 @@
                 self._take(key, accept, result.ok.value)
 
     def _take(self, key: str, accept: Callable[[Any], None], value: Any) -> None:
-        """Accept `value`; a malformed one must not end the watch for good."""
+        """Accept `value`; a fault in it or in us must not end the watch for good.
+
+        The daemon would hear of no withdrawn key any more, and nobody would notice
+        until it counted as isolated.
+        """
         try:
             accept(value)
-        except (msgspec.ValidationError, ValueError, KeyError) as error:
-            self._log.error("A value is malformed.", extra={"key": key, "why": error})
+        except Exception as error:
+            self._log.exception(
+                "A value can't be put in force.", extra={"key": key, "why": str(error)}
+            )
