--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -143,8 +143,8 @@
         Call it between requests only: it leaves the connection without waiting,
         so that a timeout has to be set before the next call. TLS can't do it.
         """
-        self.set_timeout(0)
         try:
+            self.set_timeout(0)
             self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
