Say of a read whose answer is lost that it has not run

A read has no effect wherever it ran. Also: a run under load with the serving daemon killed, the primary frozen and replaced, a daemon frozen and callers cut; and the test that giving up on a write needs a majority.

--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 import msgspec
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from bronzerelay.codes import CODES, NOT_RUN, RAN, UNKNOWN, Code, Refusal, refuse
 from bronzerelay.configuration import ConfigurationStore
@@ -174,7 +174,8 @@
                 return result
             if self._is_late(work):
                 break
-        return result
+        # A read or a begin whose answer is lost has had no effect, wherever it ran.
+        return Error(result.error._replace(ran=NOT_RUN))
 
     def _may_try_elsewhere(self, refusal: Refusal, attempt: int) -> bool:
         if refusal.code == Code.PEER_UNREACHABLE:
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -4,6 +4,8 @@
 
 from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN, Code
 from bronzerelay.group import Work
+from standins.checks import check_all_answered, run_checks
+from standins.cluster import Cluster, Layout, WorkspaceLayout
 from standins.cutter import (
     CUT_HALF_REPLY,
     CUT_HALF_REQUEST,
@@ -11,8 +13,10 @@
     CUT_REQUEST,
     HOLD_REQUEST,
     REPEAT_REPLY,
+    Cutter,
 )
-from tests.endpoints import add, get, wait_until
+from standins.load import Load, LoadSettings
+from tests.endpoints import NAMES, add, get, open_runtime, wait_until
 from tests.nodes import WORKSPACE, Deployment, Node, open_deployment
 
 FAULTS = (
@@ -122,12 +126,15 @@
     """
     with open_deployment() as deployment:
         deployment.warm_up()
+        count = len(deployment.list_executions("write"))
         cutter = deployment.ranked[0].cutter
         cutter.arm(fault)
         result = send_add(deployment.ranked[1], "row", repeatable=repeatable)
         assert cutter.struck == 1
         assert tell(result) != UNKNOWN
         settle_down(deployment)
+        sent = len(deployment.list_executions("write")) - count
+        assert sent <= 1 + repeatable
         check_told(deployment, tell(result), "row")
 
 
@@ -164,6 +171,34 @@
         check_told(deployment, told, "row")
 
 
+def test_giving_up_needs_a_majority():
+    """A write is given up on at a primary that its replicas can't reach any more.
+
+    The next primary knows nothing of it. There the daemon that had frozen with the
+    write in hand would run it, after its caller had heard "not run".
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        serving, other = deployment.ranked
+        first_primary, *replicas = NAMES
+        deployment.group.admin(first_primary, "cut", names=replicas)
+        serving.cutter.arm(HOLD_REQUEST)
+        told = tell(send_add(other, "row", deadline_ms=5000))
+        watch = serving.groups.find("orders").parts.watch
+        wait_until(
+            deployment.runtime, lambda: watch.primary() not in (None, first_primary)
+        )
+        count = len(deployment.list_executions("write"))
+        serving.cutter.release()
+        wait_until(
+            deployment.runtime,
+            lambda: len(deployment.list_executions("write")) > count,
+        )
+        settle_down(deployment)
+        assert told == NOT_RUN
+        check_told(deployment, told, "row")
+
+
 def test_late_finder_repeats_nothing():
     """Two daemons find out about one lost write, one long after the other.
 
@@ -227,6 +262,20 @@
         assert tell(result) != NOT_RUN
 
 
+def test_lost_read_has_not_run():
+    """A daemon thaws and finds that its peer's answer to a read never came.
+
+    A read has no effect, so its caller may send it again without a second thought.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        serving, other = deployment.ranked
+        other.groups.rank_daemons = lambda group: [serving.name]
+        serving.cutter.arm(CUT_REPLY)
+        result = other.send(statement=get("row"))
+        assert (tell(result), result.error.code) == (NOT_RUN, Code.PEER_UNREACHABLE)
+
+
 # The same change sent several times
 
 
@@ -346,3 +395,82 @@
         result = node.send(statement=get("row") if number % 2 else add("row", 1))
         assert tell(result) == NOT_RUN
         assert result.error.retry_after_ms > 0
+
+
+# The whole path, as processes
+
+LAYOUT = Layout(
+    groups=("orders",),
+    daemons=4,
+    vm_lag_ms=100,
+    service_ms=1,
+    workspaces=(WorkspaceLayout("caterer", rate=500, burst=500),),
+)
+LOAD = LoadSettings(
+    rates={"caterer": 150.0},
+    groups=("orders",),
+    seed=5,
+    duration_ms=6000,
+    write_share=0.6,
+    once_share=0.5,
+)
+
+
+def test_load_while_everything_fails():
+    """Under load the serving daemon dies, the primary freezes and is replaced, the
+    next serving daemon freezes, and callers lose their connections all the while.
+
+    Whatever a caller was told must agree with what the group holds at the end. Hardly
+    anybody should be left without knowing.
+    """
+    with open_runtime(task_limit=800) as runtime, Cluster(runtime, LAYOUT) as cluster:
+        cluster.put_bundle()
+        cluster.wait_ready(1)
+        addresses = {name: cluster.addresses[name] for name in cluster.daemon_names}
+        serving = find_serving(cluster)
+        relayed = next(name for name in addresses if name != serving)
+        relay = Cutter(runtime, addresses[relayed])
+        relay.start()
+        addresses[relayed] = relay.address
+        load = Load(runtime, LOAD, addresses, cluster.keys)
+        load.start()
+        break_in_turn(cluster, relay, serving)
+        record = load.wait()
+        relay.stop()
+        assert relay.struck >= 10
+        assert run_checks(record, cluster.collect_evidence()) == []
+        cut_off = {serving, relayed}
+        assert check_all_answered(record, cut_off) == []
+        unknown = [entry for entry in record if entry.code == Code.OUTCOME_UNKNOWN]
+        assert len(unknown) <= len(record) * 0.01
+        uncut = len(load.schedule) - relay.struck
+        assert sum(entry.ran == RAN for entry in record) >= uncut * 0.9
+
+
+def find_serving(cluster: Cluster) -> str:
+    """Return the daemon that serves the group."""
+    running = [name for name in cluster.daemon_names if cluster.is_running(name)]
+    return next(name for name in running if cluster.fetch_status(name)["groups"])
+
+
+def break_in_turn(cluster: Cluster, relay: Cutter, serving: str) -> None:
+    """Kill, freeze and cut, one after the other, while the load runs."""
+    cut_for_a_while(cluster, relay)
+    cluster.kill(serving)
+    cut_for_a_while(cluster, relay)
+    primary = cluster.find_primary("orders")
+    cluster.ask_endpoint(primary, "freeze")
+    cut_for_a_while(cluster, relay)
+    cluster.ask_endpoint(primary, "thaw")
+    frozen = find_serving(cluster)
+    cluster.freeze(frozen)
+    cut_for_a_while(cluster, relay)
+    cluster.thaw(frozen)
+
+
+def cut_for_a_while(cluster: Cluster, relay: Cutter) -> None:
+    """Cut a caller's request or answer every now and then for about a second."""
+    for _ in range(6):
+        for fault in (CUT_REPLY, CUT_REQUEST, CUT_HALF_REPLY):
+            relay.arm(fault)
+            cluster.runtime.sleep_ms(60)
