--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -78,6 +78,55 @@
         "if False:",
         "tests/test_failover.py::test_a_leaving_primary_hands_over_without_a_refusal",
     ),
+    Mutation(
+        "a write whose answer is lost is found out about, not sent again",
+        "bronzerelay/group.py",
+        "            if error.may_have_run:\n                return self.settle",
+        "            if False:\n                return self.settle",
+        "tests/test_promise_once.py::test_not_repeatable_is_sent_once",
+    ),
+    Mutation(
+        "a write found cancelled is not sent under the next number",
+        "bronzerelay/group.py",
+        "run after all.\n                return self.settle(work, attempt)",
+        "run after all.\n                attempt += 1\n                continue",
+        "tests/test_promise_once.py::test_thawed_daemon_runs_nothing_given_up",
+    ),
+    Mutation(
+        "only the daemon that gave an attempt up may send the next one",
+        "bronzerelay/group.py",
+        "self._give_up_attempt(work, attempt, attempt == first)",
+        "self._give_up_attempt(work, attempt, True)",
+        "tests/test_promise_once.py::test_late_finder_repeats_nothing",
+    ),
+    Mutation(
+        "a write counts as given up on only when a majority holds that",
+        "bronzerelay/group.py",
+        "if not self._watch.wait_majority(at, self.left_ms(work)):",
+        "if False:",
+        "tests/test_promise_once.py::test_giving_up_needs_a_majority",
+    ),
+    Mutation(
+        "a write lost with its daemon is found out about, not sent again",
+        "bronzerelay/kernel.py",
+        "if _is_write(work) and _was_lost(result.error):",
+        "if False:",
+        "tests/test_promise_once.py::test_link_between_daemons_cut",
+    ),
+    Mutation(
+        "only a settlement proves that a lost write has not run",
+        "bronzerelay/kernel.py",
+        "if result.is_ok() or result.error.code in SETTLED_CODES:",
+        "if True:",
+        "tests/test_promise_once.py::test_unknown_group_is_not_proof_of_not_run",
+    ),
+    Mutation(
+        "trying elsewhere has a budget",
+        "bronzerelay/kernel.py",
+        "if did_work and not self._budget.allow(attempt):",
+        "if False:",
+        "tests/test_promise_once.py::test_retries_stay_within_budget",
+    ),
 )
 
 
