--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -14,7 +14,7 @@
 
 from bronzerelay.bundle import digest_bundle
 from bronzerelay.keys import hash_key, make_key
-from bronzerelay.runtime import Runtime
+from bronzerelay.runtime import Address, Runtime
 from bronzerelay.types import Bundle, ConfigRecord
 from standins.admin import AdminClient, open_admin
 from standins.controls import PlatformAdmin
@@ -39,6 +39,7 @@
     find_free_addresses,
     wait_until_listening,
 )
+from standins.rates import RateLimit
 
 __all__ = [
     "DEMO",
@@ -115,12 +116,9 @@
         self._start_together([PLATFORM])
         for name in self.daemon_names:
             self.set_vm(name, "live")
-        # The primaries go first: a follower that can't reach its own would retry.
-        primaries = [name_endpoints(self.layout, group)[0] for group in self.groups]
-        followers = [name for name in self.endpoint_names if name not in primaries]
-        self._start_together(primaries)
-        self._start_together(followers)
-        self._start_together(self.daemon_names)
+        # All at once: followers ask again until their primary listens, and daemons
+        # look at no endpoint before a bundle is in force.
+        self._start_together([*self.endpoint_names, *self.daemon_names])
 
     def close(self) -> None:
         """End every process by its pid, frozen ones too, and remove the logs."""
@@ -139,6 +137,19 @@
         """The names of the database groups."""
         return self.layout.groups
 
+    @property
+    def daemon_addresses(self) -> dict[str, Address]:
+        """Where callers reach each daemon."""
+        return {name: self.addresses[name] for name in self.daemon_names}
+
+    @property
+    def rate_limits(self) -> list[RateLimit]:
+        """The workspaces' limits as the layout gives them, for the checks."""
+        return [
+            RateLimit(workspace.name, workspace.rate, workspace.burst)
+            for workspace in self.layout.workspaces
+        ]
+
     # One process
 
     def start(self, name: str) -> None:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -184,8 +184,7 @@
     put_first_bundle(cluster)
     workspace = DEMO.workspaces[0].name
     settings = CallerSettings("demo", workspace, cluster.keys[workspace])
-    addresses = {name: cluster.addresses[name] for name in daemons}
-    links = LinkPool(cluster.runtime, addresses)
+    links = LinkPool(cluster.runtime, cluster.daemon_addresses)
     caller = Caller(cluster.runtime, settings, links)
     write_and_read(caller, groups[0], daemons)
     show_refusals(caller, links, groups[0], daemons[0])
--- a/standins/load.py
+++ b/standins/load.py
@@ -91,7 +91,7 @@
         with self._lock:
             if self._idle[workspace]:
                 return self._idle[workspace].pop(0)
-            name = f"{workspace}/{next(self._numbers)}"
+            name = f"{workspace}/{self.settings.label}/{next(self._numbers)}"
         settings = CallerSettings(
             name, workspace, self._keys[workspace], self.settings.timeout_ms
         )
--- a/standins/schedule.py
+++ b/standins/schedule.py
@@ -16,12 +16,15 @@
     when their outcome is unknown, `resends` times at most. `transaction_share` of the
     writes are transactions of two appends. `age_share` of the reads
     accept data up to `max_age_ms` old. With the spread `one` all requests of a
-    workspace go to one daemon, with `moving` to another one every `move_ms`.
+    workspace go to one daemon, with `moving` to another one every `move_ms`. `label`
+    is part of the names of rows and sessions: two loads on one deployment need two,
+    or each would read what only the other's record explains.
     """
 
     rates: dict[str, float]
     groups: tuple[str, ...]
     seed: int
+    label: str = "load"
     duration_ms: int = 5000
     write_share: float = 0.1
     once_share: float = 0.2
@@ -105,8 +108,8 @@
     is_write = draw.random() < settings.write_share
     is_transaction = is_write and draw.random() < settings.transaction_share
     is_number = not is_transaction and draw.random() < settings.add_share
-    row = f"{workspace}/{'number' if is_number else 'list'}-"
-    row += str(draw.randrange(settings.rows))
+    kind = "number" if is_number else "list"
+    row = f"{workspace}/{settings.label}/{kind}-{draw.randrange(settings.rows)}"
     write_verb = "add" if is_number else "append"
     if is_transaction:
         write_verb = TRANSACTION
