Allow a refused connection an id of its own

The check took every answer with another id for a mixed-up one. A daemon that stops tells idle connections so before it has read a request, under an id that no request has; a request that crosses with that on the way was not read. The check still finds every such answer that carries the id of another request, that doesn't say not_run, or that has another code.

--- a/standins/checks.py
+++ b/standins/checks.py
@@ -186,14 +186,23 @@
 
 # Answers
 
+# What a daemon tells a connection before it has read a request from it. A request on
+# its way crosses with that, and takes it for its answer: it was not read and didn't
+# run, which is what the refusal says, under an id that no request has.
+CONNECTION_CODES = frozenset(
+    {Code.CALLER_TOO_SLOW, Code.CONNECTION_LIMIT, Code.STOPPING}
+)
+
 
 def check_answers(record: Iterable[Entry]) -> list[ForeignAnswer]:
     """Return the answers that belong to another request.
 
-    An answer must carry its own request's id. A list must hold the value that the
-    request itself appended, and only values that somebody appended to that row.
+    An answer must carry its own request's id, unless the connection was refused before
+    the request was read. A list must hold the value that the request itself appended,
+    and only values that somebody appended to that row.
     """
     entries = list(record)
+    request_ids = {entry.request_id for entry in entries}
     known = defaultdict(set)
     for entry in entries:
         if entry.statement and entry.statement["verb"] == "append":
@@ -201,16 +210,24 @@
             known[key].add(repr(entry.statement["value"]))
     found = []
     for entry in entries:
-        wrong = find_foreign(entry, known)
+        wrong = find_foreign_id(entry, request_ids) or find_foreign(entry, known)
         if wrong:
             found.append(ForeignAnswer(entry.request_id, wrong))
     return found
 
 
+def find_foreign_id(entry: Entry, request_ids: set[str]) -> str:
+    """Return the request id in an answer when it is another's, or an empty text."""
+    if not entry.was_answered or entry.answered_id == entry.request_id:
+        return ""
+    unread = entry.code in CONNECTION_CODES and entry.ran == NOT_RUN
+    if unread and entry.answered_id and entry.answered_id not in request_ids:
+        return ""
+    return f"request id {entry.answered_id!r}"
+
+
 def find_foreign(entry: Entry, known: Mapping[tuple[str, str], set[str]]) -> str:
     """Return what in an answer is another's, or an empty text."""
-    if entry.was_answered and entry.answered_id != entry.request_id:
-        return f"request id {entry.answered_id!r}"
     if entry.ran != RAN or entry.action != STATEMENT:
         return ""
     statement = entry.statement
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -174,6 +174,21 @@
     assert name_kinds(found) == [(ForeignAnswer, one) for one in "abc"]
 
 
+def test_a_refused_connection_needs_no_request_id():
+    """A proxy that stops tells its idle connections so, while a request is on its way
+    on one of them. That refusal has an id of its own; another request's would mean
+    that answers were mixed up.
+    """
+    stopping = build_refusal(Code.STOPPING, answered_id="own")
+    assert check_answers([stopping]) == []
+    other = build_refusal(Code.STOPPING, request_id="own", answered_id="own")
+    assert name_kinds(check_answers([stopping, other])) == [(ForeignAnswer, "r1")]
+    for changes in ({"ran": "unknown"}, {"answered_id": ""}):
+        assert len(check_answers([stopping._replace(**changes)])) == 1
+    limited = build_refusal(Code.RATE_EXCEEDED, answered_id="own")
+    assert len(check_answers([limited])) == 1
+
+
 def test_a_request_without_answer_is_found():
     """A proxy that is asked to stop ends with a request in its hands. The caller sees
     a closed connection; from one that was killed that is to be expected.
