--- a/standins/demo.py
+++ b/standins/demo.py
@@ -8,11 +8,12 @@
 
 from bronzerelay.codes import NOT_RUN, RAN, Code
 from bronzerelay.runtime import Runtime
-from bronzerelay.types import Statement
+from bronzerelay.types import Bundle, Statement
 from standins.caller import Caller, CallerSettings, exchange
 from standins.cluster import DEMO, Cluster, ClusterError
 from standins.exchange import HttpAnswer, LinkPool, build_request
 from standins.load import end_on_sigterm
+from standins.operators import CommandError, Operator, roll_out, write_bundle_file
 from standins.record import Entry
 
 TASKS = 64
@@ -52,16 +53,37 @@
         raise DemoError(message)
 
 
-def put_first_bundle(cluster: Cluster) -> None:
-    """Put the first bundle in force and wait until every daemon has it."""
-    version = cluster.put_bundle()
-    cluster.wait_ready(version)
+def put_first_bundle(cluster: Cluster) -> Operator:
+    """Put the first bundle in force with the command line; return its author."""
+    ana, ben = Operator(cluster, "ana"), Operator(cluster, "ben")
+    operators = [ana.entry, ben.entry]
+    bundle = Bundle(**cluster.build_bundle(version=1), operators=operators)
+    path = write_bundle_file(cluster, bundle)
+    ana.run("bundle", "check", path)
+    roll_out(ana, ben, path)
+    cluster.wait_ready(bundle["version"])
     workspace = cluster.layout.workspaces[0]
     say(
-        f"Put bundle {version} in force: workspace {workspace.name} with one key, "
+        "With the command line ana checked and proposed bundle 1, ben signed it and "
+        f"ana rolled it out: workspace {workspace.name} with one key, "
         f"{workspace.rate:g} requests a second and a burst of {workspace.burst:g}."
     )
-    say(f"{len(cluster.daemon_names)} daemons are ready and have bundle {version}.")
+    say(f"{len(cluster.daemon_names)} daemons are ready and have bundle 1.")
+    return ana
+
+
+def withdraw_key(
+    cluster: Cluster, operator: Operator, caller: Caller, group: str
+) -> None:
+    """Withdraw the caller's key, and check that every daemon refuses it."""
+    workspace = caller.settings.workspace
+    key_id = cluster.build_bundle()["workspaces"][0]["keys"][0]["id"]
+    operator.run("key", "withdraw", workspace, key_id)
+    for daemon in cluster.daemon_names:
+        entry = caller.run(group, GET, daemon)
+        refused = entry.code == Code.KEY_REJECTED and entry.ran == NOT_RUN
+        require(refused, f"{daemon} answered {entry.code} to a withdrawn key")
+    say(f"{operator.name} withdrew the key; all daemons refuse it on open connections.")
 
 
 def run_patiently(
@@ -181,7 +203,7 @@
         f"Started the platform, {len(groups)} groups of {DEMO.instances} "
         f"endpoints and {len(daemons)} daemons, each a process on loopback."
     )
-    put_first_bundle(cluster)
+    operator = put_first_bundle(cluster)
     workspace = DEMO.workspaces[0].name
     settings = CallerSettings("demo", workspace, cluster.keys[workspace])
     links = LinkPool(cluster.runtime, cluster.daemon_addresses)
@@ -189,6 +211,7 @@
     write_and_read(caller, groups[0], daemons)
     show_refusals(caller, links, groups[0], daemons[0])
     survive_lost_primary(cluster, caller, groups[0])
+    withdraw_key(cluster, operator, caller, groups[0])
     links.close()
     stop_daemon(cluster, daemons[0])
 
@@ -199,7 +222,7 @@
     try:
         with cluster:
             run_steps(cluster)
-    except (DemoError, ClusterError, OSError) as error:
+    except (DemoError, ClusterError, CommandError, OSError) as error:
         raise DemoError(f"{error}\nThe logs are in {cluster.folder}") from error
     except KeyboardInterrupt:
         cluster.remove_logs()
