--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN := $(VENV)/bin/python -m
 
 # Each name here stands for a job, not for a file.
-.PHONY: help setup demo test mutations lint format format-check check
+.PHONY: help setup demo test soak mutations lint format format-check check
 
 help:  ## Show this list.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -23,6 +23,9 @@
 test: setup  ## Run all tests.
 	$(RUN) pytest
 
+soak: setup  ## Run random fault schedules with a fresh seed, and check every promise.
+	$(RUN) lab.soak --schedules 100
+
 mutations: setup  ## Switch off one mechanism after another and see its test fail.
 	$(RUN) lab.mutations
 
--- a/lab/failover.py
+++ b/lab/failover.py
@@ -2,14 +2,23 @@
 
 import json
 import statistics
-from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
 
 import click
 
-from bronzerelay.rendezvous import rank
 from bronzerelay.runtime import Runtime
+from lab.faults import (
+    Scene,
+    cut_half,
+    cut_primary_off,
+    freeze_primary,
+    freeze_primary_without_platform,
+    freeze_serving_daemon,
+    freeze_two_primaries,
+    kill_primary,
+    kill_serving_daemon,
+)
 from standins.checks import run_checks
 from standins.cluster import VIANDA, Cluster
 from standins.layout import Layout
@@ -35,89 +44,6 @@
     violations: int
 
 
-class Scene(NamedTuple):
-    """What a failure needs to know; `record` holds all rounds so far."""
-
-    cluster: Cluster
-    group: str
-    record: list[Entry]
-
-
-Undo = Callable[[], None]
-
-
-def kill_primary(scene: Scene) -> Undo:
-    """Kill the group's primary; it doesn't come back."""
-    scene.cluster.kill(scene.cluster.find_primary(scene.group))
-    return lambda: None
-
-
-def freeze_primary(scene: Scene) -> Undo:
-    """Freeze the group's primary, as a paused VM is."""
-    name = scene.cluster.find_primary(scene.group)
-    scene.cluster.freeze(name)
-    return lambda: scene.cluster.thaw(name)
-
-
-def cut_primary_off(scene: Scene) -> Undo:
-    """Cut the primary from its replicas, but not from the daemons."""
-    name = scene.cluster.find_primary(scene.group)
-    others = [
-        f"{scene.group}-{number}"
-        for number in (1, 2, 3)
-        if f"{scene.group}-{number}" != name
-    ]
-    scene.cluster.ask_endpoint(name, "cut", names=others)
-    return lambda: scene.cluster.ask_endpoint(name, "heal", names=others)
-
-
-def cut_half(scene: Scene) -> Undo:
-    """Cut the primary from half of the daemons, the serving one among them."""
-    name = scene.cluster.find_primary(scene.group)
-    daemons = rank(f"group/{scene.group}", scene.cluster.daemon_names)
-    half = daemons[: len(daemons) // 2]
-    scene.cluster.ask_endpoint(name, "cut", names=half)
-    return lambda: scene.cluster.ask_endpoint(name, "heal", names=half)
-
-
-def freeze_serving_daemon(scene: Scene) -> Undo:
-    """Freeze the daemon that serves the group."""
-    name = rank(f"group/{scene.group}", scene.cluster.daemon_names)[0]
-    scene.cluster.freeze(name)
-    return lambda: scene.cluster.thaw(name)
-
-
-def kill_serving_daemon(scene: Scene) -> Undo:
-    """Kill the daemon that serves the group, and start it again later."""
-    name = rank(f"group/{scene.group}", scene.cluster.daemon_names)[0]
-    scene.cluster.kill(name)
-    return lambda: scene.cluster.start(name)
-
-
-def freeze_primary_without_platform(scene: Scene) -> Undo:
-    """Freeze the primary while the platform is out."""
-    scene.cluster.set_platform_fault("down")
-    undo = freeze_primary(scene)
-
-    def heal() -> None:
-        undo()
-        scene.cluster.set_platform_fault("up")
-
-    return heal
-
-
-def freeze_two_primaries(scene: Scene) -> Undo:
-    """Freeze the primaries of two groups at once."""
-    other = next(name for name in scene.cluster.groups if name != scene.group)
-    undone = [freeze_primary(scene), freeze_primary(scene._replace(group=other))]
-
-    def heal() -> None:
-        for undo in undone:
-            undo()
-
-    return heal
-
-
 FAILURES = {
     "primary frozen": freeze_primary,
     "primary cut from its replicas": cut_primary_off,
--- /dev/null
+++ b/lab/soak.py
@@ -0,0 +1,231 @@
+"""Runs random schedules of faults under load and checks every promise after each.
+
+A schedule is a few faults at random moments of a short load, together and twice as
+it comes. Its seed tells all of it but the timing of the machine.
+"""
+
+import json
+from pathlib import Path
+from typing import NamedTuple
+
+import click
+
+from bronzerelay.runtime import Runtime
+from lab import faults
+from lab.faults import Scene, Undo
+from standins.checks import run_checks
+from standins.cluster import DEMO, Cluster, ClusterError, Layout
+from standins.layout import WorkspaceLayout
+from standins.load import Load, LoadSettings
+from standins.rates import RateLimit
+from standins.record import Entry
+
+OUTPUT = Path("docs/measurements/soak.json")
+FAULTS = (
+    faults.freeze_primary,
+    faults.freeze_primary,
+    faults.freeze_replica,
+    faults.cut_primary_off,
+    faults.cut_half,
+    faults.freeze_serving_daemon,
+    faults.freeze_daemon,
+    faults.kill_serving_daemon,
+    faults.kill_daemon,
+    faults.restart_daemon,
+    faults.lose_answers,
+    faults.delay_answers,
+    faults.cross_answers,
+    faults.raise_lag,
+    faults.stop_platform,
+    faults.slow_platform,
+    faults.lose_platform_answers,
+    faults.change_configuration,
+)
+LAYOUT = DEMO._replace(
+    groups=("orders", "diets"),
+    daemons=4,
+    vm_lag_ms=300,
+    service_ms=2,
+    workspaces=(
+        WorkspaceLayout("caterer-1", rate=60, burst=60),
+        WorkspaceLayout("caterer-2", rate=40, burst=40),
+        WorkspaceLayout("schools", rate=20, burst=20),
+    ),
+)
+# One workspace sends far more than its rate.
+SENT = {"caterer-1": 50.0, "caterer-2": 30.0, "schools": 60.0}
+LOAD_MS = 2200
+FAULTS_PER_SCHEDULE = (1, 4)
+FAULT_WINDOW_MS = 900.0
+FAULT_LENGTH_MS = (200.0, 1400.0)
+SETTLE_MS = 900
+# A cluster's logs grow with each schedule, and so does the work of checking them.
+SCHEDULES_PER_CLUSTER = 10
+LIMITS = [RateLimit(one.name, one.rate, one.burst) for one in LAYOUT.workspaces]
+
+
+class Planned(NamedTuple):
+    """A fault of a schedule: when it begins and ends, in milliseconds."""
+
+    begin_ms: float
+    end_ms: float
+    number: int
+    group: str
+
+
+class Tally(NamedTuple):
+    """What a schedule gave."""
+
+    seed: int
+    faults: list[str]
+    answered: int
+    not_run: int
+    unknown: int
+    violations: list[str]
+
+
+def plan_faults(runtime: Runtime, seed: int, layout: Layout) -> list[Planned]:
+    """Return the faults of the schedule with this seed."""
+    draw = runtime.make_random(seed)
+    planned = []
+    for _ in range(draw.randint(*FAULTS_PER_SCHEDULE)):
+        begin_ms = draw.uniform(200.0, FAULT_WINDOW_MS)
+        end_ms = begin_ms + draw.uniform(*FAULT_LENGTH_MS)
+        number = draw.randrange(len(FAULTS))
+        planned.append(Planned(begin_ms, end_ms, number, draw.choice(layout.groups)))
+    return sorted(planned)
+
+
+def cause_faults(
+    cluster: Cluster, planned: list[Planned], record: list[Entry]
+) -> list[str]:
+    """Cause the faults at their times and undo each at its end; return their names."""
+    started_ms = cluster.runtime.clock.now_ms()
+    undo: list[tuple[float, Undo]] = []
+    names = []
+    steps = [(one.begin_ms, one) for one in planned]
+    while steps or undo:
+        next_begin = steps[0][0] if steps else float("inf")
+        next_end = min((end for end, _ in undo), default=float("inf"))
+        due_ms = started_ms + min(next_begin, next_end)
+        cluster.runtime.sleep_ms(due_ms - cluster.runtime.clock.now_ms())
+        if next_begin <= next_end:
+            one = steps.pop(0)[1]
+            name = FAULTS[one.number].__name__
+            undone = cause_fault(Scene(cluster, one.group, record), one.number)
+            if undone is not None:
+                names.append(name)
+                undo.append((one.end_ms, undone))
+        else:
+            undo.sort(key=lambda pair: pair[0])
+            undo.pop(0)[1]()
+    return names
+
+
+def cause_fault(scene: Scene, number: int) -> Undo | None:
+    """Cause one fault; return None when an earlier one makes it impossible."""
+    try:
+        return FAULTS[number](scene)
+    except (OSError, ClusterError):
+        # Its process is frozen or stopped, or the platform is out already.
+        return None
+
+
+def run_schedule(cluster: Cluster, record: list[Entry], seed: int) -> Tally:
+    """Run one schedule, heal, and check the whole record of the cluster so far."""
+    settings = LoadSettings(
+        rates=SENT,
+        groups=cluster.layout.groups,
+        seed=seed,
+        duration_ms=LOAD_MS,
+        write_share=0.4,
+        once_share=0.4,
+        transaction_share=0.2,
+        age_share=0.3,
+        rows=12,
+    )
+    load = Load(cluster.runtime, settings, cluster.daemon_addresses, cluster.keys)
+    planned = plan_faults(cluster.runtime, seed, cluster.layout)
+    load.start()
+    names = cause_faults(cluster, planned, record)
+    entries = load.wait()
+    record.extend(entries)
+    cluster.runtime.sleep_ms(SETTLE_MS)
+    cluster.wait_ready()
+    found = run_checks(record, cluster.collect_evidence(), LIMITS)
+    return Tally(
+        seed,
+        names,
+        sum(entry.ran == "ran" for entry in entries),
+        sum(entry.ran == "not_run" for entry in entries),
+        sum(entry.ran not in ("ran", "not_run") for entry in entries),
+        [f"{type(one).__name__}: {one}" for one in found],
+    )
+
+
+def run_cluster(seed: int, count: int) -> list[Tally]:
+    """Run `count` schedules one after the other on one cluster."""
+    tallies = []
+    record: list[Entry] = []
+    runtime = Runtime(700, seed=seed)
+    with Cluster(runtime, LAYOUT) as cluster:
+        cluster.wait_ready(cluster.put_bundle())
+        runtime.sleep_ms(500)
+        for number in range(count):
+            tally = run_schedule(cluster, record, seed + number)
+            tallies.append(tally)
+            if tally.violations:
+                # What follows would find the same ones again.
+                break
+    runtime.close(2000)
+    return tallies
+
+
+def show_tally(tally: Tally) -> None:
+    """Print what a schedule gave, in a line, and its violations."""
+    click.echo(
+        f"seed {tally.seed}: {tally.answered} ran, {tally.not_run} not run, "
+        f"{tally.unknown} unknown; {', '.join(tally.faults)}"
+    )
+    for violation in tally.violations[:5]:
+        click.echo(f"    BROKEN {violation}"[:300])
+
+
+@click.command()
+@click.option("--schedules", default=20, show_default=True)
+@click.option("--seed", default=None, type=int, help="Fresh by default; printed.")
+@click.option("--output", default=str(OUTPUT), show_default=True)
+def main(schedules: int, seed: int | None, output: str) -> None:
+    """Run random fault schedules and end with 1 if a promise was broken."""
+    if seed is None:
+        seed = Runtime(1).random.randrange(1_000_000_000)
+    click.echo(f"first seed {seed}")
+    tallies: list[Tally] = []
+    while len(tallies) < schedules:
+        count = min(SCHEDULES_PER_CLUSTER, schedules - len(tallies))
+        done = run_cluster(seed + len(tallies), count)
+        for tally in done:
+            show_tally(tally)
+        tallies.extend(done)
+        write_result(seed, tallies, output)
+    broken = sum(bool(tally.violations) for tally in tallies)
+    click.echo(f"{len(tallies)} schedules, {broken} with a broken promise")
+    raise SystemExit(1 if broken else 0)
+
+
+def write_result(seed: int, tallies: list[Tally], output: str) -> None:
+    """Write the sums, so that a run that is cut short leaves what it found."""
+    result = {
+        "first_seed": seed,
+        "schedules": len(tallies),
+        "with_violations": [one.seed for one in tallies if one.violations],
+        "ran": sum(one.answered for one in tallies),
+        "not_run": sum(one.not_run for one in tallies),
+        "unknown": sum(one.unknown for one in tallies),
+    }
+    Path(output).parent.mkdir(parents=True, exist_ok=True)
+    Path(output).write_text(json.dumps(result, indent=2) + "\n")
+
+
+if __name__ == "__main__":
+    main()
