--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,16 +1,19 @@
 """Runs the main job once on stand-ins and says what each step did."""
 
 import sys
+import textwrap
 from typing import Any, NamedTuple
 
 import click
 import msgspec
 
+from bronzerelay.bundlefile import write_bundle, write_text
 from bronzerelay.codes import NOT_RUN, RAN, Code
 from bronzerelay.runtime import Runtime
-from bronzerelay.types import Statement
+from bronzerelay.types import Bundle, Statement
 from standins.caller import Caller, CallerSettings, exchange
 from standins.cluster import DEMO, Cluster, ClusterError
+from standins.commands import CommandError, run_command
 from standins.exchange import HttpAnswer, LinkPool, build_request
 from standins.load import end_on_sigterm
 from standins.record import Entry
@@ -22,6 +25,7 @@
 TIMEOUT_MS = 5000
 # Larger than what a daemon takes unless its settings say more.
 OVERSIZED_BYTES = 2 * 1024 * 1024
+OPERATOR = "ana"
 ROW = "school-12/lunches"
 GET = Statement(verb="get", row=ROW)
 
@@ -53,15 +57,27 @@
 
 
 def put_first_bundle(cluster: Cluster) -> None:
-    """Put the first bundle in force and wait until every daemon has it."""
-    version = cluster.put_bundle()
-    cluster.wait_ready(version)
+    """Put the first bundle in force with the operators' command line."""
     workspace = cluster.layout.workspaces[0]
+    path = str(cluster.folder / "bundle.toml")
+    bundle = cluster.build_bundle(version=1)
+    # The key is the command line's to make: it shows it once and keeps a hash.
+    without_keys = [{**entry, "keys": []} for entry in bundle["workspaces"]]
+    write_text(path, write_bundle(Bundle(**{**bundle, "workspaces": without_keys})))
+    grant = ("key", "grant", path, workspace.name, "demo", "--output", "json")
+    cluster.keys[workspace.name] = msgspec.json.decode(run_command(*grant))["key"]
+    run_command("bundle", "check", path)
+    daemons = ",".join(str(one) for one in cluster.daemon_addresses.values())
+    platform = str(cluster.addresses["platform"])
+    rollout = ("bundle", "rollout", path, "--platform", platform)
+    printed = run_command(*rollout, "--operator", OPERATOR, "--daemons", daemons)
     say(
-        f"Put bundle {version} in force: workspace {workspace.name} with one key, "
-        f"{workspace.rate:g} requests a second and a burst of {workspace.burst:g}."
+        f"Granted a key to workspace {workspace.name} ({workspace.rate:g} requests a "
+        f"second, burst {workspace.burst:g}), checked the bundle and rolled it out:"
     )
-    say(f"{len(cluster.daemon_names)} daemons are ready and have bundle {version}.")
+    say(textwrap.indent(printed.rstrip(), "    "))
+    cluster.wait_ready(version=1)
+    say(f"{len(cluster.daemon_names)} daemons are ready for callers.")
 
 
 def run_patiently(
@@ -160,7 +176,7 @@
     gap_ms = clock.now_ms() - start_ms
     say(
         f"A write ran {gap_ms:.0f} ms later at {entry.served_by}. Refused before that: "
-        f"{refusals} times, each with a time to come back."
+        f"{refusals} times."
     )
     read = run_patiently(caller, group, GET)
     require(read.value == ["no gluten", "no nuts"], f"the row holds {read.value}")
@@ -199,7 +215,7 @@
     try:
         with cluster:
             run_steps(cluster)
-    except (DemoError, ClusterError, OSError) as error:
+    except (DemoError, ClusterError, CommandError, OSError) as error:
         raise DemoError(f"{error}\nThe logs are in {cluster.folder}") from error
     except KeyboardInterrupt:
         cluster.remove_logs()
