--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,21 +1,19 @@
 """Runs the main job once on stand-ins and says what each step did."""
 
 import sys
-import textwrap
 from typing import Any, NamedTuple
 
 import click
 import msgspec
 
-from bronzerelay.bundlefile import write_bundle, write_text
 from bronzerelay.codes import NOT_RUN, RAN, Code
 from bronzerelay.runtime import Runtime
 from bronzerelay.types import Bundle, Statement
 from standins.caller import Caller, CallerSettings, exchange
 from standins.cluster import DEMO, Cluster, ClusterError
-from standins.commands import CommandError, run_command
 from standins.exchange import HttpAnswer, LinkPool, build_request
 from standins.load import end_on_sigterm
+from standins.operators import CommandError, Operator, roll_out, write_bundle_file
 from standins.record import Entry
 
 TASKS = 64
@@ -25,7 +23,6 @@
 TIMEOUT_MS = 5000
 # Larger than what a daemon takes unless its settings say more.
 OVERSIZED_BYTES = 2 * 1024 * 1024
-OPERATOR = "ana"
 ROW = "school-12/lunches"
 GET = Statement(verb="get", row=ROW)
 
@@ -56,28 +53,37 @@
         raise DemoError(message)
 
 
-def put_first_bundle(cluster: Cluster) -> None:
-    """Put the first bundle in force with the operators' command line."""
+def put_first_bundle(cluster: Cluster) -> Operator:
+    """Put the first bundle in force with the command line; return its author."""
+    ana, ben = Operator(cluster, "ana"), Operator(cluster, "ben")
+    operators = [ana.entry, ben.entry]
+    bundle = Bundle(**cluster.build_bundle(version=1), operators=operators)
+    path = write_bundle_file(cluster, bundle)
+    ana.run("bundle", "check", path)
+    roll_out(ana, ben, path)
+    cluster.wait_ready(bundle["version"])
     workspace = cluster.layout.workspaces[0]
-    path = str(cluster.folder / "bundle.toml")
-    bundle = cluster.build_bundle(version=1)
-    # The key is the command line's to make: it shows it once and keeps a hash.
-    without_keys = [{**entry, "keys": []} for entry in bundle["workspaces"]]
-    write_text(path, write_bundle(Bundle(**{**bundle, "workspaces": without_keys})))
-    grant = ("key", "grant", path, workspace.name, "demo", "--output", "json")
-    cluster.keys[workspace.name] = msgspec.json.decode(run_command(*grant))["key"]
-    run_command("bundle", "check", path)
-    daemons = ",".join(str(one) for one in cluster.daemon_addresses.values())
-    platform = str(cluster.addresses["platform"])
-    rollout = ("bundle", "rollout", path, "--platform", platform)
-    printed = run_command(*rollout, "--operator", OPERATOR, "--daemons", daemons)
     say(
-        f"Granted a key to workspace {workspace.name} ({workspace.rate:g} requests a "
-        f"second, burst {workspace.burst:g}), checked the bundle and rolled it out:"
+        "With the command line ana checked and proposed bundle 1, ben signed it and "
+        f"ana rolled it out: workspace {workspace.name} with one key, "
+        f"{workspace.rate:g} requests a second and a burst of {workspace.burst:g}."
     )
-    say(textwrap.indent(printed.rstrip(), "    "))
-    cluster.wait_ready(version=1)
-    say(f"{len(cluster.daemon_names)} daemons are ready for callers.")
+    say(f"{len(cluster.daemon_names)} daemons are ready and have bundle 1.")
+    return ana
+
+
+def withdraw_key(
+    cluster: Cluster, operator: Operator, caller: Caller, group: str
+) -> None:
+    """Withdraw the caller's key, and check that every daemon refuses it."""
+    workspace = caller.settings.workspace
+    key_id = cluster.build_bundle()["workspaces"][0]["keys"][0]["id"]
+    operator.run("key", "withdraw", workspace, key_id)
+    for daemon in cluster.daemon_names:
+        entry = caller.run(group, GET, daemon)
+        refused = entry.code == Code.KEY_REJECTED and entry.ran == NOT_RUN
+        require(refused, f"{daemon} answered {entry.code} to a withdrawn key")
+    say(f"{operator.name} withdrew the key; all daemons refuse it on open connections.")
 
 
 def run_patiently(
@@ -176,7 +182,7 @@
     gap_ms = clock.now_ms() - start_ms
     say(
         f"A write ran {gap_ms:.0f} ms later at {entry.served_by}. Refused before that: "
-        f"{refusals} times."
+        f"{refusals} times, each with a time to come back."
     )
     read = run_patiently(caller, group, GET)
     require(read.value == ["no gluten", "no nuts"], f"the row holds {read.value}")
@@ -197,7 +203,7 @@
         f"Started the platform, {len(groups)} groups of {DEMO.instances} "
         f"endpoints and {len(daemons)} daemons, each a process on loopback."
     )
-    put_first_bundle(cluster)
+    operator = put_first_bundle(cluster)
     workspace = DEMO.workspaces[0].name
     settings = CallerSettings("demo", workspace, cluster.keys[workspace])
     links = LinkPool(cluster.runtime, cluster.daemon_addresses)
@@ -205,6 +211,7 @@
     write_and_read(caller, groups[0], daemons)
     show_refusals(caller, links, groups[0], daemons[0])
     survive_lost_primary(cluster, caller, groups[0])
+    withdraw_key(cluster, operator, caller, groups[0])
     links.close()
     stop_daemon(cluster, daemons[0])
 
