--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -187,7 +187,7 @@
 
     def freeze(self, name: str) -> None:
         """Hold a process where it is (SIGSTOP); its connections stay open."""
-        self._find(name).send_signal(signal.SIGSTOP)
+        self._find(name).freeze()
 
     def thaw(self, name: str) -> None:
         """Let a frozen process go on (SIGCONT)."""
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -70,6 +70,16 @@
             raise ClusterError(f"{self.name} is not running\n{self.read_tail()}")
         os.kill(self._child.pid, number)
 
+    def freeze(self) -> None:
+        """Stop the process where it is, and return once it has stopped.
+
+        The signal is delivered some time after it is sent; a test that went on at
+        once would still be answered, and take the frozen process for a live one.
+        """
+        self.send_signal(signal.SIGSTOP)
+        # Neither a stop nor an end is taken away from Popen here.
+        os.waitid(os.P_PID, self._child.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
+
     def wait(self, timeout_ms: float) -> int | None:
         """Return the exit code, or None when it still runs after the timeout."""
         if self._child is None:
