Judge rates by windows, not by taking tokens early

Cause of false findings in the soak: the replay gave each request the first free token, also to one that could have been admitted later, and then had none for one that couldn't wait. Ruled out: taking tokens as late as possible, or when the bucket is full; a full bucket refills while the others wait.

--- a/standins/rates.py
+++ b/standins/rates.py
@@ -1,6 +1,6 @@
 """Replays requests through a token bucket, to judge what was admitted and refused."""
 
-import heapq
+import bisect
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -68,13 +68,6 @@
         self.tokens -= 1
         return True
 
-    def next_token_ms(self) -> float:
-        """Return when there is a whole token, if the limit stays."""
-        if self.limit.rate <= 0:
-            return float("inf")
-        missing = max(0.0, 1 - self.tokens)
-        return self._now_ms + missing * SECOND_MS / self.limit.rate
-
 
 def check_rates(
     record: Iterable[Entry], limits: Iterable[RateLimit], evidence: Evidence
@@ -83,9 +76,9 @@
 
     When a daemon admitted a request is not seen, only that it did so between the
     sending and the answer, and before the endpoint ran it. A workspace got too much
-    exactly when no choice of such times passes through one bucket; earliest latest
-    time first finds a choice if there is one. So no delay on the way can make a
-    false finding, and every window in which too much must have passed is found.
+    when some window certainly holds more admissions than the burst and what the rate
+    gives in it. So no delay on the way can make a false finding, and every window in
+    which too much must have passed is found.
     """
     limits = list(limits)
     by_workspace = collect_admissions(record, evidence)
@@ -125,28 +118,48 @@
 def replay_admissions(
     admissions: list[Admission], limits: list[RateLimit]
 ) -> list[RateExceeded]:
-    """Return the admissions of one workspace for which no token was left in time."""
-    coming = sorted(admissions, key=lambda one: one.sent_ms, reverse=True)
-    waiting: list[Admission] = []
-    bucket = Bucket(limits)
+    """Return the admissions of one workspace that some window had no room for.
+
+    Each is tried in the order of the latest times, against all windows that begin
+    with an earlier one's sending; one without room is found and left out after that,
+    or all that come after would be found too.
+    """
+    limits = sorted(limits, key=lambda limit: limit.from_ms)
+    sent_ms: list[float] = []
+    # For each window's beginning: the burst then, less what the rate gave before.
+    bases: list[float] = []
     found = []
-    while coming or waiting:
-        now_ms = coming[-1].sent_ms if coming else float("inf")
-        if waiting:
-            now_ms = min(now_ms, bucket.next_token_ms())
-        if now_ms == float("inf"):
-            return found + [exceed(one, bucket.limit) for one in waiting]
-        bucket.advance(now_ms)
-        while coming and coming[-1].sent_ms <= now_ms:
-            heapq.heappush(waiting, coming.pop())
-        # What is too late takes no token, or all that come after would be late too.
-        while waiting and waiting[0].latest_ms < now_ms - TOLERANCE:
-            found.append(exceed(heapq.heappop(waiting), bucket.limit))
-        while waiting and bucket.take():
-            heapq.heappop(waiting)
+    for one in sorted(admissions):
+        place = bisect.bisect_right(sent_ms, one.sent_ms)
+        burst = find_limit(limits, one.sent_ms).burst
+        base = burst - sum_rate(limits, one.sent_ms) + TOLERANCE
+        given = sum_rate(limits, one.latest_ms)
+        counts = range(len(sent_ms) + 1, len(sent_ms) - place, -1)
+        pairs = zip([*bases[:place], base], counts, strict=True)
+        if all(count <= given + room for room, count in pairs):
+            sent_ms.insert(place, one.sent_ms)
+            bases.insert(place, base)
+        else:
+            found.append(exceed(one, find_limit(limits, one.latest_ms)))
     return found
 
 
+def find_limit(limits: list[RateLimit], time_ms: float) -> RateLimit:
+    """Return the limit in force at `time_ms`; the first one before any is."""
+    in_force = [limit for limit in limits if limit.from_ms <= time_ms]
+    return in_force[-1] if in_force else limits[0]
+
+
+def sum_rate(limits: list[RateLimit], time_ms: float) -> float:
+    """Return the tokens that the rates have given from time zero to `time_ms`."""
+    ends_ms = [limit.from_ms for limit in limits[1:]] + [float("inf")]
+    tokens = 0.0
+    for limit, end_ms in zip(limits, ends_ms, strict=True):
+        length_ms = min(time_ms, end_ms) - max(0.0, limit.from_ms)
+        tokens += max(0.0, length_ms) * limit.rate / SECOND_MS
+    return tokens
+
+
 def exceed(admission: Admission, limit: RateLimit) -> RateExceeded:
     """Return the violation for an admission that no token was left for."""
     return RateExceeded(
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -270,6 +270,20 @@
     assert len(check_rates(record, [LIMIT], evidence)) == 2
 
 
+def test_a_request_that_could_wait_takes_no_token_from_one_that_could_not():
+    """Two requests are answered late, and two that came after them at once. One choice
+    of times fits: the first two were admitted last, when new tokens had come.
+    """
+    slow = build_run(0, 0, lasting=400)
+    quick = [
+        entry._replace(request_id=f"q{number}", idempotency_key=f"q{number}")
+        for number, entry in enumerate(build_run(50, 50))
+    ]
+    assert check_rates(slow + quick, [LIMIT], NO_EVIDENCE) == []
+    late = [entry._replace(answered_ms=100) for entry in slow]
+    assert len(check_rates(late + quick, [LIMIT], NO_EVIDENCE)) == 1
+
+
 def test_what_ran_without_an_answer_counts():
     """A proxy is killed with requests in its hands that the endpoint has run. The
     workspace had its share, though no caller saw it.
