--- a/lab/faults.py
+++ b/lab/faults.py
@@ -31,7 +31,7 @@
     """Freeze the group's primary, as a paused VM is."""
     name = scene.cluster.find_primary(scene.group)
     scene.cluster.freeze(name)
-    return lambda: scene.cluster.thaw(name)
+    return lambda: thaw(scene.cluster, name)
 
 
 def cut_primary_off(scene: Scene) -> Undo:
@@ -59,14 +59,14 @@
     """Freeze the daemon that serves the group."""
     name = serving_daemon(scene)
     scene.cluster.freeze(name)
-    return lambda: scene.cluster.thaw(name)
+    return lambda: thaw(scene.cluster, name)
 
 
 def kill_serving_daemon(scene: Scene) -> Undo:
     """Kill the daemon that serves the group, and start it again later."""
     name = serving_daemon(scene)
     scene.cluster.kill(name)
-    return lambda: scene.cluster.start(name)
+    return lambda: start_again(scene.cluster, name)
 
 
 def freeze_primary_without_platform(scene: Scene) -> Undo:
@@ -93,6 +93,18 @@
     return heal
 
 
+def start_again(cluster: Cluster, name: str) -> None:
+    """Start a daemon unless another fault's undoing has done so already."""
+    if not cluster.is_running(name):
+        cluster.start(name)
+
+
+def thaw(cluster: Cluster, name: str) -> None:
+    """Let a frozen process go on, if another fault hasn't killed it since."""
+    if cluster.is_running(name):
+        cluster.thaw(name)
+
+
 def serving_daemon(scene: Scene) -> str:
     """Return the daemon that serves the group while all are alive."""
     return rank(f"group/{scene.group}", scene.cluster.daemon_names)[0]
@@ -113,7 +125,7 @@
     """Freeze a random daemon."""
     name = pick_daemon(scene)
     scene.cluster.freeze(name)
-    return lambda: scene.cluster.thaw(name)
+    return lambda: thaw(scene.cluster, name)
 
 
 def restart_daemon(scene: Scene) -> Undo:
@@ -122,8 +134,11 @@
     scene.cluster.begin_stop(name)
 
     def start() -> None:
-        scene.cluster.wait_stopped(name)
-        scene.cluster.start(name)
+        # One that another fault has frozen would never come to its end.
+        thaw(scene.cluster, name)
+        if scene.cluster.is_running(name):
+            scene.cluster.wait_stopped(name)
+        start_again(scene.cluster, name)
 
     return start
 
@@ -132,14 +147,14 @@
     """Kill a random daemon, and start it again."""
     name = pick_daemon(scene)
     scene.cluster.kill(name)
-    return lambda: scene.cluster.start(name)
+    return lambda: start_again(scene.cluster, name)
 
 
 def freeze_replica(scene: Scene) -> Undo:
     """Freeze a random instance of the group."""
     name = pick_instance(scene)
     scene.cluster.freeze(name)
-    return lambda: scene.cluster.thaw(name)
+    return lambda: thaw(scene.cluster, name)
 
 
 def lose_answers(scene: Scene) -> Undo:
