--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -14,7 +14,7 @@
 
 from bronzerelay.bundle import digest_bundle
 from bronzerelay.keys import hash_key, make_key
-from bronzerelay.runtime import Runtime
+from bronzerelay.runtime import Address, Runtime
 from bronzerelay.types import Bundle, ConfigRecord
 from standins.admin import AdminClient, open_admin
 from standins.controls import PlatformAdmin
@@ -39,6 +39,7 @@
     find_free_addresses,
     wait_until_listening,
 )
+from standins.rates import RateLimit
 
 __all__ = [
     "DEMO",
@@ -100,6 +101,7 @@
         try:
             self.start_all()
         except BaseException:
+            self._keep_logs = True
             self.close()
             raise
         return self
@@ -114,12 +116,9 @@
         self._start_together([PLATFORM])
         for name in self.daemon_names:
             self.set_vm(name, "live")
-        # The primaries go first: a follower that can't reach its own would retry.
-        primaries = [name_endpoints(self.layout, group)[0] for group in self.groups]
-        followers = [name for name in self.endpoint_names if name not in primaries]
-        self._start_together(primaries)
-        self._start_together(followers)
-        self._start_together(self.daemon_names)
+        # All at once: followers ask again until their primary listens, and daemons
+        # look at no endpoint before a bundle is in force.
+        self._start_together([*self.endpoint_names, *self.daemon_names])
 
     def close(self) -> None:
         """End every process by its pid, frozen ones too, and remove the logs."""
@@ -127,13 +126,30 @@
         for process in self._processes.values():
             process.kill()
         if not self._keep_logs:
-            shutil.rmtree(self.folder, ignore_errors=True)
+            self.remove_logs()
+
+    def remove_logs(self) -> None:
+        """Remove the logs, which a run that failed has left."""
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     @property
     def groups(self) -> tuple[str, ...]:
         """The names of the database groups."""
         return self.layout.groups
 
+    @property
+    def daemon_addresses(self) -> dict[str, Address]:
+        """Where callers reach each daemon."""
+        return {name: self.addresses[name] for name in self.daemon_names}
+
+    @property
+    def rate_limits(self) -> list[RateLimit]:
+        """The workspaces' limits as the layout gives them, for the checks."""
+        return [
+            RateLimit(workspace.name, workspace.rate, workspace.burst)
+            for workspace in self.layout.workspaces
+        ]
+
     # One process
 
     def start(self, name: str) -> None:
@@ -171,7 +187,7 @@
 
     def freeze(self, name: str) -> None:
         """Hold a process where it is (SIGSTOP); its connections stay open."""
-        self._find(name).send_signal(signal.SIGSTOP)
+        self._find(name).freeze()
 
     def thaw(self, name: str) -> None:
         """Let a frozen process go on (SIGCONT)."""
@@ -276,11 +292,13 @@
 
     # Daemons
 
-    def fetch(self, name: str, path: str) -> tuple[int, bytes]:
+    def fetch(
+        self, name: str, path: str, timeout_ms: float = HTTP_TIMEOUT_MS
+    ) -> tuple[int, bytes]:
         """Return status and body of a GET at a daemon; raise OSError without one."""
         pool = self.runtime.open_http(self.addresses[name], pool_size=1)
         try:
-            response = pool.request("GET", path, timeout=HTTP_TIMEOUT_MS / 1000)
+            response = pool.request("GET", path, timeout=timeout_ms / 1000)
         except urllib3.exceptions.HTTPError as error:
             raise OSError(f"{name} did not answer {path}: {error}") from None
         finally:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,17 +1,19 @@
 """Runs the main job once on stand-ins and says what each step did."""
 
 import sys
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import click
 import msgspec
 
 from bronzerelay.codes import NOT_RUN, RAN, Code
 from bronzerelay.runtime import Runtime
+from bronzerelay.types import Bundle, Statement
 from standins.caller import Caller, CallerSettings, exchange
 from standins.cluster import DEMO, Cluster, ClusterError
 from standins.exchange import HttpAnswer, LinkPool, build_request
 from standins.load import end_on_sigterm
+from standins.operators import CommandError, Operator, roll_out, write_bundle_file
 from standins.record import Entry
 
 TASKS = 64
@@ -22,6 +24,7 @@
 # Larger than what a daemon takes unless its settings say more.
 OVERSIZED_BYTES = 2 * 1024 * 1024
 ROW = "school-12/lunches"
+GET = Statement(verb="get", row=ROW)
 
 
 class DemoError(Exception):
@@ -50,37 +53,72 @@
         raise DemoError(message)
 
 
-def put_first_bundle(cluster: Cluster) -> None:
-    """Put the first bundle in force and wait until every daemon has it."""
-    version = cluster.put_bundle()
-    cluster.wait_ready(version)
+def put_first_bundle(cluster: Cluster) -> Operator:
+    """Put the first bundle in force with the command line; return its author."""
+    ana, ben = Operator(cluster, "ana"), Operator(cluster, "ben")
+    operators = [ana.entry, ben.entry]
+    bundle = Bundle(**cluster.build_bundle(version=1), operators=operators)
+    path = write_bundle_file(cluster, bundle)
+    ana.run("bundle", "check", path)
+    roll_out(ana, ben, path)
+    cluster.wait_ready(bundle["version"])
     workspace = cluster.layout.workspaces[0]
     say(
-        f"Put bundle {version} in force: workspace {workspace.name} with one key, "
+        "With the command line ana checked and proposed bundle 1, ben signed it and "
+        f"ana rolled it out: workspace {workspace.name} with one key, "
         f"{workspace.rate:g} requests a second and a burst of {workspace.burst:g}."
     )
-    say(f"{len(cluster.daemon_names)} daemons are ready and have bundle {version}.")
-
-
-def check_ran(entry: Entry, step: str) -> None:
-    """Raise DemoError unless the request ran."""
-    message = f"{step}: code {entry.code}, {entry.ran}: {entry.message}"
-    require(entry.ran == RAN, message)
+    say(f"{len(cluster.daemon_names)} daemons are ready and have bundle 1.")
+    return ana
+
+
+def withdraw_key(
+    cluster: Cluster, operator: Operator, caller: Caller, group: str
+) -> None:
+    """Withdraw the caller's key, and check that every daemon refuses it."""
+    workspace = caller.settings.workspace
+    key_id = cluster.build_bundle()["workspaces"][0]["keys"][0]["id"]
+    operator.run("key", "withdraw", workspace, key_id)
+    for daemon in cluster.daemon_names:
+        entry = caller.run(group, GET, daemon)
+        refused = entry.code == Code.KEY_REJECTED and entry.ran == NOT_RUN
+        require(refused, f"{daemon} answered {entry.code} to a withdrawn key")
+    say(f"{operator.name} withdrew the key; all daemons refuse it on open connections.")
+
+
+def run_patiently(
+    caller: Caller, group: str, statement: Statement, daemon: str = "", **fields: Any
+) -> Entry:
+    """Run a statement, coming back after each refusal when it says to.
+
+    Raise DemoError when it still hasn't run after WRITE_LIMIT_MS.
+    """
+    clock = caller.runtime.clock
+    start_ms = clock.now_ms()
+    while True:
+        entry = caller.run(group, statement, daemon, **fields)
+        if entry.ran == RAN:
+            return entry
+        waited_ms = clock.now_ms() - start_ms
+        last = f"the last answer was {entry.code}, {entry.ran}: {entry.message}"
+        message = f"{statement} didn't run in {waited_ms:.0f} ms; {last}"
+        require(waited_ms < WRITE_LIMIT_MS, message)
+        clock.sleep_ms(max(PAUSE_MS, entry.retry_after_ms))
 
 
-def append(value: str) -> dict:
+def append(value: str) -> Statement:
     """Return the statement that adds a value to the demo's row."""
-    return {"verb": "append", "row": ROW, "value": value}
+    return Statement(verb="append", row=ROW, value=value)
 
 
 def write_and_read(caller: Caller, group: str, daemons: list[str]) -> None:
     """Write through one daemon and read it back through another."""
     first, second = daemons[:2]
-    written = caller.run(group, append("no gluten"), first, idempotency_key="demo-1")
-    check_ran(written, "the write")
+    written = run_patiently(
+        caller, group, append("no gluten"), first, idempotency_key="demo-1"
+    )
     say(f"Wrote 'no gluten' to {ROW} through {first}; {written.served_by} ran it.")
-    read = caller.run(group, {"verb": "get", "row": ROW}, second)
-    check_ran(read, "the read")
+    read = run_patiently(caller, group, GET, second)
     require(read.value == ["no gluten"], f"the read gave {read.value}")
     require(read.session_before != "", "the write's answer had no session token")
     say(
@@ -93,8 +131,7 @@
     """Return one request for each mistake that a caller is likely to make."""
     path = f"/v1/workspaces/{caller.settings.workspace}/statements"
     key = caller.settings.key
-    statement = {"verb": "get", "row": ROW}
-    body = msgspec.json.encode({"group": group, "statement": statement})
+    body = msgspec.json.encode({"group": group, "statement": GET})
     large = {"verb": "put", "row": ROW, "value": "x" * OVERSIZED_BYTES}
     oversized = msgspec.json.encode({"group": group, "statement": large})
     elsewhere = "/v1/workspaces/nobody/statements"
@@ -139,24 +176,15 @@
     cluster.kill(primary)
     start_ms = clock.now_ms()
     say(f"Killed {primary}, the primary of {group}.")
-    refusals = 0
-    while True:
-        entry = caller.run(group, append("no nuts"), idempotency_key="demo-2")
-        if entry.ran == RAN:
-            break
-        refusals += 1
-        waited_ms = clock.now_ms() - start_ms
-        last = f"the last answer was {entry.code}, {entry.ran}: {entry.message}"
-        message = f"no write ran in {waited_ms:.0f} ms; {last}"
-        require(waited_ms < WRITE_LIMIT_MS, message)
-        clock.sleep_ms(max(PAUSE_MS, entry.retry_after_ms))
+    sent = len(caller.record)
+    entry = run_patiently(caller, group, append("no nuts"), idempotency_key="demo-2")
+    refusals = len(caller.record) - sent - 1
     gap_ms = clock.now_ms() - start_ms
     say(
-        f"A write ran {gap_ms:.0f} ms later at {entry.served_by}, after {refusals} "
-        "refusals that said when to come back."
+        f"A write ran {gap_ms:.0f} ms later at {entry.served_by}. Refused before that: "
+        f"{refusals} times, each with a time to come back."
     )
-    read = caller.run(group, {"verb": "get", "row": ROW})
-    check_ran(read, "the read after the failover")
+    read = run_patiently(caller, group, GET)
     require(read.value == ["no gluten", "no nuts"], f"the row holds {read.value}")
     say(f"The row holds {read.value}: nothing lost, nothing doubled.")
 
@@ -168,24 +196,37 @@
     say(f"Asked {name} to stop (SIGTERM): it finished its work and ended with 0.")
 
 
-def run_demo(runtime: Runtime) -> None:
+def run_steps(cluster: Cluster) -> None:
     """Run all steps, or raise DemoError or ClusterError at the first that fails."""
-    with Cluster(runtime, DEMO) as cluster:
-        groups, daemons = cluster.groups, cluster.daemon_names
-        say(
-            f"Started the platform, {len(groups)} groups of {DEMO.instances} "
-            f"endpoints and {len(daemons)} daemons, each a process on loopback."
-        )
-        put_first_bundle(cluster)
-        workspace = DEMO.workspaces[0].name
-        settings = CallerSettings("demo", workspace, cluster.keys[workspace])
-        links = LinkPool(runtime, {name: cluster.addresses[name] for name in daemons})
-        caller = Caller(runtime, settings, links)
-        write_and_read(caller, groups[0], daemons)
-        show_refusals(caller, links, groups[0], daemons[0])
-        survive_lost_primary(cluster, caller, groups[0])
-        links.close()
-        stop_daemon(cluster, daemons[0])
+    groups, daemons = cluster.groups, cluster.daemon_names
+    say(
+        f"Started the platform, {len(groups)} groups of {DEMO.instances} "
+        f"endpoints and {len(daemons)} daemons, each a process on loopback."
+    )
+    operator = put_first_bundle(cluster)
+    workspace = DEMO.workspaces[0].name
+    settings = CallerSettings("demo", workspace, cluster.keys[workspace])
+    links = LinkPool(cluster.runtime, cluster.daemon_addresses)
+    caller = Caller(cluster.runtime, settings, links)
+    write_and_read(caller, groups[0], daemons)
+    show_refusals(caller, links, groups[0], daemons[0])
+    survive_lost_primary(cluster, caller, groups[0])
+    withdraw_key(cluster, operator, caller, groups[0])
+    links.close()
+    stop_daemon(cluster, daemons[0])
+
+
+def run_demo(runtime: Runtime) -> None:
+    """Run the demo; where the logs are goes into the error of a failure."""
+    cluster = Cluster(runtime, DEMO)
+    try:
+        with cluster:
+            run_steps(cluster)
+    except (DemoError, ClusterError, CommandError, OSError) as error:
+        raise DemoError(f"{error}\nThe logs are in {cluster.folder}") from error
+    except KeyboardInterrupt:
+        cluster.remove_logs()
+        raise
     say("Ended every process. The demo is done.")
 
 
@@ -195,7 +236,7 @@
     runtime = Runtime(task_limit=TASKS)
     try:
         run_demo(runtime)
-    except (DemoError, ClusterError, OSError) as error:
+    except DemoError as error:
         click.echo(f"The demo failed: {error}", err=True)
         sys.exit(1)
     except KeyboardInterrupt:
--- a/standins/rates.py
+++ b/standins/rates.py
@@ -1,6 +1,6 @@
 """Replays requests through a token bucket, to judge what was admitted and refused."""
 
-import heapq
+import bisect
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -11,6 +11,8 @@
 
 SECOND_MS = 1000
 STATEMENT = "statement"
+# Ending a transaction takes no token.
+COUNTED_ACTIONS = frozenset({STATEMENT, "begin"})
 # Sums of fractions of tokens are off by less than this.
 TOLERANCE = 1e-6
 # Too many requests, and service unavailable: what a request inside its rate must
@@ -66,13 +68,6 @@
         self.tokens -= 1
         return True
 
-    def next_token_ms(self) -> float:
-        """Return when there is a whole token, if the limit stays."""
-        if self.limit.rate <= 0:
-            return float("inf")
-        missing = max(0.0, 1 - self.tokens)
-        return self._now_ms + missing * SECOND_MS / self.limit.rate
-
 
 def check_rates(
     record: Iterable[Entry], limits: Iterable[RateLimit], evidence: Evidence
@@ -81,9 +76,9 @@
 
     When a daemon admitted a request is not seen, only that it did so between the
     sending and the answer, and before the endpoint ran it. A workspace got too much
-    exactly when no choice of such times passes through one bucket; earliest latest
-    time first finds a choice if there is one. So no delay on the way can make a
-    false finding, and every window in which too much must have passed is found.
+    when some window certainly holds more admissions than the burst and what the rate
+    gives in it. So no delay on the way can make a false finding, and every window in
+    which too much must have passed is found.
     """
     limits = list(limits)
     by_workspace = collect_admissions(record, evidence)
@@ -101,6 +96,9 @@
     """Return for each workspace the requests that certainly were admitted."""
     first_ms: dict[str, float] = {}
     for execution in evidence.executions:
+        # Reads stand there without a name, and a settle runs without a token.
+        if not execution.change or execution.op != "write":
+            continue
         known_ms = first_ms.get(execution.change, float("inf"))
         first_ms[execution.change] = min(known_ms, execution.time_ms)
     admissions: dict[str, list[Admission]] = {}
@@ -109,7 +107,7 @@
         # One that was sent again is judged by its own answer: the execution may
         # belong to an earlier attempt.
         executed = entry.sent_ms <= executed_ms <= entry.answered_ms
-        if entry.action != STATEMENT or not (entry.ran == RAN or executed):
+        if entry.action not in COUNTED_ACTIONS or not (entry.ran == RAN or executed):
             continue
         latest_ms = executed_ms if executed else entry.answered_ms
         admission = Admission(latest_ms, entry.sent_ms, entry.request_id)
@@ -120,28 +118,48 @@
 def replay_admissions(
     admissions: list[Admission], limits: list[RateLimit]
 ) -> list[RateExceeded]:
-    """Return the admissions of one workspace for which no token was left in time."""
-    coming = sorted(admissions, key=lambda one: one.sent_ms, reverse=True)
-    waiting: list[Admission] = []
-    bucket = Bucket(limits)
+    """Return the admissions of one workspace that some window had no room for.
+
+    Each is tried in the order of the latest times, against all windows that begin
+    with an earlier one's sending; one without room is found and left out after that,
+    or all that come after would be found too.
+    """
+    limits = sorted(limits, key=lambda limit: limit.from_ms)
+    sent_ms: list[float] = []
+    # For each window's beginning: the burst then, less what the rate gave before.
+    bases: list[float] = []
     found = []
-    while coming or waiting:
-        now_ms = coming[-1].sent_ms if coming else float("inf")
-        if waiting:
-            now_ms = min(now_ms, bucket.next_token_ms())
-        if now_ms == float("inf"):
-            return found + [exceed(one, bucket.limit) for one in waiting]
-        bucket.advance(now_ms)
-        while coming and coming[-1].sent_ms <= now_ms:
-            heapq.heappush(waiting, coming.pop())
-        # What is too late takes no token, or all that come after would be late too.
-        while waiting and waiting[0].latest_ms < now_ms - TOLERANCE:
-            found.append(exceed(heapq.heappop(waiting), bucket.limit))
-        while waiting and bucket.take():
-            heapq.heappop(waiting)
+    for one in sorted(admissions):
+        place = bisect.bisect_right(sent_ms, one.sent_ms)
+        burst = find_limit(limits, one.sent_ms).burst
+        base = burst - sum_rate(limits, one.sent_ms) + TOLERANCE
+        given = sum_rate(limits, one.latest_ms)
+        counts = range(len(sent_ms) + 1, len(sent_ms) - place, -1)
+        pairs = zip([*bases[:place], base], counts, strict=True)
+        if all(count <= given + room for room, count in pairs):
+            sent_ms.insert(place, one.sent_ms)
+            bases.insert(place, base)
+        else:
+            found.append(exceed(one, find_limit(limits, one.latest_ms)))
     return found
 
 
+def find_limit(limits: list[RateLimit], time_ms: float) -> RateLimit:
+    """Return the limit in force at `time_ms`; the first one before any is."""
+    in_force = [limit for limit in limits if limit.from_ms <= time_ms]
+    return in_force[-1] if in_force else limits[0]
+
+
+def sum_rate(limits: list[RateLimit], time_ms: float) -> float:
+    """Return the tokens that the rates have given from time zero to `time_ms`."""
+    ends_ms = [limit.from_ms for limit in limits[1:]] + [float("inf")]
+    tokens = 0.0
+    for limit, end_ms in zip(limits, ends_ms, strict=True):
+        length_ms = min(time_ms, end_ms) - max(0.0, limit.from_ms)
+        tokens += max(0.0, length_ms) * limit.rate / SECOND_MS
+    return tokens
+
+
 def exceed(admission: Admission, limit: RateLimit) -> RateExceeded:
     """Return the violation for an admission that no token was left for."""
     return RateExceeded(
@@ -170,7 +188,7 @@
             continue
         bucket = Bucket(own)
         for entry in entries:
-            if entry.workspace != workspace or entry.action != STATEMENT:
+            if entry.workspace != workspace or entry.action not in COUNTED_ACTIONS:
                 continue
             bucket.advance(entry.sent_ms)
             if bucket.take() and entry.status in REFUSED_STATUSES:
