--- a/lab/__init__.py
+++ b/lab/__init__.py
@@ -1,1 +1,1 @@
-"""Measured experiments on the stand-ins; nothing here is shipped."""
+"""Measurements of the policies, outside the shipped package."""
