Lend whole tokens, release spent loans, and ask the fullest lender

Ruled out: the pause after a round that found nothing (5, 10 and 20 ms instead of 40 changed nothing).

--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -21,7 +21,7 @@
 from bronzerelay.retries import RetryBudget
 from bronzerelay.runtime import Runtime
 from bronzerelay.sessions import Session, decode_session
-from bronzerelay.shares import Loan, Shares
+from bronzerelay.shares import Loan, LoanRequest, Shares
 from bronzerelay.spread import Spreader
 from bronzerelay.transactions import Transactions, daemon_of, explain_commit
 from bronzerelay.types import StatementAnswer, StatementRequest
@@ -300,7 +300,10 @@
 
     def lend(self, call: LoanCall) -> LoanReply:
         """Lend a peer tokens of a workspace."""
-        loan = self.shares.lend(call.workspace, call.amount)
+        request = LoanRequest(
+            call.workspace, call.amount, call.process, call.number, call.held
+        )
+        loan = self.shares.lend(request)
         return LoanReply(amount=loan.amount, spare=loan.spare)
 
     def fetch_config(self, known_version: int) -> Record:
@@ -311,13 +314,11 @@
         """Give a peer the roster."""
         return self._spreader.give_roster(known_epoch)
 
-    def _ask_for_loan(self, lender: str, workspace: str, amount: float) -> Loan | None:
+    def _ask_for_loan(self, lender: str, request: LoanRequest) -> Loan | None:
         address = self._membership.address_of(lender)
         if address is None or not self._membership.is_alive(lender):
             return None
-        call = LoanCall(
-            borrower=self._membership.name, workspace=workspace, amount=amount
-        )
+        call = LoanCall(borrower=self._membership.name, **request._asdict())
         reply = self._links.call(address, "lend", call, LOAN_TIMEOUT_MS)
         if not reply.is_ok():
             self._metrics.count_retry("loan_lost")
--- a/bronzerelay/peerlink/peer.thrift
+++ b/bronzerelay/peerlink/peer.thrift
@@ -39,6 +39,10 @@
   1: string borrower
   2: string workspace
   3: double amount
+  // The borrowing process, the number of its call, and what it holds of this lender.
+  4: string process
+  5: i64 number
+  6: double held
 }
 
 struct LoanReply {
--- a/bronzerelay/peerlink/ttypes.py
+++ b/bronzerelay/peerlink/ttypes.py
@@ -457,14 +457,20 @@
      - borrower
      - workspace
      - amount
+     - process
+     - number
+     - held
 
     """
 
 
-    def __init__(self, borrower=None, workspace=None, amount=None,):
+    def __init__(self, borrower=None, workspace=None, amount=None, process=None, number=None, held=None,):
         self.borrower = borrower
         self.workspace = workspace
         self.amount = amount
+        self.process = process
+        self.number = number
+        self.held = held
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -490,6 +496,21 @@
                     self.amount = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.held = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -512,6 +533,18 @@
             oprot.writeFieldBegin('amount', TType.DOUBLE, 3)
             oprot.writeDouble(self.amount)
             oprot.writeFieldEnd()
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 4)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 5)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.DOUBLE, 6)
+            oprot.writeDouble(self.held)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -708,6 +741,9 @@
     (1, TType.STRING, 'borrower', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'workspace', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'amount', None, None, ),  # 3
+    (4, TType.STRING, 'process', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'number', None, None, ),  # 5
+    (6, TType.DOUBLE, 'held', None, None, ),  # 6
 )
 all_structs.append(LoanReply)
 LoanReply.thrift_spec = (
--- a/bronzerelay/shares.py
+++ b/bronzerelay/shares.py
@@ -8,6 +8,7 @@
 fleet never pass the burst, whatever is cut, frozen, lost or restarted.
 """
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -18,13 +19,17 @@
 from bronzerelay.runtime import Runtime
 from bronzerelay.types import WorkspaceSpec
 
-# While a loan may be spent its lender can't refill its place. A lender that gives away
-# all it gets must get its burst back before it would be full: the life has to be well
-# below burst / rate, which is a second at today's sizes.
-LOAN_LIFE_MS = 400
-# A holder's part of the burst should hold some whole tokens, and a borrower should
-# not have to ask hundreds of holders: both bound how many daemons hold a workspace.
-MIN_HOLDER_BURST = 2.0
+# While a loan may be spent its lender can't refill its place, unless the borrower asks
+# again: the life has to be well below burst / rate, a second at today's sizes. It must
+# be longer than the call that brings the loan.
+LOAN_LIFE_MS = 200
+# Parts of a token that stand about at many holders are missing where they are wanted,
+# so that each is to hold some ten. But a holder's part is lost while its VM is dead
+# and still listed: a small workspace has a few holders, of two tokens at least. And a
+# borrower should not have to ask hundreds.
+GOOD_HOLDER_BURST = 10.0
+LEAST_HOLDER_BURST = 2.0
+FEW_HOLDERS = 3
 MAX_HOLDERS = 16
 # How much of its own demand a lender keeps, and a borrower asks for in advance.
 DEMAND_WINDOW_MS = 100
@@ -35,7 +40,7 @@
 # Fractions that were lent by several daemons add up to a little less than the whole.
 # What is taken too much stays as a debt.
 SUM_ERROR = 1e-9
-MIN_LOAN = 0.01
+PROCESS_BYTES = 8
 # How long a fresh process puts off its readiness for members whose configuration it
 # doesn't know. After that it lives on loans: a VM may be dead and listed for long.
 SPECS_WAIT_MS = 2000
@@ -54,7 +59,8 @@
     workspace: WorkspaceSpec, members: list[str], limit: int = MAX_HOLDERS
 ) -> list[str]:
     """Return which of `members` hold parts of the workspace's rate."""
-    by_burst = max(1, int(workspace.burst // MIN_HOLDER_BURST))
+    few = min(FEW_HOLDERS, int(workspace.burst // LEAST_HOLDER_BURST))
+    by_burst = max(1, few, int(workspace.burst // GOOD_HOLDER_BURST))
     count = min(len(members), limit, by_burst)
     return rank(f"share/{workspace.name}", members)[:count]
 
@@ -66,10 +72,27 @@
 
 
 class Lot(NamedTuple):
-    """Tokens that count until `until_ms`."""
+    """Tokens that count until `until_ms`; `party` is whose they are on the other side.
+
+    That is the borrowing process at the lender, and the lender at the borrower.
+    """
 
     amount: float
     until_ms: float
+    party: str
+
+
+class LoanRequest(NamedTuple):
+    """What a borrower asks for, and how many tokens of this lender it holds still.
+
+    `process` is a new name at each start, and `number` grows with each request of it.
+    """
+
+    workspace: str
+    amount: float
+    process: str
+    number: int
+    held: float
 
 
 class Bucket:
@@ -81,6 +104,8 @@
         self._filled_at_ms = now_ms
         self._lent: list[Lot] = []
         self._borrowed: list[Lot] = []
+        # The highest number heard of each borrowing process.
+        self._heard: dict[str, int] = {}
         self._demand = 0.0
         self._demand_at_ms = now_ms
 
@@ -147,20 +172,58 @@
         self._tokens -= missing
         return True
 
-    def lend(self, amount: float, now_ms: float) -> tuple[float, float]:
-        """Take up to `amount` out for a peer; return it and what is left to lend."""
+    def lend(self, request: LoanRequest, now_ms: float) -> tuple[float, float]:
+        """Take up to the amount out for a peer; return it and what is left to lend."""
         self._fill(now_ms)
-        spare = self._tokens - min(self.expected_demand(now_ms), self._tokens / 2)
-        lent = min(amount, spare)
-        if lent < MIN_LOAN:
-            return 0.0, spare
+        self._release(request)
+        lent = self._offer(request.amount, now_ms)
+        if lent <= 0:
+            return 0.0, max(0.0, self._tokens)
         self._tokens -= lent
-        self._lent.append(Lot(lent, now_ms + LOAN_LIFE_MS))
-        return lent, spare - lent
+        self._lent.append(Lot(lent, now_ms + LOAN_LIFE_MS, request.process))
+        return lent, max(0.0, self._tokens)
+
+    def _offer(self, amount: float, now_ms: float) -> float:
+        """Return how many tokens to lend of `amount`.
 
-    def receive(self, amount: float, until_ms: float) -> None:
+        A part of a token is lent only to who asks for one: what it can't make up to a
+        whole lapses there and is lost to the workspace.
+        """
+        if amount < 1.0 - SUM_ERROR:
+            return min(amount, self._tokens)
+        whole = math.floor(self._tokens + SUM_ERROR)
+        reserved = min(self.expected_demand(now_ms), self._tokens / 2)
+        # A request that waits at the borrower goes before those expected here.
+        spare = max(min(whole, 1), math.floor(self._tokens - reserved))
+        return min(math.ceil(amount - SUM_ERROR), spare)
+
+    def _release(self, request: LoanRequest) -> None:
+        """Give up the places of loans that the borrower has spent or never got.
+
+        It asks again only when the answer before has come or is given up for good. A
+        request that was overtaken by a later one would release what that one got.
+        """
+        if request.number <= self._heard.get(request.process, 0):
+            return
+        self._heard[request.process] = request.number
+        kept = []
+        held = request.held
+        for lot in reversed(self._lent):
+            if lot.party == request.process:
+                lot = lot._replace(amount=min(lot.amount, held))
+                held -= lot.amount
+            if lot.amount > 0:
+                kept.append(lot)
+        self._lent = kept[::-1]
+
+    def receive(self, amount: float, until_ms: float, lender: str) -> None:
         """Add borrowed tokens that may be spent until `until_ms`."""
-        self._borrowed.append(Lot(amount, until_ms))
+        self._borrowed.append(Lot(amount, until_ms, lender))
+
+    def held_of(self, lender: str, now_ms: float) -> float:
+        """Return how many tokens of a lender could be spent now."""
+        self._fill(now_ms)
+        return sum(lot.amount for lot in self._borrowed if lot.party == lender)
 
     def available(self, now_ms: float) -> float:
         """Return how many tokens could be spent now."""
@@ -176,7 +239,14 @@
 
 
 # Ask a peer (by name) for tokens of a workspace; None when it gave no answer.
-AskPeer = Callable[[str, str, float], Loan | None]
+AskPeer = Callable[[str, LoanRequest], Loan | None]
+
+
+class Spare(NamedTuple):
+    """What a lender had left at a time."""
+
+    amount: float
+    at_ms: float
 
 
 class Account:
@@ -188,11 +258,14 @@
         self.spec = spec
         # The bursts that some member may still go by; none while that is unknown.
         self.bursts_in_use: set[float] = set()
+        self.holders = 1
         self.lenders: list[str] = []
-        self.spare: dict[str, float] = {}
+        # What each lender had left when it was last asked, and when that was.
+        self.spare: dict[str, Spare] = {}
         self.waiting = 0
         self.borrowing = False
         self.rounds = 0
+        self.requests = 0
         self.dry_until_ms = 0.0
 
 
@@ -203,6 +276,7 @@
         self._runtime = runtime
         self._name = name
         self._ask_peer = ask_peer
+        self._process = f"{name}/{runtime.random.randbytes(PROCESS_BYTES).hex()}"
         self._lock = runtime.make_lock()
         self._accounts: dict[str, Account] = {}
         # Workspaces that were removed while loans of theirs could be spent.
@@ -303,6 +377,7 @@
         part = min(parts, default=0.0)
         account.bucket.set_holding(Holding(part * spec.rate, part * spec.burst), now_ms)
         holders = list_holders(spec, self._members)
+        account.holders = max(1, len(holders))
         account.lenders = [holder for holder in holders if holder != self._name]
 
     def has_shrunk(self) -> bool:
@@ -385,9 +460,10 @@
         """Ask lenders, the one with most to spare first, until all are served."""
         try:
             for lender in self._order_lenders(account):
-                self._borrow_from(account, lender)
+                self._borrow_from(account, lender, self._count_wanted(account))
                 if not self._still_wanted(account):
                     break
+            self._borrow_parts(account)
         finally:
             with account.condition:
                 account.borrowing = False
@@ -402,42 +478,96 @@
     def _order_lenders(self, account: Account) -> list[str]:
         with account.condition:
             lenders = list(account.lenders)
-            spare = dict(account.spare)
+            spare = self._estimate_spare(account)
         self._runtime.random.shuffle(lenders)
-        return sorted(lenders, key=lambda name: -spare.get(name, 0.0))
+        return sorted(lenders, key=lambda name: -spare[name])
+
+    def _estimate_spare(self, account: Account) -> dict[str, float]:
+        """Return what each lender should have by now.
+
+        Each refills at the same rate. Were the last known amounts compared as they
+        are, one that was empty when it was asked would be left aside until it is
+        full, and what it gets after that is lost to the workspace.
+        """
+        now_ms = self._runtime.clock.now_ms()
+        spec = account.spec
+        holders = account.holders
+        spare = {}
+        for name in account.lenders:
+            known = account.spare.get(name, Spare(0.0, 0.0))
+            grown = known.amount + (now_ms - known.at_ms) * spec.rate / holders / 1000
+            spare[name] = min(spec.burst / holders, grown)
+        return spare
 
     def _still_wanted(self, account: Account) -> bool:
         now_ms = self._runtime.clock.now_ms()
         with account.condition:
             return account.bucket.available(now_ms) < account.waiting - SUM_ERROR
 
-    def _borrow_from(self, account: Account, lender: str) -> None:
+    def _count_wanted(self, account: Account) -> float:
+        """Return how many whole tokens are missing, those expected soon included.
+
+        What isn't spent lapses and is lost to the workspace, so that no more is asked
+        of the next lender than the ones before left to be wished for.
+        """
+        now_ms = self._runtime.clock.now_ms()
+        with account.condition:
+            expected = account.bucket.expected_demand(now_ms)
+            wanted = max(1, account.waiting, math.floor(expected))
+            return max(1.0, wanted - account.bucket.available(now_ms))
+
+    def _borrow_parts(self, account: Account) -> None:
+        """Make up one token out of parts, if the lenders have enough of them.
+
+        Each lender may hold nearly a token that it can't lend as a whole. All of them
+        together would else refuse a request for which there is room.
+        """
+        missing = self._missing_part(account)
+        spare = self._estimate_spare(account)
+        if missing <= 0 or sum(spare.values()) < missing:
+            return
+        for lender in self._order_lenders(account):
+            part = min(missing, spare.get(lender, 0.0))
+            if part <= 0:
+                return
+            self._borrow_from(account, lender, part)
+            missing = self._missing_part(account)
+
+    def _missing_part(self, account: Account) -> float:
+        now_ms = self._runtime.clock.now_ms()
+        with account.condition:
+            return max(0.0, 1.0 - account.bucket.available(now_ms))
+
+    def _borrow_from(self, account: Account, lender: str, amount: float) -> None:
         asked_at_ms = self._runtime.clock.now_ms()
         with account.condition:
-            expected = account.bucket.expected_demand(asked_at_ms)
-            amount = max(1.0, account.waiting, expected)
-        loan = self._ask_peer(lender, account.spec.name, amount)
+            account.requests += 1
+            held = account.bucket.held_of(lender, asked_at_ms)
+            request = LoanRequest(
+                account.spec.name, amount, self._process, account.requests, held
+            )
+        loan = self._ask_peer(lender, request)
         with account.condition:
             if loan is None:
-                account.spare[lender] = 0.0
+                account.spare[lender] = Spare(0.0, asked_at_ms)
                 return
-            account.spare[lender] = loan.spare
+            account.spare[lender] = Spare(loan.spare, asked_at_ms)
             # The lender counts the loan for its whole life from a later moment, so
             # an answer that was held up is thrown away before the lender refills.
             until_ms = asked_at_ms + LOAN_LIFE_MS
             if loan.amount > 0:
-                account.bucket.receive(loan.amount, until_ms)
+                account.bucket.receive(loan.amount, until_ms, lender)
                 account.rounds += 1
                 account.condition.notify_all()
 
-    def lend(self, workspace: str, amount: float) -> Loan:
+    def lend(self, request: LoanRequest) -> Loan:
         """Lend a peer what can be spared of a workspace."""
-        account = self._accounts.get(workspace)
+        account = self._accounts.get(request.workspace)
         if account is None or not self._lends:
             return Loan(0.0, 0.0)
         with account.condition:
             now_ms = self._runtime.clock.now_ms()
-            return Loan(*account.bucket.lend(amount, now_ms))
+            return Loan(*account.bucket.lend(request, now_ms))
 
 
 def _refuse_rate(account: Account) -> Result[None, Refusal]:
