Show nothing that is older than stated, or that may be lost

Two faults of reads at the primary, each found by a new test. A daemon that reaches only a former primary read there whatever age the caller had stated: the age was judged for replicas alone (test_former_primary_does_not_pass_for_fresh was given None for a row written 250 ms before, with 200 ms accepted). And a read at the primary showed changes that no replica held; when the primary was then replaced, the session no longer saw what it had seen (test_nothing_seen_is_unseen: 1, then None).

Ruled out: judging the primary's age by its last status. That is what a cut-off primary keeps answering.

Now each read is judged after it ran, by the log end that came with it: a majority must have been asked since the stated age, and what only the primary holds must reach a majority first. A daemon that can't prove it says TOO_STALE and the next one is tried.

--- a/bronzerelay/group.py
+++ b/bronzerelay/group.py
@@ -18,13 +18,15 @@
     StatementAnswer,
     StatementRequest,
 )
-from bronzerelay.watch import PRIMARY, GroupWatch
+from bronzerelay.watch import CUT_OFF_WAIT_MS, PRIMARY, GroupWatch
 
 # A read waits this long for a replica that has what it needs, then the primary may
 # serve it too.
 REPLICA_WAIT_MS = 25
 # How long a caller is told to wait when a group has no primary.
 NO_PRIMARY_RETRY_MS = 300
+# What a replica holds its primary holds too, and that is a majority of up to three.
+REPLICA_MAJORITY = 2
 LEND_TIMEOUT_MS = 300
 SETTLE_TIMEOUT_MS = 300
 SETTLE_PAUSE_MS = 20.0
@@ -132,6 +134,7 @@
         if not chosen.is_ok():
             return chosen
         name = chosen.ok
+        started_ms = self._runtime.clock.now_ms()
         timeout_ms = min(self._timeout_ms, max(1.0, self.left_ms(work)))
         result = self._run_at(
             name,
@@ -142,16 +145,55 @@
         if not result.is_ok():
             return result
         seen = Position(result.ok.log_term, result.ok.position)
+        checked = self._check_read(work, name, need, seen, started_ms)
+        if not checked.is_ok():
+            return checked
+        session = advance_session(work.session, work.group, seen)
+        return Ok(self._make_answer(name, session, result.ok.value))
+
+    def _check_read(
+        self,
+        work: Work,
+        name: str,
+        need: Position,
+        seen: Position,
+        started_ms: float,
+    ) -> Result:
+        """Return Ok when what was read at `seen` may be shown to the caller."""
         if seen < need:
             # The instance was put back between its last report and this read, as
             # a former primary is when it drops what nobody acknowledged.
-            error = EndpointError("behind", f"{name} is behind the session")
-            return Error(error)
-        session = advance_session(work.session, work.group, seen)
-        return Ok(self._make_answer(name, session, result.ok.value))
+            return Error(EndpointError("behind", f"{name} is behind the session"))
+        by_primary = name == self._watch.primary()
+        # What only a minority holds is gone when the primary fails now, and the
+        # session would miss what it has seen.
+        in_doubt = by_primary or self._watch.majority() > REPLICA_MAJORITY
+        wait_ms = self._proof_wait_ms(work)
+        if in_doubt and not self._watch.wait_majority(seen, wait_ms):
+            return self._refuse_unproven(work, f"{name} holds what may be lost")
+        since_ms = started_ms - self._max_age_ms(work)
+        wait_ms = self._proof_wait_ms(work) if by_primary else 0
+        if self._watch.wait_proven(seen, since_ms, by_primary, wait_ms):
+            return Ok(None)
+        return self._refuse_unproven(work, f"the age of {name} can't be proved")
+
+    def _proof_wait_ms(self, work: Work) -> float:
+        """Return how long to wait for a proof: not for long where none can come."""
+        left_ms = self.left_ms(work)
+        return left_ms if self._watch.has_majority() else min(left_ms, CUT_OFF_WAIT_MS)
+
+    def _refuse_unproven(self, work: Work, why: str) -> Result:
+        """Return the refusal of a read in vain, or the error that lets it retry."""
+        if self.left_ms(work) > 0 and self._watch.has_majority():
+            return Error(EndpointError("unproven", why))
+        message = f"No endpoint could prove how old its data is: {why}."
+        return refuse(Code.TOO_STALE, message, NO_PRIMARY_RETRY_MS)
+
+    def _max_age_ms(self, work: Work) -> float:
+        return work.request.get("max_age_ms", self.spec.max_age_ms)
 
     def _choose_reader(self, work: Work, need: Position) -> Result[str, Refusal]:
-        max_age_ms = work.request.get("max_age_ms", self.spec.max_age_ms)
+        max_age_ms = self._max_age_ms(work)
         short_ms = min(work.deadline_ms, self._runtime.clock.now_ms() + REPLICA_WAIT_MS)
 
         def choose_replica(free: list[str]) -> str | None:
--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -36,7 +36,14 @@
 REPLY_MARGIN_MS = 100
 # Refusals after which another daemon may do better: nothing ran, and the cause lies
 # with the daemon or its view of the group.
-ELSEWHERE_CODES = {Code.ENDPOINT_UNREACHABLE, Code.STOPPING, Code.GROUP_UNKNOWN}
+ELSEWHERE_CODES = {
+    Code.ENDPOINT_UNREACHABLE,
+    Code.TOO_STALE,
+    Code.STOPPING,
+    Code.GROUP_UNKNOWN,
+}
+# Of these, the ones after which the daemon has spent work on the endpoints.
+WORKED_CODES = {Code.ENDPOINT_UNREACHABLE, Code.TOO_STALE}
 # What a daemon that finds out about a lost write may say that it has not run.
 SETTLED_CODES = {Code.PRIMARY_REPLACED, Code.IDEMPOTENCY_CONFLICT}
 # How long one daemon may take for that before the next one is asked.
@@ -186,7 +193,7 @@
             return False
         # The daemon has spent its own retries on the endpoints. Without a budget the
         # next ones would spend theirs too, and multiply the work of a failing group.
-        did_work = refusal.code == Code.ENDPOINT_UNREACHABLE
+        did_work = refusal.code in WORKED_CODES
         if did_work and not self._budget.allow(attempt):
             return False
         self._metrics.count_retry("elsewhere")
--- a/bronzerelay/watch.py
+++ b/bronzerelay/watch.py
@@ -205,15 +205,33 @@
         telling its old position, and would pass for fresh without this.
         """
         state = self.states.get(name)
-        term = self.highest_term()
-        if state is None or state.log_term != term:
+        if state is None:
             return float("inf")
-        still_ms = self._majority_asked_at_ms(term)
+        proven_at_ms = self._proven_at_ms(Position(state.log_term, state.position))
+        return self._runtime.clock.now_ms() - proven_at_ms
+
+    def is_proven_since(
+        self, seen: Position, since_ms: float, by_primary: bool
+    ) -> bool:
+        """Return whether a log ending at `seen` holds all that counted at `since_ms`.
+
+        The primary's own log, `by_primary`, holds all of its term; that the term
+        hadn't ended by then needs a proof all the same.
+        """
+        if by_primary:
+            is_current = seen.term == self.highest_term()
+            return is_current and self._majority_asked_at_ms(seen.term) >= since_ms
+        return self._proven_at_ms(seen) >= since_ms
+
+    def _proven_at_ms(self, end: Position) -> float:
+        """Return the latest time whose data a log ending at `end` surely holds."""
+        term = self.highest_term()
+        if end.term != term:
+            return float("-inf")
         for sample in reversed(self._samples):
-            if sample.term == term and sample.position <= state.position:
-                proven_at_ms = min(sample.at_ms, still_ms)
-                return self._runtime.clock.now_ms() - proven_at_ms
-        return float("inf")
+            if sample.term == term and sample.position <= end.position:
+                return min(sample.at_ms, self._majority_asked_at_ms(term))
+        return float("-inf")
 
     def _majority_asked_at_ms(self, term: int) -> float:
         asked = [
@@ -244,6 +262,21 @@
                 return None
             return name, self.states[name].term
 
+    def wait_proven(
+        self, seen: Position, since_ms: float, by_primary: bool, timeout_ms: float
+    ) -> bool:
+        """Return whether `seen` came to be proven before a newer term was known."""
+        with self.condition:
+            self._runtime.wait_for(
+                self.condition,
+                lambda: (
+                    self.is_proven_since(seen, since_ms, by_primary)
+                    or self.highest_term() > seen.term
+                ),
+                timeout_ms,
+            )
+            return self.is_proven_since(seen, since_ms, by_primary)
+
     def wait_majority(self, need: Position, timeout_ms: float) -> bool:
         """Return whether a majority came to hold `need` before a newer term did."""
         with self.condition:
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -9,6 +9,7 @@
 from bronzerelay import dialect
 from bronzerelay.bundle import digest_bundle
 from bronzerelay.configuration import ConfigurationStore
+from bronzerelay.group import Work
 from bronzerelay.groups import Groups, GroupSettings
 from bronzerelay.kernel import Kernel, PeerHandler
 from bronzerelay.logs import open_log
@@ -207,3 +208,11 @@
                     cutter.stop()
             for server in group.servers.values():
                 server.stop()
+
+
+def make_work(node: Node, statement: dict, name: str = "", **fields: Any) -> Work:
+    """Return work as the serving daemon gets it; `name` is its request id."""
+    request = {"group": "orders", "statement": statement, **fields}
+    deadline_ms = node.runtime.clock.now_ms() + DEADLINE_MS
+    name = name or node.runtime.random.randbytes(8).hex()
+    return Work(name, WORKSPACE, request, {}, deadline_ms)
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -3,7 +3,6 @@
 import pytest
 
 from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN, Code
-from bronzerelay.group import Work
 from standins.checks import check_all_answered, run_checks
 from standins.cluster import Cluster, Layout, WorkspaceLayout
 from standins.cutter import (
@@ -17,7 +16,7 @@
 )
 from standins.load import Load, LoadSettings
 from tests.endpoints import NAMES, add, get, open_runtime, wait_until
-from tests.nodes import WORKSPACE, Deployment, Node, open_deployment
+from tests.nodes import Deployment, Node, make_work, open_deployment
 
 FAULTS = (
     CUT_REQUEST,
@@ -46,12 +45,6 @@
     return node.send(statement=add(row, 1), **fields)
 
 
-def make_work(node: Node, row: str, name: str, **fields) -> Work:
-    request = {"group": "orders", "statement": add(row, 1), **fields}
-    deadline_ms = node.runtime.clock.now_ms() + 1500
-    return Work(name, WORKSPACE, request, {}, deadline_ms)
-
-
 # Answers lost between a daemon and an endpoint
 
 
@@ -208,10 +201,10 @@
     with open_deployment() as deployment:
         deployment.warm_up()
         first, late = deployment.ranked
-        work = make_work(first, "row", "request-1")
+        work = make_work(first, add("row", 1), "request-1")
         told = tell(first.kernel.run_here(work, settle=True))
         assert told == NOT_RUN
-        again = make_work(late, "row", "request-1", repeatable=True)
+        again = make_work(late, add("row", 1), "request-1", repeatable=True)
         assert tell(late.groups.find("orders").settle(again, 1)) == NOT_RUN
         check_told(deployment, told, "row")
 
@@ -229,7 +222,7 @@
             futures = [
                 deployment.runtime.start(
                     node.kernel.run_here,
-                    make_work(node, row, row, repeatable=first_repeats),
+                    make_work(node, add(row, 1), row, repeatable=first_repeats),
                     True,
                 )
                 for node in deployment.nodes
