Keep proofs of age for replicas far behind a busy primary

Cause: the last 64 positions of the primary were kept. At a thousand changes a second they reach back 64 ms, so that a replica 500 ms behind could prove no age at all and every read fell on the primary. The samples now lie 20 ms apart and reach back 10 s.

--- a/bronzerelay/watch.py
+++ b/bronzerelay/watch.py
@@ -17,8 +17,11 @@
 ANSWER_MARGIN_MS = 250
 # How long a request waits for a group of which no majority answers.
 CUT_OFF_WAIT_MS = 250
-# How many samples of the primary's position are kept as proofs of age.
-SAMPLES = 64
+# How many samples of the primary's position are kept as proofs of age, and how far
+# apart. Without the gap a busy primary pushes out within a moment every sample that a
+# replica has reached, and all reads fall on the primary when replicas lag most.
+SAMPLES = 512
+SAMPLE_GAP_MS = 20
 
 Opener = Callable[
     [EndpointSpec, str, float], Result[EndpointLink, EndpointError]
@@ -138,12 +141,18 @@
             if endpoint.name in self.states:
                 self.states = {**self.states, endpoint.name: state}
             if state.role == PRIMARY:
-                sample = Sample(sent_at_ms, state.term, state.position)
-                self._samples = (*self._samples[1 - SAMPLES :], sample)
+                self._add_sample(Sample(sent_at_ms, state.term, state.position))
             self.condition.notify_all()
         self._tell_change()
         return state
 
+    def _add_sample(self, sample: Sample) -> None:
+        """Keep the newest sample, and of the older ones those far enough apart."""
+        kept = self._samples
+        if len(kept) >= 2 and kept[-1].at_ms - kept[-2].at_ms < SAMPLE_GAP_MS:
+            kept = kept[:-1]
+        self._samples = (*kept[1 - SAMPLES :], sample)
+
     def _note_failure(self, endpoint: EndpointSpec) -> None:
         with self.condition:
             state = self.states.get(endpoint.name)
--- a/tests/test_promise_sessions.py
+++ b/tests/test_promise_sessions.py
@@ -5,8 +5,12 @@
 from hypothesis import strategies as st
 
 from bronzerelay.codes import NOT_RUN, Code
+from bronzerelay.dialect import StatusAnswer
+from bronzerelay.runtime import Address
+from bronzerelay.types import GroupSpec
+from bronzerelay.watch import GroupWatch
 from standins.naive import NaiveStore
-from tests.endpoints import NAMES, add, get, wait_until
+from tests.endpoints import NAMES, add, get, make_spec, open_runtime, wait_until
 from tests.nodes import Deployment, Node, make_work, open_deployment
 
 ROUNDS = 25
@@ -152,6 +156,28 @@
             assert roles.count("replica") >= len(roles) * 0.8
 
 
+def test_busy_primary_leaves_proofs_for_slow_replicas():
+    """The primary takes a thousand changes a second, and a replica is 500 ms behind.
+
+    Its data is young enough, but if the daemon forgot by then where the primary stood
+    500 ms ago it couldn't prove that, and all reads would fall on the primary.
+    """
+    with open_runtime() as runtime:
+        runtime.start = lambda *_: None
+        endpoint = make_spec(Address("127.0.0.1", 1), "orders-1")
+        replica = endpoint._replace(name="orders-2")
+        spec = GroupSpec("orders", (endpoint, replica), 10_000)
+        watch = GroupWatch(runtime, spec, None, 100)
+        start_ms = runtime.clock.now_ms() - 2000
+        for step in range(2000):
+            status = StatusAnswer(1, "primary", 1, step)
+            watch._note_answer(endpoint, status, start_ms + step)
+        status = StatusAnswer(1, "replica", 1, 1500)
+        watch._note_answer(replica, status, start_ms + 2000)
+        assert 500 <= watch.proven_age_ms("orders-2") < 500 + 100
+        assert watch.proven_age_ms("orders-1") < 100
+
+
 def test_former_primary_does_not_pass_for_fresh():
     """A daemon reaches only the former primary, which knows of no successor.
 
