--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -73,6 +73,7 @@
         layout: Layout,
         daemon_flags: Iterable[str] = (),
         keep_logs: bool = False,
+        daemon_module: str = "bronzerelay.daemon",
     ):
         self.runtime = runtime
         self.layout = layout
@@ -83,6 +84,7 @@
         ]
         self.daemon_names = name_daemons(layout)
         self._daemon_flags = list(daemon_flags)
+        self._daemon_module = daemon_module
         self._keep_logs = keep_logs
         self._peer_secret = make_key()
         self._processes: dict[str, Process] = {}
@@ -369,7 +371,7 @@
                 flags = self._list_endpoint_flags(group, name, names[0])
                 self._add(name, "standins.endpoint", flags)
         for number, name in enumerate(self.daemon_names):
-            self._add(name, "bronzerelay.daemon", self._list_flags(number, name))
+            self._add(name, self._daemon_module, self._list_flags(number, name))
 
     def _add(self, name: str, module: str, flags: list[str]) -> None:
         self._processes[name] = Process(name, module, flags, self.folder)
