End a transaction once, and keep everybody off its link afterwards

Cause: a request found its transaction and waited for the lock while the commit before it ended. The link had gone back to the pool by then: the statement ran on it by itself (a row of its own was there), a second commit gave the link back a second time, so that two callers would have shared it (the pool held one link twice, its count fell to -1).

Also, a transaction opened at a replaced primary showed reads without what its session had written since; it is now lost, as its commit would be. A commit that the endpoint answers 'cancelled' is found out about at a majority first.

--- a/bronzerelay/transactions.py
+++ b/bronzerelay/transactions.py
@@ -5,7 +5,7 @@
 from expression import Error, Ok, Result
 
 from bronzerelay.codes import NOT_RUN, Code, Refusal, refuse
-from bronzerelay.dialect import EndpointError, EndpointLink
+from bronzerelay.dialect import CommitAnswer, EndpointError, EndpointLink
 from bronzerelay.group import LEND_TIMEOUT_MS, GroupServer, Work
 from bronzerelay.pool import ConnectionPool
 from bronzerelay.runtime import Runtime
@@ -28,14 +28,32 @@
     return transaction.rpartition(MARK)[0]
 
 
+def name_commit(work: Work) -> Work:
+    """Return `work` under the name that every commit of its transaction has.
+
+    A caller that lost the answer to a commit sends it again, and only under the same
+    name can anybody find out what became of the first.
+    """
+    token = work.request["transaction"]
+    return work._replace(request_id=f"{work.workspace}{MARK}{token}")
+
+
 def explain_commit(settled: Result[StatementAnswer, Refusal]) -> Result:
     """Return what a commit's caller is told after its outcome was found out."""
     if settled.is_ok() or settled.error.ran != NOT_RUN:
         return settled
     message = "The commit was lost before it ran, and nothing is kept."
+    if settled.error.code == Code.IDEMPOTENCY_CONFLICT:
+        message = f"{message} Its idempotency key is given up on."
     return Error(settled.error._replace(code=Code.TRANSACTION_LOST, message=message))
 
 
+def refuse_unknown() -> Result:
+    """Return the refusal of a request whose transaction is not open here."""
+    message = "This daemon holds no such transaction of the workspace."
+    return refuse(Code.TRANSACTION_UNKNOWN, message)
+
+
 class Transaction(NamedTuple):
     """An open transaction; a lock keeps its statements one after the other."""
 
@@ -116,16 +134,23 @@
         """Run a statement, a commit or a rollback of an open transaction."""
         transaction = self._find(work)
         if transaction is None:
-            message = "This daemon holds no such transaction of the workspace."
-            return refuse(Code.TRANSACTION_UNKNOWN, message)
+            return refuse_unknown()
         action = work.request.get("action", "statement")
         with transaction.lock:
+            # It may have ended while this request waited for the lock. Its link then
+            # serves somebody else, whose work would mix with this statement.
+            if not self._is_open(transaction):
+                return refuse_unknown()
             if action == "commit":
                 return self._commit(transaction, work)
             if action == "rollback":
                 return self._roll_back(transaction)
             return self._run_statement(transaction, work)
 
+    def _is_open(self, transaction: Transaction) -> bool:
+        with self._lock:
+            return transaction.id in self._open
+
     def _find(self, work: Work) -> Transaction | None:
         """Return the transaction if it is this workspace's own, in this group."""
         with self._lock:
@@ -157,6 +182,13 @@
             transaction.group.parts.slots.release(transaction.endpoint)
         if not result.is_ok():
             return self._fail(transaction, result.error)
+        seen = Position(result.ok.log_term, result.ok.position)
+        if seen < work.session.get(work.group, Position(0, 0)):
+            # A primary that was replaced lacks what the session has written since,
+            # and would not be able to commit.
+            self._end(transaction)
+            message = "The transaction is lost: its primary was replaced."
+            return refuse(Code.TRANSACTION_LOST, message)
         return Ok(
             {
                 "value": result.ok.value,
@@ -201,20 +233,18 @@
             return refuse(Code.QUEUE_FULL, "The endpoint has no slot free.", 50)
         self._end(transaction)
         if result.is_ok():
-            return self._finish_commit(transaction, work, result.ok.position)
-        if result.error.may_have_run:
+            return self._finish_commit(transaction, work, result.ok)
+        # Cancelled by whom, and whether for good, only a majority can tell.
+        if result.error.may_have_run or result.error.kind == "cancelled":
             return self._settle_commit(transaction, work)
-        if result.error.kind == "cancelled":
-            message = "An earlier commit with this idempotency key was given up on."
-            return refuse(Code.IDEMPOTENCY_CONFLICT, message)
         message = f"Nothing was committed: {result.error.message}."
         return refuse(Code.TRANSACTION_LOST, message)
 
     def _finish_commit(
-        self, transaction: Transaction, work: Work, position: int
+        self, transaction: Transaction, work: Work, answer: CommitAnswer
     ) -> Result[StatementAnswer, Refusal]:
         group = transaction.group
-        at = Position(transaction.term, position)
+        at = Position(transaction.term, answer.position)
         if not group.parts.watch.wait_majority(at, group.left_ms(work)):
             return self._settle_commit(transaction, work)
         session = advance_session(work.session, work.group, at)
@@ -223,6 +253,7 @@
                 "session": encode_session(session),
                 "served_by": transaction.endpoint,
                 "role": "primary",
+                "duplicate": answer.duplicate,
             }
         )
 
@@ -241,8 +272,10 @@
         return Ok({"served_by": transaction.endpoint, "role": "primary"})
 
     def _end(self, transaction: Transaction) -> None:
+        """Close the transaction, once; its link may be lent to others from then on."""
         with self._lock:
-            self._open.pop(transaction.id, None)
+            if self._open.pop(transaction.id, None) is None:
+                return
             self._touched_ms.pop(transaction.id, None)
         # The pool closes a link that is still inside the transaction, which ends
         # what is left of it at the endpoint.
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -216,3 +216,11 @@
     deadline_ms = node.runtime.clock.now_ms() + DEADLINE_MS
     name = name or node.runtime.random.randbytes(8).hex()
     return Work(name, WORKSPACE, request, {}, deadline_ms)
+
+
+def settle_down(deployment: Deployment) -> None:
+    """Wait until no daemon runs a request of a peer."""
+    servers = [node.server for node in deployment.nodes]
+    wait_until(
+        deployment.runtime, lambda: not any(server._active for server in servers)
+    )
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -16,7 +16,7 @@
 )
 from standins.load import Load, LoadSettings
 from tests.endpoints import NAMES, add, get, open_runtime, wait_until
-from tests.nodes import Deployment, Node, make_work, open_deployment
+from tests.nodes import Deployment, Node, make_work, open_deployment, settle_down
 
 FAULTS = (
     CUT_REQUEST,
@@ -131,14 +131,6 @@
         check_told(deployment, tell(result), "row")
 
 
-def settle_down(deployment: Deployment) -> None:
-    """Wait until no daemon runs a request of a peer."""
-    servers = [node.server for node in deployment.nodes]
-    wait_until(
-        deployment.runtime, lambda: not any(server._active for server in servers)
-    )
-
-
 @pytest.mark.parametrize("key", ["", "order-7"])
 @pytest.mark.parametrize("repeatable", [False, True])
 def test_thawed_daemon_runs_nothing_given_up(key, repeatable):
--- /dev/null
+++ b/tests/test_promise_transactions.py
@@ -0,0 +1,336 @@
+"""Transactions never mix, commit as a whole or not at all, and answers stay apart."""
+
+import pytest
+
+from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN, Code
+from standins.cutter import (
+    CUT_HALF_REPLY,
+    CUT_REPLY,
+    CUT_REQUEST,
+    HOLD_REQUEST,
+    REPEAT_REPLY,
+)
+from tests.endpoints import NAMES, add, get, put, wait_until
+from tests.nodes import Deployment, Node, open_deployment, settle_down
+
+FAULTS = (CUT_REQUEST, CUT_REPLY, CUT_HALF_REPLY, REPEAT_REPLY, HOLD_REQUEST)
+
+
+def begin(node: Node) -> str:
+    return node.send("begin").ok["transaction"]
+
+
+def run(node: Node, token: str, statement: dict):
+    return node.send(statement=statement, transaction=token)
+
+
+def commit(node: Node, token: str, **fields):
+    return node.send("commit", transaction=token, **fields)
+
+
+def tell(result) -> str:
+    return RAN if result.is_ok() else result.error.ran
+
+
+def check_told(deployment: Deployment, told: str, row: str) -> None:
+    """Check what a committing caller was told against the rows."""
+    effects = deployment.count_writes(row)
+    assert effects <= 1
+    if told != UNKNOWN:
+        assert effects == (told == RAN), f"told {told}, {effects} effects"
+
+
+def check_pools(deployment: Deployment) -> None:
+    """Check that no link is kept twice, or inside a transaction."""
+    for node in deployment.nodes:
+        for pool in node.groups.find("orders").parts.pools.values():
+            assert len(set(map(id, pool._idle))) == len(pool._idle)
+            assert not any(link.in_transaction for link in pool._idle)
+
+
+# Work never mixes
+
+
+def test_transaction_through_several_daemons():
+    """The balancer spreads the statements of one transaction over all daemons.
+
+    Its changes are hidden until the commit, and are there all together afterwards.
+    """
+    with open_deployment(3) as deployment:
+        deployment.warm_up()
+        one, two, three = deployment.nodes
+        token = begin(one)
+        assert run(two, token, add("stock", -1)).ok["value"] == -1
+        assert run(three, token, get("stock")).ok["value"] == -1
+        assert run(one, token, add("returns", 1)).is_ok()
+        assert deployment.read_row("stock") is None
+        session = commit(two, token).ok["session"]
+        for row, value in (("stock", -1), ("returns", 1)):
+            answer = three.send(statement=get(row), session=session)
+            assert answer.ok["value"] == value
+        check_pools(deployment)
+
+
+def test_transactions_stay_apart():
+    """Two tills work in transactions of their own at once, statement by statement.
+
+    Mixed up, a refund would be kept with the other till's commit.
+    """
+    with open_deployment(2) as deployment:
+        deployment.warm_up()
+        tokens = [begin(node) for node in deployment.nodes for _ in range(2)]
+        for step in range(3):
+            for number, token in enumerate(tokens):
+                node = deployment.nodes[(number + step) % 2]
+                assert (
+                    run(node, token, add(f"till-{number}", 1)).ok["value"] == step + 1
+                )
+        assert commit(deployment.nodes[0], tokens[0]).is_ok()
+        assert deployment.nodes[0].send("rollback", transaction=tokens[1]).is_ok()
+        assert commit(deployment.nodes[1], tokens[2]).is_ok()
+        rows = [deployment.read_row(f"till-{number}") for number in range(4)]
+        assert rows == [3, None, 3, None]
+        changed = [
+            set(entry["changes"])
+            for entry in deployment.group.instance(deployment.find_primary()).entries
+        ]
+        assert changed.count({"till-0"}) == changed.count({"till-2"}) == 1
+
+
+def test_token_of_another_workspace():
+    """A rival gets hold of a transaction's token and commits or reads with it."""
+    with open_deployment(2) as deployment:
+        deployment.warm_up()
+        node = deployment.nodes[0]
+        token = begin(node)
+        assert run(node, token, put("diet", "celiac")).is_ok()
+        for request in (
+            {"statement": get("diet"), "transaction": token},
+            {"action": "commit", "transaction": token},
+        ):
+            result = node.kernel.run_statement(
+                "rival", "rival-key", {"group": "orders", **request}, "request"
+            )
+            assert result.error.ran == NOT_RUN
+        assert deployment.read_row("diet") is None
+        assert commit(node, token).is_ok()
+        assert deployment.read_row("diet") == "celiac"
+
+
+@pytest.mark.parametrize("second", ["statement", "commit", "rollback"])
+def test_request_behind_a_commit(second):
+    """A caller sends another request of a transaction while its commit is slow.
+
+    It waits for the commit to end. By then the connection is somebody else's, and
+    the statement would run there by itself.
+    """
+    with open_deployment(2) as deployment:
+        deployment.warm_up()
+        node = deployment.ranked[0]
+        token = begin(node)
+        assert run(node, token, add("row", 1)).is_ok()
+        delay = {"ops": ["commit"], "count": 1, "delay_ms": 100}
+        deployment.group.admin(deployment.find_primary(), "delay_answers", **delay)
+        committing = deployment.runtime.start(lambda: commit(node, token))
+        deployment.runtime.sleep_ms(40)
+        fields = {"statement": add("stray", 1)} if second == "statement" else {}
+        late = node.send(second, transaction=token, **fields)
+        assert committing.result().is_ok()
+        assert deployment.read_row("stray") is None
+        if second != "commit":
+            assert late.error.code == Code.TRANSACTION_UNKNOWN
+        check_pools(deployment)
+        check_told(deployment, RAN, "row")
+
+
+def test_idle_transaction_ends_once():
+    """A transaction is rolled back for idleness just as its rollback comes.
+
+    Given back twice, its connection would serve two callers at once.
+    """
+    with open_deployment(1) as deployment:
+        deployment.warm_up()
+        node = deployment.nodes[0]
+        token = begin(node)
+        transaction = node.transactions._open[token]
+        node.transactions._end(transaction)
+        node.transactions._end(transaction)
+        pool = transaction.pool
+        assert pool.open_count == len(pool._idle)
+        check_pools(deployment)
+
+
+# Doubt
+
+
+@pytest.mark.parametrize("before", [False, True])
+@pytest.mark.parametrize("key", ["", "sale-1"])
+def test_answer_to_commit_lost(before, key):
+    """The connection to the endpoint breaks just before a commit runs, or after."""
+    with open_deployment(2) as deployment:
+        deployment.warm_up()
+        node = deployment.nodes[0]
+        token = begin(node)
+        assert run(node, token, add("row", 1)).is_ok()
+        fault = {"ops": ["commit"], "count": 1, "before": before}
+        deployment.group.admin(deployment.find_primary(), "drop_answers", **fault)
+        told = tell(commit(node, token, key=key))
+        assert told == (NOT_RUN if before else RAN)
+        check_told(deployment, told, "row")
+        check_pools(deployment)
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("key", ["", "sale-1"])
+def test_commit_between_daemons_cut(fault, key):
+    """The link between two daemons breaks around a commit.
+
+    The caller must learn whether the sale stands, and a commit that was held up must
+    not run after "not run".
+    """
+    with open_deployment(2) as deployment:
+        deployment.warm_up()
+        holder, other = deployment.ranked
+        token = begin(other)
+        assert run(other, token, add("row", 1)).is_ok()
+        holder.cutter.arm(fault)
+        told = tell(commit(other, token, key=key))
+        assert holder.cutter.struck == 1
+        assert told != UNKNOWN
+        count = len(deployment.list_executions("commit"))
+        holder.cutter.release()
+        if fault == HOLD_REQUEST:
+            wait_until(
+                deployment.runtime,
+                lambda: len(deployment.list_executions("commit")) > count,
+            )
+        settle_down(deployment)
+        check_told(deployment, told, "row")
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_statement_to_endpoint_cut(fault):
+    """The connection of a transaction breaks in the middle of a statement."""
+    with open_deployment(2) as deployment:
+        deployment.warm_up()
+        holder = deployment.ranked[0]
+        relay = holder.relays[deployment.find_primary()]
+        token = begin(holder)
+        assert run(holder, token, add("row", 1)).is_ok()
+        relay.arm(fault)
+        result = run(holder, token, add("row", 1))
+        assert relay.struck == 1
+        relay.release()
+        told = tell(commit(holder, token))
+        assert told == (RAN if result.is_ok() else NOT_RUN)
+        check_told(deployment, told, "row")
+        check_pools(deployment)
+
+
+# Failover
+
+
+@pytest.mark.parametrize("when", ["before the commit", "in the commit"])
+def test_failover_in_a_transaction(when):
+    """The primary freezes in the middle of a transaction and is replaced.
+
+    When it goes on it runs what it had received, into a log that nobody follows.
+    """
+    with open_deployment(2) as deployment:
+        deployment.warm_up()
+        node = deployment.nodes[0]
+        token = begin(node)
+        assert run(node, token, add("row", 1)).is_ok()
+        former = deployment.find_primary()
+        watch = node.groups.find("orders").parts.watch
+        deployment.group.admin(former, "freeze")
+        if when == "before the commit":
+            wait_until(
+                deployment.runtime, lambda: watch.primary() not in (None, former)
+            )
+        told = tell(commit(node, token, deadline_ms=5000))
+        assert told == NOT_RUN
+        deployment.group.admin(former, "thaw")
+        wait_until(
+            deployment.runtime,
+            lambda: deployment.group.instance(former).term > 1,
+        )
+        deployment.group.wait_level(*NAMES)
+        check_told(deployment, told, "row")
+        token = begin(node)
+        assert run(node, token, add("row", 1)).ok["value"] == 1
+        assert commit(node, token).is_ok()
+
+
+def test_transaction_on_former_primary():
+    """A daemon that reaches only the former primary opens a transaction there.
+
+    Its reads would lack what the session has written, and decide wrongly by that.
+    """
+    with open_deployment(2) as deployment:
+        deployment.warm_up()
+        cut_off, other = deployment.ranked
+        names = ["orders-2", "orders-3", other.name]
+        deployment.group.admin("orders-1", "cut", names=names)
+        for name in NAMES[1:]:
+            cut_off.relays[name].refuse()
+        server = other.groups.find("orders")
+        wait_until(
+            deployment.runtime,
+            lambda: server.parts.watch.primary() not in (None, "orders-1"),
+        )
+        other.groups.rank_daemons = lambda group: [other.name]
+        session = other.send(statement=add("stock", 5)).ok["session"]
+        token = cut_off.send("begin", session=session).ok["transaction"]
+        result = cut_off.send(
+            statement=get("stock"), transaction=token, session=session
+        )
+        assert result.error.code == Code.TRANSACTION_LOST
+
+
+# Answers stay apart
+
+
+@pytest.mark.parametrize("fault", ["cross", "delay", *FAULTS])
+def test_answers_reach_their_own_callers(fault):
+    """Answers come late, crossed, cut short or twice while many callers read.
+
+    A kitchen that gets another caterer's answer would cook by the wrong list.
+    """
+    with open_deployment(2, statement_timeout_ms=60) as deployment:
+        deployment.warm_up()
+        rows = [f"row-{number}" for number in range(4)]
+        node = deployment.ranked[0]
+        for row in rows:
+            assert node.send(statement=put(row, row)).is_ok()
+        deployment.group.wait_level(*NAMES)
+
+        def read_all(row: str) -> list:
+            found = []
+            for _ in range(40):
+                result = node.send(statement=get(row))
+                if result.is_ok():
+                    found.append(result.ok["value"])
+            return found
+
+        readers = [deployment.runtime.start(read_all, row) for row in rows]
+        for number in range(12):
+            strike(deployment, node, fault, NAMES[number % 3])
+            deployment.runtime.sleep_ms(3)
+        for row, reader in zip(rows, readers, strict=True):
+            values = reader.result()
+            assert set(values) == {row}
+            assert len(values) >= 30
+        check_pools(deployment)
+
+
+def strike(deployment: Deployment, node: Node, fault: str, name: str) -> None:
+    """Let a fault befall the next answer of an instance."""
+    if fault == "cross":
+        deployment.group.admin(name, "cross_answers", ops=["read"], count=1)
+    elif fault == "delay":
+        fields = {"ops": ["read"], "count": 1, "delay_ms": 80}
+        deployment.group.admin(name, "delay_answers", **fields)
+    else:
+        node.relays[name].arm(fault)
+        node.relays[name].release()
