--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -174,6 +174,21 @@
     assert name_kinds(found) == [(ForeignAnswer, one) for one in "abc"]
 
 
+def test_a_refused_connection_needs_no_request_id():
+    """A proxy that stops tells its idle connections so, while a request is on its way
+    on one of them. That refusal has an id of its own; another request's would mean
+    that answers were mixed up.
+    """
+    stopping = build_refusal(Code.STOPPING, answered_id="own")
+    assert check_answers([stopping]) == []
+    other = build_refusal(Code.STOPPING, request_id="own", answered_id="own")
+    assert name_kinds(check_answers([stopping, other])) == [(ForeignAnswer, "r1")]
+    for changes in ({"ran": "unknown"}, {"answered_id": ""}):
+        assert len(check_answers([stopping._replace(**changes)])) == 1
+    limited = build_refusal(Code.RATE_EXCEEDED, answered_id="own")
+    assert len(check_answers([limited])) == 1
+
+
 def test_a_request_without_answer_is_found():
     """A proxy that is asked to stop ends with a request in its hands. The caller sees
     a closed connection; from one that was killed that is to be expected.
@@ -255,6 +270,20 @@
     assert len(check_rates(record, [LIMIT], evidence)) == 2
 
 
+def test_a_request_that_could_wait_takes_no_token_from_one_that_could_not():
+    """Two requests are answered late, and two that came after them at once. One choice
+    of times fits: the first two were admitted last, when new tokens had come.
+    """
+    slow = build_run(0, 0, lasting=400)
+    quick = [
+        entry._replace(request_id=f"q{number}", idempotency_key=f"q{number}")
+        for number, entry in enumerate(build_run(50, 50))
+    ]
+    assert check_rates(slow + quick, [LIMIT], NO_EVIDENCE) == []
+    late = [entry._replace(answered_ms=100) for entry in slow]
+    assert len(check_rates(late + quick, [LIMIT], NO_EVIDENCE)) == 1
+
+
 def test_what_ran_without_an_answer_counts():
     """A proxy is killed with requests in its hands that the endpoint has run. The
     workspace had its share, though no caller saw it.
