--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3.11
 RUN := $(VENV)/bin/python -m
 
-.PHONY: help setup demo test lint format format-check check
+.PHONY: help setup demo capacity test lint format format-check check
 
 help:  ## Show this list.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -19,6 +19,9 @@
 demo: setup  ## Run the main job once, on stand-ins, and say what each step did.
 	$(RUN) standins.demo
 
+capacity: setup  ## Measure the slopes (about 4 minutes) and rewrite docs/CAPACITY.md.
+	$(RUN) lab.slopes
+
 test: setup  ## Run all tests.
 	$(RUN) pytest
 
--- /dev/null
+++ b/lab/slopes.py
@@ -0,0 +1,188 @@
+"""Measures the slopes, keeps them in capacity.json and rewrites the page's tables.
+
+`python -m lab.slopes` measures all roles, `python -m lab.slopes beats idle` only some,
+`python -m lab.slopes --tables` none: it rewrites the tables from the file.
+"""
+
+import contextlib
+import json
+import os
+import platform
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+
+from bronzerelay.runtime import Address, Runtime
+from lab.deployments import measure_fleet, measure_paths
+from lab.measure import fit_line
+from lab.tables import rewrite_page
+from standins.processes import Process, find_free_addresses, wait_until_listening
+
+ROOT = Path(__file__).resolve().parent.parent
+RESULTS = ROOT / "docs/measurements/capacity.json"
+PAGE = ROOT / "docs/CAPACITY.md"
+WORKER_TIMEOUT_S = 60
+START_MS = 15_000
+SIGNIFICANT = 4
+
+
+class Experiment(NamedTuple):
+    """A role that is measured at several sizes; `size` says what they count."""
+
+    role: str
+    size: str
+    sizes: tuple[int, ...]
+
+
+EXPERIMENTS = (
+    Experiment("idle", "idle connections", (250, 1000, 4000, 9700)),
+    Experiment("drain", "idle connections", (125, 250, 500, 1000)),
+    Experiment("active", "busy connections", (1, 16, 64, 256)),
+    Experiment("paths", "statements", (400, 800, 1600)),
+    Experiment("routing", "members", (9, 100, 1000, 3100)),
+    Experiment("ranking", "members", (100, 1000, 3100)),
+    Experiment("watching", "groups", (5, 10, 20, 40)),
+    Experiment("tending", "groups", (1000, 4000, 16000)),
+    Experiment("promotion", "instances", (3, 5, 7)),
+    Experiment("accounts", "workspaces", (2000, 4000, 8000)),
+    Experiment("splits", "members", (100, 1000, 3100)),
+    Experiment("spending", "workspaces", (100, 1000, 4000)),
+    Experiment("calls", "calls", (500, 1000, 2000)),
+    Experiment("slots", "contending tasks", (3, 16, 64)),
+    Experiment("bundle", "groups", (200, 400, 800)),
+    Experiment("beats", "members", (9, 100, 1000, 3100)),
+    Experiment("graph", "members", (100, 400, 1600, 3100)),
+    Experiment("roster", "members", (9, 100, 1000, 3100)),
+    Experiment("fleet", "daemons", (3, 6, 9, 12)),
+)
+
+
+@contextlib.contextmanager
+def run_instances() -> Iterator[list[Address]]:
+    """Give the addresses of three instances of a group, each a process."""
+    runtime = Runtime(task_limit=4)
+    addresses = find_free_addresses(runtime, 3)
+    with tempfile.TemporaryDirectory() as folder:
+        processes = []
+        role = ["--primary-term", "1"]
+        for number, address in enumerate(addresses, start=1):
+            flags = ["--name", f"orders-{number}", "--group", "orders"]
+            flags += ["--listen", str(address), *role]
+            process = Process(
+                f"orders-{number}", "standins.endpoint", flags, Path(folder)
+            )
+            process.start()
+            processes.append(process)
+            role = ["--follow", str(addresses[0])]
+        try:
+            for process, address in zip(processes, addresses, strict=True):
+                wait_until_listening(runtime, process, address, START_MS)
+            yield addresses
+        finally:
+            for process in processes:
+                process.kill()
+
+
+def ask_worker(role: str, size: int, addresses: list[Address]) -> dict[str, float]:
+    """Return what a process of its own measures for the role at that size."""
+    command = [sys.executable, "-m", "lab.worker", role, str(size)]
+    done = subprocess.run(
+        [*command, *map(str, addresses)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=WORKER_TIMEOUT_S,
+    )
+    if done.returncode:
+        raise click.ClickException(f"{role} {size}: {done.stderr[-800:]}")
+    return json.loads(done.stdout.splitlines()[-1])
+
+
+def measure_sizes(experiment: Experiment) -> dict[int, dict[str, float]]:
+    """Return the metrics of a role at each of its sizes."""
+    role, sizes = experiment.role, experiment.sizes
+    if role == "paths":
+        return measure_paths(list(sizes))
+    if role == "fleet":
+        return {size: measure_fleet(size) for size in sizes}
+    if role == "watching":
+        with run_instances() as addresses:
+            return {size: ask_worker(role, size, addresses) for size in sizes}
+    return {size: ask_worker(role, size, []) for size in sizes}
+
+
+def round_number(value: float) -> float:
+    """Return `value` with four significant digits."""
+    return float(f"{value:.{SIGNIFICANT}g}")
+
+
+def fit_slopes(
+    experiment: Experiment, found: dict[int, dict[str, float]]
+) -> dict[str, Any]:
+    """Return the slope of each metric of a role, with its points and command."""
+    slopes = {}
+    for metric in next(iter(found.values())):
+        points = [(size, round_number(found[size][metric])) for size in found]
+        line = fit_line(points)
+        slopes[f"{experiment.role}.{metric}"] = {
+            "size": experiment.size,
+            "points": points,
+            "slope": round_number(line.slope),
+            "base": round_number(line.base),
+            "command": f"python -m lab.slopes {experiment.role}",
+        }
+    return slopes
+
+
+def describe_machine() -> dict[str, Any]:
+    """Return what the figures were measured on."""
+    memory = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    return {
+        "cores": os.cpu_count(),
+        "memory_gb": round(memory / 1e9),
+        "python": platform.python_version(),
+    }
+
+
+def read_results() -> dict[str, Any]:
+    """Return the file's content; an empty one when there is none."""
+    if not RESULTS.exists():
+        return {"machine": {}, "slopes": {}}
+    return json.loads(RESULTS.read_text())
+
+
+def save_results(results: dict[str, Any]) -> None:
+    """Write the file."""
+    RESULTS.parent.mkdir(exist_ok=True)
+    RESULTS.write_text(json.dumps(results, indent=1) + "\n")
+
+
+@click.command()
+@click.option("--tables", is_flag=True, help="Measure nothing; rewrite the tables.")
+@click.argument("roles", nargs=-1)
+def main(tables: bool, roles: tuple[str, ...]) -> None:
+    """Measure ROLES, or all, and rewrite the tables of docs/CAPACITY.md."""
+    known = [experiment.role for experiment in EXPERIMENTS]
+    if unknown := sorted(set(roles) - set(known)):
+        raise click.BadParameter(f"{unknown} not among {known}")
+    results = read_results()
+    clock = Runtime(task_limit=1).clock
+    for experiment in () if tables else EXPERIMENTS:
+        if roles and experiment.role not in roles:
+            continue
+        began_ms = clock.now_ms()
+        found = measure_sizes(experiment)
+        results["machine"] = describe_machine()
+        results["slopes"].update(fit_slopes(experiment, found))
+        save_results(results)
+        click.echo(f"{experiment.role}: {(clock.now_ms() - began_ms) / 1000:.1f} s")
+    PAGE.write_text(rewrite_page(PAGE.read_text(), results))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lab/spread_estimates.py
@@ -0,0 +1,263 @@
+"""What configuration, membership, roster and platform take at that size."""
+
+from lab import letter
+from lab.arithmetic import Slopes, add, divide, multiply
+from lab.estimates import (
+    BEATS_PER_S,
+    BYTES,
+    CHANGES,
+    CHANGES_PER_S,
+    CPU,
+    EVENT_BYTES,
+    GRAPH_DEGREE,
+    HEADER_BYTES,
+    JOIN_CALLS,
+    KB_PER_MB,
+    MEMBERS,
+    MS_PER_S,
+    VERSIONS,
+    VERSIONS_PER_S,
+    Role,
+)
+
+
+def work_out_configuration(slopes: Slopes) -> Role:
+    """Return the cost of the configuration's versions."""
+    size = slopes.slope("bundle.bytes")
+    whole = size * letter.GROUPS
+    accept = slopes.slope("bundle.accept_ms")
+    degree = GRAPH_DEGREE
+    digest = 40 + HEADER_BYTES
+    return [
+        multiply(
+            "the bundle",
+            "MiB",
+            1000 / KB_PER_MB,
+            (letter.GROUPS, "groups"),
+            (size / KB_PER_MB**2, "MiB"),
+        ),
+        divide(
+            "groups that fit into one value today",
+            "",
+            None,
+            (1000 * KB_PER_MB, "B"),
+            (size, "B a group"),
+        ),
+        multiply(
+            "bytes received",
+            BYTES,
+            letter.CONTROL_BYTES,
+            (whole, "B"),
+            VERSIONS,
+        ),
+        multiply(
+            "processor to accept",
+            CPU,
+            letter.CONTROL_CPU_MS,
+            (letter.GROUPS, "groups"),
+            (accept, "ms"),
+            VERSIONS,
+        ),
+        multiply(
+            "memory",
+            "MiB",
+            letter.CONTROL_MEMORY_MB,
+            (letter.GROUPS, "groups"),
+            (slopes.slope("bundle.memory_kb") / KB_PER_MB, "MiB"),
+        ),
+        multiply(
+            "in parts: bytes of digests",
+            BYTES,
+            letter.CONTROL_BYTES,
+            VERSIONS,
+            (2 * degree, "messages, in and out"),
+            (digest, "B"),
+        ),
+        multiply(
+            "in parts: bytes of the changed part",
+            BYTES,
+            letter.CONTROL_BYTES,
+            VERSIONS,
+            (2, "times, once in and once out"),
+            (size * 32, "B, 32 groups a part"),
+        ),
+        multiply(
+            "in parts: processor to accept",
+            CPU,
+            letter.CONTROL_CPU_MS,
+            (32, "groups"),
+            (accept, "ms"),
+            VERSIONS,
+        ),
+        multiply(
+            "in force after a flood",
+            "ms",
+            letter.VERSION_MS,
+            (slopes.last("graph.hops"), "hops"),
+            (2 * slopes.last("fleet.version_ms"), "ms, twice 12 daemons' time"),
+        ),
+    ]
+
+
+def work_out_membership(slopes: Slopes) -> Role:
+    """Return the cost of heartbeats."""
+    beat_bytes = slopes.last("beats.bytes")
+    make = slopes.last("beats.make_us") / MS_PER_S
+    take = slopes.last("beats.take_us") / MS_PER_S
+    empty = slopes.slope("calls.beat_ms")
+    empty_bytes = slopes.slope("calls.beat_bytes") + 2 * HEADER_BYTES
+    peers = (letter.DAEMONS - 1, "peers")
+    return [
+        multiply(
+            "bytes",
+            BYTES,
+            letter.CONTROL_BYTES,
+            peers,
+            (2 * BEATS_PER_S, "exchanges/s, own and theirs"),
+            (2, "messages"),
+            (beat_bytes, "B"),
+        ),
+        multiply(
+            "processor",
+            CPU,
+            letter.CONTROL_CPU_MS,
+            peers,
+            (BEATS_PER_S, "own and their exchanges/s"),
+            (2 * make + 2 * take, "ms to write and read both"),
+        ),
+        multiply(
+            "memory of views and roster",
+            "MiB",
+            letter.CONTROL_MEMORY_MB,
+            MEMBERS,
+            (slopes.slope("beats.memory_kb") / KB_PER_MB, "MiB, addresses too"),
+        ),
+        multiply(
+            "a graph: bytes of beats, one a second",
+            BYTES,
+            letter.CONTROL_BYTES,
+            (GRAPH_DEGREE, "neighbours, one exchange each"),
+            (empty_bytes, "B, headers too"),
+        ),
+        multiply(
+            "a graph: processor of beats",
+            CPU,
+            letter.CONTROL_CPU_MS,
+            (GRAPH_DEGREE, "exchanges/s"),
+            (empty, "ms, both ends"),
+        ),
+        multiply(
+            "a graph: bytes of deaths, joins and leaves",
+            BYTES,
+            letter.CONTROL_BYTES,
+            CHANGES,
+            (2 * GRAPH_DEGREE, "messages, in and out"),
+            (EVENT_BYTES + HEADER_BYTES, "B"),
+        ),
+        multiply(
+            "a graph: bytes of the platform's last answer",
+            BYTES,
+            letter.CONTROL_BYTES,
+            (1, "/s"),
+            (2 * GRAPH_DEGREE, "messages, in and out"),
+            (30 + HEADER_BYTES, "B"),
+        ),
+        multiply(
+            "a graph: a failure domain dies",
+            "KB at once",
+            None,
+            (letter.DAEMONS / letter.FAILURE_DOMAINS, "deaths"),
+            (2 * GRAPH_DEGREE, "messages"),
+            ((EVENT_BYTES + HEADER_BYTES) / 1000, "KB"),
+        ),
+    ]
+
+
+def work_out_roster(slopes: Slopes) -> Role:
+    """Return the cost of the roster."""
+    size = slopes.last("roster.bytes")
+    return [
+        multiply(
+            "the roster",
+            "MiB",
+            letter.PLATFORM_VALUE_MB,
+            MEMBERS,
+            (size / letter.DAEMONS / KB_PER_MB**2, "MiB"),
+        ),
+        multiply(
+            "bytes received",
+            BYTES,
+            letter.CONTROL_BYTES,
+            (size, "B"),
+            CHANGES,
+        ),
+        multiply(
+            "processor to read it",
+            CPU,
+            letter.CONTROL_CPU_MS,
+            (slopes.last("roster.take_us") / MS_PER_S, "ms"),
+            CHANGES,
+        ),
+        divide(
+            "time until the next change",
+            "s",
+            None,
+            (1, "s"),
+            (CHANGES_PER_S, "changes/s"),
+        ),
+        multiply(
+            "changes sent alone: bytes",
+            BYTES,
+            letter.CONTROL_BYTES,
+            CHANGES,
+            (2 * GRAPH_DEGREE, "messages, in and out"),
+            (size / letter.DAEMONS + HEADER_BYTES, "B"),
+        ),
+    ]
+
+
+def work_out_platform(slopes: Slopes) -> Role:
+    """Return the calls at the platform from the whole fleet."""
+    watches = slopes.last("fleet.platform_calls_per_s")
+    changed = letter.VM_FAILURES_PER_DAY + letter.RESTARTS_PER_DAY
+    back = letter.DAEMONS / letter.FAILURE_DOMAINS
+    return [
+        add(
+            "calls",
+            "/s",
+            letter.PLATFORM_READS_PER_S,
+            (watches, "/s measured, 3 to 12 daemons alike"),
+            (
+                changed * JOIN_CALLS / letter.DAY_S,
+                "/s of restarts, 13 calls each",
+            ),
+            (1, "/s of the janitor"),
+        ),
+        multiply(
+            "if each daemon watched for itself",
+            "/s",
+            letter.PLATFORM_READS_PER_S,
+            (letter.DAEMONS, "daemons"),
+            (2, "watches/s"),
+        ),
+        multiply(
+            "writes of versions, joins, leaves and settled epochs",
+            "/s",
+            letter.PLATFORM_WRITES_PER_S,
+            (VERSIONS_PER_S + 2 * CHANGES_PER_S, "/s"),
+        ),
+        multiply(
+            "a domain comes back: puts that race on the roster",
+            "puts",
+            None,
+            (back, "daemons"),
+            (back / 2, "puts each at most, on average"),
+        ),
+        divide(
+            "time for that at the platform's rate",
+            "s",
+            None,
+            (back * back / 2, "puts"),
+            (letter.PLATFORM_WRITES_PER_S, "/s"),
+        ),
+    ]
--- /dev/null
+++ b/lab/watching.py
@@ -0,0 +1,118 @@
+"""Measurements of watching groups, of tending them, and of promotion."""
+
+from bronzerelay import dialect
+from bronzerelay.failover import Promoter
+from bronzerelay.groups import Groups, GroupSettings
+from bronzerelay.logs import open_log
+from bronzerelay.membership import Membership, MembershipSettings
+from bronzerelay.metrics import Metrics
+from bronzerelay.runtime import Address, Runtime
+from bronzerelay.settings import DaemonSettings
+from bronzerelay.types import Configuration, EndpointSpec
+from lab.layouts import build_group_spec
+from lab.measure import CountedRuntime, cpu_us_per_call, own_cpu_ms, resident_kb
+from lab.members import OWN_NAME
+from standins.endpoint import EndpointServer
+from standins.messages import EndpointSettings
+
+TASKS = 1000
+SETTLE_MS = 1500
+WATCH_MS = 3000
+PROMOTIONS = 8
+CONNECT_MS = 10
+STATUS_WAIT_MS = DaemonSettings._field_defaults["status_wait_ms"]
+
+
+def build_groups(runtime: Runtime) -> Groups:
+    """Return the groups of a daemon that is alone, and so serves all of them."""
+    membership = Membership(runtime, MembershipSettings(OWN_NAME))
+    settings = GroupSettings(OWN_NAME, 100, STATUS_WAIT_MS, 1000)
+    metrics = Metrics(runtime)
+    log = open_log("group")
+    return Groups(runtime, settings, membership, dialect.open_link, metrics, log)
+
+
+def build_configuration(count: int, addresses: list[Address]) -> Configuration:
+    """Return a configuration of `count` groups on the same few instances."""
+    names = [f"group-{number:05}" for number in range(count)]
+    specs = {name: build_group_spec(name, addresses) for name in names}
+    return Configuration(1, "", specs, {})
+
+
+def measure_watching(size: int, addresses: list[Address]) -> dict[str, float]:
+    """Return what a daemon that watches `size` groups spends, with no callers.
+
+    The groups stand on three instances in processes of their own.
+    """
+    runtime = CountedRuntime(TASKS)
+    before_kb = resident_kb()
+    groups = build_groups(runtime)
+    groups.set_configuration(build_configuration(size, addresses))
+    runtime.start(groups.tend)
+    runtime.sleep_ms(SETTLE_MS)
+    memory_kb = resident_kb() - before_kb
+    started_ms, before = own_cpu_ms(), runtime.total_bytes()
+    messages = runtime.counts["messages"]
+    runtime.sleep_ms(WATCH_MS)
+    watched_s = WATCH_MS / 1000
+    found = {
+        "cpu_ms_per_s": (own_cpu_ms() - started_ms) / watched_s,
+        "bytes_per_s": (runtime.total_bytes() - before) / watched_s,
+        "messages_per_s": (runtime.counts["messages"] - messages) / watched_s,
+        "memory_kb": memory_kb,
+    }
+    runtime.close(SETTLE_MS)
+    return found
+
+
+def measure_tending(size: int) -> dict[str, float]:
+    """Return the time to go once over `size` groups of which none is served here."""
+    runtime = Runtime(task_limit=4, seed=1)
+    groups = build_groups(runtime)
+    names = [f"group-{number:05}" for number in range(size)]
+
+    def go_over() -> None:
+        for name in names:
+            groups.rank_daemons(name)
+
+    go_over()
+    return {"us": cpu_us_per_call(go_over)}
+
+
+def measure_promotion(size: int) -> dict[str, float]:
+    """Return how long fencing and promoting a group of `size` instances takes.
+
+    A connection takes 10 ms, as on a database. The instances run in this process,
+    so that the processor time is that of daemon and instances together.
+    """
+    runtime = Runtime(task_limit=TASKS, seed=1)
+    servers = []
+    role: dict = {"primary_term": 1}
+    for number in range(1, size + 1):
+        settings = EndpointSettings(
+            f"orders-{number}", "orders", connect_ms=CONNECT_MS, lag_ms=0, **role
+        )
+        server = EndpointServer(runtime, settings)
+        server.start()
+        servers.append(server)
+        role = {"follow": servers[0].address}
+    addresses = [server.address for server in servers]
+    spec = build_group_spec("orders", addresses)
+
+    def open_monitor(endpoint: EndpointSpec, kind: str, timeout_ms: float):
+        return dialect.open_link(runtime, endpoint, OWN_NAME, kind, timeout_ms)
+
+    promoter = Promoter(runtime, open_monitor)
+    began_ms, started_ms = runtime.clock.now_ms(), own_cpu_ms()
+    for term in range(2, PROMOTIONS + 2):
+        outcome = promoter.promote(spec, term, list(spec.endpoints))
+        if not outcome.primary:
+            raise ValueError(f"no promotion: {outcome.reason}")
+    found = {
+        "ms": (runtime.clock.now_ms() - began_ms) / PROMOTIONS,
+        "cpu_ms": (own_cpu_ms() - started_ms) / PROMOTIONS,
+    }
+    for server in servers:
+        server.stop()
+    runtime.close(SETTLE_MS)
+    return found
--- /dev/null
+++ b/lab/worker.py
@@ -0,0 +1,46 @@
+"""Measures one role at one size, in a process of its own, and prints JSON."""
+
+import inspect
+import os
+import sys
+
+import msgspec
+
+from bronzerelay.runtime import parse_address
+from lab import links, members, records, watching
+
+MEASUREMENTS = {
+    "routing": members.measure_routing,
+    "ranking": members.measure_first_ranking,
+    "beats": members.measure_beats,
+    "roster": members.measure_roster,
+    "graph": members.measure_graph,
+    "bundle": records.measure_bundle,
+    "accounts": records.measure_accounts,
+    "splits": records.measure_splits,
+    "spending": records.measure_spending,
+    "calls": links.measure_calls,
+    "slots": links.measure_slots,
+    "idle": links.measure_idle,
+    "drain": links.measure_drain,
+    "active": links.measure_active,
+    "watching": watching.measure_watching,
+    "tending": watching.measure_tending,
+    "promotion": watching.measure_promotion,
+}
+
+
+def main() -> None:
+    """Print what the role named first costs at the size named second."""
+    measure = MEASUREMENTS[sys.argv[1]]
+    size = int(sys.argv[2])
+    addresses = [parse_address(text) for text in sys.argv[3:]]
+    takes_addresses = "addresses" in inspect.signature(measure).parameters
+    found = measure(size, addresses) if takes_addresses else measure(size)
+    print(msgspec.json.encode(found).decode(), flush=True)
+    # A task of a stand-in that still waits would hold up the end.
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    main()
