--- a/lab/__init__.py
+++ b/lab/__init__.py
@@ -1,1 +1,1 @@
-"""Measures what each role of a daemon costs, and works out the page on capacity."""
+"""Measured experiments on the stand-ins; nothing here is shipped."""
--- /dev/null
+++ b/tests/test_promise_once.py
@@ -0,0 +1,476 @@
+"""Every change runs at most once, and what its caller was told about it is true."""
+
+import pytest
+
+from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN, Code
+from bronzerelay.group import Work
+from standins.checks import check_all_answered, run_checks
+from standins.cluster import Cluster, Layout, WorkspaceLayout
+from standins.cutter import (
+    CUT_HALF_REPLY,
+    CUT_HALF_REQUEST,
+    CUT_REPLY,
+    CUT_REQUEST,
+    HOLD_REQUEST,
+    REPEAT_REPLY,
+    Cutter,
+)
+from standins.load import Load, LoadSettings
+from tests.endpoints import NAMES, add, get, open_runtime, wait_until
+from tests.nodes import WORKSPACE, Deployment, Node, open_deployment
+
+FAULTS = (
+    CUT_REQUEST,
+    CUT_HALF_REQUEST,
+    CUT_REPLY,
+    CUT_HALF_REPLY,
+    REPEAT_REPLY,
+    HOLD_REQUEST,
+)
+
+
+def tell(result) -> str:
+    """Return what a caller reads about its request."""
+    return RAN if result.is_ok() else result.error.ran
+
+
+def check_told(deployment: Deployment, told: str, row: str) -> None:
+    """Check what a caller was told against the effects at the endpoint."""
+    effects = deployment.count_writes(row)
+    assert effects <= 1
+    if told != UNKNOWN:
+        assert effects == (told == RAN), f"told {told}, {effects} effects"
+
+
+def send_add(node: Node, row: str, **fields):
+    return node.send(statement=add(row, 1), **fields)
+
+
+def make_work(node: Node, row: str, name: str, **fields) -> Work:
+    request = {"group": "orders", "statement": add(row, 1), **fields}
+    deadline_ms = node.runtime.clock.now_ms() + 1500
+    return Work(name, WORKSPACE, request, {}, deadline_ms)
+
+
+# Answers lost between a daemon and an endpoint
+
+
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_answer_of_endpoint_lost(repeatable):
+    """A connection breaks just before a write runs, or just after.
+
+    The caller would send the order again and get it twice, or never again and lose
+    it, if the daemon guessed.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        primary = deployment.find_primary()
+        for before in (False, True):
+            row = f"row-{before}"
+            fault = {"ops": ["write"], "count": 1, "before": before}
+            deployment.group.admin(primary, "drop_answers", **fault)
+            result = send_add(deployment.ranked[0], row, repeatable=repeatable)
+            lost = before and not repeatable
+            assert tell(result) == (NOT_RUN if lost else RAN)
+            check_told(deployment, tell(result), row)
+
+
+@pytest.mark.parametrize("before", [False, True])
+@pytest.mark.parametrize("settle_before", [False, True])
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_answer_lost_while_finding_out(before, settle_before, repeatable):
+    """The connection breaks again while the daemon finds out about a lost answer.
+
+    A second guess would be as bad as the first.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        primary = deployment.find_primary()
+        for ops, first in ((["write"], before), (["settle"], settle_before)):
+            fault = {"ops": ops, "count": 1, "before": first}
+            deployment.group.admin(primary, "drop_answers", **fault)
+        result = send_add(deployment.ranked[0], "row", repeatable=repeatable)
+        assert tell(result) != UNKNOWN
+        check_told(deployment, tell(result), "row")
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_link_to_endpoint_cut(fault, repeatable):
+    """The network between daemon and endpoint cuts a request or an answer anywhere.
+
+    A request that is held up runs when nobody waits for it any more, unless it was
+    given up on for good before its caller heard "not run".
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        relay = deployment.ranked[0].relays[deployment.find_primary()]
+        relay.arm(fault)
+        result = send_add(deployment.ranked[0], "row", repeatable=repeatable)
+        assert relay.struck == 1
+        relay.release()
+        assert send_add(deployment.ranked[0], "other").is_ok()
+        assert tell(result) != UNKNOWN
+        check_told(deployment, tell(result), "row")
+
+
+# Answers lost between daemons
+
+
+@pytest.mark.parametrize("fault", [one for one in FAULTS if one != HOLD_REQUEST])
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_link_between_daemons_cut(fault, repeatable):
+    """The link between two daemons breaks around a forwarded write.
+
+    The daemon that took the request can't see whether the serving one had begun.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        count = len(deployment.list_executions("write"))
+        cutter = deployment.ranked[0].cutter
+        cutter.arm(fault)
+        result = send_add(deployment.ranked[1], "row", repeatable=repeatable)
+        assert cutter.struck == 1
+        assert tell(result) != UNKNOWN
+        settle_down(deployment)
+        sent = len(deployment.list_executions("write")) - count
+        assert sent <= 1 + repeatable
+        check_told(deployment, tell(result), "row")
+
+
+def settle_down(deployment: Deployment) -> None:
+    """Wait until no daemon runs a request of a peer."""
+    servers = [node.server for node in deployment.nodes]
+    wait_until(
+        deployment.runtime, lambda: not any(server._active for server in servers)
+    )
+
+
+@pytest.mark.parametrize("key", ["", "order-7"])
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_thawed_daemon_runs_nothing_given_up(key, repeatable):
+    """The serving daemon freezes before it has read a request, and goes on later.
+
+    Its peer finds out that the write hasn't run and tells the caller so. The thawed
+    daemon then runs it: forty lunches that nobody ordered.
+    """
+    with open_deployment(3) as deployment:
+        deployment.warm_up()
+        serving = deployment.ranked[0]
+        serving.cutter.arm(HOLD_REQUEST)
+        result = send_add(deployment.ranked[1], "row", key=key, repeatable=repeatable)
+        told = tell(result)
+        assert told == (RAN if repeatable else NOT_RUN)
+        count = len(deployment.list_executions("write"))
+        serving.cutter.release()
+        wait_until(
+            deployment.runtime,
+            lambda: len(deployment.list_executions("write")) > count,
+        )
+        settle_down(deployment)
+        check_told(deployment, told, "row")
+
+
+def test_giving_up_needs_a_majority():
+    """A write is given up on at a primary that its replicas can't reach any more.
+
+    The next primary knows nothing of it. There the daemon that had frozen with the
+    write in hand would run it, after its caller had heard "not run".
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        serving, other = deployment.ranked
+        first_primary, *replicas = NAMES
+        deployment.group.admin(first_primary, "cut", names=replicas)
+        serving.cutter.arm(HOLD_REQUEST)
+        told = tell(send_add(other, "row", deadline_ms=5000))
+        watch = serving.groups.find("orders").parts.watch
+        wait_until(
+            deployment.runtime, lambda: watch.primary() not in (None, first_primary)
+        )
+        count = len(deployment.list_executions("write"))
+        serving.cutter.release()
+        wait_until(
+            deployment.runtime,
+            lambda: len(deployment.list_executions("write")) > count,
+        )
+        settle_down(deployment)
+        assert told == NOT_RUN
+        check_told(deployment, told, "row")
+
+
+def test_late_finder_repeats_nothing():
+    """Two daemons find out about one lost write, one long after the other.
+
+    The first gives it up, and the caller hears "not run". The second, frozen since it
+    sent the write, must not take its turn to repeat it.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        first, late = deployment.ranked
+        work = make_work(first, "row", "request-1")
+        told = tell(first.kernel.run_here(work, settle=True))
+        assert told == NOT_RUN
+        again = make_work(late, "row", "request-1", repeatable=True)
+        assert tell(late.groups.find("orders").settle(again, 1)) == NOT_RUN
+        check_told(deployment, told, "row")
+
+
+@pytest.mark.parametrize("first_repeats", [False, True])
+def test_two_daemons_settle_together(first_repeats):
+    """A peer link and the link to the endpoint break at once.
+
+    Two daemons find out about the same write, and one of them may send it again.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        for number in range(10):
+            row = f"row-{number}"
+            futures = [
+                deployment.runtime.start(
+                    node.kernel.run_here,
+                    make_work(node, row, row, repeatable=first_repeats),
+                    True,
+                )
+                for node in deployment.nodes
+            ]
+            told = [tell(future.result()) for future in futures]
+            effects = deployment.count_writes(row)
+            assert effects <= 1
+            # Whoever said "not run" had seen each number given up that was tried.
+            if effects:
+                assert RAN in told
+            else:
+                assert told == [NOT_RUN, NOT_RUN]
+
+
+def test_unknown_group_is_not_proof_of_not_run():
+    """The daemon that should find out about a lost write lacks the configuration.
+
+    It refuses because it doesn't know the group. That says nothing about the write.
+    """
+    with open_deployment(2) as deployment:
+        deployment.warm_up()
+        serving, other = deployment.ranked
+        other.groups.set_configuration(
+            other.store.current._replace(groups={}),
+        )
+        serving.cutter.arm(CUT_REPLY)
+        result = send_add(other, "row")
+        settle_down(deployment)
+        assert deployment.count_writes("row") == 1
+        assert tell(result) != NOT_RUN
+
+
+def test_lost_read_has_not_run():
+    """A daemon thaws and finds that its peer's answer to a read never came.
+
+    A read has no effect, so its caller may send it again without a second thought.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        serving, other = deployment.ranked
+        other.groups.rank_daemons = lambda group: [serving.name]
+        serving.cutter.arm(CUT_REPLY)
+        result = other.send(statement=get("row"))
+        assert (tell(result), result.error.code) == (NOT_RUN, Code.PEER_UNREACHABLE)
+
+
+# The same change sent several times
+
+
+def test_same_key_through_all_daemons_at_once():
+    """A caller loses patience and sends the same refund through every daemon.
+
+    Connections to the endpoint break meanwhile, before and after the effect. Two
+    effects would pay the refund out twice.
+    """
+    with open_deployment(3, service_ms=2) as deployment:
+        deployment.warm_up()
+        primary = deployment.find_primary()
+        for number in range(12):
+            row, key = f"row-{number}", f"refund-{number}"
+            fault = {"ops": ["write"], "count": number % 3, "before": number % 2 == 0}
+            deployment.group.admin(primary, "drop_answers", **fault)
+            futures = [
+                deployment.runtime.start(
+                    lambda node=node, row=row, key=key: send_add(node, row, key=key)
+                )
+                for node in deployment.nodes
+            ]
+            told = [tell(future.result()) for future in futures]
+            effects = deployment.count_writes(row)
+            assert effects <= 1
+            assert UNKNOWN not in told
+            assert (RAN in told) == (effects == 1), (told, effects)
+
+
+def test_key_given_up_stays_given_up():
+    """A refund was given up on, and its caller sends it again under the same key.
+
+    The daemon can't tell this request from one that a frozen daemon still holds, so
+    it says that nothing ran and asks for a new key. With that the refund runs.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        fault = {"ops": ["write"], "count": 1, "before": True}
+        deployment.group.admin(deployment.find_primary(), "drop_answers", **fault)
+        first, second = deployment.nodes
+        assert tell(send_add(first, "row", key="refund-1")) == NOT_RUN
+        again = send_add(second, "row", key="refund-1")
+        assert again.error.code == Code.IDEMPOTENCY_CONFLICT
+        assert deployment.count_writes("row") == 0
+        assert send_add(second, "row", key="refund-2").is_ok()
+        check_told(deployment, RAN, "row")
+
+
+def test_key_answers_the_recorded_result():
+    """A caller that lost its answer sends the refund again through another daemon."""
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        first, second = deployment.nodes
+        assert send_add(first, "row", key="refund-1").ok["value"] == 1
+        again = send_add(second, "row", key="refund-1").ok
+        assert (again["value"], again["duplicate"]) == (1, True)
+        check_told(deployment, RAN, "row")
+
+
+# Retries
+
+
+def test_not_repeatable_is_sent_once():
+    """Answers get lost again and again, each before its write ran.
+
+    A request that may not be repeated must reach an endpoint under one name only.
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        count = len(deployment.list_executions("write"))
+        fault = {"ops": ["write"], "count": 100, "before": False}
+        deployment.group.admin(deployment.find_primary(), "drop_answers", **fault)
+        for number in range(20):
+            assert tell(send_add(deployment.nodes[number % 2], f"row-{number}")) == RAN
+        assert len(deployment.list_executions("write")) == count + 20
+
+
+def test_retries_stay_within_budget():
+    """Every instance refuses all work, while callers go on sending.
+
+    Each layer that retried by itself would multiply the work of the failing group.
+    """
+    requests = 140
+    with open_deployment(3, slots=0) as deployment:
+        tries = [count_tries(node) for node in deployment.nodes]
+        futures = [
+            deployment.runtime.start(send_refused, node, requests)
+            for node in deployment.nodes
+        ]
+        for future in futures:
+            future.result()
+        total = 3 * requests
+        sent = sum(len(one) for one in tries)
+        # The serving daemon and the one that took the request may each add a fifth,
+        # and what their budgets hold at the start.
+        assert total <= sent <= total * 1.5 + 130
+
+
+def count_tries(node: Node) -> list[str]:
+    """Return a list to which each try at an endpoint adds its name."""
+    server = node.groups.find("orders")
+    wait_until(node.runtime, server.parts.watch.primary)
+    tries = []
+    run_at = server._run_at
+
+    def note_and_run(name, call):
+        tries.append(name)
+        return run_at(name, call)
+
+    server._run_at = note_and_run
+    return tries
+
+
+def send_refused(node: Node, count: int) -> None:
+    """Send reads and writes by turns, none of which can run."""
+    for number in range(count):
+        result = node.send(statement=get("row") if number % 2 else add("row", 1))
+        assert tell(result) == NOT_RUN
+        assert result.error.retry_after_ms > 0
+
+
+# The whole path, as processes
+
+LAYOUT = Layout(
+    groups=("orders",),
+    daemons=4,
+    vm_lag_ms=100,
+    service_ms=1,
+    workspaces=(WorkspaceLayout("caterer", rate=500, burst=500),),
+)
+LOAD = LoadSettings(
+    rates={"caterer": 150.0},
+    groups=("orders",),
+    seed=5,
+    duration_ms=6000,
+    write_share=0.6,
+    once_share=0.5,
+)
+
+
+def test_load_while_everything_fails():
+    """Under load the serving daemon dies, the primary freezes and is replaced, the
+    next serving daemon freezes, and callers lose their connections all the while.
+
+    Whatever a caller was told must agree with what the group holds at the end. Hardly
+    anybody should be left without knowing.
+    """
+    with open_runtime(task_limit=800) as runtime, Cluster(runtime, LAYOUT) as cluster:
+        cluster.put_bundle()
+        cluster.wait_ready(1)
+        addresses = {name: cluster.addresses[name] for name in cluster.daemon_names}
+        serving = find_serving(cluster)
+        relayed = next(name for name in addresses if name != serving)
+        relay = Cutter(runtime, addresses[relayed])
+        relay.start()
+        addresses[relayed] = relay.address
+        load = Load(runtime, LOAD, addresses, cluster.keys)
+        load.start()
+        break_in_turn(cluster, relay, serving)
+        record = load.wait()
+        relay.stop()
+        assert relay.struck >= 10
+        assert run_checks(record, cluster.collect_evidence()) == []
+        cut_off = {serving, relayed}
+        assert check_all_answered(record, cut_off) == []
+        unknown = [entry for entry in record if entry.code == Code.OUTCOME_UNKNOWN]
+        assert len(unknown) <= len(record) * 0.01
+        uncut = len(load.schedule) - relay.struck
+        assert sum(entry.ran == RAN for entry in record) >= uncut * 0.9
+
+
+def find_serving(cluster: Cluster) -> str:
+    """Return the daemon that serves the group."""
+    running = [name for name in cluster.daemon_names if cluster.is_running(name)]
+    return next(name for name in running if cluster.fetch_status(name)["groups"])
+
+
+def break_in_turn(cluster: Cluster, relay: Cutter, serving: str) -> None:
+    """Kill, freeze and cut, one after the other, while the load runs."""
+    cut_for_a_while(cluster, relay)
+    cluster.kill(serving)
+    cut_for_a_while(cluster, relay)
+    primary = cluster.find_primary("orders")
+    cluster.ask_endpoint(primary, "freeze")
+    cut_for_a_while(cluster, relay)
+    cluster.ask_endpoint(primary, "thaw")
+    frozen = find_serving(cluster)
+    cluster.freeze(frozen)
+    cut_for_a_while(cluster, relay)
+    cluster.thaw(frozen)
+
+
+def cut_for_a_while(cluster: Cluster, relay: Cutter) -> None:
+    """Cut a caller's request or answer every now and then for about a second."""
+    for _ in range(6):
+        for fault in (CUT_REPLY, CUT_REQUEST, CUT_HALF_REPLY):
+            relay.arm(fault)
+            cluster.runtime.sleep_ms(60)
