--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN := $(VENV)/bin/python -m
 
 # Each name here stands for a job, not for a file.
-.PHONY: help setup demo test soak mutations lint format format-check check
+.PHONY: help setup demo capacity test soak mutations lint format format-check check
 
 help:  ## Show this list.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -20,6 +20,9 @@
 demo: setup  ## Run the main job once, on stand-ins, and say what each step did.
 	$(RUN) standins.demo
 
+capacity: setup  ## Measure the slopes (about 4 minutes) and rewrite docs/CAPACITY.md.
+	$(RUN) lab.slopes
+
 test: setup  ## Run all tests.
 	$(RUN) pytest
 
