--- a/lab/failover.py
+++ b/lab/failover.py
@@ -34,10 +34,14 @@
 
 
 class Round(NamedTuple):
-    """One failure: the gap in milliseconds and what the callers were told."""
+    """One failure: the gap and the slowest request, and what the callers were told.
+
+    Both are milliseconds.
+    """
 
     kind: str
     gap_ms: float
+    slowest_ms: float
     answered: int
     refused: int
     unknown: int
@@ -102,6 +106,7 @@
     return Round(
         kind,
         find_gap(record, failed_at_ms),
+        max(entry.latency_ms for entry in record),
         sum(entry.ran == "ran" for entry in record),
         sum(entry.ran == "not_run" for entry in record),
         sum(entry.ran not in ("ran", "not_run") for entry in record),
@@ -141,6 +146,7 @@
                 "runs": len(own),
                 "median_ms": round(statistics.median(gaps)),
                 "worst_ms": round(max(gaps)),
+                "slowest_ms": round(max(done.slowest_ms for done in own)),
                 "answered": sum(done.answered for done in own),
                 "not_run": sum(done.refused for done in own),
                 "unknown": sum(done.unknown for done in own),
