--- a/bronzerelay/daemon.py
+++ b/bronzerelay/daemon.py
@@ -121,6 +121,7 @@
                 settings.queue_limit,
                 settings.status_wait_ms,
                 settings.statement_timeout_ms,
+                settings.policy,
             ),
             membership,
             registry.find(registry.DIALECT, "json-lines"),
--- a/bronzerelay/group.py
+++ b/bronzerelay/group.py
@@ -7,6 +7,7 @@
 from bronzerelay.codes import NOT_RUN, UNKNOWN, Code, Refusal, refuse
 from bronzerelay.dialect import EndpointError, EndpointLink
 from bronzerelay.failover import GroupKeeper
+from bronzerelay.policies import Policy
 from bronzerelay.pool import ConnectionPool
 from bronzerelay.retries import RetryBudget
 from bronzerelay.runtime import Runtime
@@ -87,6 +88,7 @@
     slots: SlotQueue
     pools: dict[str, ConnectionPool]
     budget: RetryBudget
+    policy: Policy
 
 
 class GroupServer:
@@ -169,6 +171,9 @@
     def _has_fit_replica(
         self, need: Position, max_age_ms: float, until_ms: float
     ) -> bool:
+        if not self.parts.policy.list_replicas(list(self._watch.states)):
+            return False
+
         def has_one() -> bool:
             names = list(self._watch.states)
             return self._pick(names, need, max_age_ms, with_primary=False) is not None
@@ -184,7 +189,7 @@
         primary = self._watch.primary()
         leaving = {one.name for one in self.spec.endpoints if one.leaving}
         fit = []
-        for name in free:
+        for name in self.parts.policy.list_replicas(free):
             state = self._watch.states.get(name)
             if state is None or not state.reachable or name in leaving:
                 continue
@@ -290,7 +295,7 @@
     def _finish_write(
         self, work: Work, attempt: int, written: Written
     ) -> Result[StatementAnswer, Refusal]:
-        if self._watch.wait_majority(written.at, self.left_ms(work)):
+        if self.is_acknowledged(work, written.at):
             session = advance_session(work.session, work.group, written.at)
             answer = self._make_answer(written.served_by, session, written.value)
             answer["duplicate"] = written.duplicate
@@ -298,6 +303,11 @@
         # The primary was replaced, or the replicas are too far behind.
         return self.settle(work, attempt)
 
+    def is_acknowledged(self, work: Work, at: Position) -> bool:
+        """Return whether a change at this place is safe, waiting until it is."""
+        wait_acknowledged = self.parts.policy.wait_acknowledged
+        return wait_acknowledged(self._watch, at, self.left_ms(work))
+
     # Doubts
 
     def settle(self, work: Work, attempt: int) -> Result[StatementAnswer, Refusal]:
--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -6,6 +6,7 @@
 from bronzerelay.failover import GroupKeeper, Outcome
 from bronzerelay.group import GroupParts, GroupServer
 from bronzerelay.membership import Membership
+from bronzerelay.policies import DEFAULT, make_policy
 from bronzerelay.pool import ConnectionPool
 from bronzerelay.rendezvous import rank
 from bronzerelay.retries import RetryBudget
@@ -28,12 +29,13 @@
 
 
 class GroupSettings(NamedTuple):
-    """How groups are served; times are milliseconds."""
+    """How groups are served; times are milliseconds, `policy` a registered name."""
 
     name: str
     queue_limit: int
     status_wait_ms: int
     statement_timeout_ms: int
+    policy: str = DEFAULT
 
 
 class Served(NamedTuple):
@@ -155,8 +157,10 @@
         keeper = GroupKeeper(
             self._runtime, watch, self._open_watched, is_serving, note_outcome
         )
-        slots = SlotQueue(self._runtime, self._settings.queue_limit)
-        parts = GroupParts(watch, keeper, slots, {}, RetryBudget(self._runtime))
+        policy = make_policy(self._settings.policy)
+        slots = SlotQueue(self._runtime, self._settings.queue_limit, policy.name_line)
+        budget = RetryBudget(self._runtime)
+        parts = GroupParts(watch, keeper, slots, {}, budget, policy)
         self._apply_spec(parts, spec)
         watch.call_on_change(slots.wake)
         self._runtime.start(keeper.run)
--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -18,6 +18,7 @@
     StatementReply,
 )
 from bronzerelay.peers import PeerLinks
+from bronzerelay.policies import make_policy
 from bronzerelay.retries import RetryBudget
 from bronzerelay.runtime import Runtime
 from bronzerelay.sessions import Session, decode_session
@@ -72,7 +73,8 @@
         self._transactions = transactions
         self._metrics = metrics
         self._budget = RetryBudget(runtime)
-        self.shares = Shares(runtime, settings.name, self._ask_for_loan)
+        policy = make_policy(settings.policy)
+        self.shares = Shares(runtime, settings.name, self._ask_for_loan, policy)
         self.stopping = False
 
     # Admission
--- /dev/null
+++ b/bronzerelay/policies.py
@@ -0,0 +1,68 @@
+"""The policies: what a daemon may decide in one way or another, as plain functions.
+
+"fair" keeps every promise of the system and is what a daemon uses. "naive" is the
+baseline of the benchmarks: the least that a proxy could do. It breaks promises, for it
+acknowledges writes that a failover loses and lets one workspace crowd out the others,
+so that it must never serve anyone.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bronzerelay import registry
+from bronzerelay.shares import list_holders, list_lenders
+from bronzerelay.slots import name_own_line
+from bronzerelay.types import Position, WorkspaceSpec
+from bronzerelay.watch import GroupWatch
+
+DEFAULT = "fair"
+
+
+class Policy(NamedTuple):
+    """The behaviour that varies.
+
+    `list_replicas` returns which of the instances may serve reads as replicas;
+    `wait_acknowledged` returns whether a write may be acknowledged, given how long
+    it may wait; `list_holders` which daemons hold a part of a workspace's rate, and
+    `list_lenders` which of these a daemon borrows from; `name_line` the line in which
+    a workspace's requests wait for a slot.
+    """
+
+    list_replicas: Callable[[list[str]], list[str]]
+    wait_acknowledged: Callable[[GroupWatch, Position, float], bool]
+    list_holders: Callable[[WorkspaceSpec, list[str]], list[str]]
+    list_lenders: Callable[[list[str], str], list[str]]
+    name_line: Callable[[str], str]
+
+
+@registry.register(registry.POLICY, "fair")
+def make_fair_policy() -> Policy:
+    """Return the policy that keeps the promises."""
+    return Policy(
+        list_replicas=lambda names: names,
+        wait_acknowledged=GroupWatch.wait_majority,
+        list_holders=list_holders,
+        list_lenders=list_lenders,
+        name_line=name_own_line,
+    )
+
+
+@registry.register(registry.POLICY, "naive")
+def make_naive_policy() -> Policy:
+    """Return the baseline of the benchmarks, which breaks promises.
+
+    Reads go to the primary alone, whose word is enough for a write; a rate is split
+    evenly over all daemons without loans; slots go to whoever came first.
+    """
+    return Policy(
+        list_replicas=lambda names: [],
+        wait_acknowledged=lambda watch, at, timeout_ms: True,
+        list_holders=lambda workspace, members: members,
+        list_lenders=lambda holders, name: [],
+        name_line=lambda workspace: "",
+    )
+
+
+def make_policy(name: str) -> Policy:
+    """Return the policy registered as `name`; raise LookupError with the choices."""
+    return registry.find(registry.POLICY, name)()
--- a/bronzerelay/settings.py
+++ b/bronzerelay/settings.py
@@ -6,7 +6,7 @@
 
 import click
 
-from bronzerelay import logs
+from bronzerelay import logs, policies, registry
 from bronzerelay.runtime import Address, parse_address
 
 PROGRAM = "bronzerelayd"
@@ -42,6 +42,7 @@
     tls_certificate: str = ""
     tls_key: str = ""
     log_level: str = "info"
+    policy: str = policies.DEFAULT
 
 
 class CheckedType(click.ParamType):
@@ -102,6 +103,12 @@
     return text
 
 
+def _parse_policy(text: str) -> str:
+    if text not in registry.names(registry.POLICY):
+        raise ValueError(text)
+    return text
+
+
 def _parse_addresses(text: str) -> tuple[Address, ...]:
     return tuple(parse_address(part.strip()) for part in text.split(","))
 
@@ -117,6 +124,9 @@
 )
 SECRET = CheckedType("secret", _parse_secret, f"{SECRET_BYTES_LEAST} bytes or more")
 LEVEL = CheckedType("level", _parse_level, "one of " + ", ".join(logs.LEVELS))
+POLICY = CheckedType(
+    "policy", _parse_policy, "one of " + ", ".join(registry.names(registry.POLICY))
+)
 FILE = CheckedType("file", str, "the path of a file")
 HOUR_MS = 3_600_000
 
@@ -210,6 +220,7 @@
     Setting("tls_certificate", FILE, "Certificate chain (PEM); turns TLS on."),
     Setting("tls_key", FILE, "Private key (PEM) of the certificate."),
     Setting("log_level", LEVEL, "Least level that is logged."),
+    Setting("policy", POLICY, "naive breaks promises; it is for benchmarks only."),
 )
 
 
--- a/bronzerelay/shares.py
+++ b/bronzerelay/shares.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from expression import Ok, Result
 
@@ -49,11 +49,15 @@
     return rank(f"share/{workspace.name}", members)[:count]
 
 
+def list_lenders(holders: list[str], name: str) -> list[str]:
+    """Return which of the `holders` daemon `name` may borrow from: all others."""
+    return [holder for holder in holders if holder != name]
+
+
 def work_out_holding(
-    workspace: WorkspaceSpec, members: list[str], name: str
+    workspace: WorkspaceSpec, holders: list[str], name: str
 ) -> Holding:
     """Return the part of the workspace that daemon `name` holds; it may be nothing."""
-    holders = list_holders(workspace, members)
     if name not in holders:
         return Holding(0.0, 0.0)
     count = len(holders)
@@ -178,9 +182,10 @@
 class Shares:
     """All workspaces' accounts at this daemon."""
 
-    def __init__(self, runtime: Runtime, name: str, ask_peer: AskPeer):
+    def __init__(self, runtime: Runtime, name: str, ask_peer: AskPeer, policy: Any):
         self._runtime = runtime
         self._name = name
+        self._policy = policy
         self._ask_peer = ask_peer
         self._lock = runtime.make_lock()
         self._accounts: dict[str, Account] = {}
@@ -232,12 +237,14 @@
                     self._apply_members(account, now_ms)
 
     def _apply_members(self, account: Account, now_ms: float) -> None:
-        wanted = work_out_holding(account.spec, self._members, self._name)
-        safe = work_out_holding(account.spec, self._confirmed, self._name)
+        spec = account.spec
+        holders = self._policy.list_holders(spec, self._members)
+        confirmed = self._policy.list_holders(spec, self._confirmed)
+        wanted = work_out_holding(spec, holders, self._name)
+        safe = work_out_holding(spec, confirmed, self._name)
         holding = Holding(min(wanted.rate, safe.rate), min(wanted.burst, safe.burst))
         account.bucket.set_holding(holding, now_ms)
-        holders = list_holders(account.spec, self._members)
-        account.lenders = [holder for holder in holders if holder != self._name]
+        account.lenders = self._policy.list_lenders(holders, self._name)
 
     def spend(self, workspace: str) -> Result[None, Refusal]:
         """Spend one token of the workspace, or say when to come back."""
--- a/bronzerelay/slots.py
+++ b/bronzerelay/slots.py
@@ -31,6 +31,11 @@
 Choose = Callable[[list[str]], str | None]
 
 
+def name_own_line(workspace: str) -> str:
+    """Return the name of the line in which a workspace waits: one for each."""
+    return workspace
+
+
 class Waiter:
     """A task that waits for a slot."""
 
@@ -56,8 +61,14 @@
 class SlotQueue:
     """Hands out the slots of a group's endpoints by deficit round robin."""
 
-    def __init__(self, runtime: Runtime, workspace_limit: int):
+    def __init__(
+        self,
+        runtime: Runtime,
+        workspace_limit: int,
+        name_line: Callable[[str], str] = name_own_line,
+    ):
         self._runtime = runtime
+        self._name_line = name_line
         self._clock = runtime.clock
         self._workspace_limit = workspace_limit
         self._lock = runtime.make_lock()
@@ -85,6 +96,7 @@
         `choose` gets the endpoints with a free slot and returns one or None. It is
         called under the queue's lock. `deadline_ms` is a point on the clock.
         """
+        workspace = self._name_line(workspace)
         with self._lock:
             endpoint = self._choose_now(choose)
             if endpoint is not None:
--- a/bronzerelay/transactions.py
+++ b/bronzerelay/transactions.py
@@ -215,7 +215,7 @@
     ) -> Result[StatementAnswer, Refusal]:
         group = transaction.group
         at = Position(transaction.term, position)
-        if not group.parts.watch.wait_majority(at, group.left_ms(work)):
+        if not group.is_acknowledged(work, at):
             return self._settle_commit(transaction, work)
         session = advance_session(work.session, work.group, at)
         return Ok(
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -32,7 +32,7 @@
     Mutation(
         "a write is acknowledged only when a majority holds it",
         "bronzerelay/group.py",
-        "if self._watch.wait_majority(written.at, self.left_ms(work)):",
+        "if self.is_acknowledged(work, written.at):",
         "if True:",
         "tests/test_failover.py::test_a_write_that_only_the_primary_holds_is_not_acknowledged",
     ),
--- a/tests/builders_group.py
+++ b/tests/builders_group.py
@@ -29,11 +29,13 @@
     return Configuration(version, "", {spec.name: spec}, {})
 
 
-def make_groups(runtime: Runtime, spec: GroupSpec, name: str = "vm-1") -> Groups:
+def make_groups(
+    runtime: Runtime, spec: GroupSpec, name: str = "vm-1", policy: str = "fair"
+) -> Groups:
     """Return the groups of a daemon that sees nobody else, and so serves all."""
     groups = Groups(
         runtime,
-        GroupSettings(name, QUEUE_LIMIT, STATUS_WAIT_MS, STATEMENT_TIMEOUT_MS),
+        GroupSettings(name, QUEUE_LIMIT, STATUS_WAIT_MS, STATEMENT_TIMEOUT_MS, policy),
         Membership(runtime, MembershipSettings(name)),
         dialect.open_link,
         Metrics(runtime),
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -37,6 +37,7 @@
     name: str
     default_deadline_ms: int = DEADLINE_MS
     max_deadline_ms: int = 30_000
+    policy: str = "fair"
 
 
 class FreeShares:
