--- a/standins/rates.py
+++ b/standins/rates.py
@@ -163,11 +163,20 @@
 ) -> list[Entry]:
     """Return the requests refused for want of room that one bucket would have let in.
 
+    It is a measure, not a promise.
+    """
+    inside = find_inside(record, limits)
+    return [entry for entry in inside if entry.status in REFUSED_STATUSES]
+
+
+def find_inside(record: Iterable[Entry], limits: Iterable[RateLimit]) -> list[Entry]:
+    """Return the requests inside their workspace's rate: those one bucket would admit.
+
     The bucket sees the requests in the order in which they were sent, as a single
-    accountant without any delay would. It is a measure, not a promise.
+    accountant without any delay would.
     """
     limits = list(limits)
-    wrongful = []
+    inside = []
     entries = sorted(record, key=lambda entry: entry.sent_ms)
     for workspace in sorted({entry.workspace for entry in entries}):
         own = [limit for limit in limits if limit.workspace == workspace]
@@ -178,6 +187,6 @@
             if entry.workspace != workspace or entry.action not in COUNTED_ACTIONS:
                 continue
             bucket.advance(entry.sent_ms)
-            if bucket.take() and entry.status in REFUSED_STATUSES:
-                wrongful.append(entry)
-    return wrongful
+            if bucket.take():
+                inside.append(entry)
+    return inside
