--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,11 @@
 VENV ?= .venv
 PYTHON ?= python3.11
 RUN := $(VENV)/bin/python -m
+# How many times worse a figure may be before bench-compare fails.
+RATIO ?= 1.25
 
 # Each name here stands for a job, not for a file.
-.PHONY: help setup demo test mutations lint format format-check check
+.PHONY: help setup demo test bench bench-compare mutations lint format format-check check
 
 help:  ## Show this list.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -23,6 +25,13 @@
 test: setup  ## Run all tests.
 	$(RUN) pytest
 
+bench: setup  ## Measure both deployments beside the naive baseline (about 4 minutes).
+	$(RUN) lab.bench
+
+bench-compare: setup  ## Measure again and fail where it is worse than the committed run.
+	$(RUN) lab.bench --no-pages --output build/bench.json
+	$(RUN) lab.compare docs/measurements/bench.json build/bench.json --ratio $(RATIO)
+
 mutations: setup  ## Switch off one mechanism after another and see its test fail.
 	$(RUN) lab.mutations
 
