--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 RATIO ?= 1.25
 
 # Each name here stands for a job, not for a file.
-.PHONY: help setup demo test bench bench-compare mutations lint format format-check check
+.PHONY: help setup demo test bench bench-compare soak mutations lint format
+.PHONY: format-check check
 
 help:  ## Show this list.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -32,6 +33,9 @@
 	$(RUN) lab.bench --no-pages --output build/bench.json
 	$(RUN) lab.compare docs/measurements/bench.json build/bench.json --ratio $(RATIO)
 
+soak: setup  ## Run random fault schedules with a fresh seed, and check every promise.
+	$(RUN) lab.soak --schedules 100
+
 mutations: setup  ## Switch off one mechanism after another and see its test fail.
 	$(RUN) lab.mutations
 
