--- a/bronzerelay/pool.py
+++ b/bronzerelay/pool.py
@@ -31,6 +31,7 @@
         self._limit = limit
         self._condition = runtime.make_condition()
         self._idle: list[EndpointLink] = []
+        self._lent: set[EndpointLink] = set()
         self._open_count = 0
         self._closed = False
 
@@ -52,6 +53,7 @@
                 return self._fail(UNREACHABLE, "the pool is closed")
             link = self._take_idle()
             if link is not None:
+                self._lent.add(link)
                 return Ok(link)
             late = self._runtime.clock.now_ms() >= end_ms
             if late or self._open_count >= self._limit:
@@ -81,6 +83,9 @@
         try:
             result = self._open_link(end_ms - self._runtime.clock.now_ms())
             opened = result.is_ok()
+            if opened:
+                with self._condition:
+                    self._lent.add(result.ok)
             return result
         finally:
             if not opened:
@@ -97,6 +102,7 @@
         # inside it; closing it makes the endpoint drop the transaction.
         sound = not link.in_transaction and link.is_usable()
         with self._condition:
+            self._lent.discard(link)
             if sound and not self._closed:
                 self._idle.append(link)
                 self._condition.notify()
@@ -104,6 +110,21 @@
         link.close()
         self._forget_one()
 
+    def drop(self) -> None:
+        """Close all links, also the lent ones: the endpoint has fallen silent.
+
+        A frozen instance keeps its connections open. A write on one of them would
+        wait for the statement's timeout before it is settled at the new primary.
+        """
+        with self._condition:
+            lent = list(self._lent)
+            idle, self._idle = self._idle, []
+        for link in lent:
+            link.close()
+        for link in idle:
+            link.close()
+            self._forget_one()
+
     def close(self) -> None:
         """Close the idle links now, and each lent one when it is given back."""
         with self._condition:
--- a/bronzerelay/watch.py
+++ b/bronzerelay/watch.py
@@ -68,6 +68,7 @@
         self._samples: tuple[Sample, ...] = ()
         self._stopped = False
         self._on_change: list[Callable[[], None]] = []
+        self._on_silence: list[Callable[[str], None]] = []
         self._watched: dict[str, EndpointSpec] = {}
         self.set_spec(spec)
 
@@ -75,6 +76,10 @@
         """Call `function` after each change of an instance's state."""
         self._on_change.append(function)
 
+    def call_on_silence(self, function: Callable[[str], None]) -> None:
+        """Call `function` with the name of each instance that stops answering."""
+        self._on_silence.append(function)
+
     def set_spec(self, spec: GroupSpec) -> None:
         """Take over a new list of instances."""
         with self.condition:
@@ -156,10 +161,14 @@
     def _note_failure(self, endpoint: EndpointSpec) -> None:
         with self.condition:
             state = self.states.get(endpoint.name)
+            fell_silent = state is not None and state.reachable
             if state is not None:
                 failed = state._replace(reachable=False)
                 self.states = {**self.states, endpoint.name: failed}
             self.condition.notify_all()
+        if fell_silent:
+            for function in self._on_silence:
+                function(endpoint.name)
         self._tell_change()
 
     def _tell_change(self) -> None:
