--- a/lab/faults.py
+++ b/lab/faults.py
@@ -1,7 +1,7 @@
 """Faults that an experiment causes in a running deployment, each with its undoing."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from bronzerelay.rendezvous import rank
 from standins.cluster import Cluster
@@ -43,7 +43,7 @@
         if f"{scene.group}-{number}" != name
     ]
     scene.cluster.ask_endpoint(name, "cut", names=others)
-    return lambda: scene.cluster.ask_endpoint(name, "heal", names=others)
+    return lambda: ask_thawed(scene.cluster, name, "heal", names=others)
 
 
 def cut_half(scene: Scene) -> Undo:
@@ -52,7 +52,7 @@
     daemons = rank(f"group/{scene.group}", scene.cluster.daemon_names)
     half = daemons[: len(daemons) // 2]
     scene.cluster.ask_endpoint(name, "cut", names=half)
-    return lambda: scene.cluster.ask_endpoint(name, "heal", names=half)
+    return lambda: ask_thawed(scene.cluster, name, "heal", names=half)
 
 
 def freeze_serving_daemon(scene: Scene) -> Undo:
@@ -105,6 +105,12 @@
         cluster.thaw(name)
 
 
+def ask_thawed(cluster: Cluster, name: str, op: str, **fields: Any) -> None:
+    """Ask an instance, which may have been frozen by another fault meanwhile."""
+    thaw(cluster, name)
+    cluster.ask_endpoint(name, op, **fields)
+
+
 def serving_daemon(scene: Scene) -> str:
     """Return the daemon that serves the group while all are alive."""
     return rank(f"group/{scene.group}", scene.cluster.daemon_names)[0]
@@ -131,12 +137,14 @@
 def restart_daemon(scene: Scene) -> Undo:
     """Stop a random daemon in order, and start it again."""
     name = pick_daemon(scene)
+    stopped_pid = scene.cluster.pid(name)
     scene.cluster.begin_stop(name)
 
     def start() -> None:
         # One that another fault has frozen would never come to its end.
         thaw(scene.cluster, name)
-        if scene.cluster.is_running(name):
+        # Another restart may have brought a new process, which nobody has stopped.
+        if scene.cluster.pid(name) == stopped_pid:
             scene.cluster.wait_stopped(name)
         start_again(scene.cluster, name)
 
@@ -193,7 +201,7 @@
     def restore() -> None:
         for name in names:
             lag_ms = scene.cluster.layout.lag_ms
-            scene.cluster.ask_endpoint(name, "set", lag_ms=lag_ms)
+            ask_thawed(scene.cluster, name, "set", lag_ms=lag_ms)
 
     return restore
 
