--- a/tests/test_promise_transactions.py
+++ b/tests/test_promise_transactions.py
@@ -394,22 +394,22 @@
             assert node.send(statement=put(row, row)).is_ok()
         deployment.group.wait_level(*NAMES)
 
-        def read_all(row: str) -> list:
-            found = []
-            for _ in range(40):
+        def read_all(first: int) -> int:
+            count = 0
+            for step in range(40):
+                row = rows[(first + step) % len(rows)]
                 result = node.send(statement=get(row))
                 if result.is_ok():
-                    found.append(result.ok["value"])
-            return found
+                    assert result.ok["value"] == row
+                    count += 1
+            return count
 
-        readers = [deployment.runtime.start(read_all, row) for row in rows]
+        readers = [deployment.runtime.start(read_all, first) for first in range(4)]
         for number in range(12):
             strike(deployment, node, fault, NAMES[number % 3])
             deployment.runtime.sleep_ms(3)
-        for row, reader in zip(rows, readers, strict=True):
-            values = reader.result()
-            assert set(values) == {row}
-            assert len(values) >= 30
+        for reader in readers:
+            assert reader.result() >= 30
         check_pools(deployment)
 
 
