--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -6,6 +6,7 @@
 from bronzerelay.failover import GroupKeeper, Outcome
 from bronzerelay.group import GroupParts, GroupServer
 from bronzerelay.membership import Membership
+from bronzerelay.policies import DEFAULT, make_policy
 from bronzerelay.pool import ConnectionPool
 from bronzerelay.rendezvous import rank
 from bronzerelay.retries import RetryBudget
@@ -28,12 +29,13 @@
 
 
 class GroupSettings(NamedTuple):
-    """How groups are served; times are milliseconds."""
+    """How groups are served; times are milliseconds, `policy` a registered name."""
 
     name: str
     queue_limit: int
     status_wait_ms: int
     statement_timeout_ms: int
+    policy: str = DEFAULT
 
 
 class Served(NamedTuple):
@@ -155,10 +157,13 @@
         keeper = GroupKeeper(
             self._runtime, watch, self._open_watched, is_serving, note_outcome
         )
-        slots = SlotQueue(self._runtime, self._settings.queue_limit)
-        parts = GroupParts(watch, keeper, slots, {}, RetryBudget(self._runtime))
+        policy = make_policy(self._settings.policy)
+        slots = SlotQueue(self._runtime, self._settings.queue_limit, policy.name_line)
+        budget = RetryBudget(self._runtime)
+        parts = GroupParts(watch, keeper, slots, {}, budget, policy)
         self._apply_spec(parts, spec)
         watch.call_on_change(slots.wake)
+        watch.call_on_silence(lambda name: _drop_links(parts, name))
         self._runtime.start(keeper.run)
         return GroupServer(
             self._runtime, parts, self._metrics, self._settings.statement_timeout_ms
@@ -198,6 +203,12 @@
         return {name: _show_group(one.server) for name, one in served.items()}
 
 
+def _drop_links(parts: GroupParts, name: str) -> None:
+    pool = parts.pools.get(name)
+    if pool is not None:
+        pool.drop()
+
+
 def _fits(known: EndpointSpec, wanted: EndpointSpec) -> bool:
     """Return whether a pool made for `known` serves `wanted` as well."""
     same_place = known.address == wanted.address
--- a/lab/failover.py
+++ b/lab/failover.py
@@ -29,15 +29,18 @@
 BEFORE_MS = 700
 AFTER_MS = 4000
 HEAL_MS = 1500
-WORKSPACE = "caterer-1"
 OUTPUT = Path("docs/measurements/failover.json")
 
 
 class Round(NamedTuple):
-    """One failure: the gap in milliseconds and what the callers were told."""
+    """One failure: the gap and the slowest request, and what the callers were told.
+
+    Both are milliseconds.
+    """
 
     kind: str
     gap_ms: float
+    slowest_ms: float
     answered: int
     refused: int
     unknown: int
@@ -67,10 +70,21 @@
 
 
 def run_round(scene: Scene, kind: str, seed: int) -> Round:
-    """Cause one failure under a steady load of writes, and heal it."""
+    """Cause one failure and heal it; return what it did, after all checks."""
+    record, failed_at_ms = cause_failure(scene, kind, seed)
+    scene.cluster.wait_ready()
+    scene.record.extend(record)
+    return count_round(scene, kind, record, failed_at_ms)
+
+
+def cause_failure(scene: Scene, kind: str, seed: int) -> tuple[list[Entry], float]:
+    """Cause one failure under a steady load of writes, and heal it.
+
+    Return the record of the load, and when it failed.
+    """
     cluster = scene.cluster
     settings = LoadSettings(
-        rates={WORKSPACE: RATE},
+        rates={cluster.layout.workspaces[0].name: RATE},
         groups=(scene.group,),
         seed=seed,
         duration_ms=BEFORE_MS + AFTER_MS,
@@ -87,9 +101,7 @@
     undo()
     record = load.wait()
     cluster.runtime.sleep_ms(HEAL_MS)
-    cluster.wait_ready()
-    scene.record.extend(record)
-    return count_round(scene, kind, record, failed_at_ms)
+    return record, failed_at_ms
 
 
 def count_round(
@@ -102,6 +114,7 @@
     return Round(
         kind,
         find_gap(record, failed_at_ms),
+        max(entry.latency_ms for entry in record),
         sum(entry.ran == "ran" for entry in record),
         sum(entry.ran == "not_run" for entry in record),
         sum(entry.ran not in ("ran", "not_run") for entry in record),
@@ -141,6 +154,7 @@
                 "runs": len(own),
                 "median_ms": round(statistics.median(gaps)),
                 "worst_ms": round(max(gaps)),
+                "slowest_ms": round(max(done.slowest_ms for done in own)),
                 "answered": sum(done.answered for done in own),
                 "not_run": sum(done.refused for done in own),
                 "unknown": sum(done.unknown for done in own),
