Let a drain wake idle connections a few at a time

A planned stop with many idle connections took longer than it may.

Cause: one signal woke every task at once. Each runnable task asks for the interpreter every switch interval (1 ms); with thousands of them that leaves no processor to the one that has it.

The first 64 connections share one signal as before; more of them wake wave by wave. The test counts how many share a signal; with one signal for all it fails (200 share it).

--- a/bronzerelay/front.py
+++ b/bronzerelay/front.py
@@ -28,6 +28,11 @@
 REFUSED_LIMIT = 256
 # Connections accepted after a drain began; a flood must not hold up the end.
 LATE_CONNECTIONS = 1024
+# A drain ends the first idle connections at once and more of them wave by wave, with a
+# pause for each connection.
+FIRST_WAVE = 64
+LATER_WAVES = 128
+WAVE_PAUSE_MS = 0.3
 # Without descriptors or memory the waiting connection can't be taken off the queue,
 # and the accepting task would try again and again without a pause. Any other error is
 # one connection's own, which must not hold up the next.
@@ -53,6 +58,14 @@
     return FrontSettings(*(getattr(settings, field) for field in FrontSettings._fields))
 
 
+class Wave:
+    """Connections that a drain wakes together."""
+
+    def __init__(self, signal: Signal):
+        self.signal = signal
+        self.count = 0
+
+
 @register(FRONT, "http")
 class HttpFront:
     """Accepts callers' connections and answers each request in its order."""
@@ -78,6 +91,8 @@
         self._refused: deque[tuple[Connection, float]] = deque()
         self._draining = False
         self._drain: Signal = runtime.make_signal()
+        self._first_wave = Wave(self._drain)
+        self._later_waves = [Wave(runtime.make_signal()) for _ in range(LATER_WAVES)]
         self._tls = None
         if settings.tls_certificate:
             self._tls = open_tls(settings.tls_certificate, settings.tls_key, log)
@@ -102,15 +117,31 @@
             self._draining = True
             self._changed.notify_all()
             self._drain.set()
+        end_ms = self._runtime.clock.now_ms() + deadline_ms
+        self._wake_waves(end_ms)
+        with self._changed:
             ended = self._runtime.wait_for(
                 self._changed,
                 lambda: not self._accepting and not self._open,
-                deadline_ms,
+                end_ms - self._runtime.clock.now_ms(),
             )
             left = self._open
         self._log.info("The drain is over.", extra={"connections_left": left})
         return bool(ended)
 
+    def _wake_waves(self, end_ms: float) -> None:
+        """Tell the idle connections of the drain, a few at a time.
+
+        Woken all at once, thousands of tasks each ask for the interpreter every
+        switch interval and leave none of the processor to the one that has it: a
+        drain of 2,000 connections took 20 s, longer than it may, and cut requests.
+        """
+        clock = self._runtime.clock
+        for wave in self._later_waves:
+            wave.signal.set()
+            left_ms = end_ms - clock.now_ms()
+            clock.sleep_ms(min(wave.count * WAVE_PAUSE_MS, left_ms))
+
     def _check_open(self) -> Result[None, Refusal]:
         if self._draining:
             return self._refuse_stopping()
@@ -148,28 +179,37 @@
             if error.errno in EXHAUSTED:
                 self._runtime.sleep_ms(ACCEPT_PAUSE_MS)
             return
-        if not self._reserve():
+        wave = self._reserve()
+        if wave is None:
             self._refuse_connection(connection)
             return
         try:
-            self._runtime.start(self._serve, connection)
+            self._runtime.start(self._serve, connection, wave)
         except RuntimeError:
             # Other work has taken every task, or the process ends.
-            self._release()
+            self._release(wave)
             self._refuse_connection(connection)
 
-    def _reserve(self) -> bool:
+    def _reserve(self) -> Wave | None:
         with self._changed:
             if self._open >= self._settings.max_connections:
-                return False
+                return None
+            wave = self._choose_wave()
+            wave.count += 1
             self._open += 1
             count = self._open
         self._metrics.count_event("connection_accepted")
         self._metrics.set_gauge("connections", count)
-        return True
+        return wave
+
+    def _choose_wave(self) -> Wave:
+        if self._first_wave.count < FIRST_WAVE:
+            return self._first_wave
+        return min(self._later_waves, key=lambda wave: wave.count)
 
-    def _release(self) -> None:
+    def _release(self, wave: Wave) -> None:
         with self._changed:
+            wave.count -= 1
             self._open -= 1
             count = self._open
             self._changed.notify_all()
@@ -231,11 +271,11 @@
 
     # One connection
 
-    def _serve(self, connection: Connection) -> None:
+    def _serve(self, connection: Connection, wave: Wave) -> None:
         try:
             connection.set_timeout(self._settings.request_timeout_ms)
             connection.complete_handshake()
-            self._converse(connection)
+            self._converse(connection, wave.signal)
         except OSError:
             # Callers leave whenever they like, also before their answer.
             self._metrics.count_event("caller_disconnected")
@@ -244,14 +284,14 @@
             self._log.exception("A connection ended by a fault.")
         finally:
             connection.close()
-            self._release()
+            self._release(wave)
 
-    def _converse(self, connection: Connection) -> None:
+    def _converse(self, connection: Connection, drain: Signal) -> None:
         settings = self._settings
         parser = RequestParser(settings.max_header_bytes, settings.max_body_bytes)
         keep_alive = True
         while keep_alive:
-            request = self._read_request(connection, parser)
+            request = self._read_request(connection, parser, drain)
             if request is None:
                 return
             if isinstance(request, Refusal):
@@ -278,11 +318,11 @@
         return bool(more) or connection.wait_readable(0)
 
     def _read_request(
-        self, connection: Connection, parser: RequestParser
+        self, connection: Connection, parser: RequestParser, drain: Signal
     ) -> CallerRequest | Refusal | None:
         """Return the next request, why there is none, or None at the end."""
         if not parser.requests and parser.fault is None and not parser.begun:
-            refusal = self._wait_idle(connection)
+            refusal = self._wait_idle(connection, drain)
             if refusal is not None:
                 return refusal
         clock = self._runtime.clock
@@ -306,7 +346,7 @@
             left_ms = end_ms - clock.now_ms()
         return parser.requests.popleft()
 
-    def _wait_idle(self, connection: Connection) -> Refusal | None:
+    def _wait_idle(self, connection: Connection, drain: Signal) -> Refusal | None:
         """Wait for the first bytes of a request; return why the wait is over.
 
         A request may be on its way while the front gives up. Closing without a
@@ -314,7 +354,7 @@
         ran, and may send it to another daemon.
         """
         timeout_ms = self._settings.idle_timeout_ms
-        if connection.wait_readable(timeout_ms, self._drain):
+        if connection.wait_readable(timeout_ms, drain):
             return None
         if self._draining:
             return self._refuse_stopping().error
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP front."""
 
 import json
+from collections import Counter
 
 import pytest
 from expression import Ok
@@ -8,7 +9,7 @@
 from hypothesis import strategies as st
 
 from bronzerelay.codes import Code
-from bronzerelay.runtime import Runtime
+from bronzerelay.runtime import Connection, Runtime
 from tests.builders_front import KEY, build_request, run_front
 
 HEALTH = b"GET /health HTTP/1.1\r\nHost: front\r\n\r\n"
@@ -158,6 +159,34 @@
         assert drained.result()
 
 
+def test_a_drain_of_many_connections_wakes_a_few_at_a_time(monkeypatch):
+    """A daemon with thousands of idle connections is replaced. Were all their tasks
+    woken by one signal, they would fight for the interpreter until the drain's
+    deadline has passed, and requests would be cut.
+    """
+    count, waiting = 200, {}
+    wait_readable = Connection.wait_readable
+
+    def note_signal(connection, timeout_ms, signal=None):
+        if signal is not None:
+            waiting[connection] = signal
+        return wait_readable(connection, timeout_ms, signal)
+
+    monkeypatch.setattr(Connection, "wait_readable", note_signal)
+    runtime = Runtime(task_limit=count + 20)
+    with run_front(runtime=runtime, max_connections=count) as running:
+        callers = [running.call() for _ in range(count)]
+        wait_until(running, lambda: len(waiting) == count)
+        shared = Counter(waiting.values())
+        drained = running.runtime.start(running.front.drain, 5000)
+        for caller in callers:
+            assert_refused(caller.read_answer(), Code.STOPPING)
+            caller.connection.close()
+        assert drained.result()
+    assert max(shared.values()) <= 64
+    assert min(shared.values()) <= 2
+
+
 def test_a_drain_answers_what_runs_and_gives_up_at_its_deadline():
     """A statement takes longer than the drain may. Whoever stops the daemon needs
     to know that something still runs, and the caller still gets its answer.
