--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 RATIO ?= 1.25
 
 # Each name here stands for a job, not for a file.
-.PHONY: help setup demo test bench bench-compare soak mutations lint format
+.PHONY: help setup demo capacity test bench bench-compare soak mutations lint format
 .PHONY: format-check check
 
 help:  ## Show this list.
@@ -23,6 +23,9 @@
 demo: setup  ## Run the main job once, on stand-ins, and say what each step did.
 	$(RUN) standins.demo
 
+capacity: setup  ## Measure the slopes (about 4 minutes) and rewrite docs/CAPACITY.md.
+	$(RUN) lab.slopes
+
 test: setup  ## Run all tests.
 	$(RUN) pytest
 
