--- a/bronzerelay/policies.py
+++ b/bronzerelay/policies.py
@@ -54,8 +54,8 @@
 def make_naive_policy() -> Policy:
     """Return the baseline of the benchmarks, which breaks promises.
 
-    Reads go to the primary alone, whose word is enough for them and for a write; a rate is split
-    evenly over all daemons without loans; slots go to whoever came first.
+    Reads go to the primary alone, whose word is enough for them and for a write; a
+    rate is split evenly over all daemons without loans; slots go to whoever came first.
     """
     return Policy(
         list_replicas=lambda names: [],
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -158,7 +158,7 @@
     Mutation(
         "a read at the primary proves its age",
         "bronzerelay/group.py",
-        "if self._watch.wait_proven(seen, since_ms, by_primary, wait_ms):",
+        "if policy.wait_proven(self._watch, seen, since_ms, by_primary, wait_ms):",
         "if True:",
         "tests/test_promise_sessions.py::test_former_primary_does_not_pass_for_fresh",
     ),
