--- a/bronzerelay/group.py
+++ b/bronzerelay/group.py
@@ -7,6 +7,7 @@
 from bronzerelay.codes import NOT_RUN, UNKNOWN, Code, Refusal, refuse
 from bronzerelay.dialect import EndpointError, EndpointLink
 from bronzerelay.failover import GroupKeeper
+from bronzerelay.policies import Policy
 from bronzerelay.pool import ConnectionPool
 from bronzerelay.retries import RetryBudget
 from bronzerelay.runtime import Runtime
@@ -18,13 +19,15 @@
     StatementAnswer,
     StatementRequest,
 )
-from bronzerelay.watch import PRIMARY, GroupWatch
+from bronzerelay.watch import CUT_OFF_WAIT_MS, PRIMARY, GroupWatch
 
 # A read waits this long for a replica that has what it needs, then the primary may
 # serve it too.
 REPLICA_WAIT_MS = 25
 # How long a caller is told to wait when a group has no primary.
 NO_PRIMARY_RETRY_MS = 300
+# What a replica holds its primary holds too, and that is a majority of up to three.
+REPLICA_MAJORITY = 2
 LEND_TIMEOUT_MS = 300
 SETTLE_TIMEOUT_MS = 300
 SETTLE_PAUSE_MS = 20.0
@@ -87,6 +90,7 @@
     slots: SlotQueue
     pools: dict[str, ConnectionPool]
     budget: RetryBudget
+    policy: Policy
 
 
 class GroupServer:
@@ -132,6 +136,7 @@
         if not chosen.is_ok():
             return chosen
         name = chosen.ok
+        started_ms = self._runtime.clock.now_ms()
         timeout_ms = min(self._timeout_ms, max(1.0, self.left_ms(work)))
         result = self._run_at(
             name,
@@ -142,16 +147,56 @@
         if not result.is_ok():
             return result
         seen = Position(result.ok.log_term, result.ok.position)
+        checked = self._check_read(work, name, need, seen, started_ms)
+        if not checked.is_ok():
+            return checked
+        session = advance_session(work.session, work.group, seen)
+        return Ok(self._make_answer(name, session, result.ok.value))
+
+    def _check_read(
+        self,
+        work: Work,
+        name: str,
+        need: Position,
+        seen: Position,
+        started_ms: float,
+    ) -> Result:
+        """Return Ok when what was read at `seen` may be shown to the caller."""
         if seen < need:
             # The instance was put back between its last report and this read, as
             # a former primary is when it drops what nobody acknowledged.
-            error = EndpointError("behind", f"{name} is behind the session")
-            return Error(error)
-        session = advance_session(work.session, work.group, seen)
-        return Ok(self._make_answer(name, session, result.ok.value))
+            return Error(EndpointError("behind", f"{name} is behind the session"))
+        by_primary = name == self._watch.primary()
+        # What only a minority holds is gone when the primary fails now, and the
+        # session would miss what it has seen.
+        in_doubt = by_primary or self._watch.majority() > REPLICA_MAJORITY
+        wait_ms = self._proof_wait_ms(work)
+        policy = self.parts.policy
+        if in_doubt and not policy.wait_acknowledged(self._watch, seen, wait_ms):
+            return self._refuse_unproven(work, f"{name} holds what may be lost")
+        since_ms = started_ms - self._max_age_ms(work)
+        wait_ms = self._proof_wait_ms(work) if by_primary else 0
+        if policy.wait_proven(self._watch, seen, since_ms, by_primary, wait_ms):
+            return Ok(None)
+        return self._refuse_unproven(work, f"the age of {name} can't be proved")
+
+    def _proof_wait_ms(self, work: Work) -> float:
+        """Return how long to wait for a proof: not for long where none can come."""
+        left_ms = self.left_ms(work)
+        return left_ms if self._watch.has_majority() else min(left_ms, CUT_OFF_WAIT_MS)
+
+    def _refuse_unproven(self, work: Work, why: str) -> Result:
+        """Return the refusal of a read in vain, or the error that lets it retry."""
+        if self.left_ms(work) > 0 and self._watch.has_majority():
+            return Error(EndpointError("unproven", why))
+        message = f"No endpoint could prove how old its data is: {why}."
+        return refuse(Code.TOO_STALE, message, NO_PRIMARY_RETRY_MS)
+
+    def _max_age_ms(self, work: Work) -> float:
+        return work.request.get("max_age_ms", self.spec.max_age_ms)
 
     def _choose_reader(self, work: Work, need: Position) -> Result[str, Refusal]:
-        max_age_ms = work.request.get("max_age_ms", self.spec.max_age_ms)
+        max_age_ms = self._max_age_ms(work)
         short_ms = min(work.deadline_ms, self._runtime.clock.now_ms() + REPLICA_WAIT_MS)
 
         def choose_replica(free: list[str]) -> str | None:
@@ -169,6 +214,9 @@
     def _has_fit_replica(
         self, need: Position, max_age_ms: float, until_ms: float
     ) -> bool:
+        if not self.parts.policy.list_replicas(list(self._watch.states)):
+            return False
+
         def has_one() -> bool:
             names = list(self._watch.states)
             return self._pick(names, need, max_age_ms, with_primary=False) is not None
@@ -184,7 +232,7 @@
         primary = self._watch.primary()
         leaving = {one.name for one in self.spec.endpoints if one.leaving}
         fit = []
-        for name in free:
+        for name in self.parts.policy.list_replicas(free):
             state = self._watch.states.get(name)
             if state is None or not state.reachable or name in leaving:
                 continue
@@ -290,7 +338,7 @@
     def _finish_write(
         self, work: Work, attempt: int, written: Written
     ) -> Result[StatementAnswer, Refusal]:
-        if self._watch.wait_majority(written.at, self.left_ms(work)):
+        if self.is_acknowledged(work, written.at):
             session = advance_session(work.session, work.group, written.at)
             answer = self._make_answer(written.served_by, session, written.value)
             answer["duplicate"] = written.duplicate
@@ -298,6 +346,11 @@
         # The primary was replaced, or the replicas are too far behind.
         return self.settle(work, attempt)
 
+    def is_acknowledged(self, work: Work, at: Position) -> bool:
+        """Return whether a change at this place is safe, waiting until it is."""
+        wait_acknowledged = self.parts.policy.wait_acknowledged
+        return wait_acknowledged(self._watch, at, self.left_ms(work))
+
     # Doubts
 
     def settle(self, work: Work, attempt: int) -> Result[StatementAnswer, Refusal]:
--- a/bronzerelay/shares.py
+++ b/bronzerelay/shares.py
@@ -10,7 +10,7 @@
 
 import math
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from expression import Ok, Result
 
@@ -65,9 +65,13 @@
     return rank(f"share/{workspace.name}", members)[:count]
 
 
-def work_out_part(workspace: WorkspaceSpec, members: list[str], name: str) -> float:
-    """Return the fraction of the workspace that daemon `name` holds; it may be 0."""
-    holders = list_holders(workspace, members)
+def list_lenders(holders: list[str], name: str) -> list[str]:
+    """Return which of the `holders` daemon `name` may borrow from: all others."""
+    return [holder for holder in holders if holder != name]
+
+
+def work_out_part(holders: list[str], name: str) -> float:
+    """Return the fraction of a workspace that daemon `name` holds; it may be 0."""
     return 1 / len(holders) if name in holders else 0.0
 
 
@@ -272,9 +276,10 @@
 class Shares:
     """All workspaces' accounts at this daemon."""
 
-    def __init__(self, runtime: Runtime, name: str, ask_peer: AskPeer):
+    def __init__(self, runtime: Runtime, name: str, ask_peer: AskPeer, policy: Any):
         self._runtime = runtime
         self._name = name
+        self._policy = policy
         self._ask_peer = ask_peer
         self._process = f"{name}/{runtime.random.randbytes(PROCESS_BYTES).hex()}"
         self._lock = runtime.make_lock()
@@ -369,8 +374,9 @@
 
     def _apply_members(self, account: Account, now_ms: float) -> None:
         spec = account.spec
+        list_holders = self._policy.list_holders
         parts = [
-            work_out_part(spec._replace(burst=burst), members, self._name)
+            work_out_part(list_holders(spec._replace(burst=burst), members), self._name)
             for burst in account.bursts_in_use
             for members in (self._members, self._confirmed)
         ]
@@ -378,7 +384,7 @@
         account.bucket.set_holding(Holding(part * spec.rate, part * spec.burst), now_ms)
         holders = list_holders(spec, self._members)
         account.holders = max(1, len(holders))
-        account.lenders = [holder for holder in holders if holder != self._name]
+        account.lenders = self._policy.list_lenders(holders, self._name)
 
     def has_shrunk(self) -> bool:
         """Return whether no loan from a larger part than today's can be spent.
--- a/bronzerelay/transactions.py
+++ b/bronzerelay/transactions.py
@@ -1,11 +1,12 @@
 """Transactions: each bound to one connection of one instance at one term."""
 
-from typing import NamedTuple
+from collections import Counter
+from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
 
 from bronzerelay.codes import NOT_RUN, Code, Refusal, refuse
-from bronzerelay.dialect import EndpointError, EndpointLink
+from bronzerelay.dialect import CommitAnswer, EndpointError, EndpointLink
 from bronzerelay.group import LEND_TIMEOUT_MS, GroupServer, Work
 from bronzerelay.pool import ConnectionPool
 from bronzerelay.runtime import Runtime
@@ -15,6 +16,9 @@
 # A transaction that nobody touches for this long is rolled back; it holds one of the
 # few connections of an instance.
 IDLE_MS = 10_000
+# Where transactions take all the connections that they may, one that is idle for this
+# long makes room for a new one. Callers that vanish would shut out all others else.
+CROWDED_IDLE_MS = 1_000
 SWEEP_MS = 500
 # The part of an instance's connections that transactions may hold.
 CONNECTION_PART = 0.4
@@ -28,14 +32,32 @@
     return transaction.rpartition(MARK)[0]
 
 
+def name_commit(work: Work) -> Work:
+    """Return `work` under the name that every commit of its transaction has.
+
+    A caller that lost the answer to a commit sends it again, and only under the same
+    name can anybody find out what became of the first.
+    """
+    token = work.request["transaction"]
+    return work._replace(request_id=f"{work.workspace}{MARK}{token}")
+
+
 def explain_commit(settled: Result[StatementAnswer, Refusal]) -> Result:
     """Return what a commit's caller is told after its outcome was found out."""
     if settled.is_ok() or settled.error.ran != NOT_RUN:
         return settled
     message = "The commit was lost before it ran, and nothing is kept."
+    if settled.error.code == Code.IDEMPOTENCY_CONFLICT:
+        message = f"{message} Its idempotency key is given up on."
     return Error(settled.error._replace(code=Code.TRANSACTION_LOST, message=message))
 
 
+def refuse_unknown() -> Result:
+    """Return the refusal of a request whose transaction is not open here."""
+    message = "This daemon holds no such transaction of the workspace."
+    return refuse(Code.TRANSACTION_UNKNOWN, message)
+
+
 class Transaction(NamedTuple):
     """An open transaction; a lock keeps its statements one after the other."""
 
@@ -46,7 +68,7 @@
     term: int
     link: EndpointLink
     pool: ConnectionPool
-    lock: object
+    lock: Any
 
 
 class Transactions:
@@ -80,7 +102,8 @@
         self, group: GroupServer, work: Work, name: str, term: int
     ) -> Result[StatementAnswer, Refusal]:
         spec = next(one for one in group.spec.endpoints if one.name == name)
-        if self._count_at(name) >= max(1, int(spec.connections * CONNECTION_PART)):
+        limit = max(1, int(spec.connections * CONNECTION_PART))
+        if self._count_at(name) >= limit and not self._make_room(name):
             message = f"{name} has as many open transactions as it may have."
             return refuse(Code.TRANSACTION_LIMIT, message, 500)
         pool = group.parts.pools[name]
@@ -112,20 +135,53 @@
         with self._lock:
             return sum(one.endpoint == endpoint for one in self._open.values())
 
+    def _make_room(self, endpoint: str) -> bool:
+        """Roll back an idle transaction of the workspace that has most open there."""
+        oldest_ms = self._runtime.clock.now_ms() - CROWDED_IDLE_MS
+        with self._lock:
+            here = [one for one in self._open.values() if one.endpoint == endpoint]
+            idle = [one for one in here if self._touched_ms[one.id] < oldest_ms]
+            touched_ms = dict(self._touched_ms)
+        if not idle:
+            return False
+        held = Counter(one.workspace for one in here)
+        chosen = max(idle, key=lambda one: (held[one.workspace], -touched_ms[one.id]))
+        return self._end_idle(chosen, oldest_ms)
+
+    def _end_idle(self, transaction: Transaction, limit_ms: float) -> bool:
+        """End a transaction unless a request has touched it since `limit_ms`."""
+        if not transaction.lock.acquire(blocking=False):
+            return False
+        try:
+            with self._lock:
+                if self._touched_ms.get(transaction.id, limit_ms) >= limit_ms:
+                    return False
+            self._end(transaction)
+            return True
+        finally:
+            transaction.lock.release()
+
     def run(self, work: Work) -> Result[StatementAnswer, Refusal]:
         """Run a statement, a commit or a rollback of an open transaction."""
         transaction = self._find(work)
         if transaction is None:
-            message = "This daemon holds no such transaction of the workspace."
-            return refuse(Code.TRANSACTION_UNKNOWN, message)
+            return refuse_unknown()
         action = work.request.get("action", "statement")
         with transaction.lock:
+            # It may have ended while this request waited for the lock. Its link then
+            # serves somebody else, whose work would mix with this statement.
+            if not self._is_open(transaction):
+                return refuse_unknown()
             if action == "commit":
                 return self._commit(transaction, work)
             if action == "rollback":
                 return self._roll_back(transaction)
             return self._run_statement(transaction, work)
 
+    def _is_open(self, transaction: Transaction) -> bool:
+        with self._lock:
+            return transaction.id in self._open
+
     def _find(self, work: Work) -> Transaction | None:
         """Return the transaction if it is this workspace's own, in this group."""
         with self._lock:
@@ -157,6 +213,13 @@
             transaction.group.parts.slots.release(transaction.endpoint)
         if not result.is_ok():
             return self._fail(transaction, result.error)
+        seen = Position(result.ok.log_term, result.ok.position)
+        if seen < work.session.get(work.group, Position(0, 0)):
+            # A primary that was replaced lacks what the session has written since,
+            # and would not be able to commit.
+            self._end(transaction)
+            message = "The transaction is lost: its primary was replaced."
+            return refuse(Code.TRANSACTION_LOST, message)
         return Ok(
             {
                 "value": result.ok.value,
@@ -201,21 +264,19 @@
             return refuse(Code.QUEUE_FULL, "The endpoint has no slot free.", 50)
         self._end(transaction)
         if result.is_ok():
-            return self._finish_commit(transaction, work, result.ok.position)
-        if result.error.may_have_run:
+            return self._finish_commit(transaction, work, result.ok)
+        # Cancelled by whom, and whether for good, only a majority can tell.
+        if result.error.may_have_run or result.error.kind == "cancelled":
             return self._settle_commit(transaction, work)
-        if result.error.kind == "cancelled":
-            message = "An earlier commit with this idempotency key was given up on."
-            return refuse(Code.IDEMPOTENCY_CONFLICT, message)
         message = f"Nothing was committed: {result.error.message}."
         return refuse(Code.TRANSACTION_LOST, message)
 
     def _finish_commit(
-        self, transaction: Transaction, work: Work, position: int
+        self, transaction: Transaction, work: Work, answer: CommitAnswer
     ) -> Result[StatementAnswer, Refusal]:
         group = transaction.group
-        at = Position(transaction.term, position)
-        if not group.parts.watch.wait_majority(at, group.left_ms(work)):
+        at = Position(transaction.term, answer.position)
+        if not group.is_acknowledged(work, at):
             return self._settle_commit(transaction, work)
         session = advance_session(work.session, work.group, at)
         return Ok(
@@ -223,6 +284,7 @@
                 "session": encode_session(session),
                 "served_by": transaction.endpoint,
                 "role": "primary",
+                "duplicate": answer.duplicate,
             }
         )
 
@@ -241,8 +303,10 @@
         return Ok({"served_by": transaction.endpoint, "role": "primary"})
 
     def _end(self, transaction: Transaction) -> None:
+        """Close the transaction, once; its link may be lent to others from then on."""
         with self._lock:
-            self._open.pop(transaction.id, None)
+            if self._open.pop(transaction.id, None) is None:
+                return
             self._touched_ms.pop(transaction.id, None)
         # The pool closes a link that is still inside the transaction, which ends
         # what is left of it at the endpoint.
@@ -259,5 +323,4 @@
                     if self._touched_ms[name] < limit_ms
                 ]
             for transaction in idle:
-                with transaction.lock:
-                    self._end(transaction)
+                self._end_idle(transaction, limit_ms)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,11 +3,13 @@
 from typing import NamedTuple
 
 from bronzerelay.membership import Membership, MembershipSettings
+from bronzerelay.policies import DEFAULT, make_policy
 from bronzerelay.runtime import Random
 from bronzerelay.sharekeeper import ShareKeeper
 from bronzerelay.shares import LOAN_LIFE_MS, Loan, LoanRequest, Shares
 from bronzerelay.types import Configuration, WorkspaceSpec
 
+POLICY = make_policy(DEFAULT)
 WORKSPACE = "caterer-1"
 TOLERANCE = 1e-6
 STEP_MS = 50
@@ -93,7 +95,7 @@
         self.name = name
         self.version = 0
         self.membership = Membership(fleet.runtime, MembershipSettings(name))
-        self.shares = Shares(fleet.runtime, name, fleet.make_asker(name))
+        self.shares = Shares(fleet.runtime, name, fleet.make_asker(name), POLICY)
         self.keeper = ShareKeeper(fleet.runtime, self.membership, self.shares)
 
     def take_roster(self, roster):
--- a/tests/test_promise_fairness.py
+++ b/tests/test_promise_fairness.py
@@ -73,7 +73,7 @@
     take, and its rate allows it. Served in the order of arrival, the other caterers
     would wait behind its whole queue and be turned away with it.
     """
-    rates = {name: SMALL_RATE for name in SMALL} | {FLOODING: FLOOD_RATE}
+    rates = dict.fromkeys(SMALL, SMALL_RATE) | {FLOODING: FLOOD_RATE}
     record = run_load(cluster, rates, deadline_ms=1000)
     shares = list_served(record, SMALL)
     assert min(shares) >= 0.95 * median(shares)
@@ -91,7 +91,7 @@
 
 def test_equal_floods_get_equal_shares_of_the_slots(cluster):
     """Four caterers together send twice what the slots can take, all alike."""
-    rates = {name: 50 for name in SMALL}
+    rates = dict.fromkeys(SMALL, 50)
     record = run_load(cluster, rates, deadline_ms=400)
     shares = list_served(record, SMALL)
     assert max(shares) < 0.9
