Let idle endpoints that suit nobody save up no turns

Cause: after each grant the queue looked at the endpoints that were still free. Where all wait for the primary, its idle replicas suit nobody; each such look counted as a missed turn of every workspace, so that whoever stood first got its credit back before its turn ended and kept the primary for itself. Ruled out: grants past the queue, and waiters that are not asked again (the queue alone showed it, without daemons). Turns now pass only when another one gets a slot.

--- a/bronzerelay/slots.py
+++ b/bronzerelay/slots.py
@@ -116,6 +116,11 @@
             wait_ms = self._estimate_wait(workspace)
             return _refuse_late("no slot came free in time", wait_ms)
 
+    @property
+    def hold_ms(self) -> float:
+        """Return how long a slot is held, as lately measured."""
+        return self._hold_ms
+
     def release(self, endpoint: str) -> None:
         """Give a slot back and hand it to the next waiter that it suits."""
         with self._lock:
@@ -220,19 +225,34 @@
     def _grant_one(self, free: list[str]) -> bool:
         """Grant a slot to the next workspace in turn that one suits."""
         free_set = frozenset(free)
-        for _ in range(len(self._ring)):
-            workspace = self._ring[0]
+        for passed, workspace in enumerate(self._ring):
             line = self._lines[workspace]
-            if self._turn != workspace:
-                self._turn = workspace
-                line.credit = min(line.credit + QUANTUM, CREDIT_LIMIT)
             waiter = self._find_suited(line, free, free_set)
             if waiter is not None:
+                self._pass_turns(passed)
+                self._begin_turn(workspace, line)
                 self._grant(workspace, line, waiter)
                 return True
-            self._end_turn()
         return False
 
+    def _pass_turns(self, count: int) -> None:
+        """Let the first `count` workspaces, which nothing free suits, make it up later.
+
+        Their turns pass only when somebody else gets a slot. Counted at each look at
+        endpoints that suit nobody, as idle replicas do while all wait for the primary,
+        turns would be saved up without end: whoever stands first would keep the primary
+        for itself, and the others would get nothing at all.
+        """
+        for workspace in list(self._ring)[:count]:
+            line = self._lines[workspace]
+            line.credit = min(line.credit + QUANTUM, CREDIT_LIMIT)
+        self._ring.rotate(-count)
+
+    def _begin_turn(self, workspace: str, line: Line) -> None:
+        if self._turn != workspace:
+            self._turn = workspace
+            line.credit = min(line.credit + QUANTUM, CREDIT_LIMIT)
+
     def _end_turn(self) -> None:
         self._ring.rotate(-1)
         self._turn = None
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -96,6 +96,23 @@
     assert write.result().ok == "primary"
 
 
+def test_idle_endpoints_that_suit_nobody_save_up_no_turns(runtime):
+    """All workspaces write, so that they wait for the primary while its replicas are
+    idle. One of them floods. Each look at the idle replicas once counted as a missed
+    turn, so that the flood kept the primary and the others got nothing.
+    """
+    trial = Trial(runtime, {"primary": 1, "replica-1": 2, "replica-2": 2})
+    trial.acquire(choose=prefer("primary"))
+    for _ in range(20):
+        trial.join("flood", prefer("primary"))
+    for _ in range(4):
+        trial.join("a", prefer("primary"))
+        trial.join("b", prefer("primary"))
+    got = [trial.serve("primary") for _ in range(12)]
+    assert got == ["flood", "a", "b"] * 4
+    trial.queue.set_endpoints({"primary": 100})
+
+
 def test_missed_turns_are_made_up_within_bounds(runtime):
     """A workspace's turns pass while nothing free suits it. It catches up by a
     few, and can't lock the others out by having waited long.
