Wait for a slot only while there is time left to use it

Cause: writes that got their slot shortly before their deadline were broken off while they ran. Their outcome was unknown, each took further slots to settle it, and the endpoint's slot was still taken for the next ('all slots are taken').

--- a/bronzerelay/group.py
+++ b/bronzerelay/group.py
@@ -30,6 +30,9 @@
 REPLICA_MAJORITY = 2
 LEND_TIMEOUT_MS = 300
 SETTLE_TIMEOUT_MS = 300
+# How many times as long as a slot is usually held a write is left to run and to be
+# acknowledged.
+START_MARGIN = 3
 SETTLE_PAUSE_MS = 20.0
 # The endpoint keeps an attempt's number behind the request's own id.
 ATTEMPT_MARK = "#"
@@ -110,6 +113,17 @@
         """Return the group's part of the configuration."""
         return self._watch.spec
 
+    def latest_start_ms(self, work: Work) -> float:
+        """Return until when it is of use to wait for a slot.
+
+        A write that begins with no time left is broken off while it runs: its outcome
+        is unknown, the endpoint's slot is taken still when the next one comes, and
+        under load most of the slots' time goes into such writes.
+        """
+        left_ms = self.left_ms(work)
+        needed_ms = min(START_MARGIN * self.parts.slots.hold_ms, left_ms / 2)
+        return work.deadline_ms - needed_ms
+
     def left_ms(self, work: Work) -> float:
         """Return how much time `work` has left."""
         return work.deadline_ms - self._runtime.clock.now_ms()
@@ -209,7 +223,8 @@
             found = self.parts.slots.acquire(work.workspace, choose_replica, short_ms)
             if found.is_ok() or found.error.code == Code.QUEUE_FULL:
                 return found
-        return self.parts.slots.acquire(work.workspace, choose_any, work.deadline_ms)
+        until_ms = self.latest_start_ms(work)
+        return self.parts.slots.acquire(work.workspace, choose_any, until_ms)
 
     def _has_fit_replica(
         self, need: Position, max_age_ms: float, until_ms: float
@@ -322,7 +337,7 @@
             slot = self.parts.slots.acquire(
                 work.workspace,
                 lambda free, name=name: name if name in free else None,
-                work.deadline_ms,
+                self.latest_start_ms(work),
             )
             if not slot.is_ok():
                 return slot
--- a/tests/test_promise_fairness.py
+++ b/tests/test_promise_fairness.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bronzerelay.codes import RAN
+from bronzerelay.codes import RAN, UNKNOWN
 from bronzerelay.runtime import Runtime
 from standins.cluster import Cluster, Layout, WorkspaceLayout
 from standins.load import Load, LoadSettings
@@ -86,13 +86,19 @@
     flood = [entry for entry in record if entry.workspace == FLOODING]
     assert sum(entry.ran == RAN for entry in flood) < 0.7 * len(flood)
     # What the others leave isn't wasted.
-    assert sum(entry.ran == RAN for entry in record) >= 0.5 * SLOTS_RATE * 4
+    assert sum(entry.ran == RAN for entry in record) >= 0.7 * SLOTS_RATE * 4
 
 
 def test_equal_floods_get_equal_shares_of_the_slots(cluster):
-    """Four caterers together send twice what the slots can take, all alike."""
+    """Four caterers together send twice what the slots can take, all alike. Writes that
+    got their slot at the last moment were once broken off while they ran: their callers
+    were told "unknown", and the slots' time was lost to all.
+    """
     rates = dict.fromkeys(SMALL, 50)
     record = run_load(cluster, rates, deadline_ms=400)
     shares = list_served(record, SMALL)
     assert max(shares) < 0.9
     assert min(shares) >= 0.95 * median(shares)
+    assert sum(entry.ran == RAN for entry in record) >= 0.7 * SLOTS_RATE * 4
+    unknown = [entry for entry in record if entry.ran == UNKNOWN]
+    assert len(unknown) <= 0.02 * len(record)
