--- /dev/null
+++ b/tests/test_promise_stopping.py
@@ -0,0 +1,70 @@
+"""The promise that a planned stop cuts no request, on real processes."""
+
+import pytest
+
+from bronzerelay.codes import RAN, UNKNOWN
+from bronzerelay.runtime import Runtime
+from standins.checks import run_checks
+from standins.cluster import Cluster, Layout, WorkspaceLayout
+from standins.load import Load, LoadSettings
+from standins.record import NO_ANSWER
+
+# Three groups for four daemons, so that most requests are forwarded to another daemon.
+LAYOUT = Layout(
+    groups=("orders", "diets", "kitchens"),
+    workspaces=(WorkspaceLayout("shop", rate=600, burst=600),),
+    daemons=4,
+    slots=10,
+    service_ms=5,
+    vm_lag_ms=100,
+)
+RATE = 120
+
+
+@pytest.fixture
+def cluster():
+    runtime = Runtime(task_limit=400)
+    with Cluster(runtime, LAYOUT) as cluster:
+        cluster.wait_ready(cluster.put_bundle())
+        yield cluster
+    runtime.close(1000)
+
+
+def start_load(cluster, duration_ms):
+    settings = LoadSettings(
+        rates={"shop": RATE},
+        groups=LAYOUT.groups,
+        seed=11,
+        duration_ms=duration_ms,
+        write_share=0.5,
+        workers=100,
+        resends=0,
+    )
+    daemons = {name: cluster.addresses[name] for name in cluster.daemon_names}
+    load = Load(cluster.runtime, settings, daemons, cluster.keys)
+    load.start()
+    return load
+
+
+def test_a_rolling_restart_under_load_cuts_no_request(cluster):
+    """All daemons are replaced, one after the other, while callers write and read
+    through all of them; a daemon that stops is forwarding requests of its own and
+    serving those of others. A request cut then is one whose caller doesn't know whether
+    the order was placed.
+    """
+    load = start_load(cluster, 15_000)
+    cluster.runtime.clock.sleep_ms(500)
+    codes = []
+    for name in cluster.daemon_names:
+        codes.append(cluster.stop(name))
+        cluster.start(name)
+        cluster.wait_ready(names=[name])
+    load.stop()
+    record = load.wait()
+    assert codes == [0] * len(cluster.daemon_names)
+    assert len(record) > 100
+    assert [entry for entry in record if entry.code == NO_ANSWER] == []
+    assert [entry for entry in record if entry.ran == UNKNOWN] == []
+    assert not run_checks(record, cluster.collect_evidence())
+    answered = [entry for entry in record if entry.was_answered]
+    assert all(entry.ran == RAN for entry in answered)
