--- a/tests/test_promise_stopping.py
+++ b/tests/test_promise_stopping.py
@@ -4,8 +4,10 @@
 
 from bronzerelay.codes import RAN, UNKNOWN
 from bronzerelay.runtime import Runtime
+from standins.caller import Caller, CallerSettings
 from standins.checks import run_checks
 from standins.cluster import Cluster, Layout, WorkspaceLayout
+from standins.exchange import LinkPool
 from standins.load import Load, LoadSettings
 from standins.record import NO_ANSWER
 
@@ -68,3 +70,43 @@
     assert not run_checks(record, cluster.collect_evidence())
     answered = [entry for entry in record if entry.was_answered]
     assert all(entry.ran == RAN for entry in answered)
+
+
+def test_a_daemon_that_stops_ends_what_others_forwarded_to_it():
+    """A daemon gets SIGTERM while it runs slow writes that other daemons forwarded to
+    it. Cut, their callers would not know whether their orders were placed.
+    """
+    runtime = Runtime(task_limit=100)
+    layout = LAYOUT._replace(service_ms=1500, groups=("orders",), daemons=3)
+    flags = ["--statement-timeout-ms", "4000", "--default-deadline-ms", "8000"]
+    with Cluster(runtime, layout, daemon_flags=flags) as cluster:
+        cluster.wait_ready(cluster.put_bundle())
+        cluster.wait_until(lambda: find_home(cluster), "a daemon to serve the group")
+        home = find_home(cluster)
+        daemons = {name: cluster.addresses[name] for name in cluster.daemon_names}
+        links = LinkPool(runtime, daemons)
+        settings = CallerSettings("shop/1", "shop", cluster.keys["shop"])
+        callers = {
+            name: Caller(runtime, settings, links) for name in daemons if name != home
+        }
+        write = {"verb": "append", "row": "shop/list-1", "value": "one"}
+        tasks = [
+            runtime.start(caller.run, "orders", write, name)
+            for name, caller in callers.items()
+        ]
+        runtime.clock.sleep_ms(300)
+        code = cluster.stop(home)
+        entries = [task.result() for task in tasks]
+        links.close()
+    runtime.close(1000)
+    assert code == 0
+    assert [entry.ran for entry in entries] == [RAN, RAN]
+    assert max(entry.latency_ms for entry in entries) < 3000
+
+
+def find_home(cluster):
+    """Return the daemon that serves the first group, or an empty text."""
+    for name in cluster.daemon_names:
+        if cluster.groups[0] in cluster.fetch_status(name)["groups"]:
+            return name
+    return ""
