--- a/lab/records.py
+++ b/lab/records.py
@@ -4,6 +4,7 @@
 
 from bronzerelay.bundle import digest_bundle
 from bronzerelay.configuration import ConfigurationStore
+from bronzerelay.policies import DEFAULT, make_policy
 from bronzerelay.runtime import Runtime
 from bronzerelay.shares import Shares
 from lab.layouts import build_record, build_workspace_specs
@@ -40,7 +41,12 @@
     members = name_members(ACCOUNT_MEMBERS)
 
     def build() -> Shares:
-        shares = Shares(Runtime(task_limit=1, seed=1), OWN_NAME, lambda *_: None)
+        shares = Shares(
+            Runtime(task_limit=1, seed=1),
+            OWN_NAME,
+            lambda *_: None,
+            make_policy(DEFAULT),
+        )
         shares.set_members(members, confirmed=True)
         shares.set_workspaces(specs)
         return shares
@@ -51,7 +57,7 @@
 def measure_splits(size: int) -> dict[str, float]:
     """Return the time to split one account's rate over a roster of `size`."""
     runtime = Runtime(task_limit=1, seed=1)
-    shares = Shares(runtime, OWN_NAME, lambda *_: None)
+    shares = Shares(runtime, OWN_NAME, lambda *_: None, make_policy(DEFAULT))
     shares.set_workspaces(build_workspace_specs(SPLIT_ACCOUNTS))
     members = name_members(size)
     started_ms = own_cpu_ms()
@@ -62,7 +68,7 @@
 def measure_spending(size: int) -> dict[str, float]:
     """Return the time to spend a token at a daemon that has `size` accounts."""
     runtime = Runtime(task_limit=1, seed=1)
-    shares = Shares(runtime, OWN_NAME, lambda *_: None)
+    shares = Shares(runtime, OWN_NAME, lambda *_: None, make_policy(DEFAULT))
     shares.set_members([OWN_NAME], confirmed=True)
     specs = [spec._replace(rate=1e6, burst=1e6) for spec in build_workspace_specs(size)]
     shares.set_workspaces(specs)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,7 +2,9 @@
 
 from typing import NamedTuple
 
+from bronzerelay import policies
 from bronzerelay.membership import Membership, MembershipSettings
+from bronzerelay.policies import make_policy
 from bronzerelay.runtime import Random
 from bronzerelay.sharekeeper import ShareKeeper
 from bronzerelay.shares import LOAN_LIFE_MS, Loan, Shares
@@ -89,7 +91,9 @@
         self.name = name
         self.version = 0
         self.membership = Membership(fleet.runtime, MembershipSettings(name))
-        self.shares = Shares(fleet.runtime, name, fleet.make_asker(name))
+        self.shares = Shares(
+            fleet.runtime, name, fleet.make_asker(name), make_policy(policies.DEFAULT)
+        )
         self.keeper = ShareKeeper(fleet.runtime, self.membership, self.shares)
 
     def take_roster(self, roster):
