Wait for SIGTERM without a lock that its handler needs

Cause: threading.Event shares one lock between wait and set. A handler that runs while its own task is about to wait, the lock in hand, waits for itself for ever: the daemon goes on serving and no SIGTERM ends it. Ruled out: a frozen process, and a signal to another process. The wait is a poll on an eventfd now. The test raises the signal at each step of the wait; with the event it hangs.

--- a/bronzerelay/daemon.py
+++ b/bronzerelay/daemon.py
@@ -15,7 +15,7 @@
 from bronzerelay.peers import PeerLinks, PeerServer
 from bronzerelay.platformwatch import PlatformWatch
 from bronzerelay.roster import RosterKeeper
-from bronzerelay.runtime import Runtime
+from bronzerelay.runtime import Runtime, Signal
 from bronzerelay.settings import DaemonSettings, daemon_command
 from bronzerelay.sharekeeper import ShareKeeper
 from bronzerelay.spread import Spreader, SpreadSettings
@@ -272,6 +272,14 @@
             self._runtime.sleep_ms(20)
 
 
+def catch_end_signals(runtime: Runtime) -> Signal:
+    """Return what SIGTERM and SIGINT set from now on."""
+    end_wanted = runtime.make_signal()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: end_wanted.set())
+    return end_wanted
+
+
 def run(settings: DaemonSettings) -> int:
     """Run a daemon until SIGTERM or SIGINT; return its exit code."""
     sys.setswitchinterval(ADVISED_SWITCH_INTERVAL_S)
@@ -279,16 +287,14 @@
     log = logs.open_log("daemon")
     runtime = Runtime(task_limit=settings.max_connections * 2 + EXTRA_TASKS)
     runtime.report_failure = lambda text: log.error("A task failed: %s", text)
-    wanted = runtime.make_event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: wanted.set())
+    end_wanted = catch_end_signals(runtime)
     try:
         daemon = Daemon(runtime, settings)
     except OSError as error:
         log.error("The daemon can't start: %s.", error)
         return 1
     daemon.start()
-    wanted.wait()
+    end_wanted.wait()
     ended = daemon.stop()
     runtime.close(END_MS)
     log.info("The daemon has stopped.", extra={"cut_nothing": ended})
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -85,6 +85,17 @@
         """Wake every task that waits for the signal; it stays set for good."""
         os.eventfd_write(self._descriptor, 1)
 
+    def wait(self) -> None:
+        """Wait until the signal is set, also by a handler of this very task.
+
+        An event would not do: its `wait` and `set` share a lock, and a handler that
+        runs while its own task is about to wait would wait for itself for ever.
+        """
+        poller = select.poll()
+        poller.register(self._descriptor, select.POLLIN)
+        while not poller.poll():
+            pass
+
     def fileno(self) -> int:
         """Return the descriptor, for `poll`."""
         return self._descriptor
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -253,6 +253,13 @@
         "if False:",
         "tests/test_promise_transactions.py::test_answers_reach_their_own_callers",
     ),
+    Mutation(
+        "the wait for SIGTERM shares no lock with its handler",
+        "bronzerelay/daemon.py",
+        "    end_wanted = runtime.make_signal()\n",
+        "    end_wanted = runtime.make_event()\n",
+        "tests/test_daemon.py",
+    ),
 )
 
 
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,51 @@
+"""Tests of the daemon's main."""
+
+import signal
+import sys
+
+import pytest
+
+from bronzerelay.daemon import catch_end_signals
+from bronzerelay.runtime import Runtime
+
+STEPS = 16
+LATE_S = 0.1
+
+
+@pytest.fixture
+def handlers():
+    """Put the signals' handlers back after the test."""
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGALRM)
+    before = {number: signal.getsignal(number) for number in numbers}
+    signal.signal(signal.SIGALRM, lambda *_: signal.raise_signal(signal.SIGTERM))
+    yield
+    for number, handler in before.items():
+        signal.signal(number, handler)
+
+
+@pytest.mark.parametrize("step", range(1, STEPS))
+@pytest.mark.timeout(10, method="thread")
+def test_a_signal_at_any_moment_of_the_wait_ends_it(handlers, step):
+    """SIGTERM comes at the very moment at which the daemon begins to wait for it.
+
+    With an event the handler then waited for a lock that its own task held. The
+    daemon went on serving, and neither this SIGTERM nor a later one ended it.
+    """
+    end_wanted = catch_end_signals(Runtime(1))
+    steps_left = step
+
+    def trace(frame, event, argument):
+        nonlocal steps_left
+        steps_left -= 1
+        if steps_left == 0:
+            signal.raise_signal(signal.SIGTERM)
+        return trace
+
+    # A wait with fewer steps than that gets its signal while it sleeps.
+    signal.setitimer(signal.ITIMER_REAL, LATE_S)
+    sys.settrace(trace)
+    try:
+        end_wanted.wait()
+    finally:
+        sys.settrace(None)
+        signal.setitimer(signal.ITIMER_REAL, 0)
