Work out the page on capacity from the measured slopes

docs/CAPACITY.md gives for each role its state, messages, processor time and memory at 3,100 daemons, with the arithmetic, the budget, by how much today's mechanism misses it and what would carry it.

--- a/lab/arithmetic.py
+++ b/lab/arithmetic.py
@@ -69,6 +69,11 @@
     return Figure(what, " + ".join(map(show_factor, parts)), value, unit, limit)
 
 
+def pick(figures: list[Figure], what: str) -> Figure:
+    """Return the figure of that name."""
+    return next(figure for figure in figures if figure.what == what)
+
+
 class Slopes:
     """The measured slopes by name, as capacity.json holds them."""
 
--- a/lab/data_estimates.py
+++ b/lab/data_estimates.py
@@ -33,10 +33,10 @@
             (MS_PER_S, "ms"),
         ),
         divide(
-            "draining 1,000 at a planned stop",
+            "draining 9,700 at a planned stop",
             "s",
             10,
-            (slopes.last("drain.ms"), "ms measured at 1,000"),
+            (slopes.last("idle.drain_ms"), "ms measured at 9,700"),
             (MS_PER_S, "ms"),
         ),
     ]
@@ -67,6 +67,18 @@
             (slopes.slope("paths.forwarding_write_ms"), "ms at the edge"),
             (slopes.slope("paths.forwarded_write_ms"), "ms at the serving daemon"),
         ),
+        add(
+            "one read where the caller is at the serving daemon",
+            "ms",
+            None,
+            (slopes.slope("paths.local_read_ms"), "ms"),
+        ),
+        add(
+            "one write there",
+            "ms",
+            None,
+            (slopes.slope("paths.local_write_ms"), "ms"),
+        ),
         multiply("all reads", "cores", 1, rate, (read / MS_PER_S, "s")),
         multiply("all writes", "cores", 1, rate, (write / MS_PER_S, "s")),
         multiply("the front alone", "cores", 1, rate, (front / MS_PER_S, "s")),
--- a/lab/estimates.py
+++ b/lab/estimates.py
@@ -10,16 +10,22 @@
 # Today's periods, in each second.
 BEATS_PER_S = 5
 TENDS_PER_S = 5
-RANKS_PER_S = 11  # watchers twice in 200 ms, the janitor's turn once a second
 STATUS_WAIT_MS = 150
 STATUS_MARGIN_MS = 250
 CHECKS_PER_S = 40
+# Two watches ask each 200 ms, the janitor once a second.
+TURNS_PER_S = 11
 # What the proposed mechanisms would use.
 PROCESS_LOAD = 0.6
-LONG_POLL_MS = 2000
-GRAPH_EDGES = 3
+LONG_POLL_MS = 5000
+PART_GROUPS = 4
+SUSPECT_MS = 3000
+REDIAL_MS = 300
 GRAPH_DEGREE = 6
 EVENT_BYTES = 76
+# A version with its part's number, and what proves it: digests and two signatures.
+ANNOUNCED_BYTES = 20
+SIGNED_BYTES = 250
 EVENTS_PER_RESTART = 2
 JOIN_CALLS = 13
 MEMBERS = (letter.DAEMONS, "members")
--- a/lab/links.py
+++ b/lab/links.py
@@ -144,7 +144,8 @@
 def measure_idle(size: int) -> dict[str, float]:
     """Return memory and processor time of `size` connections that wait.
 
-    Each has run one statement before. The process ends without closing them.
+    Each has run one statement before. Then the front is drained, as at a planned
+    stop, while the callers stay connected until its last word.
     """
     front = MeasuredFront(size)
     before_kb, began_ms = resident_kb(), own_cpu_ms()
@@ -157,21 +158,10 @@
     started_ms = own_cpu_ms()
     front.runtime.sleep_ms(IDLE_MS)
     found["cpu_ms_per_s"] = (own_cpu_ms() - started_ms) * 1000 / IDLE_MS
-    callers.kill()
-    return found
-
-
-def measure_drain(size: int) -> dict[str, float]:
-    """Return what it takes to drain a front with `size` idle connections."""
-    front = MeasuredFront(size)
-    callers = front.start_callers(size, 0)
-    wait_until_ready(callers)
     started_ms, began_ms = own_cpu_ms(), front.runtime.clock.now_ms()
     front.front.drain(DRAIN_MS)
-    found = {
-        "cpu_ms": own_cpu_ms() - started_ms,
-        "ms": front.runtime.clock.now_ms() - began_ms,
-    }
+    found["drain_cpu_ms"] = own_cpu_ms() - started_ms
+    found["drain_ms"] = front.runtime.clock.now_ms() - began_ms
     callers.kill()
     return found
 
--- a/lab/members.py
+++ b/lab/members.py
@@ -12,12 +12,12 @@
 from bronzerelay.metrics import Metrics
 from bronzerelay.peerlink.ttypes import Beat, MemberView
 from bronzerelay.rendezvous import rank
-from bronzerelay.runtime import Random, Runtime
+from bronzerelay.runtime import Runtime
 from bronzerelay.types import Roster
 from lab.measure import cpu_us_per_call, held_kb, own_cpu_ms
 
-# Edges that each member opens; it has about twice as many neighbours then.
-GRAPH_EDGES = 3
+# Rings of the graph; a member has two neighbours on each.
+GRAPH_RINGS = 3
 FAILURE_DOMAINS = 21
 # Ages in a view are milliseconds of a second or so.
 VIEW_AGE_MS = 400
@@ -151,15 +151,21 @@
     return {"bytes": len(data), "take_us": cpu_us_per_call(take)}
 
 
-def build_graph(draw: Random, size: int) -> list[set[int]]:
-    """Return the neighbours of each member when each opens edges at random."""
+def build_graph(size: int) -> list[set[int]]:
+    """Return the neighbours of each member on a few rings, each an order by hash.
+
+    Whoever knows the roster knows the rings. Each member has as many successors,
+    which it beats, as predecessors, which beat it; edges drawn at random would
+    leave some members without anybody who watches them.
+    """
+    names = name_members(size)
+    numbers = {name: number for number, name in enumerate(names)}
     neighbors: list[set[int]] = [set() for _ in range(size)]
-    for member in range(size):
-        drawn = draw.sample(range(size), GRAPH_EDGES + 1)
-        others = [other for other in drawn if other != member]
-        for other in others[:GRAPH_EDGES]:
-            neighbors[member].add(other)
-            neighbors[other].add(member)
+    for ring in range(GRAPH_RINGS):
+        order = [numbers[name] for name in rank(f"ring/{ring}", names)]
+        for member, successor in zip(order, order[1:] + order[:1], strict=True):
+            neighbors[member].add(successor)
+            neighbors[successor].add(member)
     return neighbors
 
 
@@ -183,7 +189,7 @@
     left that such a flood misses when every 21st one is gone.
     """
     draw = Runtime(task_limit=1, seed=1).make_random(size)
-    neighbors = build_graph(draw, size)
+    neighbors = build_graph(size)
     starts = draw.sample(range(size), 40)
     lost = set(range(0, size, FAILURE_DOMAINS))
     hops = [max(count_hops(neighbors, start, set())) for start in starts]
--- a/lab/slopes.py
+++ b/lab/slopes.py
@@ -41,7 +41,6 @@
 
 EXPERIMENTS = (
     Experiment("idle", "idle connections", (250, 1000, 4000, 9700)),
-    Experiment("drain", "idle connections", (125, 250, 500, 1000)),
     Experiment("active", "busy connections", (1, 16, 64, 256)),
     Experiment("paths", "statements", (400, 800, 1600)),
     Experiment("routing", "members", (9, 100, 1000, 3100)),
@@ -49,7 +48,7 @@
     Experiment("watching", "groups", (5, 10, 20, 40)),
     Experiment("tending", "groups", (1000, 4000, 16000)),
     Experiment("promotion", "instances", (3, 5, 7)),
-    Experiment("accounts", "workspaces", (2000, 4000, 8000)),
+    Experiment("accounts", "workspaces", (1000, 2000, 4000)),
     Experiment("splits", "members", (100, 1000, 3100)),
     Experiment("spending", "workspaces", (100, 1000, 4000)),
     Experiment("calls", "calls", (500, 1000, 2000)),
--- a/lab/spread_estimates.py
+++ b/lab/spread_estimates.py
@@ -3,6 +3,7 @@
 from lab import letter
 from lab.arithmetic import Slopes, add, divide, multiply
 from lab.estimates import (
+    ANNOUNCED_BYTES,
     BEATS_PER_S,
     BYTES,
     CHANGES,
@@ -15,6 +16,9 @@
     KB_PER_MB,
     MEMBERS,
     MS_PER_S,
+    PART_GROUPS,
+    SIGNED_BYTES,
+    TURNS_PER_S,
     VERSIONS,
     VERSIONS_PER_S,
     Role,
@@ -27,7 +31,8 @@
     whole = size * letter.GROUPS
     accept = slopes.slope("bundle.accept_ms")
     degree = GRAPH_DEGREE
-    digest = 40 + HEADER_BYTES
+    told = ANNOUNCED_BYTES + HEADER_BYTES
+    part = size * PART_GROUPS + SIGNED_BYTES + 2 * HEADER_BYTES
     return [
         multiply(
             "the bundle",
@@ -66,12 +71,12 @@
             (slopes.slope("bundle.memory_kb") / KB_PER_MB, "MiB"),
         ),
         multiply(
-            "in parts: bytes of digests",
+            "in parts: bytes of announcements",
             BYTES,
             letter.CONTROL_BYTES,
             VERSIONS,
             (2 * degree, "messages, in and out"),
-            (digest, "B"),
+            (told, "B"),
         ),
         multiply(
             "in parts: bytes of the changed part",
@@ -79,13 +84,13 @@
             letter.CONTROL_BYTES,
             VERSIONS,
             (2, "times, once in and once out"),
-            (size * 32, "B, 32 groups a part"),
+            (part, "B, 4 groups, digests and signatures"),
         ),
         multiply(
             "in parts: processor to accept",
             CPU,
             letter.CONTROL_CPU_MS,
-            (32, "groups"),
+            (PART_GROUPS, "groups a part"),
             (accept, "ms"),
             VERSIONS,
         ),
@@ -136,7 +141,7 @@
             "a graph: bytes of beats, one a second",
             BYTES,
             letter.CONTROL_BYTES,
-            (GRAPH_DEGREE, "neighbours, one exchange each"),
+            (GRAPH_DEGREE, "exchanges/s, half of them answered"),
             (empty_bytes, "B, headers too"),
         ),
         multiply(
@@ -144,7 +149,7 @@
             CPU,
             letter.CONTROL_CPU_MS,
             (GRAPH_DEGREE, "exchanges/s"),
-            (empty, "ms, both ends"),
+            (empty / 2, "ms, one of two ends"),
         ),
         multiply(
             "a graph: bytes of deaths, joins and leaves",
@@ -240,11 +245,20 @@
             (letter.DAEMONS, "daemons"),
             (2, "watches/s"),
         ),
-        multiply(
-            "writes of versions, joins, leaves and settled epochs",
+        add(
+            "writes",
             "/s",
             letter.PLATFORM_WRITES_PER_S,
-            (VERSIONS_PER_S + 2 * CHANGES_PER_S, "/s"),
+            (3 * VERSIONS_PER_S, "/s of versions, 3 each"),
+            (CHANGES_PER_S, "/s of joins and leaves"),
+            (CHANGES_PER_S, "/s of settled epochs"),
+        ),
+        multiply(
+            "asking whose turn it is to watch or to clean",
+            CPU,
+            letter.CONTROL_CPU_MS,
+            (TURNS_PER_S, "times/s"),
+            (slopes.last("ranking.us") / MS_PER_S, "ms for 3,100 members"),
         ),
         multiply(
             "a domain comes back: puts that race on the roster",
--- a/lab/summary.py
+++ b/lab/summary.py
@@ -1,9 +1,16 @@
 """The rows of the table at the head of docs/CAPACITY.md."""
 
+import math
 from typing import NamedTuple
 
-from lab import data_estimates, estimates, group_estimates, spread_estimates
-from lab.arithmetic import Figure, Slopes, show_number
+from lab import (
+    control_estimates,
+    data_estimates,
+    estimates,
+    group_estimates,
+    spread_estimates,
+)
+from lab.arithmetic import Figure, Slopes, pick, show_number
 
 
 class Row(NamedTuple):
@@ -18,11 +25,6 @@
     carrier: str
 
 
-def pick(figures: list[Figure], what: str) -> Figure:
-    """Return the figure of that name."""
-    return next(figure for figure in figures if figure.what == what)
-
-
 def show_result(figure: Figure) -> str:
     """Return the result with its unit."""
     return f"{show_number(figure.value)} {figure.unit}".strip()
@@ -44,6 +46,7 @@
         *_list_group_rows(slopes),
         *_list_spread_rows(slopes),
         *_list_platform_rows(slopes),
+        _make_control_row(slopes),
     ]
 
 
@@ -51,7 +54,7 @@
     connections = data_estimates.work_out_connections(slopes)
     memory = pick(connections, "memory")
     idle = pick(connections, "processor, all idle")
-    drain = pick(connections, "draining 1,000 at a planned stop")
+    drain = pick(connections, "draining 9,700 at a planned stop")
     statements = data_estimates.work_out_statements(slopes)
     reads = pick(statements, "all reads")
     writes = pick(statements, "all writes")
@@ -64,11 +67,11 @@
             "one task for each",
             f"{show_number(slopes.slope('idle.memory_kb'))} KiB, "
             f"{show_number(slopes.slope('idle.cpu_ms_per_s') * 1000)} us/s idle",
-            f"{show_result(memory)}, {show_result(idle)}; a drain of 1,000 takes "
+            f"{show_result(memory)}, {show_result(idle)}; a drain takes "
             f"{show_result(drain)}",
             "none set; a drain ends within 10 s",
-            "memory yes; a drain of all 9,700 isn't measured",
-            "several processes on a VM; a drain that wakes tasks in batches",
+            judge(drain),
+            "as it is, in several processes for the statements",
         ),
         Row(
             "statement",
@@ -78,7 +81,7 @@
             f"{show_result(reads)} (reads), {show_result(writes)} (writes)",
             "1 core of a Python process",
             judge(reads, writes),
-            f"{show_number(processes.value)} processes on a VM behind one member",
+            f"{math.ceil(processes.value)} processes on a VM behind one member",
         ),
         Row(
             "slots and connection pooling",
@@ -86,7 +89,7 @@
             f"{show_number(slopes.at('slots.us', 16))} us a slot",
             f"{show_result(slots[0])}, {show_result(slots[2])} links",
             "none set; 20 connections an instance",
-            "yes",
+            "yes, the time is part of the statement's",
             "as it is",
         ),
     ]
@@ -96,7 +99,7 @@
     watching = group_estimates.work_out_watching(slopes)
     cpu = pick(watching, "processor")
     data = pick(watching, "bytes")
-    longer = pick(watching, "bytes with polls of 2 s")
+    longer = pick(watching, "bytes with polls of 5 s")
     tending = pick(watching, "going over all groups for own ones")
     ranking = pick(watching, "ranking all groups anew after a change")
     promotion = group_estimates.work_out_promotion(slopes)
@@ -113,7 +116,7 @@
             f"{show_result(cpu)}, {show_result(data)}",
             "12 ms/s, 5,000 B/s",
             judge(cpu, data),
-            f"polls of 2 s on quiet groups ({show_result(longer)}); a keeper that "
+            f"polls of 5 s on quiet groups ({show_result(longer)}); a keeper that "
             "waits for a change",
         ),
         Row(
@@ -201,16 +204,20 @@
 
 def _list_platform_rows(slopes: Slopes) -> list[Row]:
     platform = spread_estimates.work_out_platform(slopes)
+    calls, writes = pick(platform, "calls"), pick(platform, "writes")
+    turns = pick(platform, "asking whose turn it is to watch or to clean")
     base = estimates.work_out_base(slopes)[0]
     return [
         Row(
             "platform calls",
-            "three daemons watch for all",
+            "three daemons watch for all; each asks whose turn it is",
             f"{show_number(slopes.slope('fleet.platform_calls_per_s'))} /s a daemon",
-            f"{show_result(platform[0])} calls, {show_result(platform[2])} writes",
-            "2,000 reads/s, 300 writes/s",
-            judge(platform[0], platform[2]),
-            "as it is; joins in batches after a lost domain",
+            f"{show_result(calls)} calls, {show_result(writes)} writes; "
+            f"{show_result(turns)}",
+            "2,000 reads/s, 300 writes/s; 12 ms/s",
+            judge(calls, writes, turns),
+            "calls as they are, turns kept as ranks are; joins in batches after a "
+            "lost domain",
         ),
         Row(
             "the process itself",
@@ -222,3 +229,17 @@
             "as it is",
         ),
     ]
+
+
+def _make_control_row(slopes: Slopes) -> Row:
+    data, cpu, memory = control_estimates.work_out_control(slopes)
+    return Row(
+        "control in all",
+        "with the mechanisms of the last column",
+        "-",
+        f"{show_result(data)}, {show_result(cpu)}, {show_result(memory)} "
+        "without the configuration",
+        "5,000 B/s, 12 ms/s, 128 MiB",
+        judge(data, cpu, memory),
+        "not built",
+    )
--- a/lab/tables.py
+++ b/lab/tables.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from lab import data_estimates, estimates, group_estimates, spread_estimates
+from lab import (
+    control_estimates,
+    data_estimates,
+    estimates,
+    group_estimates,
+    spread_estimates,
+)
 from lab.arithmetic import Figure, Slopes, show_number
 from lab.summary import list_rows
 
@@ -19,7 +25,7 @@
 
 
 SECTIONS = {
-    "connections": Section(("idle", "drain"), data_estimates.work_out_connections),
+    "connections": Section(("idle",), data_estimates.work_out_connections),
     "statements": Section(
         ("active", "paths", "routing"), data_estimates.work_out_statements
     ),
@@ -34,6 +40,7 @@
     "configuration": Section(("bundle",), spread_estimates.work_out_configuration),
     "membership": Section(("beats", "graph"), spread_estimates.work_out_membership),
     "roster": Section(("roster",), spread_estimates.work_out_roster),
+    "control": Section((), control_estimates.work_out_control),
     "platform": Section(("fleet",), spread_estimates.work_out_platform),
 }
 
@@ -107,9 +114,10 @@
         "sizes": format_figures(estimates.work_out_sizes()),
     }
     for name, section in SECTIONS.items():
-        measured = format_slopes(slopes, section.roles)
         figures = format_figures(section.work_out(slopes))
-        blocks[name] = f"{measured}\n\n{figures}"
+        if section.roles:
+            figures = f"{format_slopes(slopes, section.roles)}\n\n{figures}"
+        blocks[name] = figures
     return blocks
 
 
--- a/lab/worker.py
+++ b/lab/worker.py
@@ -22,7 +22,6 @@
     "calls": links.measure_calls,
     "slots": links.measure_slots,
     "idle": links.measure_idle,
-    "drain": links.measure_drain,
     "active": links.measure_active,
     "watching": watching.measure_watching,
     "tending": watching.measure_tending,
