--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -81,6 +81,7 @@
     shares = Shares(runtime, "vm-1", ask_peer, make_policy(policy))
     shares.set_members(MEMBERS, confirmed=True)
     shares.set_workspaces([spec])
+    shares.confirm_workspaces()
     account = shares._accounts["shop"]
     account.bucket._tokens = account.bucket.holding.burst
     results = [shares.spend("shop") for _ in range(3)]
