--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -261,6 +261,27 @@
         assert (tell(result), result.error.code) == (NOT_RUN, Code.PEER_UNREACHABLE)
 
 
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_primary_freezes_with_a_write(repeatable):
+    """The primary freezes with a write in hand, is replaced, and goes on later.
+
+    It then runs the write into its own log. Were that log to count, the order would
+    be there twice, or after its caller had heard "not run".
+    """
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        former = deployment.find_primary()
+        deployment.group.admin(former, "freeze")
+        node = deployment.nodes[0]
+        result = send_add(node, "row", repeatable=repeatable, deadline_ms=5000)
+        assert tell(result) == (RAN if repeatable else NOT_RUN)
+        deployment.group.admin(former, "thaw")
+        instance = deployment.group.instance(former)
+        wait_until(deployment.runtime, lambda: instance.term > 1)
+        deployment.group.wait_level(*NAMES)
+        check_told(deployment, tell(result), "row")
+
+
 # The same change sent several times
 
 
