--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -72,7 +72,7 @@
 def test_only_the_fair_policy_borrows_tokens(runtime, policy, admitted):
     asked = []
 
-    def ask_peer(lender, workspace, amount):
+    def ask_peer(lender, request):
         asked.append(lender)
         return Loan(1.0, 0.0)
 
