--- a/bronzerelay/policies.py
+++ b/bronzerelay/policies.py
@@ -24,9 +24,9 @@
     `list_replicas` returns which of the instances may serve reads as replicas;
     `wait_acknowledged` returns whether a write may be acknowledged, or be shown by a
     primary, and `wait_proven` whether the age of what was read is proved, both given
-    how long they may wait; `list_holders` which daemons hold a part of a workspace's rate, and
-    `list_lenders` which of these a daemon borrows from; `name_line` the line in which
-    a workspace's requests wait for a slot.
+    how long they may wait; `list_holders` which daemons hold a part of a workspace's
+    rate, and `list_lenders` which of these a daemon borrows from; `name_line` the line
+    in which a workspace's requests wait for a slot.
     """
 
     list_replicas: Callable[[list[str]], list[str]]
