--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 RATIO ?= 1.25
 
 # Each name here stands for a job, not for a file.
-.PHONY: help setup demo capacity test bench bench-compare soak mutations lint format
-.PHONY: format-check check
+.PHONY: help setup demo capacity test bench bench-compare soak mutations lint
+.PHONY: format format-check check
 
 help:  ## Show this list.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -163,6 +163,7 @@
         parts = GroupParts(watch, keeper, slots, {}, budget, policy)
         self._apply_spec(parts, spec)
         watch.call_on_change(slots.wake)
+        watch.call_on_silence(lambda name: _drop_links(parts, name))
         self._runtime.start(keeper.run)
         return GroupServer(
             self._runtime, parts, self._metrics, self._settings.statement_timeout_ms
@@ -202,6 +203,12 @@
         return {name: _show_group(one.server) for name, one in served.items()}
 
 
+def _drop_links(parts: GroupParts, name: str) -> None:
+    pool = parts.pools.get(name)
+    if pool is not None:
+        pool.drop()
+
+
 def _fits(known: EndpointSpec, wanted: EndpointSpec) -> bool:
     """Return whether a pool made for `known` serves `wanted` as well."""
     same_place = known.address == wanted.address
--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -92,7 +92,13 @@
         self._metrics = metrics
         self._budget = RetryBudget(runtime)
         policy = make_policy(settings.policy)
-        self.shares = Shares(runtime, settings.name, self._ask_for_loan, policy)
+        self.shares = Shares(
+            runtime,
+            settings.name,
+            self._ask_for_loan,
+            policy.list_holders,
+            policy.list_lenders,
+        )
         self.stopping = False
 
     # Admission
