--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -92,13 +92,7 @@
         self._metrics = metrics
         self._budget = RetryBudget(runtime)
         policy = make_policy(settings.policy)
-        self.shares = Shares(
-            runtime,
-            settings.name,
-            self._ask_for_loan,
-            policy.list_holders,
-            policy.list_lenders,
-        )
+        self.shares = Shares(runtime, settings.name, self._ask_for_loan, policy)
         self.stopping = False
 
     # Admission
--- a/bronzerelay/shares.py
+++ b/bronzerelay/shares.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from expression import Ok, Result
 
@@ -181,9 +181,6 @@
 
 # Ask a peer (by name) for tokens of a workspace; None when it gave no answer.
 AskPeer = Callable[[str, str, float], Loan | None]
-# Which daemons hold parts of a workspace, and which of them one may borrow from.
-ListHolders = Callable[[WorkspaceSpec, list[str]], list[str]]
-ListLenders = Callable[[list[str], str], list[str]]
 
 
 class Account:
@@ -206,18 +203,10 @@
 class Shares:
     """All workspaces' accounts at this daemon."""
 
-    def __init__(
-        self,
-        runtime: Runtime,
-        name: str,
-        ask_peer: AskPeer,
-        list_holders: ListHolders = list_holders,
-        list_lenders: ListLenders = list_lenders,
-    ):
+    def __init__(self, runtime: Runtime, name: str, ask_peer: AskPeer, policy: Any):
         self._runtime = runtime
         self._name = name
-        self._list_holders = list_holders
-        self._list_lenders = list_lenders
+        self._policy = policy
         self._ask_peer = ask_peer
         self._lock = runtime.make_lock()
         self._accounts: dict[str, Account] = {}
@@ -311,17 +300,16 @@
 
     def _apply_members(self, account: Account, now_ms: float) -> None:
         spec = account.spec
+        list_holders = self._policy.list_holders
         parts = [
-            work_out_part(
-                self._list_holders(spec._replace(burst=burst), members), self._name
-            )
+            work_out_part(list_holders(spec._replace(burst=burst), members), self._name)
             for burst in account.bursts_in_use
             for members in (self._members, self._confirmed)
         ]
         part = min(parts, default=0.0)
         account.bucket.set_holding(Holding(part * spec.rate, part * spec.burst), now_ms)
-        holders = self._list_holders(spec, self._members)
-        account.lenders = self._list_lenders(holders, self._name)
+        holders = list_holders(spec, self._members)
+        account.lenders = self._policy.list_lenders(holders, self._name)
 
     def has_shrunk(self) -> bool:
         """Return whether no loan from a larger part than today's can be spent.
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -78,8 +78,7 @@
 
     # One token at a time for each of eight daemons, and too slow to refill.
     spec = WorkspaceSpec("shop", 0.001, 8.0, frozenset(), {})
-    chosen = make_policy(policy)
-    shares = Shares(runtime, "vm-1", ask_peer, chosen.list_holders, chosen.list_lenders)
+    shares = Shares(runtime, "vm-1", ask_peer, make_policy(policy))
     shares.set_members(MEMBERS, confirmed=True)
     shares.set_workspaces([spec])
     shares.confirm_workspaces()
