Say that there is no share yet where a fresh daemon can't lend or borrow

Cause: a restarted daemon listens up to 50 ms before it knows the roster and has heard of lenders; requests in that time were refused as over the rate. Ruled out: the stopping daemon (all such refusals came after its successor listened, before it was ready).

--- a/bronzerelay/shares.py
+++ b/bronzerelay/shares.py
@@ -422,9 +422,17 @@
             if account.bucket.take(now_ms):
                 return Ok(None)
             if now_ms < account.dry_until_ms or not account.lenders:
-                return _refuse_rate(account)
+                return self._refuse(account)
         return self._spend_borrowed(account)
 
+    def _refuse(self, account: Account) -> Result[None, Refusal]:
+        if not self.has_begun():
+            # No part of its own and perhaps nobody known who could lend: "over the
+            # rate" would be false, and callers would hold back for no reason.
+            message = "The daemon has no share of the rates yet."
+            return refuse(Code.NO_CONFIGURATION, message, DRY_MS)
+        return _refuse_rate(account)
+
     def _spend_borrowed(self, account: Account) -> Result[None, Refusal]:
         end_ms = self._runtime.clock.now_ms() + BORROW_WAIT_MS
         with account.condition:
@@ -439,7 +447,7 @@
                         return Ok(None)
                     if now_ms < account.dry_until_ms:
                         break
-            return _refuse_rate(account)
+            return self._refuse(account)
         finally:
             with account.condition:
                 account.waiting -= 1
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,7 +5,16 @@
 
 from bronzerelay.codes import Code
 from bronzerelay.shares import LOAN_LIFE_MS, Bucket, Holding, list_holders
-from tests.fleet import STEP_MS, WORKSPACE, Clock, Fate, Fleet, ask_for, make_spec
+from tests.fleet import (
+    STEP_MS,
+    WORKSPACE,
+    Clock,
+    Fate,
+    Fleet,
+    Member,
+    ask_for,
+    make_spec,
+)
 
 NAMES = ("vm-1", "vm-2", "vm-3", "vm-4", "vm-5")
 NAME = st.sampled_from(NAMES)
@@ -115,6 +124,16 @@
     assert refusal.retry_after_ms > 0
 
 
+def test_a_daemon_without_a_roster_does_not_call_it_the_rate():
+    """A daemon has just started, and callers reach it before the roster does. Told that
+    they are over their rate they would hold back for no reason.
+    """
+    fleet = open_fleet()
+    member = Member(fleet, "vm-9")
+    member.take_config(1, make_spec(30, 30))
+    assert member.shares.spend(WORKSPACE).error.code == Code.NO_CONFIGURATION
+
+
 def test_an_empty_workspace_asks_its_lenders_only_now_and_then():
     """A workspace sends far more than its rate. If each refusal asked every daemon for
     a loan, the flood would be multiplied inside the fleet and slow down the others.
