--- a/lab/bench.py
+++ b/lab/bench.py
@@ -24,7 +24,7 @@
     measure_steady,
     round_figures,
 )
-from lab.pages import draw_plots, print_tables, write_page
+from lab.pages import RESULT, print_tables, write_pages
 from standins.checks import run_checks
 from standins.cluster import RETURNS, VIANDA, Cluster
 from standins.layout import Layout
@@ -35,8 +35,6 @@
 
 DEPLOYMENTS = {"vianda": VIANDA, "returns": RETURNS}
 POLICIES = ("fair", "naive")
-OUTPUT = Path("docs/measurements/bench.json")
-PAGE = Path("docs/MEASUREMENTS.md")
 ROOT = Path(__file__).resolve().parent.parent
 TASKS = 1200
 END_MS = 5000
@@ -264,7 +262,7 @@
 @click.command()
 @click.option("--deployment", "names", multiple=True, type=click.Choice(DEPLOYMENTS))
 @click.option("--seed", default=1, show_default=True)
-@click.option("--output", type=click.Path(path_type=Path), default=OUTPUT)
+@click.option("--output", type=click.Path(path_type=Path), default=RESULT)
 @click.option("--pages/--no-pages", default=True, help="Write plots and the page too.")
 def main(names: tuple[str, ...], seed: int, output: Path, pages: bool) -> None:
     """Run the benchmark and print one table for each deployment."""
@@ -282,8 +280,7 @@
     output.parent.mkdir(parents=True, exist_ok=True)
     output.write_text(json.dumps(run, indent=1) + "\n")
     if pages:
-        draw_plots(run, output.parent)
-        write_page(run, PAGE)
+        write_pages(run, output.parent)
 
 
 if __name__ == "__main__":
--- a/lab/pages.py
+++ b/lab/pages.py
@@ -1,5 +1,6 @@
 """Shows the figures of a benchmark: tables, plots, and the page of measurements."""
 
+import json
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +13,8 @@
 matplotlib.use("Agg")
 from matplotlib import pyplot  # noqa: E402  The choice of the back end comes first.
 
+RESULT = Path("docs/measurements/bench.json")
+PAGE = Path("docs/MEASUREMENTS.md")
 WIDTH = 100
 FIGURE_SIZE = (7, 3.2)
 DOTS_PER_INCH = 90
@@ -40,7 +43,8 @@
 promises and serves nobody else ([its cost](OPERATIONS.md#the-policy)).
 
 All figures of this page come from one run of `make bench`, which writes
-[bench.json](measurements/bench.json), the plots and this page.
+[bench.json](measurements/bench.json), the plots and this page. For one deployment
+alone: `python -m lab.bench --deployment vianda --no-pages --output FILE`.
 `make bench-compare` runs it again and compares the figures with the committed ones;
 `python -m lab.compare OLD.json NEW.json --ratio 1.25` compares any two runs.
 """
@@ -146,7 +150,7 @@
     for number, (policy, values) in enumerate(bars.items()):
         places = [place + (number - 0.5) * BAR_WIDTH for place in range(len(labels))]
         drawn = axes.bar(places, values, BAR_WIDTH, label=policy, color=COLOURS[policy])
-        axes.bar_label(drawn, fmt="%.3g", fontsize=7)
+        axes.bar_label(drawn, fmt="{:,.4g}", fontsize=7)
     for target in {measure.target for measure in measures} - {None}:
         axes.axhline(target, color="grey", linestyle="--", linewidth=1)
     axes.set_xticks(range(len(labels)), labels, fontsize=7)
@@ -179,6 +183,12 @@
     )
 
 
+def list_broken(result: dict[str, Any]) -> str:
+    """Return how often each kind of promise was broken, in words."""
+    kinds = result["violations"].items()
+    return ", ".join(f"{kind} {count}" for kind, count in kinds) or "none"
+
+
 def write_section(deployment: str, results: dict[str, Any]) -> str:
     """Return the part of the page about one deployment."""
     lines = [f"## {NAMES[deployment]}", ""]
@@ -194,6 +204,16 @@
         f"| {one['p99_ms']:.0f} ms |"
         for one in results["fair"]["services"]
     ]
-    broken = results["naive"]["violations"] or "none"
-    lines += ["", f"Promises that `naive` broke: {broken}.", ""]
+    lines += ["", f"Promises that `naive` broke: {list_broken(results['naive'])}.", ""]
     return "\n".join(lines)
+
+
+def write_pages(run: dict[str, Any], folder: Path) -> None:
+    """Write the plots into `folder`, and the page."""
+    draw_plots(run, folder)
+    write_page(run, PAGE)
+
+
+if __name__ == "__main__":
+    # Writes plots and page anew from the kept result, without another run.
+    write_pages(json.loads(RESULT.read_text()), RESULT.parent)
