--- a/lab/soak.py
+++ b/lab/soak.py
@@ -15,6 +15,7 @@
 from lab.faults import Scene, Undo
 from standins.checks import run_checks
 from standins.cluster import DEMO, Cluster, ClusterError, Layout
+from standins.controls import AdminError
 from standins.layout import WorkspaceLayout
 from standins.load import Load, LoadSettings
 from standins.rates import RateLimit
@@ -126,7 +127,7 @@
     """Cause one fault; return None when an earlier one makes it impossible."""
     try:
         return FAULTS[number](scene)
-    except (OSError, ClusterError):
+    except (OSError, ClusterError, AdminError):
         # Its process is frozen or stopped, or the platform is out already.
         return None
 
