--- a/bronzerelay/group.py
+++ b/bronzerelay/group.py
@@ -39,13 +39,18 @@
 
 
 class Work(NamedTuple):
-    """One request at the serving daemon; `deadline_ms` is of the own clock."""
+    """One request at the serving daemon; `deadline_ms` is of the own clock.
+
+    `request_id` names the change at the endpoints and never repeats. `trace_id` is the
+    id that the caller knows, for the logs of each daemon on the way.
+    """
 
     request_id: str
     workspace: str
     request: StatementRequest
     session: Session
     deadline_ms: float
+    trace_id: str = ""
 
     @property
     def group(self) -> str:
--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -5,6 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from bronzerelay import logs
 from bronzerelay.codes import CODES, NOT_RUN, RAN, UNKNOWN, Code, Refusal, refuse
 from bronzerelay.configuration import ConfigurationStore
 from bronzerelay.group import Work
@@ -94,6 +95,7 @@
         policy = make_policy(settings.policy)
         self.shares = Shares(runtime, settings.name, self._ask_for_loan, policy)
         self.stopping = False
+        self._log = logs.open_log("kernel")
 
     # Admission
 
@@ -129,14 +131,24 @@
     ) -> Result[StatementAnswer, Refusal]:
         """Run a caller's request, or say why not and whether it ran."""
         started_ms = self._runtime.clock.now_ms()
-        result = self._admit_and_run(workspace, key, request)
+        result = self._admit_and_run(workspace, key, request, request_id)
+        self._log_end("A request ended.", workspace, request_id, result)
         if result.is_ok():
             took_ms = self._runtime.clock.now_ms() - started_ms
             self._metrics.record_latency(workspace, request["group"], took_ms)
         return result
 
+    def _log_end(
+        self, message: str, workspace: str, trace_id: str, result: Result
+    ) -> None:
+        if not self._log.isEnabledFor(logs.DEBUG):
+            return
+        code = Code.OK if result.is_ok() else result.error.code
+        extra = {"request_id": trace_id, "workspace": workspace, "code": int(code)}
+        self._log.debug(message, extra=extra)
+
     def _admit_and_run(
-        self, workspace: str, key: str, request: StatementRequest
+        self, workspace: str, key: str, request: StatementRequest, trace_id: str
     ) -> Result[StatementAnswer, Refusal]:
         # A transaction that is open may end while the daemon stops; it cuts none.
         admitted = self.check_admission()
@@ -156,7 +168,8 @@
             spent = self.shares.spend(workspace)
             if not spent.is_ok():
                 return spent
-        return self._route(self._make_work(workspace, request, session.ok))
+        work = self._make_work(workspace, request, session.ok)
+        return self._route(work._replace(trace_id=trace_id))
 
     def _may_end(self, refusal: Refusal, request: StatementRequest) -> bool:
         return refusal.code == Code.STOPPING and "transaction" in request
@@ -255,6 +268,7 @@
             request=msgspec.json.encode(work.request),
             budget_ms=max(1, budget_ms),
             settle=settle,
+            trace_id=work.trace_id,
         )
         timeout_ms = max(1, budget_ms) + REPLY_MARGIN_MS
         reply = self._links.call(address, "run_statement", call, timeout_ms)
@@ -351,8 +365,18 @@
         request = _request_decoder.decode(call.request)
         session = decode_session(request.get("session", "")).ok
         deadline_ms = self._runtime.clock.now_ms() + call.budget_ms
-        work = Work(call.request_id, call.workspace, request, session, deadline_ms)
-        return pack_reply(self.run_here(work, bool(call.settle)))
+        work = Work(
+            call.request_id,
+            call.workspace,
+            request,
+            session,
+            deadline_ms,
+            call.trace_id or "",
+        )
+        result = self.run_here(work, bool(call.settle))
+        message = "A forwarded request ended."
+        self._log_end(message, work.workspace, work.trace_id, result)
+        return pack_reply(result)
 
     def lend(self, call: LoanCall) -> LoanReply:
         """Lend a peer tokens of a workspace."""
--- a/bronzerelay/logs.py
+++ b/bronzerelay/logs.py
@@ -12,6 +12,7 @@
 
 ROOT = "bronzerelay"
 LEVELS = ("debug", "info", "warning", "error")
+DEBUG = logging.DEBUG
 HIDDEN = "[hidden]"
 FIELDS = "{asctime}{levelname}{message}"
 RENAMED = {"asctime": "time", "levelname": "level"}
--- a/bronzerelay/peerlink/peer.thrift
+++ b/bronzerelay/peerlink/peer.thrift
@@ -25,6 +25,7 @@
   4: binary request
   5: i64 budget_ms
   6: bool settle
+  7: string trace_id
 }
 
 struct StatementReply {
--- a/bronzerelay/peerlink/ttypes.py
+++ b/bronzerelay/peerlink/ttypes.py
@@ -247,17 +247,19 @@
      - request
      - budget_ms
      - settle
+     - trace_id
 
     """
 
 
-    def __init__(self, request_id=None, workspace=None, group=None, request=None, budget_ms=None, settle=None,):
+    def __init__(self, request_id=None, workspace=None, group=None, request=None, budget_ms=None, settle=None, trace_id=None,):
         self.request_id = request_id
         self.workspace = workspace
         self.group = group
         self.request = request
         self.budget_ms = budget_ms
         self.settle = settle
+        self.trace_id = trace_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -298,6 +300,11 @@
                     self.settle = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.trace_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -332,6 +339,10 @@
             oprot.writeFieldBegin('settle', TType.BOOL, 6)
             oprot.writeBool(self.settle)
             oprot.writeFieldEnd()
+        if self.trace_id is not None:
+            oprot.writeFieldBegin('trace_id', TType.STRING, 7)
+            oprot.writeString(self.trace_id.encode('utf-8') if sys.version_info[0] == 2 else self.trace_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -725,6 +736,7 @@
     (4, TType.STRING, 'request', 'BINARY', None, ),  # 4
     (5, TType.I64, 'budget_ms', None, None, ),  # 5
     (6, TType.BOOL, 'settle', None, None, ),  # 6
+    (7, TType.STRING, 'trace_id', 'UTF8', None, ),  # 7
 )
 all_structs.append(StatementReply)
 StatementReply.thrift_spec = (
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,152 @@
+"""Tests of the links between daemons: strangers, nonsense, and lost peers."""
+
+import pytest
+from hypothesis import HealthCheck, example, given, settings
+from hypothesis import strategies as st
+
+from bronzerelay.peerlink.ttypes import LoanCall, LoanReply
+from bronzerelay.peers import PeerLinks, PeerServer, greet_server
+from bronzerelay.runtime import Address
+from tests.endpoints import open_runtime, wait_until
+
+SECRET = "a secret of peers"
+TIMEOUT_MS = 2000
+ANY_PORT = Address("127.0.0.1", 0)
+CALL = LoanCall(borrower="vm-1", workspace="north", amount=2.0)
+# A frame that claims 2 GiB, one of negative length, and one that holds nonsense.
+HUGE_FRAME = b"\x7f\xff\xff\xff" + b"x" * 32
+NEGATIVE_FRAME = b"\xff\xff\xff\xff" + b"x" * 32
+NONSENSE_FRAME = b"\x00\x00\x00\x04abcd"
+
+
+class Handler:
+    """Lends what is asked for, and counts the calls."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def lend(self, call):
+        self.calls += 1
+        return LoanReply(amount=call.amount, spare=1.0)
+
+
+class Peer:
+    """A server of peers with its events."""
+
+    def __init__(self, runtime):
+        self.runtime = runtime
+        self.handler = Handler()
+        self.events = []
+        self.server = PeerServer(
+            runtime, ANY_PORT, SECRET, self.handler, self.events.append
+        )
+        self.server.start()
+
+    def call(self, secret=SECRET):
+        links = PeerLinks(self.runtime, secret)
+        return links.call(self.server.address, "lend", CALL, TIMEOUT_MS)
+
+
+@pytest.fixture
+def peer():
+    with open_runtime() as runtime:
+        yield Peer(runtime)
+
+
+def test_a_kept_link_serves_one_call_after_another(peer):
+    links = PeerLinks(peer.runtime, SECRET)
+    replies = [
+        links.call(peer.server.address, "lend", CALL, TIMEOUT_MS) for _ in range(3)
+    ]
+    assert [reply.ok.amount for reply in replies] == [2.0] * 3
+
+
+def test_a_stranger_gets_no_token(peer):
+    """Somebody on the network dials a daemon's peer port without the secret.
+
+    With a loan he would spend a workspace's rate, and nobody would see where it went.
+    """
+    result = peer.call("another secret")
+    assert not result.is_ok()
+    assert not result.error.sent
+    assert peer.handler.calls == 0
+    wait_until(peer.runtime, lambda: peer.events == ["peer_rejected"])
+
+
+def test_a_server_without_the_secret_is_not_believed(peer):
+    """A process that took over a daemon's address answers in its place.
+
+    It could hand out a configuration of its own, with keys of its own.
+    """
+    listener = peer.runtime.listen(ANY_PORT)
+
+    def pretend():
+        connection = listener.accept()
+        connection.send(b"n" * 16)
+        connection.receive_exactly(48)
+        connection.send(b"p" * 32)
+
+    peer.runtime.start(pretend)
+    result = PeerLinks(peer.runtime, SECRET).call(
+        listener.address, "lend", CALL, TIMEOUT_MS
+    )
+    assert not result.is_ok()
+    assert not result.error.sent
+
+
+def test_a_peer_that_is_gone_counts_as_not_asked(peer):
+    """A daemon ends while another keeps a link to it.
+
+    A call sent on the dead link would count as one that may have run, and its caller
+    would be told "unknown" for a request that nobody saw.
+    """
+    links = PeerLinks(peer.runtime, SECRET)
+    assert links.call(peer.server.address, "lend", CALL, TIMEOUT_MS).is_ok()
+    assert peer.server.drain(TIMEOUT_MS)
+    wait_until(
+        peer.runtime,
+        lambda: not links.call(peer.server.address, "lend", CALL, TIMEOUT_MS).is_ok(),
+    )
+    result = links.call(peer.server.address, "lend", CALL, TIMEOUT_MS)
+    assert not result.error.sent
+
+
+def test_a_call_to_a_dropped_peer_ends_at_once(peer):
+    """A peer freezes in the middle of a call, and is suspected a moment later.
+
+    The call would wait for its whole deadline, though another daemon could find out
+    what became of the request.
+    """
+    listener = peer.runtime.listen(ANY_PORT)
+    held = []
+    peer.runtime.start(lambda: held.append(listener.accept()))
+    links = PeerLinks(peer.runtime, SECRET)
+    call = peer.runtime.start(links.call, listener.address, "lend", CALL, 60_000)
+    wait_until(peer.runtime, lambda: held)
+    links.drop(listener.address)
+    held[0].close()
+    assert not call.result().is_ok()
+
+
+@settings(
+    derandomize=True,
+    max_examples=40,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(st.booleans(), st.binary(max_size=200))
+@example(True, HUGE_FRAME)
+@example(True, NEGATIVE_FRAME)
+@example(True, NONSENSE_FRAME)
+def test_nonsense_ends_its_own_link_only(peer, greets, data):
+    """A peer of another version, or a stranger, sends bytes that are no call.
+
+    The link may end; the daemon has to go on serving its other peers.
+    """
+    connection = peer.runtime.dial(peer.server.address, TIMEOUT_MS)
+    connection.set_timeout(TIMEOUT_MS)
+    if greets:
+        greet_server(peer.runtime, connection, SECRET)
+    connection.send(data)
+    connection.close()
+    assert peer.call().is_ok()
