--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -108,21 +108,21 @@
     ),
     Mutation(
         "a write lost with its daemon is found out about, not sent again",
-        "bronzerelay/kernel.py",
-        "if _is_write(work) and _was_lost(result.error):",
+        "bronzerelay/routing.py",
+        "if is_write(work) and _was_lost(result.error):",
         "if False:",
         "tests/test_promise_once.py::test_link_between_daemons_cut",
     ),
     Mutation(
         "only a settlement proves that a lost write has not run",
-        "bronzerelay/kernel.py",
+        "bronzerelay/routing.py",
         "if result.is_ok() or result.error.code in SETTLED_CODES:",
         "if True:",
         "tests/test_promise_once.py::test_unknown_group_is_not_proof_of_not_run",
     ),
     Mutation(
         "trying elsewhere has a budget",
-        "bronzerelay/kernel.py",
+        "bronzerelay/routing.py",
         "if did_work and not self._budget.allow(attempt):",
         "if False:",
         "tests/test_promise_once.py::test_retries_stay_within_budget",
@@ -227,7 +227,7 @@
     ),
     Mutation(
         "a commit lost with its daemon is found out about",
-        "bronzerelay/kernel.py",
+        "bronzerelay/routing.py",
         "if result.is_ok() or result.error.code not in ENDED_CODES:",
         "if True:",
         "tests/test_promise_transactions.py::test_commit_between_daemons_cut",
@@ -241,7 +241,7 @@
     ),
     Mutation(
         "a transaction that is called lost is rolled back",
-        "bronzerelay/kernel.py",
+        "bronzerelay/routing.py",
         "            self._roll_back(holder, work)",
         "            pass",
         "tests/test_promise_transactions.py::test_statement_between_daemons_cut",
