--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -6,6 +6,8 @@
 from expression import Ok, Result
 
 from bronzerelay import logs
+from bronzerelay.borrowing import Loan
+from bronzerelay.buckets import LoanRequest
 from bronzerelay.codes import Code, Refusal, refuse
 from bronzerelay.configuration import ConfigurationStore
 from bronzerelay.group import Work
@@ -24,7 +26,7 @@
 from bronzerelay.routing import Router, is_write
 from bronzerelay.runtime import Runtime
 from bronzerelay.sessions import Session, decode_session
-from bronzerelay.shares import Loan, LoanRequest, Shares
+from bronzerelay.shares import Shares
 from bronzerelay.spread import Spreader
 from bronzerelay.transactions import Transactions
 from bronzerelay.types import StatementAnswer, StatementRequest
--- a/bronzerelay/policies.py
+++ b/bronzerelay/policies.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from bronzerelay import registry
-from bronzerelay.shares import list_holders, list_lenders
+from bronzerelay.holders import list_holders, list_lenders
 from bronzerelay.slots import name_own_line
 from bronzerelay.types import Position, WorkspaceSpec
 from bronzerelay.watch import GroupWatch
--- a/lab/accountant.py
+++ b/lab/accountant.py
@@ -4,9 +4,9 @@
 
 from expression import Ok, Result
 
+from bronzerelay.buckets import Bucket, Holding
 from bronzerelay.codes import Code, Refusal, refuse
 from bronzerelay.rendezvous import rank
-from bronzerelay.shares import Bucket, Holding
 from bronzerelay.types import WorkspaceSpec
 
 CALL_TIMEOUT_MS = 150
--- a/lab/rates.py
+++ b/lab/rates.py
@@ -13,8 +13,9 @@
 from rich.console import Console
 from rich.table import Table
 
+from bronzerelay.buckets import Bucket, Holding
+from bronzerelay.holders import list_holders
 from bronzerelay.runtime import Random
-from bronzerelay.shares import Bucket, Holding, list_holders
 from bronzerelay.types import WorkspaceSpec
 from lab.accountant import CALL_TIMEOUT_MS, Accountant, find_accountant
 from standins.layout import LAYOUTS, WorkspaceLayout, name_daemons
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,11 +2,13 @@
 
 from typing import NamedTuple
 
+from bronzerelay.borrowing import Loan
+from bronzerelay.buckets import LOAN_LIFE_MS, LoanRequest
 from bronzerelay.membership import Membership, MembershipSettings
 from bronzerelay.policies import DEFAULT, make_policy
 from bronzerelay.runtime import Random
 from bronzerelay.sharekeeper import ShareKeeper
-from bronzerelay.shares import LOAN_LIFE_MS, Loan, LoanRequest, Shares
+from bronzerelay.shares import Shares
 from bronzerelay.types import Configuration, WorkspaceSpec
 
 POLICY = make_policy(DEFAULT)
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -4,9 +4,10 @@
 import pytest
 
 from bronzerelay import registry
+from bronzerelay.borrowing import Loan
 from bronzerelay.policies import make_policy
 from bronzerelay.settings import DaemonSettings, read_settings
-from bronzerelay.shares import Loan, Shares
+from bronzerelay.shares import Shares
 from bronzerelay.slots import SlotQueue
 from bronzerelay.types import WorkspaceSpec
 from tests.builders_group import make_group_spec, make_groups, make_work
--- a/tests/test_promise_rates.py
+++ b/tests/test_promise_rates.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from bronzerelay.buckets import LOAN_LIFE_MS
 from bronzerelay.codes import RAN, Code
 from bronzerelay.runtime import Runtime
-from bronzerelay.shares import LOAN_LIFE_MS
 from standins.cluster import Cluster, Layout, WorkspaceLayout
 from standins.load import Load, LoadSettings
 from standins.rates import RateLimit, check_rates, find_wrongful_refusals
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -3,8 +3,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bronzerelay.buckets import LOAN_LIFE_MS, Bucket, Holding
 from bronzerelay.codes import Code
-from bronzerelay.shares import LOAN_LIFE_MS, Bucket, Holding, list_holders
+from bronzerelay.holders import list_holders
 from tests.fleet import (
     STEP_MS,
     WORKSPACE,
@@ -169,7 +170,7 @@
     fleet.fates = lambda: Fate(after_ms=LOAN_LIFE_MS + 500)
     shares = fleet.members["vm-1"].shares
     account = shares._accounts[WORKSPACE]
-    shares._borrow_from(account, "vm-2", 1.0)
+    shares._borrower._borrow_from(account, "vm-2", 1.0)
     assert account.bucket.available(fleet.clock.now_ms()) <= 15
 
 
@@ -217,7 +218,7 @@
     """
     fleet = open_fleet(count=2, rate=60, burst=20)
     borrower = fleet.members["vm-2"].shares._accounts[WORKSPACE]
-    fleet.members["vm-2"].shares._borrow_from(borrower, "vm-1", 1.0)
+    fleet.members["vm-2"].shares._borrower._borrow_from(borrower, "vm-1", 1.0)
     fleet.members["vm-1"].shares.lend(ask_for(9))
     fleet.add("vm-3")
     fleet.beat_all()
