Prove the majority of fences without chance

The mutation that lets one fence suffice was missed once in two runs: the test of two racing daemons passes when one of them happens to win everywhere. The new test has two instances fenced beforehand.

--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -48,7 +48,7 @@
         "bronzerelay/failover.py",
         "needed = len(spec.endpoints) // 2 + 1",
         "needed = 1",
-        "tests/test_failover.py::test_of_two_daemons_with_one_term_at_most_one_promotes",
+        "tests/test_failover.py::test_a_daemon_that_was_beaten_to_the_majority_promotes_nothing",
     ),
     Mutation(
         "the instance with the longest log is promoted",
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -161,6 +161,24 @@
     assert len(primaries(group)) <= 1
 
 
+def test_a_daemon_that_was_beaten_to_the_majority_promotes_nothing(runtime, group):
+    """Another daemon has fenced two instances at the same term a moment before.
+
+    The last instance still accepts this daemon's fence. If one were enough, there
+    would soon be two primaries of one term.
+    """
+    spec = make_group_spec(group)
+    for name in ("orders-1", "orders-2"):
+        assert group.link(name, "monitor").fence(2, 1000).is_ok()
+
+    def opener(endpoint, kind, timeout_ms):
+        return group.try_link(endpoint.name, kind, timeout_ms)
+
+    outcome = Promoter(runtime, opener).promote(spec, 2, list(spec.endpoints))
+    assert outcome.primary == ""
+    assert not primaries(group)
+
+
 def test_without_a_majority_nothing_is_promoted(runtime, group):
     """Two of the three instances are gone.
 
