--- a/lab/soak.py
+++ b/lab/soak.py
@@ -17,7 +17,7 @@
 from standins.cluster import DEMO, Cluster, ClusterError, Layout
 from standins.controls import AdminError
 from standins.layout import WorkspaceLayout
-from standins.load import Load, LoadSettings
+from standins.load import Load, LoadSettings, end_on_sigterm
 from standins.rates import RateLimit
 from standins.record import Entry
 
@@ -198,6 +198,8 @@
 @click.option("--output", default=str(OUTPUT), show_default=True)
 def main(schedules: int, seed: int | None, output: str) -> None:
     """Run random fault schedules and end with 1 if a promise was broken."""
+    # Ended without this, it would leave its deployment's processes behind.
+    end_on_sigterm()
     if seed is None:
         seed = Runtime(1).random.randrange(1_000_000_000)
     click.echo(f"first seed {seed}")
