Part reads, instances and work from the group; count a write's tries

While parting it: a write that the primary refused (busy) counted its tries by the attempt's number, which stays the same while nothing ran, so that neither the limit of tries nor the growing pause applied. The new test, with the count switched off, sees the same pause again and again; with it three pauses and a refusal.

--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -4,7 +4,8 @@
 from typing import Any, NamedTuple
 
 from bronzerelay.failover import GroupKeeper, Outcome
-from bronzerelay.group import GroupParts, GroupServer
+from bronzerelay.group import GroupServer
+from bronzerelay.instances import GroupParts
 from bronzerelay.membership import Membership
 from bronzerelay.policies import DEFAULT, make_policy
 from bronzerelay.pool import ConnectionPool
--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -10,7 +10,6 @@
 from bronzerelay.buckets import LoanRequest
 from bronzerelay.codes import Code, Refusal, refuse
 from bronzerelay.configuration import ConfigurationStore
-from bronzerelay.group import Work
 from bronzerelay.groups import Groups
 from bronzerelay.membership import Membership
 from bronzerelay.peerlink.ttypes import (
@@ -30,6 +29,7 @@
 from bronzerelay.spread import Spreader
 from bronzerelay.transactions import Transactions
 from bronzerelay.types import StatementAnswer, StatementRequest
+from bronzerelay.work import Work
 
 LOAN_TIMEOUT_MS = 150
 WRITE_ID_BYTES = 12
--- /dev/null
+++ b/bronzerelay/reads.py
@@ -0,0 +1,170 @@
+"""Reads of one group: from replicas that have seen enough, or from the primary."""
+
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from bronzerelay.codes import Code, Refusal, refuse
+from bronzerelay.dialect import EndpointError
+from bronzerelay.instances import GroupParts, Instances
+from bronzerelay.runtime import Runtime
+from bronzerelay.sessions import advance_session
+from bronzerelay.types import Position, StatementAnswer
+from bronzerelay.watch import CUT_OFF_WAIT_MS, PRIMARY
+from bronzerelay.work import Work
+
+# A read waits this long for a replica that has what it needs, then the primary may
+# serve it too.
+REPLICA_WAIT_MS = 25
+# What a replica holds its primary holds too, and that is a majority of up to three.
+REPLICA_MAJORITY = 2
+# How long a caller is told to wait when no instance can serve the read.
+READ_RETRY_MS = 300
+
+
+class Reader:
+    """Runs the reads of one group."""
+
+    def __init__(
+        self, runtime: Runtime, parts: GroupParts, instances: Instances, metrics: Any
+    ):
+        self._runtime = runtime
+        self._parts = parts
+        self._watch = parts.watch
+        self._instances = instances
+        self._metrics = metrics
+
+    def read(self, work: Work) -> Result[StatementAnswer, Refusal]:
+        """Run a read on a replica that has seen enough, or on the primary."""
+        need = work.session.get(work.group, Position(0, 0))
+        attempt = 1
+        while True:
+            result = self._try_read(work, need)
+            if result.is_ok() or not isinstance(result.error, EndpointError):
+                return result
+            if self._instances.left_ms(work) <= 0 or not self._parts.budget.allow(
+                attempt
+            ):
+                message = f"No endpoint answered the read: {result.error.message}."
+                return refuse(Code.ENDPOINT_UNREACHABLE, message, READ_RETRY_MS)
+            self._metrics.count_retry(f"read_{result.error.kind}")
+            self._parts.budget.pause(attempt, self._instances.left_ms(work))
+            attempt += 1
+
+    def _try_read(self, work: Work, need: Position) -> Result:
+        chosen = self._choose_reader(work, need)
+        if not chosen.is_ok():
+            return chosen
+        name = chosen.ok
+        started_ms = self._runtime.clock.now_ms()
+        timeout_ms = self._instances.timeout_ms(work)
+        result = self._instances.run_at(
+            name,
+            lambda link: link.read(
+                work.workspace, work.request["statement"], timeout_ms
+            ),
+        )
+        if not result.is_ok():
+            return result
+        seen = Position(result.ok.log_term, result.ok.position)
+        checked = self._check_read(work, name, need, seen, started_ms)
+        if not checked.is_ok():
+            return checked
+        session = advance_session(work.session, work.group, seen)
+        return Ok(self._instances.make_answer(name, session, result.ok.value))
+
+    def _check_read(
+        self,
+        work: Work,
+        name: str,
+        need: Position,
+        seen: Position,
+        started_ms: float,
+    ) -> Result:
+        """Return Ok when what was read at `seen` may be shown to the caller."""
+        if seen < need:
+            # The instance was put back between its last report and this read, as
+            # a former primary is when it drops what nobody acknowledged.
+            return Error(EndpointError("behind", f"{name} is behind the session"))
+        by_primary = name == self._watch.primary()
+        # What only a minority holds is gone when the primary fails now, and the
+        # session would miss what it has seen.
+        in_doubt = by_primary or self._watch.majority() > REPLICA_MAJORITY
+        wait_ms = self._proof_wait_ms(work)
+        policy = self._parts.policy
+        if in_doubt and not policy.wait_acknowledged(self._watch, seen, wait_ms):
+            return self._refuse_unproven(work, f"{name} holds what may be lost")
+        since_ms = started_ms - self._max_age_ms(work)
+        wait_ms = self._proof_wait_ms(work) if by_primary else 0
+        if policy.wait_proven(self._watch, seen, since_ms, by_primary, wait_ms):
+            return Ok(None)
+        return self._refuse_unproven(work, f"the age of {name} can't be proved")
+
+    def _proof_wait_ms(self, work: Work) -> float:
+        """Return how long to wait for a proof: not for long where none can come."""
+        left_ms = self._instances.left_ms(work)
+        return left_ms if self._watch.has_majority() else min(left_ms, CUT_OFF_WAIT_MS)
+
+    def _refuse_unproven(self, work: Work, why: str) -> Result:
+        """Return the refusal of a read in vain, or the error that lets it retry."""
+        if self._instances.left_ms(work) > 0 and self._watch.has_majority():
+            return Error(EndpointError("unproven", why))
+        message = f"No endpoint could prove how old its data is: {why}."
+        return refuse(Code.TOO_STALE, message, READ_RETRY_MS)
+
+    def _max_age_ms(self, work: Work) -> float:
+        return work.request.get("max_age_ms", self._watch.spec.max_age_ms)
+
+    def _choose_reader(self, work: Work, need: Position) -> Result[str, Refusal]:
+        max_age_ms = self._max_age_ms(work)
+        short_ms = min(work.deadline_ms, self._runtime.clock.now_ms() + REPLICA_WAIT_MS)
+
+        def choose_replica(free: list[str]) -> str | None:
+            return self._pick(free, need, max_age_ms, with_primary=False)
+
+        def choose_any(free: list[str]) -> str | None:
+            return self._pick(free, need, max_age_ms, with_primary=True)
+
+        if self._has_fit_replica(need, max_age_ms, short_ms):
+            found = self._parts.slots.acquire(work.workspace, choose_replica, short_ms)
+            if found.is_ok() or found.error.code == Code.QUEUE_FULL:
+                return found
+        until_ms = self._instances.latest_start_ms(work)
+        return self._parts.slots.acquire(work.workspace, choose_any, until_ms)
+
+    def _has_fit_replica(
+        self, need: Position, max_age_ms: float, until_ms: float
+    ) -> bool:
+        if not self._parts.policy.list_replicas(list(self._watch.states)):
+            return False
+
+        def has_one() -> bool:
+            names = list(self._watch.states)
+            return self._pick(names, need, max_age_ms, with_primary=False) is not None
+
+        with self._watch.condition:
+            left_ms = until_ms - self._runtime.clock.now_ms()
+            return self._runtime.wait_for(self._watch.condition, has_one, left_ms)
+
+    def _pick(
+        self, free: list[str], need: Position, max_age_ms: float, with_primary: bool
+    ) -> str | None:
+        """Return a random one of the `free` instances that may serve the read."""
+        primary = self._watch.primary()
+        leaving = {one.name for one in self._watch.spec.endpoints if one.leaving}
+        fit = []
+        for name in self._parts.policy.list_replicas(free):
+            state = self._watch.states.get(name)
+            if state is None or not state.reachable or name in leaving:
+                continue
+            if name == primary:
+                continue
+            if state.role == PRIMARY or not state.holds(need):
+                continue
+            if self._watch.proven_age_ms(name) <= max_age_ms:
+                fit.append(name)
+        if fit:
+            return self._runtime.random.choice(fit)
+        if with_primary and primary in free:
+            return primary
+        return None
--- a/bronzerelay/routing.py
+++ b/bronzerelay/routing.py
@@ -7,7 +7,6 @@
 from expression import Error, Result
 
 from bronzerelay.codes import NOT_RUN, UNKNOWN, Code, Refusal, refuse
-from bronzerelay.group import Work
 from bronzerelay.groups import Groups
 from bronzerelay.membership import Membership
 from bronzerelay.peerlink.ttypes import StatementCall
@@ -22,6 +21,7 @@
     refuse_unknown,
 )
 from bronzerelay.types import StatementAnswer
+from bronzerelay.work import Work
 
 # How many daemons are tried for a request that the first ones didn't run.
 DAEMONS_TRIED = 3
--- a/bronzerelay/transactions.py
+++ b/bronzerelay/transactions.py
@@ -7,11 +7,13 @@
 
 from bronzerelay.codes import NOT_RUN, Code, Refusal, refuse
 from bronzerelay.dialect import CommitAnswer, EndpointError, EndpointLink
-from bronzerelay.group import LEND_TIMEOUT_MS, GroupServer, Work
+from bronzerelay.group import GroupServer
+from bronzerelay.instances import LEND_TIMEOUT_MS
 from bronzerelay.pool import ConnectionPool
 from bronzerelay.runtime import Runtime
 from bronzerelay.sessions import advance_session, encode_session
 from bronzerelay.types import Position, StatementAnswer
+from bronzerelay.work import Work
 
 # A transaction that nobody touches for this long is rolled back; it holds one of the
 # few connections of an instance.
--- a/lab/acks.py
+++ b/lab/acks.py
@@ -7,12 +7,13 @@
 from hdrh.histogram import HdrHistogram
 
 from bronzerelay import dialect, logs
-from bronzerelay.group import GroupServer, Work
+from bronzerelay.group import GroupServer
 from bronzerelay.groups import Groups, GroupSettings
 from bronzerelay.membership import Membership, MembershipSettings
 from bronzerelay.metrics import Metrics
 from bronzerelay.runtime import Runtime
 from bronzerelay.types import Configuration, EndpointSpec, GroupSpec
+from bronzerelay.work import Work
 from standins.endpoint import EndpointServer
 from standins.messages import EndpointSettings
 
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -29,6 +29,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "a write that is refused comes back a few times only",
+        "bronzerelay/group.py",
+        "            tries += 1\n",
+        "",
+        "tests/test_group.py::test_a_busy_primary_is_asked_a_few_times_only",
+    ),
     Mutation(
         "a write is acknowledged only when a majority holds it",
         "bronzerelay/group.py",
@@ -129,35 +136,35 @@
     ),
     Mutation(
         "a session's reads need its position",
-        "bronzerelay/group.py",
+        "bronzerelay/reads.py",
         "need = work.session.get(work.group, Position(0, 0))",
         "need = Position(0, 0)",
         "tests/test_promise_sessions.py::test_session_reads_its_own_writes",
     ),
     Mutation(
         "a session's position holds across a failover",
-        "bronzerelay/group.py",
+        "bronzerelay/reads.py",
         "need = work.session.get(work.group, Position(0, 0))",
         "need = Position(0, 0)",
         "tests/test_promise_sessions.py::test_session_outlives_a_failover",
     ),
     Mutation(
         "sessions agree with the naive store",
-        "bronzerelay/group.py",
+        "bronzerelay/reads.py",
         "need = work.session.get(work.group, Position(0, 0))",
         "need = Position(0, 0)",
         "tests/test_promise_sessions.py::test_sessions_see_what_the_naive_store_shows",
     ),
     Mutation(
         "what only the primary holds is not shown",
-        "bronzerelay/group.py",
+        "bronzerelay/reads.py",
         "if in_doubt and not policy.wait_acknowledged(self._watch, seen, wait_ms):",
         "if False:",
         "tests/test_promise_sessions.py::test_nothing_seen_is_unseen",
     ),
     Mutation(
         "a read at the primary proves its age",
-        "bronzerelay/group.py",
+        "bronzerelay/reads.py",
         "if policy.wait_proven(self._watch, seen, since_ms, by_primary, wait_ms):",
         "if True:",
         "tests/test_promise_sessions.py::test_former_primary_does_not_pass_for_fresh",
@@ -367,7 +374,7 @@
     ),
     Mutation(
         "no write begins without time to run",
-        "bronzerelay/group.py",
+        "bronzerelay/instances.py",
         "START_MARGIN = 3",
         "START_MARGIN = 0",
         "tests/test_promise_fairness.py::test_equal_floods_get_equal_shares_of_the_slots",
@@ -438,7 +445,7 @@
     ),
     Mutation(
         "a leaving replica gets no reads",
-        "bronzerelay/group.py",
+        "bronzerelay/reads.py",
         " or name in leaving",
         "",
         "tests/test_promise_configuration.py::test_leaving_endpoints_get_no_new_work",
--- a/lab/primary_daemon.py
+++ b/lab/primary_daemon.py
@@ -4,17 +4,16 @@
 
 from bronzerelay import daemon
 from bronzerelay.codes import Refusal
-from bronzerelay.group import GroupServer, Work
+from bronzerelay.reads import Reader
 from bronzerelay.types import Position
+from bronzerelay.work import Work
 
 
-def choose_primary(
-    server: GroupServer, work: Work, need: Position
-) -> Result[str, Refusal]:
+def choose_primary(reader: Reader, work: Work, need: Position) -> Result[str, Refusal]:
     """Return the primary, with one of its slots taken."""
-    return server.acquire_primary(work).map(lambda found: found[0])
+    return reader._instances.acquire_primary(work).map(lambda found: found[0])
 
 
 if __name__ == "__main__":
-    GroupServer._choose_reader = choose_primary
+    Reader._choose_reader = choose_primary
     daemon.main()
--- a/tests/builders_group.py
+++ b/tests/builders_group.py
@@ -1,13 +1,14 @@
 """Builders of a served group: in-process endpoints with a daemon's group server."""
 
 from bronzerelay import dialect, logs
-from bronzerelay.group import GroupServer, Work
+from bronzerelay.group import GroupServer
 from bronzerelay.groups import Groups, GroupSettings
 from bronzerelay.membership import Membership, MembershipSettings
 from bronzerelay.metrics import Metrics
 from bronzerelay.runtime import Runtime
 from bronzerelay.sessions import decode_session
 from bronzerelay.types import Configuration, EndpointSpec, GroupSpec, Position
+from bronzerelay.work import Work
 from tests.endpoints import Group, put
 
 QUEUE_LIMIT = 200
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -9,7 +9,6 @@
 from bronzerelay import dialect
 from bronzerelay.bundle import digest_bundle
 from bronzerelay.configuration import ConfigurationStore
-from bronzerelay.group import Work
 from bronzerelay.groups import Groups, GroupSettings
 from bronzerelay.kernel import Kernel, PeerHandler
 from bronzerelay.logs import open_log
@@ -20,6 +19,7 @@
 from bronzerelay.runtime import Address
 from bronzerelay.transactions import Transactions
 from bronzerelay.types import ConfigRecord
+from bronzerelay.work import Work
 from standins.cutter import Cutter
 from standins.instance import Execution
 from tests.builders_config import make_endpoint, make_workspace
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -385,13 +385,13 @@
     server = node.groups.find("orders")
     wait_until(node.runtime, server.parts.watch.primary)
     tries = []
-    run_at = server._run_at
+    run_at = server._instances.run_at
 
     def note_and_run(name, call):
         tries.append(name)
         return run_at(name, call)
 
-    server._run_at = note_and_run
+    server._instances.run_at = note_and_run
     return tries
 
 
