Turn away deeply nested answers of the platform and of endpoints

A task's stack is small, and msgspec calls itself once for each level: some thousand brackets in a stored row or in an answer at the platform's address ended the whole process. The check that callers' bodies had now stands before these decoders too.

--- a/bronzerelay/dialect.py
+++ b/bronzerelay/dialect.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 
 from bronzerelay import registry
+from bronzerelay.nesting import ANSWER_NESTING, check_nesting
 from bronzerelay.runtime import Connection, Runtime
 from bronzerelay.types import EndpointSpec, Statement
 
@@ -311,7 +312,10 @@
         self._connection.send(question)
         # Decoding fails when two answers came at once: some other request was
         # answered as well, and which line is the right one can't be known.
-        answer = _decoder.decode(self._receive_line(end_ms))
+        line = self._receive_line(end_ms)
+        if not check_nesting(line, ANSWER_NESTING):
+            raise BrokenLinkError("its answer nests too deep")
+        answer = _decoder.decode(line)
         if answer["id"] != self._last_id:
             raise BrokenLinkError("it answers another request")
         if not answer["ok"] and "error" not in answer:
--- a/bronzerelay/keyvalue.py
+++ b/bronzerelay/keyvalue.py
@@ -9,6 +9,7 @@
 from expression import Ok, Result
 
 from bronzerelay.codes import NOT_RUN, UNKNOWN, Code, Refusal, refuse
+from bronzerelay.nesting import ANSWER_NESTING, check_nesting
 from bronzerelay.registry import KEY_VALUE, register
 from bronzerelay.runtime import Address, Runtime
 from bronzerelay.types import Stored, Vm
@@ -383,6 +384,8 @@
     """Return the decoded body; one of another shape is as good as no answer."""
     if answer.status not in (HTTPStatus.OK, HTTPStatus.CONFLICT):
         return _refuse_unavailable(f"unexpected status {answer.status}", ran)
+    if not check_nesting(answer.body, ANSWER_NESTING):
+        return _refuse_unavailable("the answer nests too deep", ran)
     try:
         return Ok(msgspec.json.decode(answer.body, type=shape))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
--- a/bronzerelay/statements.py
+++ b/bronzerelay/statements.py
@@ -1,20 +1,14 @@
 """Checks of the body that a caller sends to run a statement."""
 
-import re
 from typing import Any, get_type_hints
 
 import msgspec
 from expression import Error, Ok, Result
 
 from bronzerelay.codes import Code, Refusal, refuse
+from bronzerelay.nesting import MAX_NESTING, check_nesting
 from bronzerelay.types import Statement, StatementRequest
 
-# A decoder calls itself once for each level. The stack of a task is small, and some
-# thousand brackets in one body end the whole process with a segmentation fault.
-MAX_NESTING = 64
-NESTING_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[{]|[\]}]', re.DOTALL)
-OPENING = (b"[", b"{")
-
 IDEMPOTENCY_KEY_LENGTH = 200
 # The fields that a verb needs, besides `row`.
 VERB_FIELDS = {
@@ -63,22 +57,6 @@
     return Ok(request)
 
 
-def check_nesting(body: bytes) -> bool:
-    """Return whether arrays and objects nest no deeper than MAX_NESTING."""
-    if body.count(b"[") + body.count(b"{") <= MAX_NESTING:
-        return True
-    depth = 0
-    for match in NESTING_TOKENS.finditer(body):
-        token = match.group()
-        if token in OPENING:
-            depth += 1
-        elif not token.startswith(b'"'):
-            depth -= 1
-        if depth > MAX_NESTING:
-            return False
-    return True
-
-
 def find_mistake(request: dict[str, Any]) -> str:
     """Return what is wrong with a request of the right types, or an empty text."""
     # A misspelt `idempotency_key` that was passed over would let a repeated order
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -7,8 +7,6 @@
 from standins.cluster import Cluster
 from standins.record import Entry
 
-HALF = 2
-
 
 class Scene(NamedTuple):
     """What a fault needs to know; `record` holds all that callers saw so far."""
@@ -167,7 +165,7 @@
 
 def lose_answers(scene: Scene) -> Undo:
     """Let an instance lose answers, after the effect or before it."""
-    before = scene.cluster.runtime.random.random() < 1 / HALF
+    before = scene.cluster.runtime.random.choice((True, False))
     ops = ["write", "commit", "settle", "read"]
     name = pick_instance(scene)
     scene.cluster.ask_endpoint(name, "drop_answers", ops=ops, count=4, before=before)
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -29,6 +29,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "deeply nested answers are turned away before they are decoded",
+        "bronzerelay/nesting.py",
+        "if depth > limit:",
+        "if False:",
+        "tests/test_nesting.py",
+    ),
     Mutation(
         "a write that is refused comes back a few times only",
         "bronzerelay/group.py",
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -8,6 +8,7 @@
 
 from bronzerelay import dialect
 from bronzerelay.bundle import digest_bundle
+from bronzerelay.codes import RAN, UNKNOWN
 from bronzerelay.configuration import ConfigurationStore
 from bronzerelay.groups import Groups, GroupSettings
 from bronzerelay.kernel import Kernel, PeerHandler
@@ -225,3 +226,16 @@
     wait_until(
         deployment.runtime, lambda: not any(server._active for server in servers)
     )
+
+
+def tell(result) -> str:
+    """Return what a caller reads about its request."""
+    return RAN if result.is_ok() else result.error.ran
+
+
+def check_told(deployment: Deployment, told: str, row: str) -> None:
+    """Check what a caller was told against the effects at the endpoint."""
+    effects = deployment.count_writes(row)
+    assert effects <= 1
+    if told != UNKNOWN:
+        assert effects == (told == RAN), f"told {told}, {effects} effects"
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -10,21 +10,7 @@
     make_server,
     make_work,
 )
-from tests.endpoints import Group, add, get, open_runtime, wait_until
-
-
-@pytest.fixture
-def runtime():
-    with open_runtime(200) as runtime:
-        yield runtime
-
-
-@pytest.fixture
-def group(runtime):
-    group = Group(runtime)
-    yield group
-    for server in group.servers.values():
-        server.stop()
+from tests.endpoints import add, get, wait_until
 
 
 def write_until_acknowledged(runtime, server):
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -11,27 +11,13 @@
 from bronzerelay.slots import SlotQueue
 from bronzerelay.types import WorkspaceSpec
 from tests.builders_group import make_group_spec, make_groups, make_work
-from tests.endpoints import Group, add, get, open_runtime, wait_until
+from tests.endpoints import add, get, wait_until
 from tests.test_settings import build_arguments
 
 DEADLINE_MS = 4000
 MEMBERS = [f"vm-{number}" for number in range(1, 9)]
 
 
-@pytest.fixture
-def runtime():
-    with open_runtime(200) as runtime:
-        yield runtime
-
-
-@pytest.fixture
-def group(runtime):
-    group = Group(runtime)
-    yield group
-    for server in group.servers.values():
-        server.stop()
-
-
 def make_server(runtime, group, policy):
     """Return the group's server under a policy, with every instance in sight."""
     groups = make_groups(runtime, make_group_spec(group), policy=policy)
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -16,7 +16,14 @@
 from standins.schedule import LoadSettings
 from tests.breakages import LAYOUT, run_and_break
 from tests.endpoints import NAMES, add, get, open_runtime, wait_until
-from tests.nodes import Deployment, Node, make_work, open_deployment, settle_down
+from tests.nodes import (
+    Node,
+    check_told,
+    make_work,
+    open_deployment,
+    settle_down,
+    tell,
+)
 
 FAULTS = (
     CUT_REQUEST,
@@ -28,19 +35,6 @@
 )
 
 
-def tell(result) -> str:
-    """Return what a caller reads about its request."""
-    return RAN if result.is_ok() else result.error.ran
-
-
-def check_told(deployment: Deployment, told: str, row: str) -> None:
-    """Check what a caller was told against the effects at the endpoint."""
-    effects = deployment.count_writes(row)
-    assert effects <= 1
-    if told != UNKNOWN:
-        assert effects == (told == RAN), f"told {told}, {effects} effects"
-
-
 def send_add(node: Node, row: str, **fields):
     return node.send(statement=add(row, 1), **fields)
 
--- a/tests/test_promise_transactions.py
+++ b/tests/test_promise_transactions.py
@@ -18,7 +18,7 @@
 from standins.schedule import LoadSettings
 from tests.breakages import LAYOUT, find_serving, run_and_break
 from tests.endpoints import NAMES, add, get, open_runtime, put, wait_until
-from tests.nodes import Deployment, Node, open_deployment, settle_down
+from tests.nodes import Deployment, Node, check_told, open_deployment, settle_down, tell
 
 FAULTS = (CUT_REQUEST, CUT_REPLY, CUT_HALF_REPLY, REPEAT_REPLY, HOLD_REQUEST)
 
@@ -35,18 +35,6 @@
     return node.send("commit", transaction=token, **fields)
 
 
-def tell(result) -> str:
-    return RAN if result.is_ok() else result.error.ran
-
-
-def check_told(deployment: Deployment, told: str, row: str) -> None:
-    """Check what a committing caller was told against the rows."""
-    effects = deployment.count_writes(row)
-    assert effects <= 1
-    if told != UNKNOWN:
-        assert effects == (told == RAN), f"told {told}, {effects} effects"
-
-
 def check_pools(deployment: Deployment) -> None:
     """Check that no link is kept twice, or inside a transaction."""
     for node in deployment.nodes:
