--- a/bronzerelay/edits.py
+++ b/bronzerelay/edits.py
@@ -16,15 +16,6 @@
 from bronzerelay.types import Bundle, EndpointEntry, KeyEntry, WorkspaceEntry
 
 
-def find_endpoint(bundle: Bundle, name: str) -> EndpointEntry | None:
-    """Return the endpoint, or None."""
-    for group in bundle["groups"]:
-        for endpoint in group["endpoints"]:
-            if endpoint["name"] == name:
-                return endpoint
-    return None
-
-
 def add_workspace(entry: WorkspaceEntry) -> Edit:
     """Return the edit that adds a workspace after all others."""
 
--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -263,12 +263,6 @@
             self.view_of(name).config_version >= version for name in names
         )
 
-    def newest_config(self) -> tuple[int, str]:
-        """Return the highest configuration version of a peer, and that peer."""
-        with self._lock:
-            pairs = [(view.config_version, name) for name, view in self._views.items()]
-        return max(pairs, default=(0, ""))
-
 
 def names_of(roster: Roster) -> list[str]:
     """Return the names of a roster's members."""
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -54,16 +54,12 @@
 
 
 class Clock:
-    """Milliseconds of the machine's steady clock, and of the wall clock."""
+    """Milliseconds of the machine's steady clock."""
 
     def now_ms(self) -> float:
         """Return milliseconds since an arbitrary point; it never goes back."""
         return time.monotonic() * 1000
 
-    def wall_ms(self) -> int:
-        """Return milliseconds since 1970, for people to read, never to compare."""
-        return int(time.time() * 1000)
-
     def sleep_ms(self, duration_ms: float) -> None:
         """Wait for `duration_ms`."""
         if duration_ms > 0:
@@ -184,11 +180,6 @@
         # An SSLSocket's own shutdown would forget the keys of both directions.
         socket.socket.shutdown(self._sock, socket.SHUT_WR)
 
-    def peer_address(self) -> Address:
-        """Return the address of the other side."""
-        name = self._sock.getpeername()
-        return Address(name[0], name[1])
-
     def forget(self) -> None:
         """Leave the connection out of the end of the runtime."""
         self._on_close(self)
