--- a/bronzerelay/codes.py
+++ b/bronzerelay/codes.py
@@ -45,6 +45,7 @@
     STATEMENT_FAILED = 407
     IDEMPOTENCY_CONFLICT = 408
     ENDPOINT_UNREACHABLE = 409
+    STATEMENT_TIMED_OUT = 410
     # The daemon itself.
     NO_CONFIGURATION = 501
     STOPPING = 502
@@ -149,6 +150,9 @@
     Code.ENDPOINT_UNREACHABLE: CodeEntry(
         503, NOT_RUN, "No endpoint could be reached; come back later."
     ),
+    Code.STATEMENT_TIMED_OUT: CodeEntry(
+        504, UNKNOWN, "The endpoint gave no answer in time; the statement may have run."
+    ),
     Code.NO_CONFIGURATION: CodeEntry(
         503, NOT_RUN, "The daemon has no configuration yet; come back later."
     ),
--- /dev/null
+++ b/bronzerelay/pooler/counters.py
@@ -0,0 +1,84 @@
+"""Counters and latency histograms, as one text page for the metrics address.
+
+`prometheus-client` takes 12 MB of a process for this page (resident size after the
+import, measured on Linux with Python 3.11), so that its text format is written here.
+"""
+
+from hdrh.histogram import HdrHistogram
+
+from bronzerelay.runtime import Runtime
+
+PREFIX = "bronzerelay_"
+# Latencies are kept in microseconds, from 1 µs to a minute, to two digits.
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+# Labels come from callers, too; without a bound they would fill the memory.
+LABEL_LIMIT = 512
+OTHER = (("other", "1"),)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Counters:
+    """All that one daemon counts; every method may be called from any task."""
+
+    def __init__(self, runtime: Runtime):
+        self._lock = runtime.make_lock()
+        self._counts: dict[str, dict[Labels, int]] = {}
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def count(self, name: str, **labels: str) -> None:
+        """Add one to a counter under its labels."""
+        key = tuple(sorted(labels.items()))
+        with self._lock:
+            counts = self._counts.setdefault(name, {})
+            if key not in counts and len(counts) >= LABEL_LIMIT:
+                key = OTHER
+            counts[key] = counts.get(key, 0) + 1
+
+    def record_ms(self, name: str, took_ms: float) -> None:
+        """Add a latency in milliseconds to a histogram."""
+        value_us = min(max(LOWEST_US, int(took_ms * 1000)), HIGHEST_US)
+        with self._lock:
+            histogram = self._histograms.get(name)
+            if histogram is None:
+                if len(self._histograms) >= LABEL_LIMIT:
+                    return
+                histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+                self._histograms[name] = histogram
+            histogram.record_value(value_us)
+
+    def render(self, gauges: dict[str, float]) -> bytes:
+        """Return the page, with `gauges` as they stand now."""
+        lines = [f"{PREFIX}{name} {value:g}" for name, value in gauges.items()]
+        with self._lock:
+            for name, counts in sorted(self._counts.items()):
+                for labels, value in sorted(counts.items()):
+                    lines.append(f"{PREFIX}{name}_total{_write(labels)} {value}")
+            for name, histogram in sorted(self._histograms.items()):
+                lines += _write_histogram(name, histogram)
+        return ("\n".join(lines) + "\n").encode()
+
+
+def _write(labels: Labels) -> str:
+    if not labels:
+        return ""
+    inner = ",".join(f'{name}="{_escape(value)}"' for name, value in labels)
+    return "{" + inner + "}"
+
+
+def _escape(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
+def _write_histogram(name: str, histogram: HdrHistogram) -> list[str]:
+    lines = []
+    for quantile in QUANTILES:
+        value_ms = histogram.get_value_at_percentile(quantile) / 1000
+        label = _write((("route", name), ("quantile", f"{quantile / 100:g}")))
+        lines.append(f"{PREFIX}latency_ms{label} {value_ms:g}")
+    count = _write((("route", name),))
+    lines.append(f"{PREFIX}latency_ms_count{count} {histogram.get_total_count()}")
+    return lines
--- /dev/null
+++ b/bronzerelay/pooler/daemon.py
@@ -0,0 +1,487 @@
+"""A pooler daemon: builds the parts, runs them, and stops without cutting a request."""
+
+import os
+import signal
+import sys
+from typing import NamedTuple, Protocol
+
+import msgspec
+
+from bronzerelay.env import ADVISED_SWITCH_INTERVAL_S
+from bronzerelay.pooler.counters import Counters
+from bronzerelay.pooler.directory import Directory
+from bronzerelay.pooler.events import EventLog
+from bronzerelay.pooler.fleetconfig import FleetConfig, InstanceEntry
+from bronzerelay.pooler.fleetrates import FleetRates
+from bronzerelay.pooler.gossip import Beat, Gossip
+from bronzerelay.pooler.httpcalls import (
+    CallLostError,
+    HttpAnswer,
+    HttpClient,
+    PageServer,
+)
+from bronzerelay.pooler.leadership import LeadGuard
+from bronzerelay.pooler.links import LinkPool
+from bronzerelay.pooler.messages import LineCodec, Position
+from bronzerelay.pooler.mirror import Item, Mirror, Store, StoreError
+from bronzerelay.pooler.placement import Placement
+from bronzerelay.pooler.runner import Runner
+from bronzerelay.pooler.session import CallerSession, Services
+from bronzerelay.runtime import (
+    Address,
+    Connection,
+    Listener,
+    Runtime,
+    Signal,
+    TaskLimitError,
+    parse_address,
+)
+
+# Time between two rounds of upkeep, in milliseconds.
+UPKEEP_MS = 250
+# How long a peer may be ahead of this mirror before the peer is asked, in
+# milliseconds: a watch that works brings the change within a few.
+BEHIND_MS = 400
+PEER_CALL_MS = 600
+MIRROR_PATH = "/mirror"
+METRICS_PATH = "/metrics"
+READY_PATH = "/-/readyz"
+# Keys of the pooler's own in the platform's store.
+OWN_PREFIX = "bronzerelay/"
+MEMBER_PREFIX = OWN_PREFIX + "members/"
+JOIN_RETRY_MS = 300
+# A member that nobody here has heard of for this long is taken off the list, in
+# milliseconds. One that lives on puts itself back.
+GONE_MEMBER_MS = 12_000
+# Tasks besides those of callers.
+OWN_TASKS = 80
+# The grace before the kill is divided: until the first part new callers are served,
+# for the balancer takes two missed questions, a second apart, to send them elsewhere;
+# until the second open transactions may end; at the third the process ends.
+SERVE_NEW_PART = 0.42
+END_TRANSACTIONS_PART = 0.55
+EXIT_PART = 0.75
+STOP_POLL_MS = 50
+
+
+class PoolerSettings(NamedTuple):
+    """Where a daemon listens and what it is bound to; times in milliseconds."""
+
+    name: str
+    zone: str
+    frontend: Address
+    ready: Address
+    # For peers: heartbeats over UDP and pages over TCP, at the same port.
+    peer: Address
+    metrics: Address | None
+    # Where peers may be asked before any is known.
+    seeds: tuple[Address, ...]
+    # Where this daemon may be asked as a seed.
+    admin: Address | None
+    grace_ms: float
+    max_sessions: int
+
+
+class Records(Protocol):
+    """How the platform's items are read."""
+
+    def read_config(self, item: Item) -> FleetConfig | None:
+        """Return the configuration if the item holds one; raise ValueError."""
+
+    def read_instance(self, item: Item) -> InstanceEntry | None:
+        """Return the instance if the item holds one; raise ValueError."""
+
+    def is_config(self, key: str) -> bool:
+        """Return whether the key is that of the configuration."""
+
+    def find_instance_id(self, key: str) -> str | None:
+        """Return the id of the instance that the key is for, or None."""
+
+
+class Member(NamedTuple):
+    """A daemon in the platform's store."""
+
+    name: str
+    address: str
+
+
+class Plugins(NamedTuple):
+    """What an adapter brings for its platform."""
+
+    codec: LineCodec
+    store: Store
+    records: Records
+
+
+class PoolerDaemon:
+    """A whole daemon in one process."""
+
+    def __init__(self, runtime: Runtime, settings: PoolerSettings, plugins: Plugins):
+        self._runtime = runtime
+        self._clock = runtime.clock
+        self._settings = settings
+        self._plugins = plugins
+        self.log = EventLog(runtime, settings.name)
+        self.counters = Counters(runtime)
+        self.directory = Directory(runtime, self.log)
+        self.placement = Placement(runtime, self.directory)
+        self.pool = LinkPool(runtime, plugins.codec)
+        self.rates = FleetRates(runtime, settings.name)
+        self.mirror = Mirror(runtime, plugins.store, self._take_item, self.log)
+        self.gossip = Gossip(runtime, settings.name, settings.peer, self.log)
+        self.guard = LeadGuard(runtime, self.directory)
+        self.runner = Runner(
+            runtime,
+            plugins.codec,
+            self.directory,
+            self.placement,
+            self.pool,
+            self.guard,
+            self.counters,
+            self.log,
+        )
+        self.stopping: Signal = runtime.make_signal()
+        self.is_stopping = False
+        self._ended: Signal = runtime.make_signal()
+        self._members: dict[str, Address] = {}
+        self._behind_since_ms: float | None = None
+        self._sessions: set[CallerSession] = set()
+        self._lock = runtime.make_lock()
+        self._listener: Listener = runtime.listen(settings.frontend)
+        self._servers = self._open_pages()
+
+    def _open_pages(self) -> list[PageServer]:
+        settings = self._settings
+        addresses = {settings.ready, settings.peer, settings.metrics, settings.admin}
+        return [
+            PageServer(self._runtime, address, self.show_page, self._ended)
+            for address in addresses
+            if address is not None
+        ]
+
+    # Pages
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return (
+            not self.is_stopping
+            and self.directory.config is not None
+            and bool(self.directory.instances)
+        )
+
+    def show_page(self, path: str) -> HttpAnswer:
+        """Return the page at a path."""
+        path = path.partition("?")[0]
+        if path == READY_PATH:
+            return HttpAnswer(200 if self.is_ready() else 503, b"")
+        if path == MIRROR_PATH:
+            return HttpAnswer(200, self.mirror.pack())
+        if path == METRICS_PATH:
+            return HttpAnswer(200, self.counters.render(self._list_gauges()))
+        return HttpAnswer(404, b"")
+
+    def _list_gauges(self) -> dict[str, float]:
+        return {
+            "config_version": self.directory.version,
+            "instances": len(self.directory.instances),
+            "members": len(self._members),
+            "sessions": len(self._sessions),
+            "store_revision": self.mirror.at,
+            "links_opened": self.pool.opened,
+            "log_lines_dropped": self.log.dropped,
+            "tasks": self._runtime.running_tasks(),
+        }
+
+    # What the store brings
+
+    def _take_item(self, item: Item) -> None:
+        records = self._plugins.records
+        try:
+            if records.is_config(item.key):
+                self._take_config(records.read_config(item))
+                return
+            instance_id = records.find_instance_id(item.key)
+            if instance_id is not None:
+                self._take_instance(instance_id, item)
+        except ValueError as error:
+            # Other writers may put anything there; the rest of the list holds.
+            self.log.write(
+                "records", "An item can't be used.", key=item.key, error=str(error)
+            )
+
+    def _take_config(self, config: FleetConfig | None) -> None:
+        if config is None or not self.directory.set_config(config, "store"):
+            return
+        self.rates.set_workspaces(config.workspaces.values())
+
+    def _take_instance(self, instance_id: str, item: Item) -> None:
+        if item.data is None:
+            self.directory.unlist_instance(instance_id)
+            return
+        entry = self._plugins.records.read_instance(item)
+        if entry is not None:
+            self.directory.set_instance(entry)
+
+    # Membership
+
+    def _join(self) -> None:
+        """Put this daemon on the list of members, and keep it there."""
+        key = MEMBER_PREFIX + self._settings.name
+        member = Member(self._settings.name, str(self._settings.peer))
+        data = msgspec.json.encode(member)
+        while not self._runtime.stopping:
+            if self.mirror.loaded and not self.is_stopping:
+                known = self.mirror.get(key)
+                if known is None or known.data != data:
+                    self._put_member(key, data, known.revision if known else 0)
+            self._runtime.sleep_ms(JOIN_RETRY_MS)
+
+    def _put_member(self, key: str, data: bytes, revision: int) -> None:
+        try:
+            self.mirror.change({key: revision}, {key: data}, [])
+        except StoreError as error:
+            # The watch shows what became of it; it is tried again if need be.
+            self.log.write("members", "Joining failed.", error=str(error))
+        self._runtime.sleep_ms(JOIN_RETRY_MS)
+
+    def _read_members(self) -> dict[str, Address]:
+        members = {}
+        for item in self.mirror.list_prefix(MEMBER_PREFIX):
+            try:
+                member = msgspec.json.decode(item.data or b"", type=Member)
+                members[member.name] = parse_address(member.address)
+            except (msgspec.DecodeError, ValueError) as error:
+                self.log.write(
+                    "members", "A member can't be read.", key=item.key, error=str(error)
+                )
+        members.pop(self._settings.name, None)
+        return members
+
+    def _update_members(self) -> None:
+        members = self._read_members()
+        if members != self._members:
+            self.log.write("members", "The members changed.", members=sorted(members))
+            self._members = members
+            self.gossip.set_members(members)
+            self.runner.daemons = len(members) + 1
+        # One that said it was stopping admits nothing once it is silent.
+        oldest_ms = self._clock.now_ms() - GONE_MEMBER_MS
+        views = self.gossip.views
+        self.rates.set_members(
+            name for name in members if not (name in views and views[name].stopping)
+        )
+        self._remove_gone(oldest_ms)
+
+    def _remove_gone(self, oldest_ms: float) -> None:
+        """Take members off the list that have been silent for very long."""
+        views = self.gossip.views
+        gone = [
+            name
+            for name, view in views.items()
+            if max(view.received_at_ms, view.listed_at_ms) < oldest_ms
+        ]
+        # Whoever hears of nobody is cut off itself.
+        if not gone or len(gone) * 2 > len(views):
+            return
+        name = gone[0]
+        views[name].listed_at_ms = self._clock.now_ms()
+        item = self.mirror.get(MEMBER_PREFIX + name)
+        if item is None or self.is_stopping:
+            return
+        try:
+            self.mirror.change({item.key: item.revision}, {}, [item.key])
+            self.log.write("members", "A silent member was removed.", peer=name)
+        except StoreError as error:
+            self.log.write("members", "Removing failed.", peer=name, error=str(error))
+
+    # Heartbeats
+
+    def _describe(self) -> Beat:
+        now_ms = self._clock.now_ms()
+        positions = {}
+        for service in {entry.service for entry in self.directory.instances.values()}:
+            sample = self.placement.positions_of(service).newest()
+            if sample is not None:
+                term, number = sample.position
+                positions[service] = (term, number, round(now_ms - sample.at_ms, 1))
+        return Beat(
+            self._settings.name,
+            self.gossip.incarnation,
+            0,
+            0,
+            0,
+            self.is_stopping,
+            self.mirror.at,
+            self.rates.list_counts(),
+            positions,
+            {service: record.epoch for service, record in self.directory.leads.items()},
+        )
+
+    def _take_beat(self, beat: Beat, proven_ms: float) -> None:
+        self.rates.note_report(beat.sender, beat.incarnation, proven_ms, beat.counts)
+        for service, (term, number, age_ms) in beat.positions.items():
+            record = self.directory.leads.get(service)
+            epoch = record.epoch if record else None
+            if beat.leads.get(service) == epoch:
+                positions = self.placement.positions_of(service)
+                positions.note(proven_ms - age_ms, Position(term, number))
+
+    # Catching up from peers
+
+    def _catch_up(self) -> None:
+        """Take a peer's mirror when it has been ahead of this one for a while."""
+        ahead = [
+            view
+            for view in self.gossip.views.values()
+            if view.mirror_at > self.mirror.at
+        ]
+        now_ms = self._clock.now_ms()
+        if self.mirror.loaded and not ahead:
+            self._behind_since_ms = None
+            return
+        if self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+        if now_ms - self._behind_since_ms < BEHIND_MS:
+            return
+        self._behind_since_ms = None
+        # The watch may hang on a connection that has fallen silent.
+        self._plugins.store.interrupt()
+        addresses = [view.address for view in ahead] or list(self._settings.seeds)
+        if addresses:
+            address = self._runtime.random.choice(addresses)
+            if address not in (self._settings.admin, self._settings.peer):
+                self._fetch_mirror(address)
+
+    def _fetch_mirror(self, address: Address) -> None:
+        client = HttpClient(self._runtime, address)
+        try:
+            answer = client.call("GET", MIRROR_PATH, b"", PEER_CALL_MS)
+            if answer.status == 200:
+                self.mirror.unpack(answer.body, str(address))
+        except (CallLostError, ValueError) as error:
+            self.log.write_request(
+                "store", "A peer gave no mirror.", peer=str(address), error=str(error)
+            )
+        finally:
+            client.interrupt()
+
+    def _upkeep(self) -> None:
+        while self._runtime.sleep_ms(UPKEEP_MS):
+            self._update_members()
+            self._catch_up()
+            self.directory.forget_unlisted()
+            self.placement.forget_missing()
+            self.pool.close_unused(self._may_use)
+
+    def _may_use(self, entry: InstanceEntry) -> bool:
+        known = self.directory.instances.get(entry.id)
+        return known is not None and known.born_ms == entry.born_ms
+
+    # Callers
+
+    def _accept(self) -> None:
+        services = Services(
+            self._runtime,
+            self._plugins.codec,
+            self.directory,
+            self.rates,
+            self.runner,
+            self.counters,
+            self.log,
+            self.stopping,
+        )
+        while self._listener.wait_readable(self._ended):
+            try:
+                connection = self._listener.accept()
+            except OSError as error:
+                if not self._runtime.stopping:
+                    self.log.write("front", "Accepting failed.", error=str(error))
+                    self._runtime.sleep_ms(STOP_POLL_MS)
+                continue
+            self._serve(services, connection)
+
+    def _serve(self, services: Services, connection: Connection) -> None:
+        if len(self._sessions) >= self._settings.max_sessions:
+            self.counters.count("refusals", code="connection_limit", ran="not_run")
+            connection.close()
+            return
+        session = CallerSession(services, connection)
+        with self._lock:
+            self._sessions.add(session)
+        try:
+            self._runtime.start(self._run_session, session)
+        except TaskLimitError as error:
+            self.log.write_request("front", "No task for a caller.", error=str(error))
+            self._forget(session)
+            connection.close()
+
+    def _run_session(self, session: CallerSession) -> None:
+        try:
+            session.run()
+        finally:
+            self._forget(session)
+
+    def _forget(self, session: CallerSession) -> None:
+        with self._lock:
+            self._sessions.discard(session)
+
+    # Life
+
+    def start(self) -> None:
+        """Start every part."""
+        self.log.write(
+            "daemon", "The daemon starts.", incarnation=self.gossip.incarnation
+        )
+        run = self._runtime.start
+        run(self.log.run)
+        for server in self._servers:
+            run(server.run)
+        run(self.mirror.run)
+        run(self._join)
+        run(self.gossip.run_sender, self._describe)
+        run(self.gossip.run_receiver, self._take_beat)
+        run(self._upkeep)
+        run(self._accept)
+
+    def stop(self) -> None:
+        """Serve what is there and what still comes, then end within the grace."""
+        begun_ms = self._clock.now_ms()
+        grace_ms = self._settings.grace_ms
+        self.log.write(
+            "daemon", "The daemon is stopping.", sessions=len(self._sessions)
+        )
+        self.is_stopping = True
+        self.stopping.set()
+        serve_until_ms = begun_ms + SERVE_NEW_PART * grace_ms
+        exit_by_ms = begun_ms + EXIT_PART * grace_ms
+        while self._clock.now_ms() < serve_until_ms:
+            self._runtime.sleep_ms(STOP_POLL_MS)
+        while self._sessions and self._clock.now_ms() < exit_by_ms:
+            self._runtime.sleep_ms(STOP_POLL_MS)
+        self._ended.set()
+        self.log.write("daemon", "The daemon has stopped.", cut=len(self._sessions))
+        self.log.flush()
+
+
+def run_daemon(runtime: Runtime, settings: PoolerSettings, plugins: Plugins) -> int:
+    """Run a daemon until SIGTERM or SIGINT; return its exit code."""
+    sys.setswitchinterval(ADVISED_SWITCH_INTERVAL_S)
+    end_wanted = runtime.make_signal()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: end_wanted.set())
+    daemon = PoolerDaemon(runtime, settings, plugins)
+
+    def report_failure(text: str) -> None:
+        daemon.log.write("daemon", "A task failed.", trace=text)
+
+    runtime.report_failure = report_failure
+    daemon.start()
+    end_wanted.wait()
+    daemon.stop()
+    # Interpreter exit joins all tasks, and some wait for bytes that never come.
+    os._exit(0)
+
+
+def count_tasks(settings: PoolerSettings) -> int:
+    """Return how many tasks a daemon with these settings may need."""
+    return settings.max_sessions + OWN_TASKS
--- /dev/null
+++ b/bronzerelay/pooler/httpcalls.py
@@ -0,0 +1,201 @@
+"""Small HTTP/1.1 over the runtime's connections: a client and a server of pages.
+
+The parser is `httptools`. `urllib3` and `http.client` would do the same for 12 MB and
+5 MB of a process (resident size after the import, measured on Linux, Python 3.11).
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import httptools
+
+from bronzerelay.runtime import (
+    Address,
+    Connection,
+    ConnectionLostError,
+    Listener,
+    Runtime,
+    Signal,
+    TaskLimitError,
+)
+
+# The longest body that is accepted, in bytes: a value of the platform's store in
+# base64, with what stands around it, for a page of them.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+# How long an idle connection to a server of ours stays open, in milliseconds.
+SERVER_IDLE_MS = 15_000
+CONNECT_TIMEOUT_MS = 500
+REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+
+
+class HttpAnswer(NamedTuple):
+    """A response: its status and its whole body."""
+
+    status: int
+    body: bytes
+
+
+class CallLostError(Exception):
+    """No whole response came; `may_have_run` says whether the call may have arrived."""
+
+    def __init__(self, message: str, may_have_run: bool):
+        super().__init__(message)
+        self.may_have_run = may_have_run
+
+
+class _Collector:
+    """Collects one message from httptools' callbacks."""
+
+    def __init__(self):
+        self.body = bytearray()
+        self.url = b""
+        self.complete = False
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+        if len(self.body) > MAX_BODY_BYTES:
+            raise ValueError(f"a body is over {MAX_BODY_BYTES} bytes")
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+class HttpClient:
+    """Calls one server, on one connection at a time that is kept while it works."""
+
+    def __init__(self, runtime: Runtime, address: Address):
+        self._runtime = runtime
+        self._clock = runtime.clock
+        self._address = address
+        self._lock = runtime.make_lock()
+        self._connection: Connection | None = None
+
+    def call(
+        self, method: str, path: str, body: bytes, timeout_ms: float
+    ) -> HttpAnswer:
+        """Return the response, or raise CallLostError within `timeout_ms`."""
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        with self._lock:
+            connection = self._connect(timeout_ms)
+            try:
+                connection.set_timeout(timeout_ms)
+                connection.send(self._encode(method, path, body))
+                answer, keep = self._receive(connection, deadline_ms)
+            except (OSError, ValueError, httptools.HttpParserError) as error:
+                # A late response would be taken for that of the next call.
+                self._forget()
+                raise CallLostError(f"{self._address}: {error}", True) from None
+            if not keep:
+                self._forget()
+            return answer
+
+    def _connect(self, timeout_ms: float) -> Connection:
+        if self._connection is not None and not self._connection.is_quiet():
+            self._forget()
+        if self._connection is None:
+            limit_ms = min(timeout_ms, CONNECT_TIMEOUT_MS)
+            try:
+                self._connection = self._runtime.dial(self._address, limit_ms)
+            except OSError as error:
+                message = f"{self._address} can't be reached: {error}"
+                raise CallLostError(message, False) from None
+        return self._connection
+
+    def _forget(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.close()
+
+    def _encode(self, method: str, path: str, body: bytes) -> bytes:
+        head = f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n"
+        if body:
+            head += "Content-Type: application/json\r\n"
+        if body or method == "POST":
+            head += f"Content-Length: {len(body)}\r\n"
+        return head.encode() + b"\r\n" + body
+
+    def _receive(
+        self, connection: Connection, deadline_ms: float
+    ) -> tuple[HttpAnswer, bool]:
+        collector = _Collector()
+        parser = httptools.HttpResponseParser(collector)
+        while not collector.complete:
+            left_ms = deadline_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                raise TimeoutError("no whole response in time")
+            connection.set_timeout(left_ms)
+            data = connection.receive()
+            if not data:
+                raise ConnectionLostError("the connection ended before the response")
+            parser.feed_data(data)
+        answer = HttpAnswer(parser.get_status_code(), bytes(collector.body))
+        return answer, parser.should_keep_alive()
+
+    def interrupt(self) -> None:
+        """Break off a call that another task waits in."""
+        connection = self._connection
+        if connection is not None:
+            connection.close()
+
+
+# Returns a status and a body for a path.
+Page = Callable[[str], HttpAnswer]
+
+
+class PageServer:
+    """Serves GET requests on one address with the pages that it was given."""
+
+    def __init__(self, runtime: Runtime, address: Address, page: Page, ending: Signal):
+        self._runtime = runtime
+        self._page = page
+        self._ending = ending
+        self._listener: Listener = runtime.listen(address)
+
+    @property
+    def address(self) -> Address:
+        """Return where the server listens."""
+        return self._listener.address
+
+    def run(self) -> None:
+        """Accept connections until the daemon ends."""
+        while self._listener.wait_readable(self._ending):
+            try:
+                connection = self._listener.accept()
+            except OSError:
+                return
+            try:
+                self._runtime.start(self._serve, connection)
+            except TaskLimitError:
+                connection.close()
+
+    def _serve(self, connection: Connection) -> None:
+        try:
+            while connection.wait_readable(SERVER_IDLE_MS, self._ending):
+                if not self._serve_one(connection):
+                    return
+        except (OSError, ValueError, httptools.HttpParserError):
+            # Whoever sends no HTTP gets no answer; there is nothing to undo.
+            return
+        finally:
+            connection.close()
+
+    def _serve_one(self, connection: Connection) -> bool:
+        collector = _Collector()
+        parser = httptools.HttpRequestParser(collector)
+        connection.set_timeout(SERVER_IDLE_MS)
+        while not collector.complete:
+            data = connection.receive()
+            if not data:
+                return False
+            parser.feed_data(data)
+        answer = self._page(collector.url.decode("latin-1"))
+        reason = REASONS.get(answer.status, "")
+        head = (
+            f"HTTP/1.1 {answer.status} {reason}\r\n"
+            f"Content-Length: {len(answer.body)}\r\n\r\n"
+        )
+        connection.send(head.encode() + answer.body)
+        return parser.should_keep_alive()
--- /dev/null
+++ b/bronzerelay/pooler/links.py
@@ -0,0 +1,336 @@
+"""Links to instances: one connection each, for one workspace, with a session's state.
+
+An instance ties a connection to a workspace when it starts, and keeps session values
+and prepared names on it. So a link remembers what lies on its connection, and is
+brought to what a caller's session wants before a statement of that session runs.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bronzerelay.pooler.lines import LineReader
+from bronzerelay.pooler.fleetconfig import InstanceEntry
+from bronzerelay.pooler.messages import (
+    Answer,
+    AnswerPart,
+    Fault,
+    LineCodec,
+    Position,
+    Prepared,
+    TransactionState,
+)
+from bronzerelay.runtime import Connection, Runtime
+
+# Connecting within a region takes a millisecond or two; an opening packet that a full
+# queue dropped is sent again only after a second, and another instance is quicker.
+CONNECT_TIMEOUT_MS = 400
+# Statements of the pooler's own, which no caller sent, go by this id.
+OWN_ID = "-"
+# A link that nobody has used for this long is closed: the connections of an instance
+# are few, and others may want them. Milliseconds.
+IDLE_CLOSE_MS = 4_000
+# How long bringing a link to a session's state may take, in milliseconds. It takes no
+# slot, so that only a dark instance needs longer.
+PREPARE_TIMEOUT_MS = 600
+# How long the first answer on a new connection may take, in milliseconds. A connection
+# takes a slot, so that a busy instance may let it wait behind statements.
+START_TIMEOUT_MS = 1_000
+# Prepared names on one connection before it is wiped, so that an instance's memory
+# stays bounded whatever callers prepare.
+PREPARED_LIMIT = 200
+
+
+class SessionState(NamedTuple):
+    """What a caller's session has set and prepared."""
+
+    values: dict[str, str]
+    prepared: dict[str, Prepared]
+
+
+class LinkError(Exception):
+    """A link can't be had or brought to a session's state; nothing of it has run."""
+
+    def __init__(self, fault: Fault, detail: str):
+        super().__init__(f"{fault.name.lower()}: {detail}")
+        self.fault = fault
+        self.detail = detail
+
+
+def name_prepared(prepared: Prepared) -> str:
+    """Return the name under which a prepared statement lies on every link.
+
+    Two callers may give one name to two shapes. Named by its content, what one has
+    prepared serves the other too, and a name never means another shape.
+    """
+    return f"{'w' if prepared.writes else 'r'}_{prepared.shape}"
+
+
+class InstanceLink:
+    """One connection to an instance, used by one task at a time."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        codec: LineCodec,
+        connection: Connection,
+        entry: InstanceEntry,
+        workspace: str,
+    ):
+        self._clock = runtime.clock
+        self._codec = codec
+        self._connection = connection
+        self._reader = LineReader(connection, runtime.clock)
+        self.entry = entry
+        self.workspace = workspace
+        self.usable = True
+        self.in_transaction = False
+        self.idle_since_ms = 0.0
+        self._values: dict[str, str] = {}
+        self._prepared: set[str] = set()
+
+    def start(self, deadline_ms: float) -> Answer:
+        """Introduce the connection to the instance; return its answer."""
+        entry = self.entry
+        data = self._codec.encode_startup(entry.service, self.workspace, entry.id)
+        return self._exchange(data, deadline_ms)
+
+    def call(
+        self, statement_id: str, text: str, floor: Position | None, deadline_ms: float
+    ) -> Answer:
+        """Run one statement; `floor` is the position that the log must have reached.
+
+        A link whose answer didn't come to its end is closed: a late answer would be
+        taken for that of the next statement.
+        """
+        data = self._codec.encode_query(statement_id, text, floor)
+        answer = self._exchange(data, deadline_ms)
+        self.in_transaction = answer.state is not TransactionState.IDLE
+        return answer
+
+    def _exchange(self, data: bytes, deadline_ms: float) -> Answer:
+        sent = False
+        try:
+            self._connection.set_timeout(max(1.0, deadline_ms - self._clock.now_ms()))
+            # A part of it may arrive even when sending fails.
+            sent = True
+            self._connection.send(data)
+            return self._read_answer(deadline_ms)
+        except TimeoutError:
+            self.close()
+            return Answer(fault=Fault.TIMED_OUT, detail="no answer in time")
+        except (OSError, ValueError) as error:
+            self.close()
+            fault = Fault.LOST if sent else Fault.UNREACHABLE
+            return Answer(fault=fault, detail=str(error))
+
+    def _read_answer(self, deadline_ms: float) -> Answer:
+        rows: list[str] = []
+        signature = ""
+        fault = None
+        detail = ""
+        while True:
+            line = self._codec.decode_instance(self._reader.read_line(deadline_ms))
+            if line.part is AnswerPart.ROW:
+                rows.append(line.text)
+            elif line.part is AnswerPart.DONE:
+                signature = line.text
+            elif line.part is AnswerPart.FAULT:
+                fault, detail = line.fault, line.text
+            else:
+                return Answer(
+                    tuple(rows), signature, fault, detail, line.state, line.position
+                )
+
+    # The session's state
+
+    def matches(self, state: SessionState) -> bool:
+        """Return whether the values on the connection are those of the session."""
+        return self._values == state.values
+
+    def adopt(self, state: SessionState, needed: Prepared | None) -> None:
+        """Bring the connection to the session's values and the needed statement.
+
+        Raise LinkError when it can't be; the link is closed then, since nobody knows
+        what lies on it.
+        """
+        texts = self._list_steps(state, needed)
+        if not texts:
+            return
+        deadline_ms = self._clock.now_ms() + PREPARE_TIMEOUT_MS
+        data = b"".join(self._codec.encode_query(OWN_ID, text, None) for text in texts)
+        answer = self._exchange(data, deadline_ms)
+        for _ in texts[1:]:
+            if answer.fault is not None or not self.usable:
+                break
+            answer = self._read_next(deadline_ms)
+        if answer.fault is not None:
+            self.close()
+            raise LinkError(answer.fault, f"the session can't be laid on: {answer}")
+        self._values = dict(state.values)
+
+    def _read_next(self, deadline_ms: float) -> Answer:
+        try:
+            return self._read_answer(deadline_ms)
+        except (OSError, ValueError) as error:
+            self.close()
+            return Answer(fault=Fault.UNREACHABLE, detail=str(error))
+
+    def _list_steps(self, state: SessionState, needed: Prepared | None) -> list[str]:
+        """Return the statements that bring the connection to the session's state."""
+        steps = []
+        surplus = any(name not in state.values for name in self._values)
+        if surplus or len(self._prepared) > PREPARED_LIMIT:
+            steps.append(self._codec.write_discard())
+            self._values = {}
+            self._prepared = set()
+        for name, value in state.values.items():
+            if self._values.get(name) != value:
+                steps.append(self._codec.write_set(name, value))
+        if needed is not None:
+            name = name_prepared(needed)
+            if name not in self._prepared:
+                steps.append(self._codec.write_prepare(name, needed))
+                self._prepared.add(name)
+        return steps
+
+    def forget_prepared(self) -> None:
+        """Take the names on the connection for lost, since the instance said so."""
+        self._prepared = set()
+
+    def is_sound(self) -> bool:
+        """Return whether the next session may use the link."""
+        return self.usable and not self.in_transaction and self._connection.is_quiet()
+
+    def close(self) -> None:
+        """Close the connection; what it had open rolls back at the instance."""
+        if self.usable:
+            self.usable = False
+            self._connection.close()
+
+
+class LinkPool:
+    """All links of one daemon, lent to one task at a time.
+
+    A new connection takes a slot of its instance for some milliseconds, so that idle
+    ones are kept, up to this daemon's part of what the instance takes.
+    """
+
+    def __init__(self, runtime: Runtime, codec: LineCodec):
+        self._runtime = runtime
+        self._codec = codec
+        self._lock = runtime.make_lock()
+        self._idle: dict[str, list[InstanceLink]] = {}
+        self._open: dict[str, int] = {}
+        self.opened = 0
+
+    def lend(
+        self,
+        entry: InstanceEntry,
+        workspace: str,
+        state: SessionState,
+        deadline_ms: float,
+    ) -> InstanceLink:
+        """Return a link of the workspace to the instance, or raise LinkError."""
+        while True:
+            link = self._take_idle(entry, workspace, state)
+            if link is None:
+                return self._dial(entry, workspace, deadline_ms)
+            if link.is_sound():
+                return link
+            self._drop(link)
+
+    def _take_idle(
+        self, entry: InstanceEntry, workspace: str, state: SessionState
+    ) -> InstanceLink | None:
+        with self._lock:
+            idle = self._idle.get(entry.id, [])
+            fitting = [
+                link
+                for link in idle
+                if link.workspace == workspace
+                and link.entry.born_ms == entry.born_ms
+                and link.entry.address == entry.address
+            ]
+            if not fitting:
+                return None
+            best = next((one for one in fitting if one.matches(state)), fitting[-1])
+            idle.remove(best)
+            return best
+
+    def _dial(
+        self, entry: InstanceEntry, workspace: str, deadline_ms: float
+    ) -> InstanceLink:
+        now_ms = self._runtime.clock.now_ms()
+        timeout_ms = min(CONNECT_TIMEOUT_MS, deadline_ms - now_ms)
+        if timeout_ms <= 0:
+            raise LinkError(Fault.UNREACHABLE, "no time left to connect")
+        with self._lock:
+            self._open[entry.id] = self._open.get(entry.id, 0) + 1
+            self.opened += 1
+        try:
+            connection = self._runtime.dial(entry.address, timeout_ms)
+        except OSError as error:
+            self._count_closed(entry.id)
+            raise LinkError(Fault.UNREACHABLE, str(error)) from None
+        link = InstanceLink(self._runtime, self._codec, connection, entry, workspace)
+        start_by_ms = min(deadline_ms, now_ms + START_TIMEOUT_MS)
+        answer = link.start(start_by_ms)
+        if answer.fault is None:
+            return link
+        self._drop(link)
+        fault = answer.fault
+        if fault in (Fault.TIMED_OUT, Fault.LOST):
+            fault = Fault.UNREACHABLE
+        raise LinkError(fault, answer.detail)
+
+    def give_back(self, link: InstanceLink, keep: int) -> None:
+        """Take a link back; keep at most `keep` idle ones of its instance."""
+        if not link.usable or link.in_transaction:
+            self._drop(link)
+            return
+        link.idle_since_ms = self._runtime.clock.now_ms()
+        surplus = []
+        with self._lock:
+            idle = self._idle.setdefault(link.entry.id, [])
+            idle.append(link)
+            while len(idle) > max(0, keep):
+                surplus.append(idle.pop(0))
+        for one in surplus:
+            self._drop(one)
+
+    def make_room(self, instance_id: str) -> None:
+        """Close the idle links of an instance that has no connection left."""
+        with self._lock:
+            links = self._idle.pop(instance_id, [])
+        for link in links:
+            self._drop(link)
+
+    def close_unused(self, is_listed: Callable[[InstanceEntry], bool]) -> None:
+        """Close links idle for long, and those to instances that aren't listed."""
+        oldest_ms = self._runtime.clock.now_ms() - IDLE_CLOSE_MS
+        surplus = []
+        with self._lock:
+            for instance_id, idle in list(self._idle.items()):
+                kept = []
+                for link in idle:
+                    fresh = link.idle_since_ms >= oldest_ms
+                    (kept if fresh and is_listed(link.entry) else surplus).append(link)
+                self._idle[instance_id] = kept
+        for link in surplus:
+            self._drop(link)
+
+    def count_open(self, instance_id: str) -> int:
+        """Return how many links to the instance are open, lent ones included."""
+        return self._open.get(instance_id, 0)
+
+    def _drop(self, link: InstanceLink) -> None:
+        link.close()
+        self._count_closed(link.entry.id)
+
+    def _count_closed(self, instance_id: str) -> None:
+        with self._lock:
+            left = self._open.get(instance_id, 0) - 1
+            if left > 0:
+                self._open[instance_id] = left
+            else:
+                self._open.pop(instance_id, None)
--- /dev/null
+++ b/bronzerelay/pooler/mirror.py
@@ -0,0 +1,221 @@
+"""A mirror of the platform's store: loaded once, then kept by one watch.
+
+All daemons watch everything, so that each change costs each daemon one call. A daemon
+that the store turns away, or whose watch fell silent, takes the mirror of a peer that
+is ahead of it.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple, Protocol
+
+import msgspec
+
+from bronzerelay.pooler.events import EventLog
+from bronzerelay.runtime import Runtime
+
+# How long a watch may wait at the store, in milliseconds. Whatever a silent watch
+# misses is fetched from a peer, so that it may be long and calls few.
+WATCH_WAIT_MS = 14_000
+# The time that any other call may take, in milliseconds.
+CALL_TIMEOUT_MS = 1_500
+# Pauses after failed calls, in milliseconds: short at first, since most outages are.
+RETRY_PAUSES_MS = (100, 200, 400, 700)
+
+
+class Item(NamedTuple):
+    """One key of the store; `data` is None when the key was removed."""
+
+    key: str
+    data: bytes | None
+    revision: int
+
+
+class Changes(NamedTuple):
+    """Items as they are or have become, and the store's revision then."""
+
+    items: list[Item]
+    at: int
+
+
+class StoreError(Exception):
+    """The store gave no answer, or refused; `may_have_run` when that is unknown."""
+
+    def __init__(self, message: str, may_have_run: bool = False):
+        super().__init__(message)
+        self.may_have_run = may_have_run
+
+
+class HistoryLostError(StoreError):
+    """The store has forgotten what came after the revision that was asked for."""
+
+
+class ConflictError(StoreError):
+    """A key was not at the revision that the change was for; nothing was done."""
+
+
+class Store(Protocol):
+    """The platform's store, as its adapter offers it."""
+
+    def load(self, prefix: str, timeout_ms: float) -> Changes:
+        """Return all items whose key starts with `prefix`, or raise StoreError."""
+
+    def watch(self, prefix: str, after: int, wait_ms: float) -> Changes:
+        """Return what changed after a revision, waiting for it at most `wait_ms`."""
+
+    def change(
+        self,
+        expected: dict[str, int],
+        puts: dict[str, bytes],
+        removed: list[str],
+        timeout_ms: float,
+    ) -> int:
+        """Change keys if all expected revisions hold; return the new revision."""
+
+    def interrupt(self) -> None:
+        """Break off the watch that waits now."""
+
+
+# Takes a changed item.
+TakeItem = Callable[[Item], None]
+
+
+class PeerMirror(NamedTuple):
+    """A mirror as it travels between daemons."""
+
+    at: int
+    items: list[tuple[str, bytes, int]]
+
+
+class Mirror:
+    """The items of the store as this daemon knows them."""
+
+    def __init__(self, runtime: Runtime, store: Store, take: TakeItem, log: EventLog):
+        self._runtime = runtime
+        self._clock = runtime.clock
+        self._store = store
+        self._take = take
+        self._log = log
+        self._lock = runtime.make_lock()
+        self._items: dict[str, Item] = {}
+        self._failures = 0
+        self.at = 0
+        self.loaded = False
+        # When the last call that the store answered was sent.
+        self.answered_at_ms = -1e15
+
+    def get(self, key: str) -> Item | None:
+        """Return a key as it is known, or None."""
+        return self._items.get(key)
+
+    def list_prefix(self, prefix: str) -> list[Item]:
+        """Return the known items whose keys start with `prefix`."""
+        return [item for key, item in self._items.items() if key.startswith(prefix)]
+
+    # Taking changes in
+
+    def _apply(self, changes: Changes) -> None:
+        with self._lock:
+            for item in changes.items:
+                self._apply_item(item)
+            self.at = max(self.at, changes.at)
+
+    def _apply_item(self, item: Item) -> None:
+        known = self._items.get(item.key)
+        if known is not None and known.revision >= item.revision:
+            return
+        if item.data is None:
+            self._items.pop(item.key, None)
+        else:
+            self._items[item.key] = item
+        self._take(item)
+
+    def _replace(self, items: Iterable[Item], at: int) -> None:
+        """Take over a whole state; keys that it lacks count as removed."""
+        with self._lock:
+            if at < self.at:
+                return
+            present = set()
+            for item in items:
+                present.add(item.key)
+                self._apply_item(item)
+            for key in set(self._items) - present:
+                # Pages are no snapshot: a key put in between is newer than they are.
+                if self._items[key].revision <= at:
+                    self._apply_item(Item(key, None, at + 1))
+            self.at = at
+            self.loaded = True
+
+    # Following the store
+
+    def run(self) -> None:
+        """Load and then watch the store until the runtime stops."""
+        loaded = False
+        while not self._runtime.stopping:
+            sent_at_ms = self._clock.now_ms()
+            try:
+                if not loaded:
+                    changes = self._store.load("", CALL_TIMEOUT_MS)
+                    self._replace(changes.items, changes.at)
+                    loaded = True
+                else:
+                    self._apply(self._store.watch("", self.at, WATCH_WAIT_MS))
+            except HistoryLostError as error:
+                self._log.write("store", "The history is lost.", error=str(error))
+                loaded = False
+                continue
+            except StoreError as error:
+                self._note_failure(error)
+                continue
+            self._note_answer(sent_at_ms)
+
+    def _note_answer(self, sent_at_ms: float) -> None:
+        self.answered_at_ms = max(self.answered_at_ms, sent_at_ms)
+        if self._failures:
+            self._log.write("store", "The store answers again.", failed=self._failures)
+        self._failures = 0
+
+    def _note_failure(self, error: StoreError) -> None:
+        if self._runtime.stopping:
+            return
+        self._failures += 1
+        if self._failures == 1:
+            self._log.write("store", "The store gives no answer.", error=str(error))
+        step = min(self._failures, len(RETRY_PAUSES_MS)) - 1
+        jitter = self._runtime.random.uniform(0.7, 1.3)
+        self._runtime.sleep_ms(RETRY_PAUSES_MS[step] * jitter)
+
+    # Between daemons
+
+    def pack(self) -> bytes:
+        """Return the mirror for a peer."""
+        with self._lock:
+            items = [
+                (item.key, item.data or b"", item.revision)
+                for item in self._items.values()
+            ]
+            return msgspec.msgpack.encode(PeerMirror(self.at, items))
+
+    def unpack(self, data: bytes, source: str) -> None:
+        """Take over a peer's mirror if it is ahead; raise ValueError on nonsense."""
+        try:
+            packed = msgspec.msgpack.decode(data, type=PeerMirror)
+        except msgspec.DecodeError as error:
+            raise ValueError(f"the mirror of {source} can't be read: {error}") from None
+        if packed.at <= self.at:
+            return
+        before = self.at
+        items = [Item(key, value, revision) for key, value, revision in packed.items]
+        self._replace(items, packed.at)
+        self._log.write(
+            "store",
+            "A peer's mirror was taken over.",
+            peer=source,
+            at=packed.at,
+            before=before,
+        )
+
+    def change(
+        self, expected: dict[str, int], puts: dict[str, bytes], removed: list[str]
+    ) -> Any:
+        """Change keys of the store; raise StoreError or ConflictError."""
+        return self._store.change(expected, puts, removed, CALL_TIMEOUT_MS)
--- /dev/null
+++ b/bronzerelay/pooler/placement.py
@@ -0,0 +1,151 @@
+"""Which instance runs a read: one that has seen enough, and answers soonest."""
+
+from typing import NamedTuple
+
+from bronzerelay.pooler.directory import Directory
+from bronzerelay.pooler.fleetconfig import Consistency, InstanceEntry, Route
+from bronzerelay.pooler.messages import Position
+from bronzerelay.pooler.positions import LogPositions
+from bronzerelay.runtime import Runtime
+
+# The assumed time of an answer before any was measured, and the weight of a new one.
+FIRST_ANSWER_MS = 15.0
+ANSWER_WEIGHT = 0.1
+# An instance that was out of reach gets nothing for this long, unless there is no
+# other: each try costs its caller the whole timeout. Milliseconds.
+TROUBLE_MS = 700
+# A position that a replica's answer named says nothing about it after this time: its
+# log moves on. Milliseconds.
+POSITION_AGE_MS = 300
+# The primary has the writes to serve, which nobody else can, so that a read goes there
+# only when a replica would take this many times as long.
+PRIMARY_COST = 2.0
+
+
+class InstanceView:
+    """What this daemon has seen of one instance."""
+
+    def __init__(self):
+        self.answer_ms = FIRST_ANSWER_MS
+        self.outstanding = 0
+        self.trouble_until_ms = 0.0
+        self.position: Position | None = None
+        self.position_at_ms = 0.0
+
+
+class ReadNeed(NamedTuple):
+    """What a read needs: a log up to `floor`, or the primary when there is none."""
+
+    floor: Position | None
+    primary_only: bool
+
+
+class Placement:
+    """Judges instances by this daemon's own traffic."""
+
+    def __init__(self, runtime: Runtime, directory: Directory):
+        self._runtime = runtime
+        self._clock = runtime.clock
+        self._directory = directory
+        self._lock = runtime.make_lock()
+        self._views: dict[str, InstanceView] = {}
+        self._positions: dict[str, LogPositions] = {}
+
+    def positions_of(self, service: str) -> LogPositions:
+        """Return what is known of the log of a service's primary."""
+        positions = self._positions.get(service)
+        if positions is None:
+            with self._lock:
+                positions = self._positions.setdefault(
+                    service, LogPositions(self._runtime)
+                )
+        return positions
+
+    def view_of(self, instance_id: str) -> InstanceView:
+        """Return what was seen of an instance."""
+        view = self._views.get(instance_id)
+        if view is None:
+            with self._lock:
+                view = self._views.setdefault(instance_id, InstanceView())
+        return view
+
+    def forget_missing(self) -> None:
+        """Drop the views of instances that are listed no more."""
+        listed = self._directory.instances
+        with self._lock:
+            for gone in set(self._views) - set(listed):
+                del self._views[gone]
+
+    # What answers tell
+
+    def note_answer(self, entry: InstanceEntry, took_ms: float) -> None:
+        """Note how long an instance took for an answer."""
+        view = self.view_of(entry.id)
+        view.answer_ms += ANSWER_WEIGHT * (took_ms - view.answer_ms)
+        view.trouble_until_ms = 0.0
+
+    def note_trouble(self, entry: InstanceEntry) -> None:
+        """Note that an instance couldn't be reached or gave no answer."""
+        view = self.view_of(entry.id)
+        view.trouble_until_ms = self._clock.now_ms() + TROUBLE_MS
+
+    def note_position(
+        self, entry: InstanceEntry, position: Position | None, sent_at_ms: float
+    ) -> None:
+        """Note the end of an instance's log as of a request sent at `sent_at_ms`."""
+        if position is None:
+            return
+        view = self.view_of(entry.id)
+        view.position = position
+        view.position_at_ms = sent_at_ms
+        leader = self._directory.find_leader(entry.service)
+        if leader is not None and leader.id == entry.id:
+            self.positions_of(entry.service).note(sent_at_ms, position)
+
+    # Choosing
+
+    def work_out_need(self, route: Route, own_commit: Position | None) -> ReadNeed:
+        """Return what a read on `route` needs, after the session's own commit."""
+        if route.consistency is Consistency.PRIMARY:
+            return ReadNeed(None, True)
+        floor = self.positions_of(route.service).find_floor(route.max_age_ms)
+        if floor is None:
+            return ReadNeed(None, True)
+        if route.consistency is Consistency.READ_YOUR_WRITES and own_commit:
+            floor = max(floor, own_commit)
+        return ReadNeed(floor, False)
+
+    def list_readers(
+        self, service: str, need: ReadNeed, tried: frozenset[str]
+    ) -> list[str]:
+        """Return the ids of the instances that may serve a read, best first."""
+        leader = self._directory.find_leader(service)
+        if need.primary_only:
+            return [leader.id] if leader else []
+        now_ms = self._clock.now_ms()
+        ranked = []
+        for entry in self._directory.list_instances(service):
+            if entry.leaving or entry.id in tried:
+                continue
+            is_leader = leader is not None and leader.id == entry.id
+            if not is_leader and entry.claims_lead:
+                # Two claim to lead: the other one's log may part from the leader's.
+                continue
+            view = self.view_of(entry.id)
+            if not is_leader and not self._may_hold(view, need.floor, now_ms):
+                continue
+            cost = (view.outstanding + 1) * view.answer_ms
+            if is_leader:
+                cost *= PRIMARY_COST
+            in_trouble = view.trouble_until_ms > now_ms
+            ranked.append((in_trouble, cost, entry.id))
+        if not ranked and leader is not None:
+            return [leader.id]
+        return [instance_id for _, _, instance_id in sorted(ranked)]
+
+    def _may_hold(
+        self, view: InstanceView, floor: Position | None, now_ms: float
+    ) -> bool:
+        if floor is None or view.position is None or view.position >= floor:
+            return True
+        return now_ms - view.position_at_ms > POSITION_AGE_MS
--- /dev/null
+++ b/bronzerelay/pooler/positions.py
@@ -0,0 +1,64 @@
+"""How far a primary's log was at known times, so that replicas can be judged by it."""
+
+from collections import deque
+from typing import NamedTuple
+
+from bronzerelay.pooler.messages import Position
+from bronzerelay.runtime import Runtime
+
+# Samples kept for a service. A bound of seconds is met by any of the last ones, and one
+# every SPACING_MS is enough to choose from.
+SAMPLES = 64
+SPACING_MS = 40
+# Taken off every stated age, in milliseconds: for a read that is judged by when it
+# reached the instance and not by when it was sent from here.
+AGE_MARGIN_MS = 150
+
+
+class Sample(NamedTuple):
+    """The primary's log held all commits acknowledged before `at_ms`."""
+
+    at_ms: float
+    position: Position
+
+
+class LogPositions:
+    """The samples of one service; any task may call it.
+
+    A sample counts from when its request was sent, never from when its answer came:
+    the instance may have looked at its log at any time between.
+    """
+
+    def __init__(self, runtime: Runtime):
+        self._clock = runtime.clock
+        self._lock = runtime.make_lock()
+        self._samples: deque[Sample] = deque(maxlen=SAMPLES)
+
+    def note(self, at_ms: float, position: Position) -> None:
+        """Note that the primary's log ended at `position` at `at_ms` or later."""
+        with self._lock:
+            last = self._samples[-1] if self._samples else None
+            if last is None or at_ms - last.at_ms >= SPACING_MS:
+                self._samples.append(Sample(at_ms, position))
+
+    def newest(self) -> Sample | None:
+        """Return the newest sample."""
+        with self._lock:
+            return self._samples[-1] if self._samples else None
+
+    def find_floor(self, max_age_ms: float) -> Position | None:
+        """Return the least position that a log must hold to be young enough.
+
+        None says that no sample is young enough and only the primary may be read.
+        """
+        oldest_ms = self._clock.now_ms() - max_age_ms + AGE_MARGIN_MS
+        with self._lock:
+            for sample in self._samples:
+                if sample.at_ms >= oldest_ms:
+                    return sample.position
+        return None
+
+    def clear(self) -> None:
+        """Forget all samples: the primary that gave them leads no more."""
+        with self._lock:
+            self._samples.clear()
--- /dev/null
+++ b/bronzerelay/pooler/runner.py
@@ -0,0 +1,431 @@
+"""Runs statements at instances: waits for a slot, lends a link, and tries again."""
+
+from typing import NamedTuple
+
+from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN, Code, Refusal
+from bronzerelay.pooler.counters import Counters
+from bronzerelay.pooler.directory import Directory
+from bronzerelay.pooler.events import EventLog
+from bronzerelay.pooler.fleetconfig import InstanceEntry, Route
+from bronzerelay.pooler.leadership import LeadGuard
+from bronzerelay.pooler.links import (
+    OWN_ID,
+    InstanceLink,
+    LinkError,
+    LinkPool,
+    SessionState,
+    name_prepared,
+)
+from bronzerelay.pooler.messages import (
+    NOT_RUN_FAULTS,
+    Answer,
+    Fault,
+    LineCodec,
+    Position,
+    Prepared,
+    Statement,
+    TransactionState,
+    Verb,
+)
+from bronzerelay.pooler.placement import Placement, ReadNeed
+from bronzerelay.runtime import Runtime
+from bronzerelay.slots import SlotQueue
+
+# Statements of one workspace that may wait for slots of one service at this daemon.
+WAITING_LIMIT = 64
+# The part of an operation's latency objective that it may wait for a slot. What waits
+# longer is late anyway, and the caller does better to ask another daemon.
+SLOT_WAIT_PART = 0.5
+# Tries of one statement at instances, while none of them has run it.
+MAX_TRIES = 6
+# The pause after a try that an instance refused for want of a slot, in milliseconds.
+RETRY_PAUSE_MS = 12
+# What a caller is told to wait when no primary can be used, in milliseconds.
+NO_PRIMARY_RETRY_MS = 250
+# What a caller is told to wait when instances are busy or out of reach, milliseconds.
+BUSY_RETRY_MS = 100
+
+# What becomes of a fault that the caller is told of.
+FAULT_CODES = {
+    Fault.BUSY: Code.QUEUE_FULL,
+    Fault.UNPREPARED: Code.ENDPOINT_UNREACHABLE,
+    Fault.LAGGING: Code.TOO_STALE,
+    Fault.READ_ONLY: Code.PRIMARY_REPLACED,
+    Fault.WRONG_INSTANCE: Code.ENDPOINT_UNREACHABLE,
+    Fault.TOO_MANY_LINKS: Code.CONNECTION_LIMIT,
+    Fault.ABORTED: Code.TRANSACTION_LOST,
+    Fault.UNREACHABLE: Code.ENDPOINT_UNREACHABLE,
+    Fault.FAILED: Code.STATEMENT_FAILED,
+    Fault.TIMED_OUT: Code.STATEMENT_TIMED_OUT,
+    Fault.LOST: Code.OUTCOME_UNKNOWN,
+    Fault.REJECTED: Code.STATEMENT_FAILED,
+}
+
+
+class Job(NamedTuple):
+    """One statement on its way to an instance.
+
+    `deadline_ms` ends the statement, `slot_by_ms` its wait for a slot; both are points
+    on the clock.
+    """
+
+    statement: Statement
+    route: Route
+    workspace: str
+    state: SessionState
+    prepared: Prepared | None
+    deadline_ms: float
+    slot_by_ms: float
+
+    @property
+    def writes(self) -> bool:
+        """Return whether the statement changes data."""
+        if self.prepared is not None:
+            return self.prepared.writes
+        return self.statement.verb is Verb.WRITE
+
+
+class Runner:
+    """Runs the statements of all sessions of one daemon."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        codec: LineCodec,
+        directory: Directory,
+        placement: Placement,
+        pool: LinkPool,
+        guard: LeadGuard,
+        counters: Counters,
+        log: EventLog,
+    ):
+        self._runtime = runtime
+        self._clock = runtime.clock
+        self._codec = codec
+        self._directory = directory
+        self._placement = placement
+        self._pool = pool
+        self._guard = guard
+        self._counters = counters
+        self._log = log
+        self._lock = runtime.make_lock()
+        self._queues: dict[str, SlotQueue] = {}
+        self._slots: dict[str, dict[str, int]] = {}
+        self.daemons = 1
+
+    # Slots
+
+    def _queue_of(self, service: str) -> SlotQueue:
+        """Return the queue of a service, its slots brought up to date."""
+        slots = {
+            entry.id: entry.slots for entry in self._directory.list_instances(service)
+        }
+        with self._lock:
+            queue = self._queues.get(service)
+            if queue is None:
+                queue = self._queues[service] = SlotQueue(self._runtime, WAITING_LIMIT)
+            if self._slots.get(service) != slots:
+                self._slots[service] = slots
+                queue.set_endpoints(slots)
+        return queue
+
+    def _acquire(self, job: Job, readers: list[str]) -> str | Refusal:
+        """Return the first of `readers` with a free slot, waiting for one."""
+
+        def choose(free: list[str]) -> str | None:
+            return next((one for one in readers if one in free), None)
+
+        queue = self._queue_of(job.route.service)
+        result = queue.acquire(job.workspace, choose, job.slot_by_ms)
+        return result.ok if result.is_ok() else result.error
+
+    def keep_links(self, service: str) -> int:
+        """Return how many idle links to one instance this daemon may keep.
+
+        Half of the connections are divided evenly. The other half is for what runs,
+        and for what a daemon that was killed holds until the instance notices.
+        """
+        config = self._directory.config
+        spec = config.services.get(service) if config else None
+        return max(1, spec.max_links // (2 * self.daemons)) if spec else 1
+
+    # Single statements
+
+    def run_single(
+        self, job: Job, own_commit: Position | None
+    ) -> tuple[Answer | Refusal, InstanceEntry | None]:
+        """Run a statement outside a transaction; return its answer and who gave it."""
+        tried: frozenset[str] = frozenset()
+        failure: Refusal | None = None
+        for attempt in range(MAX_TRIES):
+            need = self._work_out_need(job, own_commit)
+            outcome = self._try_single(job, need, tried)
+            if isinstance(outcome, Refusal):
+                return failure or outcome, None
+            answer, entry = outcome
+            if answer.fault is None:
+                return answer, entry
+            may_repeat = answer.fault in NOT_RUN_FAULTS or not job.writes
+            self._log_retry(job, entry, answer, attempt)
+            failure = refuse_fault(answer, job.writes)
+            if not may_repeat or answer.fault in (Fault.FAILED, Fault.REJECTED):
+                return failure, entry
+            if not self._has_time(job):
+                return failure, entry
+            if entry.id != self._leader_id(job.route.service):
+                tried = tried | {entry.id}
+            self._pause(answer.fault)
+        return failure or _refuse_no_primary(), None
+
+    def _work_out_need(self, job: Job, own_commit: Position | None) -> ReadNeed:
+        if job.writes:
+            return ReadNeed(None, True)
+        return self._placement.work_out_need(job.route, own_commit)
+
+    def _try_single(
+        self, job: Job, need: ReadNeed, tried: frozenset[str]
+    ) -> tuple[Answer, InstanceEntry] | Refusal:
+        chosen = self._choose(job, need, tried)
+        if isinstance(chosen, Refusal):
+            return chosen
+        entry = self._directory.instances.get(chosen)
+        try:
+            if entry is None:
+                return _refuse_no_primary()
+            return self._run_at(job, entry, need), entry
+        finally:
+            self._release(job.route.service, chosen)
+
+    def _choose(self, job: Job, need: ReadNeed, tried: frozenset[str]) -> str | Refusal:
+        service = job.route.service
+        readers = self._placement.list_readers(service, need, tried)
+        if not readers:
+            return _refuse_no_primary()
+        chosen = self._acquire(job, readers)
+        if isinstance(chosen, Refusal):
+            return chosen
+        if chosen != self._leader_id(service):
+            self._placement.view_of(chosen).outstanding += 1
+            return chosen
+        refusal = self._guard.check(service)
+        if refusal is not None:
+            self._queue_of(service).release(chosen)
+            return refusal
+        self._placement.view_of(chosen).outstanding += 1
+        return chosen
+
+    def _release(self, service: str, instance_id: str) -> None:
+        self._placement.view_of(instance_id).outstanding -= 1
+        self._queue_of(service).release(instance_id)
+
+    def _leader_id(self, service: str) -> str | None:
+        leader = self._directory.find_leader(service)
+        return leader.id if leader else None
+
+    def _run_at(self, job: Job, entry: InstanceEntry, need: ReadNeed) -> Answer:
+        try:
+            link = self._borrow(job, entry)
+        except LinkError as error:
+            return self._note_no_link(entry, error)
+        try:
+            return self._call(link, job, need.floor)
+        finally:
+            self._pool.give_back(link, self.keep_links(entry.service))
+
+    def _borrow(self, job: Job, entry: InstanceEntry) -> InstanceLink:
+        link = self._pool.lend(entry, job.workspace, job.state, job.deadline_ms)
+        try:
+            link.adopt(job.state, job.prepared)
+        except LinkError:
+            self._pool.give_back(link, 0)
+            raise
+        return link
+
+    def _note_no_link(self, entry: InstanceEntry, error: LinkError) -> Answer:
+        if error.fault is Fault.UNREACHABLE:
+            self._placement.note_trouble(entry)
+        if error.fault is Fault.TOO_MANY_LINKS:
+            self._pool.make_room(entry.id)
+        return Answer(fault=error.fault, detail=error.detail)
+
+    def _call(self, link: InstanceLink, job: Job, floor: Position | None) -> Answer:
+        """Run the job's statement on a link and learn from the answer."""
+        text = job.statement.text
+        if job.prepared is not None:
+            name = name_prepared(job.prepared)
+            text = self._codec.write_execute(name, job.statement.arguments)
+        sent_at_ms = self._clock.now_ms()
+        answer = link.call(job.statement.id, text, floor, job.deadline_ms)
+        if answer.fault is Fault.UNPREPARED:
+            link.forget_prepared()
+        self._learn(link.entry, answer, sent_at_ms)
+        return answer
+
+    def _learn(self, entry: InstanceEntry, answer: Answer, sent_at_ms: float) -> None:
+        took_ms = self._clock.now_ms() - sent_at_ms
+        if answer.fault in (Fault.LOST, Fault.TIMED_OUT):
+            self._placement.note_trouble(entry)
+            return
+        self._placement.note_answer(entry, took_ms)
+        self._placement.note_position(entry, answer.position, sent_at_ms)
+
+    def _has_time(self, job: Job) -> bool:
+        return self._clock.now_ms() < job.deadline_ms
+
+    def _pause(self, fault: Fault) -> None:
+        if fault in (Fault.BUSY, Fault.TOO_MANY_LINKS, Fault.READ_ONLY):
+            self._runtime.sleep_ms(RETRY_PAUSE_MS)
+
+    # Transactions
+
+    def begin(
+        self, job: Job, read_only: bool, own_commit: Position | None
+    ) -> InstanceLink | Refusal:
+        """Return a link with a transaction open on it, or say why there is none."""
+        tried: frozenset[str] = frozenset()
+        failure: Refusal | None = None
+        for attempt in range(MAX_TRIES):
+            need = ReadNeed(None, True)
+            if read_only:
+                need = self._placement.work_out_need(job.route, own_commit)
+            outcome = self._try_begin(job, read_only, need, tried)
+            if isinstance(outcome, InstanceLink):
+                return outcome
+            if isinstance(outcome, Refusal):
+                return failure or outcome
+            answer, entry = outcome
+            self._log_retry(job, entry, answer, attempt)
+            # Nothing but BEGIN was sent, and what it began rolls back.
+            failure = refuse_fault(answer, False)._replace(ran=NOT_RUN)
+            if not self._has_time(job):
+                return failure
+            if entry.id != self._leader_id(job.route.service):
+                tried = tried | {entry.id}
+            self._pause(answer.fault or Fault.BUSY)
+        return failure or _refuse_no_primary()
+
+    def _try_begin(
+        self, job: Job, read_only: bool, need: ReadNeed, tried: frozenset[str]
+    ) -> InstanceLink | Refusal | tuple[Answer, InstanceEntry]:
+        chosen = self._choose(job, need, tried)
+        if isinstance(chosen, Refusal):
+            return chosen
+        entry = self._directory.instances.get(chosen)
+        try:
+            if entry is None:
+                return _refuse_no_primary()
+            return self._begin_at(job, entry, read_only, need)
+        finally:
+            self._release(job.route.service, chosen)
+
+    def _begin_at(
+        self, job: Job, entry: InstanceEntry, read_only: bool, need: ReadNeed
+    ) -> InstanceLink | tuple[Answer, InstanceEntry]:
+        try:
+            link = self._borrow(job, entry)
+        except LinkError as error:
+            return self._note_no_link(entry, error), entry
+        text = self._codec.write_begin(read_only)
+        sent_at_ms = self._clock.now_ms()
+        answer = link.call(OWN_ID, text, need.floor, job.deadline_ms)
+        self._learn(entry, answer, sent_at_ms)
+        if answer.fault is None and link.in_transaction:
+            return link
+        self._pool.give_back(link, self.keep_links(entry.service))
+        return answer, entry
+
+    def run_inside(self, link: InstanceLink, job: Job) -> Answer | Refusal:
+        """Run one statement, or the commit, of the transaction on `link`.
+
+        What the instance had no slot for leaves the transaction as it was, and is
+        sent again while there is time.
+        """
+        if not link.usable:
+            return lose_transaction("its connection has ended")
+        while True:
+            answer = self._try_inside(link, job)
+            if isinstance(answer, Refusal) or answer.fault is None:
+                return answer
+            is_open = answer.state is TransactionState.OPEN
+            again = answer.fault in (Fault.BUSY, Fault.UNPREPARED) and is_open
+            if not again or not self._has_time(job):
+                return answer
+            self._pause(answer.fault)
+
+    def _try_inside(self, link: InstanceLink, job: Job) -> Answer | Refusal:
+        entry = link.entry
+        chosen = self._acquire(job, [entry.id])
+        if isinstance(chosen, Refusal):
+            return chosen
+        self._placement.view_of(chosen).outstanding += 1
+        try:
+            # A commit at a primary that may have been replaced could be lost though
+            # its caller was told otherwise.
+            if self._leader_id(entry.service) == entry.id:
+                refusal = self._guard.check(entry.service)
+                if refusal is not None:
+                    return refusal
+            try:
+                link.adopt(job.state, job.prepared)
+            except LinkError as error:
+                return lose_transaction(error.detail)
+            return self._call(link, job, None)
+        finally:
+            self._release(entry.service, chosen)
+
+    def roll_back(self, link: InstanceLink) -> None:
+        """Roll the transaction back and take the link back; a link in doubt closes."""
+        if link.usable and link.in_transaction:
+            deadline_ms = self._clock.now_ms() + NO_PRIMARY_RETRY_MS
+            link.call(OWN_ID, self._codec.write_rollback(), None, deadline_ms)
+        self.end(link)
+
+    def end(self, link: InstanceLink) -> None:
+        """Take back the link of a transaction that has ended."""
+        self._pool.give_back(link, self.keep_links(link.entry.service))
+
+    # Records of what happened
+
+    def _log_retry(
+        self, job: Job, entry: InstanceEntry, answer: Answer, attempt: int
+    ) -> None:
+        fault = answer.fault.name.lower() if answer.fault else "none"
+        self._counters.count("retries", reason=fault)
+        self._log.write_request(
+            "runner",
+            "An instance gave no result.",
+            request=job.statement.id,
+            workspace=job.workspace,
+            service=entry.service,
+            instance=entry.id,
+            fault=fault,
+            detail=answer.detail,
+            attempt=attempt,
+            left_ms=round(job.deadline_ms - self._clock.now_ms()),
+        )
+
+
+def refuse_fault(answer: Answer, writes: bool) -> Refusal:
+    """Return what the caller is told of a fault; "not run" only when that is true."""
+    fault = answer.fault or Fault.REJECTED
+    code = FAULT_CODES[fault]
+    if fault in NOT_RUN_FAULTS:
+        return Refusal(code, answer.detail or code.name, NOT_RUN, BUSY_RETRY_MS)
+    if fault is Fault.ABORTED:
+        return Refusal(code, answer.detail or code.name, NOT_RUN)
+    if fault is Fault.FAILED:
+        return Refusal(code, answer.detail or code.name, RAN)
+    if fault is Fault.LOST and not writes:
+        return Refusal(Code.STATEMENT_FAILED, answer.detail or code.name, RAN)
+    return Refusal(code, answer.detail or code.name, UNKNOWN)
+
+
+def lose_transaction(detail: str) -> Refusal:
+    """Return what a caller is told whose transaction ended without a commit."""
+    message = f"The transaction has ended and nothing of it is kept: {detail}."
+    return Refusal(Code.TRANSACTION_LOST, message, NOT_RUN, BUSY_RETRY_MS)
+
+
+def _refuse_no_primary() -> Refusal:
+    message = "The service has no instance that can be used just now."
+    return Refusal(Code.NO_PRIMARY, message, NOT_RUN, NO_PRIMARY_RETRY_MS)
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -1,5 +1,9 @@
 """The seam to the outside world: time, randomness, tasks, connections."""
 
+# Annotations stay text, so that `ssl` and `urllib3` are imported by those alone that
+# use them: they take 12 MB of a process.
+from __future__ import annotations
+
 import concurrent.futures
 import contextlib
 import functools
@@ -7,18 +11,22 @@
 import random
 import select
 import socket
-import ssl
 import sys
 import threading
 import time
 import traceback
 import weakref
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+if TYPE_CHECKING:
+    import ssl
 
-import urllib3
+    import urllib3
 
 RECEIVE_BYTES = 65536
+# How often a task that waits for datagrams looks whether the process ends.
+DATAGRAM_WAIT_MS = 1000
 BACKLOG = 1024
 # The type of a random source, for modules that name it.
 Random = random.Random
@@ -54,11 +62,16 @@
 
 
 class Clock:
-    """Milliseconds of the machine's steady clock."""
+    """Milliseconds of the machine's steady clock, time asleep included.
+
+    A VM may be suspended for seconds, and `time.monotonic` doesn't count them. A proof
+    that a primary still led would look young after the VM woke up, and reads would go
+    to a primary that was replaced meanwhile.
+    """
 
     def now_ms(self) -> float:
         """Return milliseconds since an arbitrary point; it never goes back."""
-        return time.monotonic() * 1000
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
     def sleep_ms(self, duration_ms: float) -> None:
         """Wait for `duration_ms`."""
@@ -110,6 +123,11 @@
     return any(ready == descriptor for ready, _ in poller.poll(timeout_ms))
 
 
+def is_encrypted(sock: socket.socket) -> bool:
+    """Return whether a socket speaks TLS, without importing `ssl` to find out."""
+    return hasattr(sock, "do_handshake")
+
+
 class Connection:
     """A TCP connection with a timeout for each call."""
 
@@ -166,13 +184,13 @@
 
         Return False when time is up or `signal` is set and nothing has come.
         """
-        if isinstance(self._sock, ssl.SSLSocket) and self._sock.pending():
+        if is_encrypted(self._sock) and self._sock.pending():
             return True
         return _wait_readable(self._sock, timeout_ms, signal)
 
     def complete_handshake(self) -> None:
         """Complete the TLS handshake, if there is one, within the set timeout."""
-        if isinstance(self._sock, ssl.SSLSocket):
+        if is_encrypted(self._sock):
             self._sock.do_handshake()
 
     def finish_sending(self) -> None:
@@ -194,29 +212,6 @@
         self._on_close(self)
 
 
-class _HttpConnection(urllib3.connection.HTTPConnection):
-    """An HTTP connection that the end of the runtime closes.
-
-    A pool knows only its idle connections. A task in a long watch would hold up the
-    end of the process until the watch is answered.
-    """
-
-    def __init__(self, adopt: Callable[[socket.socket], Connection], *args, **kwargs):
-        super().__init__(*args, **kwargs)
-        self._adopt = adopt
-        self._adopted: Connection | None = None
-
-    def connect(self) -> None:
-        super().connect()
-        self._adopted = self._adopt(self.sock)
-
-    def close(self) -> None:
-        super().close()
-        if self._adopted is not None:
-            self._adopted.forget()
-            self._adopted = None
-
-
 class Listener:
     """A listening TCP port."""
 
@@ -263,6 +258,26 @@
         self._sock.close()
 
 
+class Datagrams:
+    """A UDP port; each call may be made by any task."""
+
+    def __init__(self, sock: socket.socket):
+        self._sock = sock
+        self.address = Address(*sock.getsockname()[:2])
+
+    def send_to(self, data: bytes, address: Address) -> None:
+        """Send one datagram, or raise OSError; it may get lost on its way."""
+        self._sock.sendto(data, address)
+
+    def receive(self, limit: int) -> bytes:
+        """Return the next datagram; raise TimeoutError after DATAGRAM_WAIT_MS."""
+        return self._sock.recvfrom(limit)[0]
+
+    def close(self) -> None:
+        """Close the port."""
+        self._sock.close()
+
+
 def write_failure(text: str) -> None:
     """Write the traceback of a task that failed to standard error."""
     sys.stderr.write(text)
@@ -394,6 +409,13 @@
             self._listeners.add(listener)
         return listener
 
+    def open_datagrams(self, address: Address) -> Datagrams:
+        """Return a UDP port on `address`; port 0 takes a free one."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind(address)
+        sock.settimeout(DATAGRAM_WAIT_MS / 1000)
+        return Datagrams(sock)
+
     def open_http(
         self, address: Address, pool_size: int, tls: ssl.SSLContext | None = None
     ) -> urllib3.HTTPConnectionPool:
@@ -402,6 +424,10 @@
         With TLS the end of the runtime doesn't close them: they last as long as the
         timeout of their request.
         """
+        import urllib3
+
+        from bronzerelay.httpconnection import TrackedHttpConnection
+
         if tls is not None:
             return urllib3.HTTPSConnectionPool(
                 address.host,
@@ -414,7 +440,7 @@
         pool = urllib3.HTTPConnectionPool(
             address.host, address.port, maxsize=pool_size, block=False, retries=False
         )
-        pool.ConnectionCls = functools.partial(_HttpConnection, self._adopt)
+        pool.ConnectionCls = functools.partial(TrackedHttpConnection, self._adopt)
         return pool
 
     def _adopt(self, sock: socket.socket) -> Connection:
