Replace primaries through the platform, one daemon at a time

Change: a record in the store under compare-and-swap, a proof by heartbeats before each use of a primary, the replica with most received promoted; SIGHUP reads the settings.

--- a/bronzerelay/httpconnection.py
+++ b/bronzerelay/httpconnection.py
@@ -1,7 +1,7 @@
 """HTTP connections of `urllib3` that the end of a runtime closes."""
 
-import socket
 from collections.abc import Callable
+from typing import Any
 
 import urllib3
 
@@ -15,7 +15,7 @@
     end of the process until the watch is answered.
     """
 
-    def __init__(self, adopt: Callable[[socket.socket], Connection], *args, **kwargs):
+    def __init__(self, adopt: Callable[[Any], Connection], *args, **kwargs):
         super().__init__(*args, **kwargs)
         self._adopt = adopt
         self._adopted: Connection | None = None
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -3,13 +3,20 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import msgspec
 
 from bronzerelay.env import ADVISED_SWITCH_INTERVAL_S
+from bronzerelay.pooler.changes import (
+    LEAD_PREFIX,
+    FleetView,
+    LeadChanges,
+    Promoter,
+)
 from bronzerelay.pooler.counters import Counters
-from bronzerelay.pooler.directory import Directory
+from bronzerelay.pooler.directory import Directory, LeadRecord
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.fleetconfig import FleetConfig, InstanceEntry
 from bronzerelay.pooler.fleetrates import FleetRates
@@ -53,6 +60,11 @@
 # A member that nobody here has heard of for this long is taken off the list, in
 # milliseconds. One that lives on puts itself back.
 GONE_MEMBER_MS = 12_000
+# The part of the time that an instance has for leaving in which its lead is used. What
+# is sent at the end of it still has to arrive.
+LEAVE_PART = 0.7
+# Changes of primary that heartbeats repeat.
+LEADS_IN_BEAT = 8
 # Tasks besides those of callers.
 OWN_TASKS = 80
 # The grace before the kill is divided: until the first part new callers are served,
@@ -79,6 +91,8 @@
     # Where this daemon may be asked as a seed.
     admin: Address | None
     grace_ms: float
+    # How long an instance that leaves may still get requests.
+    drain_ms: float
     max_sessions: int
 
 
@@ -111,6 +125,9 @@
     codec: LineCodec
     store: Store
     records: Records
+    promote: Promoter
+    # Returns the settings when they have changed, else None; raises ValueError.
+    read_again: Callable[[], PoolerSettings | None]
 
 
 class PoolerDaemon:
@@ -123,7 +140,7 @@
         self._plugins = plugins
         self.log = EventLog(runtime, settings.name)
         self.counters = Counters(runtime)
-        self.directory = Directory(runtime, self.log)
+        self.directory = Directory(runtime, self.log, settings.drain_ms * LEAVE_PART)
         self.placement = Placement(runtime, self.directory)
         self.pool = LinkPool(runtime, plugins.codec)
         self.rates = FleetRates(runtime, settings.name)
@@ -140,6 +157,21 @@
             self.counters,
             self.log,
         )
+        self.changes = LeadChanges(
+            runtime,
+            settings.name,
+            self.directory,
+            self.mirror,
+            self.placement,
+            FleetView(self._list_names, self._list_acknowledged),
+            self.runner.ask_status,
+            plugins.promote,
+            self._take_lead,
+            self.counters,
+            self.log,
+        )
+        self.mirror.wants_proof = self._wants_proof
+        self.reload_wanted = False
         self.stopping: Signal = runtime.make_signal()
         self.is_stopping = False
         self._ended: Signal = runtime.make_signal()
@@ -200,10 +232,13 @@
             if records.is_config(item.key):
                 self._take_config(records.read_config(item))
                 return
+            if item.key.startswith(LEAD_PREFIX) and item.data is not None:
+                self._take_lead(msgspec.json.decode(item.data, type=LeadRecord))
+                return
             instance_id = records.find_instance_id(item.key)
             if instance_id is not None:
                 self._take_instance(instance_id, item)
-        except ValueError as error:
+        except (ValueError, msgspec.DecodeError) as error:
             # Other writers may put anything there; the rest of the list holds.
             self.log.write(
                 "records", "An item can't be used.", key=item.key, error=str(error)
@@ -222,8 +257,35 @@
         if entry is not None:
             self.directory.set_instance(entry)
 
+    def _take_lead(self, record: LeadRecord) -> None:
+        if not self.directory.set_lead(record):
+            return
+        if not record.settled and not record.planned:
+            # A dead primary answers nothing, and the change would wait for timeouts.
+            self.pool.break_links(record.deposed)
+        self.gossip.hurry()
+
     # Membership
 
+    def _list_names(self) -> list[str]:
+        return [self._settings.name, *self._members]
+
+    def _list_acknowledged(self, service: str, epoch: int) -> set[str]:
+        """Return the daemons that can't use the primary before a change any more."""
+        names = {
+            name
+            for name, view in self.gossip.views.items()
+            if view.acknowledged.get(service, 0) >= epoch
+        }
+        record = self.directory.leads.get(service)
+        known = record is not None and record.epoch >= epoch
+        if known and self.guard.is_quiet(service):
+            names.add(self._settings.name)
+        return names
+
+    def _wants_proof(self) -> bool:
+        return not self.guard.has_proof()
+
     def _join(self) -> None:
         """Put this daemon on the list of members, and keep it there."""
         key = MEMBER_PREFIX + self._settings.name
@@ -304,6 +366,7 @@
             if sample is not None:
                 term, number = sample.position
                 positions[service] = (term, number, round(now_ms - sample.at_ms, 1))
+        leads = list(self.directory.leads.values())[-LEADS_IN_BEAT:]
         return Beat(
             self._settings.name,
             self.gossip.incarnation,
@@ -314,18 +377,30 @@
             self.mirror.at,
             self.rates.list_counts(),
             positions,
-            {service: record.epoch for service, record in self.directory.leads.items()},
+            leads,
+            [record.service for record in leads if self.guard.is_quiet(record.service)],
         )
 
     def _take_beat(self, beat: Beat, proven_ms: float) -> None:
         self.rates.note_report(beat.sender, beat.incarnation, proven_ms, beat.counts)
+        epochs = {}
+        for record in beat.leads:
+            epochs[record.service] = record.epoch
+            self._take_lead(record)
+        if beat.mirror_at > 0:
+            self._note_heard()
         for service, (term, number, age_ms) in beat.positions.items():
-            record = self.directory.leads.get(service)
-            epoch = record.epoch if record else None
-            if beat.leads.get(service) == epoch:
+            known = self.directory.leads.get(service)
+            if epochs.get(service) == (known.epoch if known else None):
                 positions = self.placement.positions_of(service)
                 positions.note(proven_ms - age_ms, Position(term, number))
 
+    def _note_heard(self) -> None:
+        self.guard.note_members(
+            view.heard_at_ms if view.mirror_at > 0 else -1e15
+            for view in self.gossip.views.values()
+        )
+
     # Catching up from peers
 
     def _catch_up(self) -> None:
@@ -369,10 +444,32 @@
         while self._runtime.sleep_ms(UPKEEP_MS):
             self._update_members()
             self._catch_up()
+            self._reload()
+            self.guard.note_store(self.mirror.answered_at_ms)
+            if not self.is_stopping and self.guard.has_proof():
+                self.changes.tend()
             self.directory.forget_unlisted()
             self.placement.forget_missing()
             self.pool.close_unused(self._may_use)
 
+    def _reload(self) -> None:
+        """Take over changed settings; what can't be used leaves the old ones."""
+        wanted, self.reload_wanted = self.reload_wanted, False
+        try:
+            settings = self._plugins.read_again()
+        except (OSError, ValueError) as error:
+            if wanted:
+                self.log.write(
+                    "daemon", "The settings can't be used.", error=str(error)
+                )
+            return
+        if settings is not None:
+            self._settings = settings
+        if settings is not None or wanted:
+            self.log.write(
+                "daemon", "The settings were read again.", changed=settings is not None
+            )
+
     def _may_use(self, entry: InstanceEntry) -> bool:
         known = self.directory.instances.get(entry.id)
         return known is not None and known.born_ms == entry.born_ms
@@ -469,8 +566,15 @@
     end_wanted = runtime.make_signal()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: end_wanted.set())
+    # Before the parts are there: the signal's own effect is to end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     daemon = PoolerDaemon(runtime, settings, plugins)
 
+    def want_reload(*_: object) -> None:
+        daemon.reload_wanted = True
+
+    signal.signal(signal.SIGHUP, want_reload)
+
     def report_failure(text: str) -> None:
         daemon.log.write("daemon", "A task failed.", trace=text)
 
--- a/bronzerelay/pooler/directory.py
+++ b/bronzerelay/pooler/directory.py
@@ -6,7 +6,6 @@
 from bronzerelay.pooler.fleetconfig import FleetConfig, InstanceEntry, Route
 from bronzerelay.runtime import Runtime
 
-
 # An instance that is listed no more is used for this long still, in milliseconds: its
 # entry may have lapsed while the store was away, and comes back within two seconds of
 # the store's return. Dropped at once, all instances would be gone for that time.
@@ -28,6 +27,8 @@
     holder: str
     settled: bool
     deposed: str
+    # A planned change leaves what runs at the old primary time to end.
+    planned: bool
 
 
 class Directory:
@@ -37,7 +38,10 @@
     taken for a request.
     """
 
-    def __init__(self, runtime: Runtime, log: EventLog):
+    def __init__(self, runtime: Runtime, log: EventLog, leave_within_ms: float):
+        # How long after it said that it was leaving an instance may be used.
+        self._leave_within_ms = leave_within_ms
+        self._leaving_since_ms: dict[str, float] = {}
         self._lock = runtime.make_lock()
         self._clock = runtime.clock
         self._log = log
@@ -93,6 +97,10 @@
                 return
             self.instances = {**self.instances, entry.id: entry}
             self._regroup()
+            if entry.leaving:
+                self._leaving_since_ms.setdefault(entry.id, self._clock.now_ms())
+            else:
+                self._leaving_since_ms.pop(entry.id, None)
         self._log.write(
             "instances",
             "An instance changed.",
@@ -158,14 +166,12 @@
 
     # Who leads
 
-    def set_lead(self, record: LeadRecord) -> None:
-        """Take over the record of a change of primary unless it is older."""
+    def set_lead(self, record: LeadRecord) -> bool:
+        """Take over the record of a change of primary; return whether it is new."""
         with self._lock:
             known = self.leads.get(record.service)
-            if known is not None and known.epoch > record.epoch:
-                return
-            if known is not None and known.epoch == record.epoch and known.settled:
-                return
+            if known is not None and not _is_newer(record, known):
+                return False
             self.leads = {**self.leads, record.service: record}
         self._log.write(
             "leads",
@@ -179,18 +185,32 @@
             holder=record.holder,
             deposed=record.deposed,
         )
+        return True
 
     def find_leader(self, service: str) -> InstanceEntry | None:
         """Return the primary of a service, or None while there is none to be used."""
         record = self.leads.get(service)
-        group = self.list_instances(service)
         if record is not None:
             if not record.settled:
                 return None
             named = self.instances.get(record.instance)
             if named is not None and named.service == service:
-                return named
-        for entry in group:
-            if entry.claims_lead and (record is None or entry.id != record.deposed):
+                return None if self.is_past_leaving(named) else named
+        for entry in self.list_instances(service):
+            deposed = record is not None and entry.id == record.deposed
+            if entry.claims_lead and not deposed and not self.is_past_leaving(entry):
                 return entry
         return None
+
+    def is_past_leaving(self, entry: InstanceEntry) -> bool:
+        """Return whether an instance has been leaving for so long that it is gone."""
+        since_ms = self._leaving_since_ms.get(entry.id)
+        if not entry.leaving or since_ms is None:
+            return False
+        return self._clock.now_ms() - since_ms > self._leave_within_ms
+
+
+def _is_newer(record: LeadRecord, known: LeadRecord) -> bool:
+    if record.epoch == known.epoch:
+        return record.settled and not known.settled
+    return record.epoch > known.epoch
--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -87,7 +87,7 @@
     # Reports
 
     def list_counts(self) -> dict[str, int]:
-        """Return what this process has admitted of each workspace that it has served."""
+        """Return what this process has admitted, for each workspace it served."""
         with self._lock:
             return {
                 name: bucket.admitted
--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -12,12 +12,15 @@
 
 import msgspec
 
+from bronzerelay.pooler.directory import LeadRecord
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.runtime import Address, Datagrams, Runtime
 
 # Time between two heartbeats, in milliseconds. A daemon counts as silent after three
 # lost ones; at eight daemons they cost each about 2 KB a second.
 BEAT_MS = 300
+# The least time between two heartbeats, in milliseconds.
+HURRY_MS = 15
 # Heartbeats whose sending time is remembered, to match the numbers that come back.
 REMEMBERED = 32
 # Peers that one round reaches; with more of them the rounds take turns.
@@ -33,7 +36,8 @@
     incarnation `echo_incarnation`. `mirror_at` is the revision of the platform's store
     that the sender knows. `counts` is what it has admitted of each workspace.
     `positions` holds the end of the log (term, number) and its age in milliseconds for
-    each service, `leads` the epoch of the last known change of primary.
+    each service, `leads` the changes of primary that the sender knows of, and
+    `quiet` the services at whose old primary it has nothing under way.
     """
 
     sender: str
@@ -45,7 +49,8 @@
     mirror_at: int
     counts: dict[str, int]
     positions: dict[str, tuple[int, int, float]]
-    leads: dict[str, int]
+    leads: list[LeadRecord]
+    quiet: list[str]
 
 
 class PeerView:
@@ -60,7 +65,8 @@
         self.received_at_ms = NEVER_MS
         self.stopping = False
         self.mirror_at = 0
-        self.leads: dict[str, int] = {}
+        # For each service the epoch of the change that the peer has acknowledged.
+        self.acknowledged: dict[str, int] = {}
 
 
 # Makes the part of a heartbeat that doesn't depend on its receiver.
@@ -83,6 +89,8 @@
         self._sent: deque[tuple[int, float]] = deque(maxlen=REMEMBERED)
         self._number = 0
         self._turn = 0
+        self._condition = runtime.make_condition()
+        self._hurried = False
         self._decoder = msgspec.msgpack.Decoder(Beat)
         self._encoder = msgspec.msgpack.Encoder()
         self.views: dict[str, PeerView] = {}
@@ -102,10 +110,21 @@
 
     def run_sender(self, describe: Describe) -> None:
         """Send heartbeats until the runtime stops."""
-        while True:
+        while not self._runtime.stopping:
+            with self._condition:
+                hurried = self._runtime.wait_for(
+                    self._condition, lambda: self._hurried, BEAT_MS
+                )
+                self._hurried = False
             self.send_round(describe())
-            if not self._runtime.sleep_ms(BEAT_MS):
-                return
+            if hurried:
+                self._runtime.sleep_ms(HURRY_MS)
+
+    def hurry(self) -> None:
+        """Send the next heartbeat at once: it holds what others wait for."""
+        with self._condition:
+            self._hurried = True
+            self._condition.notify()
 
     def send_round(self, beat: Beat) -> None:
         """Send one heartbeat to the next members in turn."""
@@ -174,7 +193,11 @@
             view.received_at_ms = self._clock.now_ms()
             view.stopping = beat.stopping
             view.mirror_at = beat.mirror_at
-            view.leads = beat.leads
+            view.acknowledged = {
+                record.service: record.epoch
+                for record in beat.leads
+                if record.settled or record.service in beat.quiet
+            }
             proven_ms = self._find_sent(beat)
             view.heard_at_ms = max(view.heard_at_ms, proven_ms)
         take(beat, proven_ms)
--- a/bronzerelay/pooler/httpcalls.py
+++ b/bronzerelay/pooler/httpcalls.py
@@ -74,7 +74,12 @@
         self._connection: Connection | None = None
 
     def call(
-        self, method: str, path: str, body: bytes, timeout_ms: float
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_ms: float,
+        headers: dict[str, str] | None = None,
     ) -> HttpAnswer:
         """Return the response, or raise CallLostError within `timeout_ms`."""
         deadline_ms = self._clock.now_ms() + timeout_ms
@@ -82,7 +87,7 @@
             connection = self._connect(timeout_ms)
             try:
                 connection.set_timeout(timeout_ms)
-                connection.send(self._encode(method, path, body))
+                connection.send(self._encode(method, path, body, headers or {}))
                 answer, keep = self._receive(connection, deadline_ms)
             except (OSError, ValueError, httptools.HttpParserError) as error:
                 # A late response would be taken for that of the next call.
@@ -109,8 +114,11 @@
         if connection is not None:
             connection.close()
 
-    def _encode(self, method: str, path: str, body: bytes) -> bytes:
+    def _encode(
+        self, method: str, path: str, body: bytes, headers: dict[str, str]
+    ) -> bytes:
         head = f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         if body:
             head += "Content-Type: application/json\r\n"
         if body or method == "POST":
--- a/bronzerelay/pooler/leadership.py
+++ b/bronzerelay/pooler/leadership.py
@@ -1,25 +1,100 @@
-"""Whether the primary of a service may be used by this daemon now."""
+"""Whether this daemon may use the primary of a service now.
+
+A primary is replaced only through the platform, and the old one may live on behind a
+cut and know nothing of it. So a change is written to the platform's store first, and
+its maker waits until no daemon can still use the old primary: each one either says
+that it knows of the change and has nothing under way, or its proof has run out.
+
+The proof is what a daemon hears: from most members, none of whom knows of a change, or
+from the store itself. The maker needs most members to know of its change, and any two
+majorities have a member in common.
+"""
+
+from collections.abc import Iterable
 
 from bronzerelay.codes import NOT_RUN, Code, Refusal
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.runtime import Runtime
 
+# How long a daemon may go by what it heard, in milliseconds. Three heartbeats may be
+# lost before; a longer time would lengthen each change that an unheard daemon delays.
+LEASE_MS = 1_000
+# What the maker of a change waits beyond the lease, in milliseconds, for what a daemon
+# had just sent when its proof ran out.
+LEASE_MARGIN_MS = 150
 UNDER_CHANGE_RETRY_MS = 300
+NO_PROOF_RETRY_MS = 400
+NEVER_MS = -1e15
 
 
 class LeadGuard:
-    """Judges before each use of a primary whether another one may lead by now."""
+    """Judges before and after each use of a primary, and counts uses under way."""
 
     def __init__(self, runtime: Runtime, directory: Directory):
-        self._runtime = runtime
+        self._clock = runtime.clock
         self._directory = directory
+        self._lock = runtime.make_lock()
+        self._under_way: dict[str, int] = {}
+        # Up to when most members were heard of, or the store was.
+        self._proven_ms = NEVER_MS
+        self._member_count = 0
+        self._lonely = True
+
+    # The proof
+
+    def note_members(self, heard_ms: Iterable[float]) -> None:
+        """Take over when each other member was last heard of."""
+        times = sorted(heard_ms, reverse=True)
+        needed = (len(times) + 1) // 2
+        with self._lock:
+            self._lonely = not times
+            if needed == 0:
+                return
+            self._proven_ms = max(self._proven_ms, times[needed - 1])
+
+    def note_store(self, read_at_ms: float) -> None:
+        """Note that all changes in the store up to `read_at_ms` are known here."""
+        with self._lock:
+            self._proven_ms = max(self._proven_ms, read_at_ms)
+
+    def has_proof(self) -> bool:
+        """Return whether no change can have come into effect unheard of."""
+        return self._clock.now_ms() - self._proven_ms <= LEASE_MS
+
+    # Use of a primary
+
+    def enter(self, service: str, instance_id: str) -> Refusal | None:
+        """Begin to use the primary of a service, or say why it may not be used.
+
+        Who got None calls `leave` afterwards.
+        """
+        with self._lock:
+            refusal = self._judge(service, instance_id)
+            if refusal is None:
+                self._under_way[service] = self._under_way.get(service, 0) + 1
+            return refusal
+
+    def leave(self, service: str) -> None:
+        """End a use of the primary."""
+        with self._lock:
+            self._under_way[service] -= 1
+
+    def still_leads(self, service: str, instance_id: str) -> bool:
+        """Return whether what the primary has just answered may be believed."""
+        return self._judge(service, instance_id) is None
+
+    def is_quiet(self, service: str) -> bool:
+        """Return whether no use of the service's primary is under way."""
+        return self._under_way.get(service, 0) == 0
 
-    def check(self, service: str) -> Refusal | None:
-        """Return why the primary of a service may not be used, or None."""
-        record = self._directory.leads.get(service)
-        if record is not None and not record.settled:
+    def _judge(self, service: str, instance_id: str) -> Refusal | None:
+        leader = self._directory.find_leader(service)
+        if leader is None or leader.id != instance_id:
             message = "The primary of the service is being replaced."
             return Refusal(
                 Code.PRIMARY_REPLACED, message, NOT_RUN, UNDER_CHANGE_RETRY_MS
             )
+        if not self.has_proof():
+            message = "This daemon can't tell whether the primary still leads."
+            return Refusal(Code.ISOLATED, message, NOT_RUN, NO_PROOF_RETRY_MS)
         return None
--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from bronzerelay.pooler.lines import LineReader
 from bronzerelay.pooler.fleetconfig import InstanceEntry
+from bronzerelay.pooler.lines import LineReader
 from bronzerelay.pooler.messages import (
     Answer,
     AnswerPart,
@@ -221,6 +221,7 @@
         self._lock = runtime.make_lock()
         self._idle: dict[str, list[InstanceLink]] = {}
         self._open: dict[str, int] = {}
+        self._lent: set[InstanceLink] = set()
         self.opened = 0
 
     def lend(
@@ -234,10 +235,13 @@
         while True:
             link = self._take_idle(entry, workspace, state)
             if link is None:
-                return self._dial(entry, workspace, deadline_ms)
-            if link.is_sound():
-                return link
-            self._drop(link)
+                link = self._dial(entry, workspace, deadline_ms)
+            elif not link.is_sound():
+                self._drop(link)
+                continue
+            with self._lock:
+                self._lent.add(link)
+            return link
 
     def _take_idle(
         self, entry: InstanceEntry, workspace: str, state: SessionState
@@ -285,6 +289,8 @@
 
     def give_back(self, link: InstanceLink, keep: int) -> None:
         """Take a link back; keep at most `keep` idle ones of its instance."""
+        with self._lock:
+            self._lent.discard(link)
         if not link.usable or link.in_transaction:
             self._drop(link)
             return
@@ -305,6 +311,14 @@
         for link in links:
             self._drop(link)
 
+    def break_links(self, instance_id: str) -> None:
+        """Close all links to an instance, also those that tasks wait on."""
+        with self._lock:
+            lent = [link for link in self._lent if link.entry.id == instance_id]
+        for link in lent:
+            link.close()
+        self.make_room(instance_id)
+
     def close_unused(self, is_listed: Callable[[InstanceEntry], bool]) -> None:
         """Close links idle for long, and those to instances that aren't listed."""
         oldest_ms = self._runtime.clock.now_ms() - IDLE_CLOSE_MS
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple, Protocol
+from typing import NamedTuple, Protocol
 
 import msgspec
 
@@ -16,6 +16,8 @@
 # How long a watch may wait at the store, in milliseconds. Whatever a silent watch
 # misses is fetched from a peer, so that it may be long and calls few.
 WATCH_WAIT_MS = 14_000
+# How long it waits while the store has to show that nothing has changed.
+PROOF_WAIT_MS = 500
 # The time that any other call may take, in milliseconds.
 CALL_TIMEOUT_MS = 1_500
 # Pauses after failed calls, in milliseconds: short at first, since most outages are.
@@ -100,6 +102,8 @@
         self._failures = 0
         self.at = 0
         self.loaded = False
+        # Asks for a sign of life of the store more often than changes alone bring.
+        self.wants_proof: Callable[[], bool] = lambda: False
         # When the last call that the store answered was sent.
         self.answered_at_ms = -1e15
 
@@ -158,7 +162,8 @@
                     self._replace(changes.items, changes.at)
                     loaded = True
                 else:
-                    self._apply(self._store.watch("", self.at, WATCH_WAIT_MS))
+                    wait_ms = PROOF_WAIT_MS if self.wants_proof() else WATCH_WAIT_MS
+                    self._apply(self._store.watch("", self.at, wait_ms))
             except HistoryLostError as error:
                 self._log.write("store", "The history is lost.", error=str(error))
                 loaded = False
@@ -216,6 +221,11 @@
 
     def change(
         self, expected: dict[str, int], puts: dict[str, bytes], removed: list[str]
-    ) -> Any:
+    ) -> int:
         """Change keys of the store; raise StoreError or ConflictError."""
         return self._store.change(expected, puts, removed, CALL_TIMEOUT_MS)
+
+    def read(self, key: str) -> Item | None:
+        """Return a key as the store has it now, or raise StoreError."""
+        found = self._store.load(key, CALL_TIMEOUT_MS)
+        return next((item for item in found.items if item.key == key), None)
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -29,6 +29,9 @@
         self.answer_ms = FIRST_ANSWER_MS
         self.outstanding = 0
         self.trouble_until_ms = 0.0
+        # Failures since the last answer, and when they began.
+        self.failures = 0
+        self.failing_since_ms = 0.0
         self.position: Position | None = None
         self.position_at_ms = 0.0
 
@@ -83,11 +86,16 @@
         view = self.view_of(entry.id)
         view.answer_ms += ANSWER_WEIGHT * (took_ms - view.answer_ms)
         view.trouble_until_ms = 0.0
+        view.failures = 0
 
     def note_trouble(self, entry: InstanceEntry) -> None:
         """Note that an instance couldn't be reached or gave no answer."""
         view = self.view_of(entry.id)
-        view.trouble_until_ms = self._clock.now_ms() + TROUBLE_MS
+        now_ms = self._clock.now_ms()
+        view.trouble_until_ms = now_ms + TROUBLE_MS
+        if view.failures == 0:
+            view.failing_since_ms = now_ms
+        view.failures += 1
 
     def note_position(
         self, entry: InstanceEntry, position: Position | None, sent_at_ms: float
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -20,6 +20,7 @@
     NOT_RUN_FAULTS,
     Answer,
     Fault,
+    InstanceStatus,
     LineCodec,
     Position,
     Prepared,
@@ -45,6 +46,9 @@
 # What a caller is told to wait when instances are busy or out of reach, milliseconds.
 BUSY_RETRY_MS = 100
 
+# Who the pooler itself is to the instances when it asks for their status.
+STATUS_WORKSPACE = "bronzerelay"
+
 # What becomes of a fault that the caller is told of.
 FAULT_CODES = {
     Fault.BUSY: Code.QUEUE_FULL,
@@ -85,6 +89,14 @@
         return self.statement.verb is Verb.WRITE
 
 
+class Place(NamedTuple):
+    """A slot of an instance; `as_primary` when it is used for its lead."""
+
+    service: str
+    instance: str
+    as_primary: bool
+
+
 class Runner:
     """Runs the statements of all sessions of one daemon."""
 
@@ -188,15 +200,32 @@
         chosen = self._choose(job, need, tried)
         if isinstance(chosen, Refusal):
             return chosen
-        entry = self._directory.instances.get(chosen)
+        entry = self._directory.instances.get(chosen.instance)
         try:
             if entry is None:
                 return _refuse_no_primary()
-            return self._run_at(job, entry, need), entry
+            answer = self._run_at(job, entry, need)
+            if chosen.as_primary and job.writes:
+                answer = self._confirm(answer, entry)
+            return answer, entry
         finally:
-            self._release(job.route.service, chosen)
+            self._release(chosen)
+
+    def _confirm(self, answer: Answer, entry: InstanceEntry) -> Answer:
+        """Return the answer to a write unless another instance may lead by now.
+
+        A primary behind a cut commits though it was replaced, and what it commits is
+        rolled back when the cut heals. Its caller is told that nobody knows.
+        """
+        if answer.fault is not None:
+            return answer
+        if self._guard.still_leads(entry.service, entry.id):
+            return answer
+        return Answer(fault=Fault.LOST, detail="the primary may have been replaced")
 
-    def _choose(self, job: Job, need: ReadNeed, tried: frozenset[str]) -> str | Refusal:
+    def _choose(
+        self, job: Job, need: ReadNeed, tried: frozenset[str]
+    ) -> Place | Refusal:
         service = job.route.service
         readers = self._placement.list_readers(service, need, tried)
         if not readers:
@@ -204,19 +233,20 @@
         chosen = self._acquire(job, readers)
         if isinstance(chosen, Refusal):
             return chosen
-        if chosen != self._leader_id(service):
-            self._placement.view_of(chosen).outstanding += 1
-            return chosen
-        refusal = self._guard.check(service)
-        if refusal is not None:
-            self._queue_of(service).release(chosen)
-            return refusal
+        as_primary = need.primary_only or chosen == self._leader_id(service)
+        if as_primary:
+            refusal = self._guard.enter(service, chosen)
+            if refusal is not None:
+                self._queue_of(service).release(chosen)
+                return refusal
         self._placement.view_of(chosen).outstanding += 1
-        return chosen
+        return Place(service, chosen, as_primary)
 
-    def _release(self, service: str, instance_id: str) -> None:
-        self._placement.view_of(instance_id).outstanding -= 1
-        self._queue_of(service).release(instance_id)
+    def _release(self, place: Place) -> None:
+        if place.as_primary:
+            self._guard.leave(place.service)
+        self._placement.view_of(place.instance).outstanding -= 1
+        self._queue_of(place.service).release(place.instance)
 
     def _leader_id(self, service: str) -> str | None:
         leader = self._directory.find_leader(service)
@@ -310,13 +340,13 @@
         chosen = self._choose(job, need, tried)
         if isinstance(chosen, Refusal):
             return chosen
-        entry = self._directory.instances.get(chosen)
+        entry = self._directory.instances.get(chosen.instance)
         try:
             if entry is None:
                 return _refuse_no_primary()
             return self._begin_at(job, entry, read_only, need)
         finally:
-            self._release(job.route.service, chosen)
+            self._release(chosen)
 
     def _begin_at(
         self, job: Job, entry: InstanceEntry, read_only: bool, need: ReadNeed
@@ -334,7 +364,9 @@
         self._pool.give_back(link, self.keep_links(entry.service))
         return answer, entry
 
-    def run_inside(self, link: InstanceLink, job: Job) -> Answer | Refusal:
+    def run_inside(
+        self, link: InstanceLink, job: Job, as_primary: bool
+    ) -> Answer | Refusal:
         """Run one statement, or the commit, of the transaction on `link`.
 
         What the instance had no slot for leaves the transaction as it was, and is
@@ -343,7 +375,7 @@
         if not link.usable:
             return lose_transaction("its connection has ended")
         while True:
-            answer = self._try_inside(link, job)
+            answer = self._try_inside(link, job, as_primary)
             if isinstance(answer, Refusal) or answer.fault is None:
                 return answer
             is_open = answer.state is TransactionState.OPEN
@@ -352,26 +384,34 @@
                 return answer
             self._pause(answer.fault)
 
-    def _try_inside(self, link: InstanceLink, job: Job) -> Answer | Refusal:
+    def _try_inside(
+        self, link: InstanceLink, job: Job, as_primary: bool
+    ) -> Answer | Refusal:
         entry = link.entry
         chosen = self._acquire(job, [entry.id])
         if isinstance(chosen, Refusal):
             return chosen
+        if as_primary and self._guard.enter(entry.service, entry.id) is not None:
+            self._queue_of(entry.service).release(chosen)
+            link.close()
+            return lose_transaction("its primary is being replaced")
         self._placement.view_of(chosen).outstanding += 1
         try:
-            # A commit at a primary that may have been replaced could be lost though
-            # its caller was told otherwise.
-            if self._leader_id(entry.service) == entry.id:
-                refusal = self._guard.check(entry.service)
-                if refusal is not None:
-                    return refusal
-            try:
-                link.adopt(job.state, job.prepared)
-            except LinkError as error:
-                return lose_transaction(error.detail)
-            return self._call(link, job, None)
+            return self._call_inside(link, job, as_primary)
         finally:
-            self._release(entry.service, chosen)
+            self._release(Place(entry.service, chosen, as_primary))
+
+    def _call_inside(
+        self, link: InstanceLink, job: Job, as_primary: bool
+    ) -> Answer | Refusal:
+        try:
+            link.adopt(job.state, job.prepared)
+        except LinkError as error:
+            return lose_transaction(error.detail)
+        answer = self._call(link, job, None)
+        if as_primary and job.statement.verb is Verb.COMMIT:
+            return self._confirm(answer, link.entry)
+        return answer
 
     def roll_back(self, link: InstanceLink) -> None:
         """Roll the transaction back and take the link back; a link in doubt closes."""
@@ -384,6 +424,38 @@
         """Take back the link of a transaction that has ended."""
         self._pool.give_back(link, self.keep_links(link.entry.service))
 
+    # The instances themselves
+
+    def ask_status(
+        self, entry: InstanceEntry, timeout_ms: float
+    ) -> InstanceStatus | None:
+        """Return where an instance stands, or None when it doesn't say in time."""
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        state = SessionState({}, {})
+        try:
+            link = self._pool.lend(entry, STATUS_WORKSPACE, state, deadline_ms)
+        except LinkError as error:
+            self._log_status(entry, str(error))
+            return None
+        try:
+            text = self._codec.write_status()
+            answer = link.call(OWN_ID, text, None, deadline_ms)
+        finally:
+            self._pool.give_back(link, self.keep_links(entry.service))
+        if answer.fault is not None or not answer.rows:
+            self._log_status(entry, answer.detail)
+            return None
+        return self._codec.read_status(answer.rows[0])
+
+    def _log_status(self, entry: InstanceEntry, detail: str) -> None:
+        self._log.write_request(
+            "runner",
+            "An instance didn't say where it stands.",
+            service=entry.service,
+            instance=entry.id,
+            detail=detail,
+        )
+
     # Records of what happened
 
     def _log_retry(
--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -2,7 +2,7 @@
 
 from typing import Any, NamedTuple
 
-from bronzerelay.codes import NOT_RUN, UNKNOWN, Code, Refusal
+from bronzerelay.codes import NOT_RUN, Code, Refusal
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.pooler.events import EventLog
@@ -387,7 +387,8 @@
         assert link is not None
         verb = job.statement.verb
         transaction.wrote = transaction.wrote or job.writes
-        outcome = self._services.runner.run_inside(link, job)
+        as_primary = not transaction.read_only
+        outcome = self._services.runner.run_inside(link, job, as_primary)
         if isinstance(outcome, Answer) and outcome.fault is None:
             if verb is Verb.COMMIT:
                 self._finish(transaction, outcome)
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -131,7 +131,7 @@
 class Connection:
     """A TCP connection with a timeout for each call."""
 
-    def __init__(self, sock: socket.socket, on_close: Callable[["Connection"], None]):
+    def __init__(self, sock: socket.socket, on_close: Callable[[Connection], None]):
         self._sock = sock
         self._on_close = on_close
         self._timeout_ms: float | None = -1
