Prove the lead by the store where heartbeats can't; find a dead primary sooner

Daemons refused inside the rate where callers had moved. Ruled out: the store (it answered that half throughout), the rates of the split half. Change: short watches while the proof is old; failures count from when the unanswered statement was sent; a restarted holder takes its own change over; parts of rates with half as much again; planned changes let requests wait for a moment.

--- a/bronzerelay/pooler/changes.py
+++ b/bronzerelay/pooler/changes.py
@@ -26,7 +26,7 @@
 LEAD_PREFIX = "bronzerelay/leads/"
 # A primary that answered nobody for this long is taken for dead, in milliseconds. What
 # peers see of it is up to two heartbeats old; a slow statement takes less.
-DEAD_AFTER_MS = 1_300
+DEAD_AFTER_MS = 1_000
 # Failures that this daemon itself must have seen of it.
 DEAD_FAILURES = 2
 # A service without any primary gets one after this time, in milliseconds: entries come
@@ -143,6 +143,10 @@
         return "dead" if self._looks_dead(leader, now_ms) else None
 
     def _find_takeover(self, record: LeadRecord, now_ms: float) -> str | None:
+        # The process that began it is gone, as this one has its name; nobody has to
+        # wait whether it comes back.
+        if record.holder == self._name and record.service not in self._busy:
+            return "restarted"
         seen = self._seen.get(record.service)
         if seen is None or seen[0] != record:
             self._seen[record.service] = (record, now_ms)
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -63,6 +63,9 @@
 # The part of the time that an instance has for leaving in which its lead is used. What
 # is sent at the end of it still has to arrive.
 LEAVE_PART = 0.7
+# A daemon that has had no proof of any primary for this long asks for no more callers,
+# in milliseconds: a few heartbeats more than it takes to lose the proof.
+CUT_OFF_MS = 2_500
 # Changes of primary that heartbeats repeat.
 LEADS_IN_BEAT = 8
 # Tasks besides those of callers.
@@ -171,6 +174,7 @@
             self.log,
         )
         self.mirror.wants_proof = self._wants_proof
+        self.mirror.note_proof = self.guard.note_store
         self.reload_wanted = False
         self.stopping: Signal = runtime.make_signal()
         self.is_stopping = False
@@ -198,6 +202,8 @@
         return (
             not self.is_stopping
             and self.directory.config is not None
+            # Cut off it could serve little, and others serve its callers.
+            and self.guard.proof_age_ms() < CUT_OFF_MS
             and bool(self.directory.instances)
         )
 
@@ -445,7 +451,7 @@
             self._update_members()
             self._catch_up()
             self._reload()
-            self.guard.note_store(self.mirror.answered_at_ms)
+            self.mirror.tend()
             if not self.is_stopping and self.guard.has_proof():
                 self.changes.tend()
             self.directory.forget_unlisted()
--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -22,7 +22,11 @@
 # How long recent traffic counts for a daemon's part, in milliseconds.
 RECENT_MS = 2_000
 # What each daemon's part starts from, in operations: one without traffic gets a few.
-BASE_PART = 1.0
+BASE_PART = 3.0
+# What daemons may spend in a round beyond their parts. Parts follow where traffic was,
+# and a caller that moves would be refused inside its rate; what is spent too much is
+# missing in the next round, so that no more than this part of a burst is ever ahead.
+PART_FACTOR = 1.5
 
 
 class PeerCount(NamedTuple):
@@ -150,7 +154,7 @@
 
     def _begin_round(self, bucket: Bucket, now_ms: float) -> None:
         """Work out what this daemon may spend until the others hear of it."""
-        share = self._work_out_share(bucket)
+        share = min(1.0, PART_FACTOR * self._work_out_share(bucket))
         coming = bucket.spec.rate * bucket.part * ROUND_MS / 1000
         bucket.allowance = max(0.0, bucket.tokens) * share + coming * share
         # A part below one operation would refuse a quiet workspace for ever.
--- a/bronzerelay/pooler/leadership.py
+++ b/bronzerelay/pooler/leadership.py
@@ -37,8 +37,6 @@
         self._under_way: dict[str, int] = {}
         # Up to when most members were heard of, or the store was.
         self._proven_ms = NEVER_MS
-        self._member_count = 0
-        self._lonely = True
 
     # The proof
 
@@ -47,7 +45,6 @@
         times = sorted(heard_ms, reverse=True)
         needed = (len(times) + 1) // 2
         with self._lock:
-            self._lonely = not times
             if needed == 0:
                 return
             self._proven_ms = max(self._proven_ms, times[needed - 1])
@@ -59,7 +56,11 @@
 
     def has_proof(self) -> bool:
         """Return whether no change can have come into effect unheard of."""
-        return self._clock.now_ms() - self._proven_ms <= LEASE_MS
+        return self.proof_age_ms() <= LEASE_MS
+
+    def proof_age_ms(self) -> float:
+        """Return how old the newest proof is."""
+        return self._clock.now_ms() - self._proven_ms
 
     # Use of a primary
 
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -17,7 +17,7 @@
 # misses is fetched from a peer, so that it may be long and calls few.
 WATCH_WAIT_MS = 14_000
 # How long it waits while the store has to show that nothing has changed.
-PROOF_WAIT_MS = 500
+PROOF_WAIT_MS = 350
 # The time that any other call may take, in milliseconds.
 CALL_TIMEOUT_MS = 1_500
 # Pauses after failed calls, in milliseconds: short at first, since most outages are.
@@ -104,8 +104,10 @@
         self.loaded = False
         # Asks for a sign of life of the store more often than changes alone bring.
         self.wants_proof: Callable[[], bool] = lambda: False
-        # When the last call that the store answered was sent.
-        self.answered_at_ms = -1e15
+        # Takes the moment up to which all changes are known.
+        self.note_proof: Callable[[float], None] = lambda _: None
+        self._hurried = False
+        self._waits_long = False
 
     def get(self, key: str) -> Item | None:
         """Return a key as it is known, or None."""
@@ -162,8 +164,7 @@
                     self._replace(changes.items, changes.at)
                     loaded = True
                 else:
-                    wait_ms = PROOF_WAIT_MS if self.wants_proof() else WATCH_WAIT_MS
-                    self._apply(self._store.watch("", self.at, wait_ms))
+                    self._watch()
             except HistoryLostError as error:
                 self._log.write("store", "The history is lost.", error=str(error))
                 loaded = False
@@ -173,14 +174,29 @@
                 continue
             self._note_answer(sent_at_ms)
 
+    def _watch(self) -> None:
+        self._waits_long = not self.wants_proof()
+        wait_ms = WATCH_WAIT_MS if self._waits_long else PROOF_WAIT_MS
+        try:
+            self._apply(self._store.watch("", self.at, wait_ms))
+        finally:
+            self._waits_long = False
+
+    def tend(self) -> None:
+        """Break off a long watch when the store has to show that nothing changed."""
+        if self._waits_long and self.wants_proof():
+            self._hurried = True
+            self._store.interrupt()
+
     def _note_answer(self, sent_at_ms: float) -> None:
-        self.answered_at_ms = max(self.answered_at_ms, sent_at_ms)
+        self.note_proof(sent_at_ms)
         if self._failures:
             self._log.write("store", "The store answers again.", failed=self._failures)
         self._failures = 0
 
     def _note_failure(self, error: StoreError) -> None:
-        if self._runtime.stopping:
+        hurried, self._hurried = self._hurried, False
+        if self._runtime.stopping or hurried:
             return
         self._failures += 1
         if self._failures == 1:
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -88,13 +88,13 @@
         view.trouble_until_ms = 0.0
         view.failures = 0
 
-    def note_trouble(self, entry: InstanceEntry) -> None:
-        """Note that an instance couldn't be reached or gave no answer."""
+    def note_trouble(self, entry: InstanceEntry, sent_at_ms: float) -> None:
+        """Note that an instance gave no answer to what was sent at `sent_at_ms`."""
         view = self.view_of(entry.id)
         now_ms = self._clock.now_ms()
         view.trouble_until_ms = now_ms + TROUBLE_MS
         if view.failures == 0:
-            view.failing_since_ms = now_ms
+            view.failing_since_ms = sent_at_ms
         view.failures += 1
 
     def note_position(
@@ -124,9 +124,12 @@
         return ReadNeed(floor, False)
 
     def list_readers(
-        self, service: str, need: ReadNeed, tried: frozenset[str]
+        self, service: str, need: ReadNeed, tried: frozenset[str], has_proof: bool
     ) -> list[str]:
-        """Return the ids of the instances that may serve a read, best first."""
+        """Return the ids of the instances that may serve a read, best first.
+
+        Without a proof that it still leads, the primary is left to those that need it.
+        """
         leader = self._directory.find_leader(service)
         if need.primary_only:
             return [leader.id] if leader else []
@@ -136,6 +139,8 @@
             if entry.leaving or entry.id in tried:
                 continue
             is_leader = leader is not None and leader.id == entry.id
+            if is_leader and not has_proof:
+                continue
             if not is_leader and entry.claims_lead:
                 # Two claim to lead: the other one's log may part from the leader's.
                 continue
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -227,7 +227,7 @@
         self, job: Job, need: ReadNeed, tried: frozenset[str]
     ) -> Place | Refusal:
         service = job.route.service
-        readers = self._placement.list_readers(service, need, tried)
+        readers = self._find_readers(job, need, tried)
         if not readers:
             return _refuse_no_primary()
         chosen = self._acquire(job, readers)
@@ -242,6 +242,24 @@
         self._placement.view_of(chosen).outstanding += 1
         return Place(service, chosen, as_primary)
 
+    def _find_readers(
+        self, job: Job, need: ReadNeed, tried: frozenset[str]
+    ) -> list[str]:
+        """Return who may serve the job, waiting while a planned change is made.
+
+        Such a change takes a few round trips. Callers that were refused meanwhile
+        would come back as often as they may, and some would give up.
+        """
+        service = job.route.service
+        while True:
+            has_proof = self._guard.has_proof()
+            readers = self._placement.list_readers(service, need, tried, has_proof)
+            record = self._directory.leads.get(service)
+            planned = record is not None and record.planned and not record.settled
+            if readers or not planned or self._clock.now_ms() >= job.slot_by_ms:
+                return readers
+            self._runtime.sleep_ms(RETRY_PAUSE_MS)
+
     def _release(self, place: Place) -> None:
         if place.as_primary:
             self._guard.leave(place.service)
@@ -253,10 +271,11 @@
         return leader.id if leader else None
 
     def _run_at(self, job: Job, entry: InstanceEntry, need: ReadNeed) -> Answer:
+        began_ms = self._clock.now_ms()
         try:
             link = self._borrow(job, entry)
         except LinkError as error:
-            return self._note_no_link(entry, error)
+            return self._note_no_link(entry, error, began_ms)
         try:
             return self._call(link, job, need.floor)
         finally:
@@ -271,9 +290,11 @@
             raise
         return link
 
-    def _note_no_link(self, entry: InstanceEntry, error: LinkError) -> Answer:
+    def _note_no_link(
+        self, entry: InstanceEntry, error: LinkError, began_ms: float
+    ) -> Answer:
         if error.fault is Fault.UNREACHABLE:
-            self._placement.note_trouble(entry)
+            self._placement.note_trouble(entry, began_ms)
         if error.fault is Fault.TOO_MANY_LINKS:
             self._pool.make_room(entry.id)
         return Answer(fault=error.fault, detail=error.detail)
@@ -294,7 +315,7 @@
     def _learn(self, entry: InstanceEntry, answer: Answer, sent_at_ms: float) -> None:
         took_ms = self._clock.now_ms() - sent_at_ms
         if answer.fault in (Fault.LOST, Fault.TIMED_OUT):
-            self._placement.note_trouble(entry)
+            self._placement.note_trouble(entry, sent_at_ms)
             return
         self._placement.note_answer(entry, took_ms)
         self._placement.note_position(entry, answer.position, sent_at_ms)
@@ -351,10 +372,11 @@
     def _begin_at(
         self, job: Job, entry: InstanceEntry, read_only: bool, need: ReadNeed
     ) -> InstanceLink | tuple[Answer, InstanceEntry]:
+        began_ms = self._clock.now_ms()
         try:
             link = self._borrow(job, entry)
         except LinkError as error:
-            return self._note_no_link(entry, error), entry
+            return self._note_no_link(entry, error, began_ms), entry
         text = self._codec.write_begin(read_only)
         sent_at_ms = self._clock.now_ms()
         answer = link.call(OWN_ID, text, need.floor, job.deadline_ms)
