Test the pooler's whole path on stand-ins of the users' line protocol and store

Found by these tests: unknown instances were assumed so slow that a quick primary kept all reads; a fresh bucket refused the first caller and named the round's end as the time to come back.

--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -19,6 +19,10 @@
 # A daemon that wasn't heard of for this long may be cut off and spend its part without
 # anybody being told. Milliseconds; three reports may be lost before.
 SILENT_MS = 1_000
+# What a process begins with, in operations. What its predecessor spent isn't known to
+# it, so that it begins with next to nothing; with nothing at all the first caller of
+# each workspace would be refused.
+FIRST_TOKENS = 1.0
 # How long recent traffic counts for a daemon's part, in milliseconds.
 RECENT_MS = 2_000
 # What each daemon's part starts from, in operations: one without traffic gets a few.
@@ -41,7 +45,7 @@
 
     def __init__(self, spec: Workspace, now_ms: float):
         self.spec = spec
-        self.tokens = 0.0
+        self.tokens = min(FIRST_TOKENS, spec.burst)
         self.filled_at_ms = now_ms
         # All that this process has admitted, as it is reported.
         self.admitted = 0
@@ -150,6 +154,8 @@
     def _estimate_wait(self, bucket: Bucket, now_ms: float) -> float:
         missing = max(0.0, 1 - bucket.tokens)
         refill_ms = missing / max(bucket.spec.rate * bucket.part, 0.001) * 1000
+        if bucket.allowance >= 1:
+            return max(1.0, refill_ms)
         return max(1.0, refill_ms, bucket.round_until_ms - now_ms)
 
     def _begin_round(self, bucket: Bucket, now_ms: float) -> None:
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -8,8 +8,10 @@
 from bronzerelay.pooler.positions import LogPositions
 from bronzerelay.runtime import Runtime
 
-# The assumed time of an answer before any was measured, and the weight of a new one.
-FIRST_ANSWER_MS = 15.0
+# The assumed time of an answer before any was measured, in milliseconds, and the weight
+# of a new one. It is short, so that each instance is tried; a longer one than that of
+# an instance in use would leave the others unused for good.
+FIRST_ANSWER_MS = 1.0
 ANSWER_WEIGHT = 0.1
 # An instance that was out of reach gets nothing for this long, unless there is no
 # other: each try costs its caller the whole timeout. Milliseconds.
--- /dev/null
+++ b/standins/kvstore.py
@@ -0,0 +1,217 @@
+"""The users' platform in one process: its store and its order to promote."""
+
+import base64
+import contextlib
+import json
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, urlsplit
+
+from bronzerelay.runtime import Address, Runtime
+from standins.linegroup import LOCAL, LineGroup
+
+PAGE_ITEMS = 500
+
+
+class StoredItem(NamedTuple):
+    """A key's value and its last change; a removed one has no value."""
+
+    key: str
+    data: bytes | None
+    revision: int
+
+
+class KvStore:
+    """Keys with revisions and a history, on a port of its own.
+
+    Switches: `status` answers every call with it, `silent` answers none, `lose` drops
+    the answers of that many changes after they were made, `delay_ms` holds answers up.
+    """
+
+    def __init__(self, runtime: Runtime):
+        self.runtime = runtime
+        self.condition = runtime.make_condition()
+        self.items: dict[str, StoredItem] = {}
+        self.history: list[StoredItem] = []
+        self.revision = 7
+        self.forgotten = 0
+        self.status = 0
+        self.silent = False
+        self.lose = 0
+        self.delay_ms = 0.0
+        self.calls: list[str] = []
+        self.groups: dict[str, LineGroup] = {}
+        self._server = ThreadingHTTPServer((LOCAL, 0), self._make_handler())
+        self._server.daemon_threads = True
+        self.runtime.start(self._server.serve_forever)
+
+    @property
+    def address(self) -> Address:
+        """Return where the store listens."""
+        return Address(*self._server.server_address[:2])
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    # What operators and instances write
+
+    def put(self, key: str, data: bytes) -> int:
+        """Write a key as an operator or an instance does."""
+        with self.condition:
+            return self._apply({key: data}, [])
+
+    def put_json(self, key: str, value: Any) -> int:
+        """Write a key with a JSON value."""
+        return self.put(key, json.dumps(value).encode())
+
+    def remove(self, key: str) -> int:
+        """Remove a key as an operator or an expired lease does."""
+        with self.condition:
+            return self._apply({}, [key])
+
+    def forget_history(self) -> None:
+        """Drop the history: watches from before are answered with 410."""
+        with self.condition:
+            self.forgotten = self.revision
+            self.history = []
+            self.condition.notify_all()
+
+    def _apply(self, puts: dict[str, bytes], removed: list[str]) -> int:
+        self.revision += 1
+        for key, data in puts.items():
+            self.items[key] = StoredItem(key, data, self.revision)
+            self.history.append(self.items[key])
+        for key in removed:
+            if self.items.pop(key, None) is not None:
+                self.history.append(StoredItem(key, None, self.revision))
+        self.condition.notify_all()
+        return self.revision
+
+    # Calls
+
+    def answer(self, method: str, path: str, body: bytes) -> tuple[int, Any]:
+        """Return the status and the body of an answer."""
+        url = urlsplit(path)
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        self.calls.append(f"{method} {url.path}")
+        if self.delay_ms:
+            self.runtime.sleep_ms(self.delay_ms)
+        if self.status:
+            return self.status, {}
+        routes: dict[str, Callable[[], tuple[int, Any]]] = {
+            "/-/kv-range": lambda: self._range(query),
+            "/-/kv-watch": lambda: self._watch(query),
+            "/-/kv-txn": lambda: self._change(json.loads(body)),
+        }
+        return routes[url.path]() if url.path in routes else (404, {})
+
+    def _show(self, item: StoredItem) -> dict[str, Any]:
+        if item.data is None:
+            return {"key": item.key, "revision": item.revision, "deleted": True}
+        data = base64.b64encode(item.data).decode()
+        return {
+            "key": item.key,
+            "data": data,
+            "revision": item.revision,
+            "created_rev": item.revision,
+            "lease_id": 0,
+        }
+
+    def _range(self, query: dict[str, str]) -> tuple[int, Any]:
+        with self.condition:
+            prefix, after = query.get("prefix", ""), query.get("after", "")
+            keys = sorted(
+                key for key in self.items if key.startswith(prefix) and key > after
+            )
+            items = [self._show(self.items[key]) for key in keys[:PAGE_ITEMS]]
+            more = len(keys) > PAGE_ITEMS
+            return 200, {"items": items, "has_more": more, "at": self.revision}
+
+    def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
+        after = int(query["after"])
+        prefix = query.get("prefix", "")
+
+        def find() -> list[StoredItem]:
+            return [
+                item
+                for item in self.history
+                if item.revision > after and item.key.startswith(prefix)
+            ]
+
+        with self.condition:
+            self.runtime.wait_for(
+                self.condition,
+                lambda: find() or after < self.forgotten,
+                float(query["wait_ms"]),
+            )
+            if after < self.forgotten:
+                return 410, {}
+            events = [self._show(item) for item in find()]
+            return 200, {"events": events, "at": self.revision}
+
+    def _change(self, body: dict[str, Any]) -> tuple[int, Any]:
+        with self.condition:
+            for row in body["precondition"]:
+                known = self.items.get(row["key"])
+                if (known.revision if known else 0) != row["revision"]:
+                    return 412, {"items": []}
+            puts = {
+                row["key"]: base64.b64decode(row["data"], validate=True)
+                for row in body["puts"]
+            }
+            revision = self._apply(puts, body["remove"])
+            if self.lose:
+                self.lose -= 1
+                return 0, None
+            return 200, {"revision": revision}
+
+    def promote(self, body: bytes, holder: str, epoch: int) -> int:
+        """Return the status of an order to promote."""
+        order = json.loads(body)
+        group = self.groups.get(order["service"])
+        done = group is not None and group.promote(order["id"], holder, epoch)
+        return 200 if done else 409
+
+    def _make_handler(self) -> type[BaseHTTPRequestHandler]:
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self) -> None:
+                self._serve("GET")
+
+            def do_POST(self) -> None:
+                self._serve("POST")
+
+            def _serve(self, method: str) -> None:
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                while store.silent:
+                    if not store.runtime.sleep_ms(10):
+                        return
+                if self.path == "/failover":
+                    holder = self.headers["X-Lock-Holder"]
+                    epoch = int(self.headers["X-Fencing-Token"])
+                    status, value = store.promote(body, holder, epoch), {}
+                else:
+                    status, value = store.answer(method, self.path, body)
+                if status == 0:
+                    self.close_connection = True
+                    return
+                self._reply(status, json.dumps(value).encode())
+
+            def _reply(self, status: int, data: bytes) -> None:
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                # Whoever asked may have gone, as a stopped daemon has.
+                with contextlib.suppress(OSError):
+                    self.wfile.write(data)
+
+            def log_message(self, *_: object) -> None:
+                """Keep the test's output free of a line for each call."""
+
+        return Handler
--- /dev/null
+++ b/standins/linegroup.py
@@ -0,0 +1,358 @@
+"""A service of the users' platform: a primary and replicas on the line protocol.
+
+All instances of a group live in one process, so that replication is a shared list with
+a delay. What a test needs to break has a switch: a deaf replica, a silent instance, a
+lost answer, a primary behind a cut.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bronzerelay.pooler.lines import LineReader
+from bronzerelay.runtime import Address, Connection, Listener, Runtime, TaskLimitError
+
+LOCAL = "127.0.0.1"
+LONG_MS = 60_000.0
+
+
+class Commit(NamedTuple):
+    """One entry of a log: its place, what it stored, and when it was made."""
+
+    term: int
+    number: int
+    changes: tuple[tuple[str, str], ...]
+    at_ms: float
+
+
+class Run(NamedTuple):
+    """A statement that an instance has run, as a test looks at it."""
+
+    instance: str
+    workspace: str
+    statement_id: str
+    text: str
+    values: tuple[tuple[str, str], ...]
+    shape: str
+
+
+class _RefusedError(Exception):
+    """A statement is answered with an error."""
+
+
+class LineInstance:
+    """One instance of a group, with a port of its own."""
+
+    def __init__(self, group: "LineGroup", name: str, leads: bool):
+        self.group = group
+        self.name = name
+        self.leads = leads
+        self.term = 1
+        self.log: list[Commit] = []
+        self.leaving = False
+        # Switches.
+        self.deaf = False
+        self.silent = False
+        self.lose_answers = 0
+        self.busy_answers = 0
+        self.refuse_links = False
+        self.work_ms = 0.0
+        self.held_term = 0
+        self.links = 0
+        self.connections: set[Connection] = set()
+        self.listener: Listener = group.runtime.listen(Address(LOCAL, 0))
+
+    @property
+    def address(self) -> Address:
+        """Return where the instance listens."""
+        return self.listener.address
+
+    def applied(self) -> list[Commit]:
+        """Return the part of the log that reads see."""
+        if self.leads:
+            return self.log
+        newest_ms = self.group.runtime.clock.now_ms() - self.group.lag_ms
+        return [commit for commit in self.log if commit.at_ms <= newest_ms]
+
+    def describe(self, log: list[Commit]) -> str:
+        """Return the end of a log as TERM.NUMBER."""
+        return f"{log[-1].term}.{log[-1].number}" if log else f"{self.term}.0"
+
+    def accept(self) -> None:
+        """Serve connections until the port is closed."""
+        while True:
+            try:
+                connection = self.listener.accept()
+            except OSError:
+                return
+            try:
+                self.group.runtime.start(_Link(self, connection).serve)
+            except (TaskLimitError, RuntimeError):
+                connection.close()
+
+    def cut_links(self) -> None:
+        """Reset all open connections."""
+        for connection in list(self.connections):
+            connection.close()
+
+
+class _Link:
+    """One connection to an instance."""
+
+    def __init__(self, instance: LineInstance, connection: Connection):
+        self._instance = instance
+        self._group = instance.group
+        self._connection = connection
+        self._clock = self._group.runtime.clock
+        self._reader = LineReader(connection, self._clock)
+        self._workspace = ""
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, str] = {}
+        self._state = "I"
+        self._plain = False
+        self._term = 0
+        self._changes: list[tuple[str, str]] = []
+
+    def serve(self) -> None:
+        """Answer statements until either side leaves."""
+        self._instance.connections.add(self._connection)
+        self._instance.links += 1
+        try:
+            if self._start():
+                while self._answer_one():
+                    pass
+        except OSError:
+            # The other side has gone; what was open here is rolled back by leaving.
+            return
+        finally:
+            self._instance.links -= 1
+            self._instance.connections.discard(self._connection)
+            self._connection.close()
+
+    def _read(self) -> str:
+        return self._reader.read_line(self._clock.now_ms() + LONG_MS).decode()
+
+    def _send(self, *lines: str) -> None:
+        self._connection.send("".join(f"{line}\r\n" for line in lines).encode())
+
+    def _start(self) -> bool:
+        _, service, self._workspace, *expected = self._read().split(" ")
+        if service != self._group.service or expected not in (
+            [],
+            [self._instance.name],
+        ):
+            self._send("ERROR MOVED another instance stands here")
+            return False
+        if self._instance.refuse_links or self._instance.links > self._group.max_links:
+            self._send("ERROR MAXCONN no connection is free")
+            return False
+        self._send(self._ready())
+        return True
+
+    def _ready(self) -> str:
+        instance = self._instance
+        return f"READY {self._state} {instance.describe(instance.applied())}"
+
+    def _answer_one(self) -> bool:
+        _, statement_id, text = self._read().split(" ", 2)
+        instance = self._instance
+        while instance.silent:
+            if not self._group.runtime.sleep_ms(10):
+                return False
+        try:
+            with self._group.condition:
+                lines = self._run(statement_id, text)
+        except _RefusedError as error:
+            if self._state == "T":
+                self._state = "E"
+            self._send(f"ERROR {error}", self._ready())
+            return True
+        if instance.work_ms:
+            self._group.runtime.sleep_ms(instance.work_ms)
+        if statement_id != "-" and instance.lose_answers:
+            instance.lose_answers -= 1
+            return False
+        self._send(*lines, self._ready())
+        return True
+
+    def _run(self, statement_id: str, text: str) -> list[str]:
+        instance = self._instance
+        if statement_id != "-" and instance.busy_answers:
+            instance.busy_answers -= 1
+            raise _RefusedError("RETRY no slot")
+        word, _, rest = text.partition(" ")
+        if word == "WAITLSN":
+            floor, _, text = rest.partition(" ")
+            self._check_floor(floor)
+            word, _, rest = text.partition(" ")
+        handlers: dict[str, Callable[[str], list[str]]] = {
+            "BEGIN": self._begin,
+            "COMMIT": self._commit,
+            "ROLLBACK": self._roll_back,
+            "SET": self._set,
+            "DISCARD": self._discard,
+            "PARSE": self._prepare,
+            "STATUS": self._status,
+        }
+        if word in handlers:
+            if word == "COMMIT":
+                self._note(statement_id, text, "")
+            return handlers[word](rest)
+        return self._run_data(statement_id, text, word, rest)
+
+    def _check_floor(self, floor: str) -> None:
+        term, _, number = floor.partition(".")
+        log = self._instance.applied()
+        end = (log[-1].term, log[-1].number) if log else (self._instance.term, 0)
+        if end < (int(term), int(number)):
+            raise _RefusedError("LAGGING the log lacks that position")
+
+    def _note(self, statement_id: str, text: str, shape: str) -> None:
+        values = tuple(sorted(self._values.items()))
+        run = Run(
+            self._instance.name, self._workspace, statement_id, text, values, shape
+        )
+        self._group.runs.append(run)
+
+    def _begin(self, rest: str) -> list[str]:
+        self._plain = rest != "FETCH"
+        if self._plain and not self._instance.leads:
+            raise _RefusedError("READONLY this is a replica")
+        self._state, self._term, self._changes = "T", self._instance.term, []
+        return ["COMPLETE -"]
+
+    def _check_lead(self) -> None:
+        instance = self._instance
+        lost = not instance.leads or instance.term != self._term
+        if self._state == "T" and self._plain and lost:
+            raise _RefusedError("READONLY the lead is lost")
+
+    def _commit(self, _: str) -> list[str]:
+        if self._state == "E":
+            self._state = "I"
+            raise _RefusedError("ABORTED the transaction had failed")
+        if self._changes:
+            self._check_lead()
+            self._group.commit(self._instance, tuple(self._changes))
+        self._state = "I"
+        return [f"COMPLETE {self._sign()}"]
+
+    def _roll_back(self, _: str) -> list[str]:
+        self._state, self._changes = "I", []
+        return ["COMPLETE -"]
+
+    def _set(self, rest: str) -> list[str]:
+        name, _, value = rest.partition(" ")
+        self._values[name] = value
+        return ["COMPLETE -"]
+
+    def _discard(self, _: str) -> list[str]:
+        self._values, self._prepared = {}, {}
+        return ["COMPLETE -"]
+
+    def _prepare(self, rest: str) -> list[str]:
+        name, _, shape = rest.partition(" ")
+        self._prepared[name] = shape
+        return ["COMPLETE -"]
+
+    def _status(self, _: str) -> list[str]:
+        instance = self._instance
+        role = "primary" if instance.leads else "replica"
+        end = instance.describe(instance.log)
+        held = instance.held_term
+        row = f"{role} {instance.term} {end} {held} 0 0 {instance.links}"
+        return [f"DATAROW {row}", "COMPLETE -"]
+
+    def _run_data(
+        self, statement_id: str, text: str, word: str, rest: str
+    ) -> list[str]:
+        shape = ""
+        if word == "EXECUTE":
+            name, _, rest = rest.partition(" ")
+            if name not in self._prepared:
+                raise _RefusedError("NOPREP no such name")
+            shape = self._prepared[name]
+            word = shape.split(" ")[0]
+        self._check_lead()
+        item, _, data = rest.partition(" ")
+        if word == "FETCH":
+            self._note(statement_id, text, shape)
+            found = dict(
+                change
+                for commit in self._instance.applied()
+                for change in commit.changes
+            )
+            return [f"DATAROW {found.get(item, '-')}", f"COMPLETE {self._sign()}"]
+        if word != "STORE":
+            raise _RefusedError(f"PROTOERR {word} is unknown")
+        if not self._instance.leads:
+            raise _RefusedError("READONLY this is a replica")
+        self._note(statement_id, text, shape)
+        if self._state == "T":
+            self._changes.append((item, data))
+        else:
+            self._group.commit(self._instance, ((item, data),))
+        return [f"COMPLETE {self._sign()}"]
+
+    def _sign(self) -> str:
+        return f"{self._instance.name}.{len(self._group.runs)}"
+
+
+class LineGroup:
+    """A service: its instances, their logs and what they ran."""
+
+    def __init__(self, runtime: Runtime, service: str, lag_ms: float = 20.0):
+        self.runtime = runtime
+        self.service = service
+        self.lag_ms = lag_ms
+        self.max_links = 21
+        self.slots = 3
+        self.condition = runtime.make_condition()
+        self.runs: list[Run] = []
+        self.promotions: list[tuple[str, str, int]] = []
+        self.instances: dict[str, LineInstance] = {}
+        for number in range(3):
+            self.add(f"{service}-{number}", number == 0)
+
+    def add(self, name: str, leads: bool) -> LineInstance:
+        """Add an instance and let it listen."""
+        instance = LineInstance(self, name, leads)
+        self.instances[name] = instance
+        self.runtime.start(instance.accept)
+        return instance
+
+    def commit(
+        self, primary: LineInstance, changes: tuple[tuple[str, str], ...]
+    ) -> None:
+        """Add a commit to the primary's log and to those that hear of it."""
+        number = primary.log[-1].number + 1 if primary.log else 1
+        commit = Commit(primary.term, number, changes, self.runtime.clock.now_ms())
+        primary.log.append(commit)
+        for other in self.instances.values():
+            follows = not other.leads and other.term == primary.term
+            if other is not primary and follows and not other.deaf:
+                other.log.append(commit)
+
+    def promote(self, name: str, holder: str, epoch: int) -> bool:
+        """Let an instance lead the next term; return whether it runs."""
+        self.promotions.append((name, holder, epoch))
+        chosen = self.instances.get(name)
+        if chosen is None or chosen.silent:
+            return False
+        with self.condition:
+            if chosen.leads:
+                return True
+            term = max(one.term for one in self.instances.values()) + 1
+            for other in self.instances.values():
+                if other is chosen or other.silent:
+                    continue
+                other.leads = False
+                other.term = term
+                other.log = list(chosen.log)
+            chosen.leads, chosen.term = True, term
+        return True
+
+    def close(self) -> None:
+        """Close all ports."""
+        for instance in self.instances.values():
+            instance.listener.close()
+            instance.cut_links()
--- /dev/null
+++ b/standins/lineplatform.py
@@ -0,0 +1,142 @@
+"""The users' platform as tests set it up: store, service, configuration."""
+
+import json
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from bronzerelay.runtime import Address, Runtime
+from standins.kvstore import KvStore
+from standins.linegroup import LOCAL, LineGroup, LineInstance
+
+CONFIG_KEY = "op/config"
+SERVICE = "orders"
+# The database names of the three kinds of routes.
+STRICT, AGED, OWN = "orders-strict", "orders-aged", "orders-own"
+
+
+class Tenant(NamedTuple):
+    """A tenant as a test configures it."""
+
+    name: str
+    keys: tuple[str, ...]
+    rate: float = 500.0
+    burst: float = 500.0
+
+
+NORTH = Tenant("north", ("north-key",))
+SOUTH = Tenant("south", ("south-key",))
+
+
+def make_route(database: str, kind: str, **fields: Any) -> dict[str, Any]:
+    """Return a route to the service, with some fields of its own."""
+    return {
+        "name": f"r-{database}",
+        "host": database,
+        "prefix": "/",
+        "type": kind,
+        "timeout_ms": 1000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "service": SERVICE,
+        "attempts": 2,
+        "max_staleness_ms": 1500,
+        "public": False,
+        **fields,
+    }
+
+
+class LinePlatform:
+    """A store, one service of three instances, and a configuration."""
+
+    def __init__(self, runtime: Runtime, lag_ms: float = 20.0):
+        self.runtime = runtime
+        self.store = KvStore(runtime)
+        self.group = LineGroup(runtime, SERVICE, lag_ms)
+        self.store.groups[SERVICE] = self.group
+        self.version = 0
+        self.tenants: list[Tenant] = [NORTH, SOUTH]
+        self.routes = [
+            make_route(STRICT, "primary"),
+            make_route(AGED, "bounded_staleness"),
+            make_route(OWN, "read_your_writes"),
+        ]
+        self.idle_ms = 3000
+        for instance in self.group.instances.values():
+            self.register(instance)
+        self.configure()
+
+    def configure(self) -> int:
+        """Put the next version of the configuration; return its number."""
+        self.version += 3
+        config = {
+            "version": self.version,
+            "routes": self.routes,
+            "services": [{"name": SERVICE, "max_conns": 21, "sync_replicas": 0}],
+            "limits": {"tx_idle_ms": self.idle_ms},
+            "tenants": [
+                {
+                    "name": tenant.name,
+                    "api_keys": list(tenant.keys),
+                    "priority": 1,
+                    "rate_per_s": tenant.rate,
+                    "burst": tenant.burst,
+                }
+                for tenant in self.tenants
+            ],
+        }
+        self.store.put_json(CONFIG_KEY, config)
+        return self.version
+
+    def register(self, instance: LineInstance) -> None:
+        """Write what an instance says of itself."""
+        entry = {
+            "service": SERVICE,
+            "address": str(instance.address),
+            "zone": "z1",
+            "version": "v1",
+            "capacity": self.group.slots,
+            "state": "draining" if instance.leaving else "ready",
+            "warmup_left_ms": 0,
+            "current_role": "primary" if instance.leads else "replica",
+            "seq": 1,
+            "born": 1,
+        }
+        self.store.put_json(f"servers/{instance.name}", entry)
+
+    def write_settings(self, path: Path, name: str, ports: list[Address]) -> None:
+        """Write the settings file of a daemon: frontend, ready and peer ports."""
+        frontend, ready, peer = ports
+        store = self.store.address
+        lines = [
+            f'node_name = "{name}"',
+            f'ip = "{LOCAL}"',
+            'zone = "z1"',
+            f"internal_ports = [{peer.port}, {peer.port}]",
+            "[bind_addrs]",
+            f'frontend = "{frontend}"',
+            f'ready = "{ready}"',
+            "[limits]",
+            "max_fds = 1000",
+            "[bounds]",
+            "grace_s = 6",
+            "drain_ms = 7000",
+            "[platform]",
+            f'address = "{store}"',
+            "[provider]",
+            f'address = "{store}"',
+        ]
+        path.write_text("\n".join(lines) + "\n")
+
+    def count_runs(self, word: str) -> int:
+        """Return how many statements that callers sent hold a word."""
+        return sum(word in run.text for run in self.group.runs)
+
+    def close(self) -> None:
+        """Stop everything."""
+        self.group.close()
+        self.store.close()
+
+
+def read_events(output: str) -> list[dict[str, Any]]:
+    """Return the log lines of a daemon's output."""
+    return [json.loads(line) for line in output.splitlines() if line.startswith("{")]
--- /dev/null
+++ b/tests/builders_pooler.py
@@ -0,0 +1,174 @@
+"""Builders of the pooler's test data: daemons on stand-ins, entries, routes, clocks."""
+
+from pathlib import Path
+
+from failover_call import FailoverCall
+from line_codec import CODEC
+from records import PlatformRecords
+from store_client import StoreClient
+
+from bronzerelay.pooler.daemon import Plugins, PoolerDaemon, PoolerSettings
+from bronzerelay.pooler.directory import Directory, LeadRecord
+from bronzerelay.pooler.events import EventLog
+from bronzerelay.pooler.fleetconfig import (
+    Consistency,
+    FleetConfig,
+    InstanceEntry,
+    Route,
+    Service,
+    Workspace,
+)
+from bronzerelay.runtime import Address, Clock, Runtime
+from standins.kvstore import KvStore
+from standins.linegroup import LOCAL
+from standins.lineplatform import SERVICE, LinePlatform
+
+TASKS = 400
+WAIT_MS = 8000
+NO_FILE = 1
+
+
+class SetClock(Clock):
+    """A clock that stands where a test puts it."""
+
+    def __init__(self, now_ms: float = 1_000_000.0):
+        self.value_ms = now_ms
+
+    def now_ms(self) -> float:
+        return self.value_ms
+
+    def sleep_ms(self, duration_ms: float) -> None:
+        self.value_ms += duration_ms
+
+
+def make_runtime(clock: Clock | None = None) -> Runtime:
+    runtime = Runtime(task_limit=TASKS, seed=1)
+    if clock is not None:
+        runtime.clock = clock
+    return runtime
+
+
+def make_log(runtime: Runtime, path: Path | None = None) -> EventLog:
+    """Return a log whose lines stay queued."""
+    return EventLog(runtime, "test")
+
+
+def make_directory(runtime: Runtime) -> Directory:
+    return Directory(runtime, make_log(runtime), 4900.0)
+
+
+def make_instance(name: str, leads: bool = False, **fields) -> InstanceEntry:
+    entry = InstanceEntry(name, SERVICE, Address(LOCAL, 1), "z1", 3, False, leads, 1)
+    return entry._replace(**fields)
+
+
+def make_route(consistency: Consistency = Consistency.PRIMARY, **fields) -> Route:
+    route = Route(SERVICE, SERVICE, consistency, 1000, 400, 1, 1500, False)
+    return route._replace(**fields)
+
+
+def make_workspace(name: str = "north", rate: float = 50, burst: float = 50):
+    return Workspace(name, rate, burst, 1)
+
+
+def make_config(version: int, **fields) -> FleetConfig:
+    config = FleetConfig(
+        version,
+        {SERVICE: make_route()},
+        {SERVICE: Service(SERVICE, 21, 0)},
+        {"north": make_workspace()},
+        {"north-key": "north"},
+        3000,
+        b"{}",
+    )
+    return config._replace(**fields)
+
+
+def make_lead(epoch: int, settled: bool = True, **fields) -> LeadRecord:
+    record = LeadRecord(SERVICE, "orders-1", 2, epoch, "d1", settled, "orders-0", False)
+    return record._replace(**fields)
+
+
+def find_port(runtime: Runtime) -> Address:
+    """Return a free address, below those that outgoing connections take."""
+    while True:
+        address = Address(LOCAL, runtime.random.randrange(15_000, 32_000))
+        try:
+            runtime.listen(address).close()
+            runtime.open_datagrams(address).close()
+        except OSError:
+            continue
+        return address
+
+
+class PoolerFleet:
+    """Daemons of one platform in one process, each with a runtime of its own."""
+
+    def __init__(self, lag_ms: float = 20.0):
+        self.runtime = make_runtime()
+        self.platform = LinePlatform(self.runtime, lag_ms)
+        self.daemons: dict[str, PoolerDaemon] = {}
+        self._runtimes: list[Runtime] = []
+
+    @property
+    def store(self) -> KvStore:
+        return self.platform.store
+
+    def start(self, name: str) -> PoolerDaemon:
+        runtime = make_runtime()
+        self._runtimes.append(runtime)
+        store = self.store.address
+        free = Runtime(task_limit=1)
+        settings = PoolerSettings(
+            name,
+            "z1",
+            find_port(free),
+            find_port(free),
+            find_port(free),
+            None,
+            (),
+            None,
+            3000,
+            7000,
+            100,
+        )
+        plugins = Plugins(
+            CODEC,
+            StoreClient(runtime, store),
+            PlatformRecords(),
+            FailoverCall(runtime, store),
+            lambda: None,
+        )
+        daemon = PoolerDaemon(runtime, settings, plugins)
+        self.daemons[name] = daemon
+        daemon.start()
+        return daemon
+
+    def start_ready(self, *names: str) -> list[PoolerDaemon]:
+        daemons = [self.start(name) for name in names]
+        self.wait(lambda: all(one.is_ready() for one in daemons), "daemons are ready")
+        others = len(names) - 1
+        self.wait(
+            lambda: all(
+                sum(view.mirror_at > 0 for view in one.gossip.views.values()) >= others
+                for one in daemons
+            ),
+            "daemons hear of each other",
+        )
+        # Buckets begin nearly empty; at the stand-in's rates they have some by then.
+        self.runtime.clock.sleep_ms(100)
+        return daemons
+
+    def address(self, name: str) -> Address:
+        return self.daemons[name]._settings.frontend
+
+    def wait(self, happens, what: str, timeout_ms: float = WAIT_MS) -> None:
+        end_ms = self.runtime.clock.now_ms() + timeout_ms
+        while not happens():
+            assert self.runtime.clock.now_ms() < end_ms, f"not in time: {what}"
+            self.runtime.clock.sleep_ms(10)
+
+    def close(self) -> None:
+        self.platform.close()
+        for runtime in [*self._runtimes, self.runtime]:
+            runtime.close(500)
--- /dev/null
+++ b/tests/test_pooler_path.py
@@ -0,0 +1,400 @@
+"""The whole path of the pooler on stand-ins: sessions, limits, changes of primary."""
+
+import pytest
+
+from bronzerelay.pooler.placement import POSITION_AGE_MS
+from standins.linecaller import LineCaller
+from standins.lineplatform import AGED, NORTH, OWN, STRICT
+from tests.builders_pooler import PoolerFleet
+
+
+@pytest.fixture
+def fleet():
+    fleet = PoolerFleet()
+    yield fleet
+    fleet.close()
+
+
+def open_session(fleet, database=OWN, key="north-key", name="d1"):
+    caller = LineCaller(fleet.runtime, fleet.address(name))
+    assert caller.start(database, key) == "READY I -"
+    return caller
+
+
+def run_ok(caller, text):
+    reply = caller.query(text)
+    assert reply.error == "", reply
+    return reply
+
+
+class TestSessions:
+    def test_session_reads_its_own_write(self, fleet):
+        fleet.start_ready("d1")
+        caller = open_session(fleet)
+        run_ok(caller, "STORE row one")
+        assert run_ok(caller, "FETCH row").rows == ["one"]
+
+    def test_prepared_names_of_two_callers_dont_mix(self, fleet):
+        # Two callers give one name to two shapes. Laid on the same connection by that
+        # name, the second caller's write would run as the first one's read.
+        fleet.start_ready("d1")
+        first, second = open_session(fleet, STRICT), open_session(fleet, STRICT)
+        run_ok(first, "PARSE s1 FETCH qa")
+        run_ok(second, "PARSE s1 STORE qb")
+        for _ in range(3):
+            run_ok(first, "EXECUTE s1 row")
+            run_ok(second, "EXECUTE s1 row data")
+        shapes = {run.shape for run in fleet.platform.group.runs}
+        assert shapes == {"FETCH qa", "STORE qb"}
+
+    def test_values_of_one_session_dont_reach_another(self, fleet):
+        # A connection that ran one caller's statement serves another caller next. The
+        # first one's session values would decide how the second one's statement runs.
+        fleet.start_ready("d1")
+        first, second = open_session(fleet, STRICT), open_session(fleet, STRICT)
+        run_ok(first, "SET mode strict")
+        run_ok(first, "FETCH a")
+        run_ok(second, "FETCH b")
+        run_ok(first, "FETCH c")
+        values = {run.text: run.values for run in fleet.platform.group.runs}
+        assert values["FETCH a"] == values["FETCH c"] == (("mode", "strict"),)
+        assert values["FETCH b"] == ()
+
+    def test_transaction_commits_on_one_instance(self, fleet):
+        fleet.start_ready("d1")
+        caller = open_session(fleet)
+        assert run_ok(caller, "BEGIN").state == "T"
+        run_ok(caller, "STORE a 1")
+        run_ok(caller, "STORE b 2")
+        assert run_ok(caller, "COMMIT").state == "I"
+        assert run_ok(caller, "FETCH b").rows == ["2"]
+        writes = [run for run in fleet.platform.group.runs if "STORE" in run.text]
+        assert {run.instance for run in writes} == {"orders-0"}
+
+    def test_rolled_back_transaction_leaves_nothing(self, fleet):
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        run_ok(caller, "ROLLBACK")
+        assert run_ok(caller, "FETCH a").rows == ["-"]
+
+    def test_caller_that_leaves_inside_a_transaction_leaves_nothing(self, fleet):
+        # A caller goes away between its write and its commit. The connection goes back
+        # to the pool, and with the transaction open on it the next caller's statement
+        # would run inside it.
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        caller.close()
+        other = open_session(fleet, STRICT)
+        assert run_ok(other, "FETCH a").rows == ["-"]
+        assert run_ok(other, "FETCH a").state == "I"
+
+    def test_failed_transaction_refuses_all_but_its_end(self, fleet):
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        assert caller.query("EXECUTE nowhere a").error == "PROTOERR"
+        assert caller.query("FETCH a").error == "PROTOERR"
+        assert run_ok(caller, "ROLLBACK").state == "I"
+
+    def test_idle_transaction_is_ended(self, fleet):
+        # A caller opens a transaction and thinks for longer than the configuration
+        # allows. It holds one of few connections; told only at its commit, it must not
+        # be told that the commit went through.
+        fleet.platform.idle_ms = 150
+        fleet.platform.configure()
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        fleet.runtime.clock.sleep_ms(500)
+        assert caller.query("COMMIT").error == "ABORTED"
+        assert run_ok(caller, "FETCH a").rows == ["-"]
+
+    def test_reads_of_a_stated_age_go_to_replicas(self, fleet):
+        fleet.start_ready("d1")
+        caller = open_session(fleet, AGED)
+        run_ok(open_session(fleet, STRICT), "STORE row one")
+        # What a replica was seen to lack counts for a while.
+        fleet.runtime.clock.sleep_ms(POSITION_AGE_MS + 50)
+        for _ in range(10):
+            run_ok(caller, "FETCH row")
+        reads = [run for run in fleet.platform.group.runs if "FETCH" in run.text]
+        assert sum(run.instance != "orders-0" for run in reads) >= 8
+
+
+class TestAdmission:
+    def test_unknown_key_and_database_are_refused(self, fleet):
+        fleet.start_ready("d1")
+        caller = LineCaller(fleet.runtime, fleet.address("d1"))
+        assert caller.start(OWN, "nobody").startswith("ERROR DENIED")
+        caller = LineCaller(fleet.runtime, fleet.address("d1"))
+        assert caller.start("nowhere", "north-key").startswith("ERROR NODB")
+
+    def test_withdrawn_key_ends_on_an_open_session(self, fleet):
+        # An operator withdraws a key whose callers stay connected. Checked only when a
+        # session starts, they would go on for as long as they like.
+        daemon = fleet.start_ready("d1")[0]
+        caller = open_session(fleet)
+        run_ok(caller, "FETCH a")
+        fleet.platform.tenants = [NORTH._replace(keys=())]
+        version = fleet.platform.configure()
+        fleet.wait(lambda: daemon.directory.version == version, "the new version")
+        assert caller.query("FETCH a").error == "DENIED"
+
+    def test_withdrawn_key_ends_inside_a_transaction(self, fleet):
+        # The same inside an open transaction: its commit must not go through.
+        daemon = fleet.start_ready("d1")[0]
+        caller = open_session(fleet)
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        fleet.platform.tenants = [NORTH._replace(keys=())]
+        version = fleet.platform.configure()
+        fleet.wait(lambda: daemon.directory.version == version, "the new version")
+        assert caller.query("COMMIT").error == "DENIED"
+        assert fleet.platform.group.instances["orders-0"].log == []
+
+    def test_instances_get_the_workspace_and_never_the_key(self, fleet):
+        fleet.start_ready("d1")
+        run_ok(open_session(fleet), "FETCH a")
+        assert {run.workspace for run in fleet.platform.group.runs} == {"north"}
+
+    def test_over_its_rate_a_workspace_is_told_when_to_come_back(self, fleet):
+        fleet.platform.tenants = [NORTH._replace(rate=5.0, burst=5.0)]
+        fleet.platform.configure()
+        fleet.start_ready("d1")
+        caller = open_session(fleet)
+        replies = [caller.query("FETCH a") for _ in range(30)]
+        refused = [reply for reply in replies if reply.error == "RETRY"]
+        assert refused
+        assert all("Come back in" in reply.text for reply in refused)
+
+    def test_items_of_other_writers_do_no_harm(self, fleet):
+        # Somebody else writes entries that can't be read beside those of the instances.
+        # Taken as a failure of the whole list, no instance would be left.
+        fleet.store.put("servers/bad", b"\xff\xfe")
+        fleet.store.put_json("servers/worse", {"service": 7, "state": "asleep"})
+        daemon = fleet.start_ready("d1")[0]
+        fleet.store.put("op/config", b"{")
+        run_ok(open_session(fleet), "FETCH a")
+        assert set(daemon.directory.instances) == set(fleet.platform.group.instances)
+
+
+class TestInstances:
+    def test_read_whose_answer_is_lost_is_read_elsewhere(self, fleet):
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "STORE a 1")
+        fleet.platform.group.instances["orders-0"].lose_answers = 1
+        assert run_ok(caller, "FETCH a").rows == ["1"]
+
+    def test_write_whose_answer_is_lost_runs_once_and_is_in_doubt(self, fleet):
+        # The primary runs a write and the connection breaks before its answer. Sent
+        # again it would take effect twice; called "not run" it would be a lie.
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        fleet.platform.group.instances["orders-0"].lose_answers = 1
+        assert caller.query("STORE a 1").error == "INDOUBT"
+        assert len(fleet.platform.group.instances["orders-0"].log) == 1
+
+    def test_commit_whose_answer_is_lost_is_in_doubt(self, fleet):
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        fleet.platform.group.instances["orders-0"].lose_answers = 1
+        reply = caller.query("COMMIT")
+        assert (reply.error, reply.state) == ("INDOUBT", "I")
+        assert len(fleet.platform.group.instances["orders-0"].log) == 1
+
+    def test_busy_instance_is_asked_again(self, fleet):
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        fleet.platform.group.instances["orders-0"].busy_answers = 2
+        run_ok(caller, "STORE a 1")
+        assert len(fleet.platform.group.instances["orders-0"].log) == 1
+
+    def test_commit_without_a_slot_is_sent_again_in_the_same_transaction(self, fleet):
+        # An instance has no slot for a commit. The transaction is open there still;
+        # given up, all of it would have to be done again by the caller.
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        primary = fleet.platform.group.instances["orders-0"]
+        primary.busy_answers = 1
+        reply = caller.query("COMMIT")
+        assert reply.error in ("", "ABORTED", "RETRY")
+        assert len(primary.log) == (1 if reply.error == "" else 0)
+
+    def test_leaving_replica_gets_no_more_reads(self, fleet):
+        daemon = fleet.start_ready("d1")[0]
+        leaving = fleet.platform.group.instances["orders-1"]
+        leaving.leaving = True
+        fleet.platform.register(leaving)
+        fleet.wait(
+            lambda: daemon.directory.instances["orders-1"].leaving, "it is leaving"
+        )
+        caller = open_session(fleet, AGED)
+        for _ in range(10):
+            run_ok(caller, "FETCH a")
+        assert {run.instance for run in fleet.platform.group.runs} <= {
+            "orders-0",
+            "orders-2",
+        }
+
+
+class TestChangesOfPrimary:
+    def change_to(self, fleet):
+        return {name for name, _, _ in fleet.platform.group.promotions}
+
+    def test_leaving_primary_is_replaced_and_nothing_is_lost(self, fleet):
+        fleet.start_ready("d1", "d2")
+        caller = open_session(fleet)
+        for number in range(5):
+            run_ok(caller, f"STORE row{number} {number}")
+        primary = fleet.platform.group.instances["orders-0"]
+        primary.leaving = True
+        fleet.platform.register(primary)
+        fleet.wait(lambda: self.change_to(fleet), "a promotion")
+        fleet.wait(
+            lambda: all(
+                record.settled
+                for daemon in fleet.daemons.values()
+                for record in daemon.directory.leads.values()
+            ),
+            "a settled change",
+        )
+        run_ok(caller, "STORE row5 5")
+        rows = [run_ok(caller, f"FETCH row{number}").rows for number in range(6)]
+        assert rows == [[str(number)] for number in range(6)]
+        assert len(fleet.platform.group.promotions) == 1
+
+    def test_silent_primary_is_replaced(self, fleet):
+        # The primary falls silent for good and its connections stay open. Nobody says
+        # that it is dead; without a change every write would time out from then on.
+        fleet.start_ready("d1", "d2")
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "STORE a 1")
+        fleet.platform.group.instances["orders-0"].silent = True
+
+        def write_goes_through():
+            return caller.query("STORE b 2").error == ""
+
+        fleet.wait(write_goes_through, "a write at the new primary", 15_000)
+        assert run_ok(caller, "FETCH b").rows == ["2"]
+        epochs = [epoch for _, _, epoch in fleet.platform.group.promotions]
+        assert epochs == sorted(set(epochs))
+
+    def test_change_that_its_holder_began_before_a_restart_is_finished(self, fleet):
+        # A daemon writes that a change is under way and is killed. Until somebody takes
+        # it over the service has no primary; the daemon itself comes back first.
+        fleet.store.put_json(
+            "bronzerelay/leads/orders",
+            ["orders", "orders-0", 1, 4, "d1", False, "orders-0", False],
+        )
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        fleet.wait(lambda: caller.query("STORE a 1").error == "", "a write", 6000)
+        assert fleet.platform.group.promotions[0][1:] == ("d1", 5)
+
+    def test_open_transaction_ends_with_its_primary(self, fleet):
+        # A transaction is open at a primary that is replaced. Its commit could go
+        # through there and be rolled back later, though the caller was told it is kept.
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        primary = fleet.platform.group.instances["orders-0"]
+        primary.leaving = True
+        fleet.platform.register(primary)
+        fleet.wait(lambda: self.change_to(fleet), "a promotion")
+        assert caller.query("COMMIT").error == "ABORTED"
+        assert primary.log == []
+
+    def test_former_primary_that_lives_on_isnt_used(self, fleet):
+        # The old primary is cut from the other instances and takes itself for leading.
+        daemon = fleet.start_ready("d1")[0]
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "STORE a 1")
+        old = fleet.platform.group.instances["orders-0"]
+        fleet.platform.group.promote("orders-1", "d9", 9)
+        old.leads, old.term = True, 1
+        fleet.store.put_json(
+            "bronzerelay/leads/orders",
+            ["orders", "orders-1", 2, 9, "d9", True, "orders-0", False],
+        )
+        fleet.wait(lambda: daemon.directory.leads, "the record")
+        before = len(old.log)
+        run_ok(caller, "STORE b 2")
+        assert len(old.log) == before
+
+
+class TestStore:
+    def test_sessions_go_on_while_the_store_is_out(self, fleet):
+        fleet.start_ready("d1", "d2")
+        caller = open_session(fleet)
+        fleet.store.status = 503
+        fleet.runtime.clock.sleep_ms(1500)
+        run_ok(caller, "STORE a 1")
+        assert run_ok(caller, "FETCH a").rows == ["1"]
+
+    def test_lost_history_is_loaded_anew(self, fleet):
+        daemon = fleet.start_ready("d1")[0]
+        fleet.store.forget_history()
+        version = fleet.platform.configure()
+        fleet.wait(lambda: daemon.directory.version == version, "the new version")
+
+    def test_daemon_that_the_store_turns_away_hears_from_a_peer(self, fleet):
+        # The store refuses one daemon and serves the others. A key that is withdrawn
+        # meanwhile would go on working at that daemon.
+        first, second = fleet.start_ready("d1", "d2")
+
+        def refuse(*_):
+            raise OSError("turned away")
+
+        second._plugins.store._watches._connect = refuse
+        second._plugins.store.interrupt()
+        fleet.platform.tenants = [NORTH._replace(keys=())]
+        version = fleet.platform.configure()
+        fleet.wait(lambda: first.directory.version == version, "the new version")
+        fleet.wait(lambda: second.directory.version == version, "it at the other one")
+
+    def test_entries_that_lapse_for_a_moment_stay_in_use(self, fleet):
+        # While the store was away all entries lapsed; they come back soon after. Taken
+        # as gone at once, there would be no instance to use for that time.
+        daemon = fleet.start_ready("d1")[0]
+        caller = open_session(fleet)
+        for name in fleet.platform.group.instances:
+            fleet.store.remove(f"servers/{name}")
+        fleet.wait(
+            lambda: not daemon.mirror.list_prefix("servers/"), "the removed entries"
+        )
+        run_ok(caller, "FETCH a")
+        for instance in fleet.platform.group.instances.values():
+            fleet.platform.register(instance)
+        fleet.runtime.clock.sleep_ms(2800)
+        assert len(daemon.directory.instances) == 3
+
+
+class TestStopping:
+    def test_stopping_daemon_isnt_ready_and_cuts_nothing(self, fleet):
+        # A daemon is told to stop while a statement runs and a session stands idle.
+        daemon = fleet.start_ready("d1")[0]
+        fleet.platform.group.instances["orders-0"].work_ms = 300
+        busy, idle = open_session(fleet, STRICT), open_session(fleet, STRICT)
+        busy.send("QUERY x1 STORE a 1")
+        fleet.wait(lambda: fleet.platform.group.runs, "the statement")
+        stop = fleet.runtime.start(daemon.stop)
+        fleet.wait(lambda: not daemon.is_ready(), "it isn't ready", 500)
+        assert busy.read_reply().error == ""
+        late = open_session(fleet, STRICT)
+        run_ok(late, "FETCH a")
+        stop.result(5)
+        assert not daemon._sessions
+        with pytest.raises(OSError):
+            idle.read()
