Keep a leaving primary until a replica has its log

Change: a planned change begins when a replica lacks at most 20 entries; until then the leaving primary serves on, and when its time is over its successor gets its log. Test seen to fail before: test_leaving_primary_stays_until_a_replica_has_its_log.

--- a/bronzerelay/pooler/changes.py
+++ b/bronzerelay/pooler/changes.py
@@ -46,6 +46,9 @@
 # How long the promoted instance may take to lead, in milliseconds; after that it is
 # chosen again.
 PROMOTE_MS = 2_000
+# A planned change begins once a replica lacks no more than this many entries of the
+# log: while it catches up with the rest nobody can write, and it takes milliseconds.
+CLOSE_ENTRIES = 20
 STATUS_TIMEOUT_MS = 400
 POLL_MS = 40
 PROMOTE_TIMEOUT_MS = 900
@@ -183,12 +186,62 @@
 
     def _run(self, service: str, reason: str) -> None:
         try:
-            _Change(self, service, reason).make()
+            if self._is_replaceable(service, reason):
+                _Change(self, service, reason).make()
         finally:
             with self._lock:
                 self._busy.discard(service)
                 self._due.pop(service, None)
 
+    def _is_replaceable(self, service: str, reason: str) -> bool:
+        """Return whether a change now would lose nothing that can still be kept.
+
+        A primary that leaves serves on for some seconds, and its log goes on to an
+        instance that comes after it. A replica that lags behind it would be promoted
+        without what was acknowledged meanwhile.
+        """
+        if reason not in ("planned", "no primary"):
+            return True
+        leaving = [
+            entry
+            for entry in self._directory.list_instances(service)
+            if entry.leaving and entry.claims_lead
+        ]
+        ended = [self._ask_status(entry, STATUS_TIMEOUT_MS) for entry in leaving]
+        ends = [status.received for status in ended if status is not None]
+        if not ends:
+            return True
+        best = self.find_best(service, frozenset(entry.id for entry in leaving))
+        if best is None:
+            return False
+        end = max(ends)
+        received = best[1].received
+        behind = end.position - received.position
+        close = received.term == end.term and behind <= CLOSE_ENTRIES
+        if not close:
+            self._log.write(
+                "changes",
+                "A replica has to catch up before a change.",
+                service=service,
+                reason=reason,
+                received=received,
+                wanted=end,
+            )
+        return close or received > end
+
+    def find_best(
+        self, service: str, refused: frozenset[str]
+    ) -> tuple[InstanceEntry, InstanceStatus] | None:
+        """Return the instance to promote: the one that has received most."""
+        found = []
+        for entry in self._directory.list_instances(service):
+            if entry.leaving or entry.id in refused:
+                continue
+            status = self._ask_status(entry, STATUS_TIMEOUT_MS)
+            if status is not None:
+                found.append((entry, status))
+        return max(found, key=lambda pair: pair[1].received, default=None)
+
     def count_under_way(self) -> int:
         """Return how many changes this daemon is making."""
         return len(self._busy)
@@ -363,16 +416,8 @@
     def _find_best(
         self, refused: set[str]
     ) -> tuple[InstanceEntry, InstanceStatus] | None:
-        found = []
-        for entry in self._parts._directory.list_instances(self._service):
-            if entry.leaving or entry.id in refused:
-                continue
-            if entry.id == self._old and self._reason != "no primary":
-                continue
-            status = self._ask(entry)
-            if status is not None:
-                found.append((entry, status))
-        return max(found, key=lambda pair: pair[1].received, default=None)
+        skipped = refused if self._reason == "no primary" else refused | {self._old}
+        return self._parts.find_best(self._service, frozenset(skipped))
 
     def _ask(self, entry: InstanceEntry) -> InstanceStatus | None:
         return self._parts._ask_status(entry, STATUS_TIMEOUT_MS)
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bronzerelay.pooler.changes import CLOSE_ENTRIES
 from bronzerelay.pooler.placement import POSITION_AGE_MS
 from standins.linecaller import LineCaller
 from standins.lineplatform import AGED, NORTH, OWN, STRICT
@@ -274,6 +275,28 @@
         assert rows == [[str(number)] for number in range(6)]
         assert len(fleet.platform.group.promotions) == 1
 
+    def test_leaving_primary_stays_until_a_replica_has_its_log(self, fleet):
+        # A primary is to leave while its replicas receive nothing. Promoted all the
+        # same, a replica lacks what was acknowledged meanwhile, and callers find their
+        # changes gone.
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        primary, *replicas = fleet.platform.group.instances.values()
+        for replica in replicas:
+            replica.deaf = True
+        for number in range(CLOSE_ENTRIES + 5):
+            run_ok(caller, f"STORE row{number} {number}")
+        primary.leaving = True
+        fleet.platform.register(primary)
+        fleet.runtime.clock.sleep_ms(2500)
+        assert not fleet.platform.group.promotions
+        run_ok(caller, "STORE last 1")
+        for replica in replicas:
+            replica.deaf = False
+            replica.log = list(primary.log)
+        fleet.wait(lambda: self.change_to(fleet), "a promotion")
+        fleet.wait(lambda: caller.query("FETCH last").rows == ["1"], "the last change")
+
     def test_silent_primary_is_replaced(self, fleet):
         # The primary falls silent for good and its connections stay open. Nobody says
         # that it is dead; without a change every write would time out from then on.
