--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -183,8 +183,11 @@
             return
         part = self._work_out_part(now_ms)
         if part < bucket.part:
-            # The silent ones may spend their part of what is saved up, too.
+            # The silent ones may spend their part of what is saved up, too, and have
+            # spent unheard since they fell silent, as this side has.
+            lost = bucket.part - part
             bucket.tokens = min(bucket.tokens, bucket.tokens * part / bucket.part)
+            bucket.tokens -= bucket.spec.rate * lost * SILENT_MS / 1000
         bucket.part = part
         spec = bucket.spec
         earned = spec.rate * part * elapsed_ms / 1000
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,47 @@
+"""The structured log: bounded, and never waited for."""
+
+import json
+import os
+
+from bronzerelay.pooler.events import QUEUE_LINES, REQUEST_LINES_PER_S, EventLog
+from tests.builders_pooler import SetClock, make_runtime
+
+
+def make_pipe_log(clock):
+    reading, writing = os.pipe()
+    return EventLog(make_runtime(clock), "d1", writing), reading
+
+
+def read_lines(reading):
+    return [json.loads(line) for line in os.read(reading, 1_000_000).splitlines()]
+
+
+class TestEventLog:
+    def test_line(self):
+        log, reading = make_pipe_log(SetClock())
+        log.write("front", "Something happened.", request="r1", version=3)
+        log.flush()
+        (line,) = read_lines(reading)
+        assert line["message"] == "front: Something happened."
+        assert (line["node"], line["request"], line["version"]) == ("d1", "r1", 3)
+
+    def test_flood_of_requests_is_bounded_and_counted(self):
+        # A fault refuses thousands of requests a second. A line for each would take
+        # the processor time of the callers that could be served.
+        clock = SetClock()
+        log, reading = make_pipe_log(clock)
+        for _ in range(1000):
+            log.write_request("session", "A caller was refused.")
+        assert log.dropped == 1000 - REQUEST_LINES_PER_S
+        log.flush()
+        assert read_lines(reading)[-1]["count"] == log.dropped
+        clock.sleep_ms(1000)
+        log.write_request("session", "A caller was refused.")
+        log.flush()
+        assert len(read_lines(reading)) == 1
+
+    def test_reader_that_stalls_holds_nobody_up(self):
+        log, _ = make_pipe_log(SetClock())
+        for _ in range(QUEUE_LINES + 10):
+            log.write("front", "Something happened.")
+        assert log.dropped == 10
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,93 @@
+"""Heartbeats between daemons."""
+
+import pytest
+
+from bronzerelay.pooler.gossip import NEVER_MS, Beat, Gossip
+from bronzerelay.runtime import Address
+from standins.linegroup import LOCAL
+from tests.builders_pooler import SetClock, make_lead, make_log, make_runtime
+
+
+def make_beat(gossip, name, **fields):
+    beat = Beat(name, gossip.incarnation, 0, 0, 0, False, 7, {}, {}, [], [])
+    return beat._replace(**fields)
+
+
+class Pair:
+    """Two daemons on one clock."""
+
+    def __init__(self):
+        self.clock = SetClock()
+        self.taken = []
+        self.first, self.second = self.make("a"), self.make("b")
+        self.first.set_members({"b": self.second._sock.address})
+        self.second.set_members({"a": self.first._sock.address})
+
+    def make(self, name):
+        runtime = make_runtime(self.clock)
+        return Gossip(runtime, name, Address(LOCAL, 0), make_log(runtime))
+
+    def send(self, sender, receiver, name, **fields):
+        sender.send_round(make_beat(sender, name, **fields))
+        self.receive(receiver)
+
+    def receive(self, receiver):
+        data = receiver._sock.receive(8192)
+        receiver._take(data, lambda beat, proven_ms: self.taken.append(proven_ms))
+
+
+@pytest.fixture
+def pair():
+    pair = Pair()
+    yield pair
+    pair.first.close()
+    pair.second.close()
+
+
+class TestProof:
+    def test_beat_counts_from_when_the_one_it_answers_was_sent(self, pair):
+        sent_ms = pair.clock.now_ms()
+        pair.send(pair.first, pair.second, "a")
+        assert pair.taken == [NEVER_MS]
+        pair.clock.sleep_ms(100)
+        pair.send(pair.second, pair.first, "b")
+        assert pair.taken[-1] == sent_ms
+        assert pair.first.views["b"].heard_at_ms == sent_ms
+
+    def test_beat_that_waited_while_this_process_was_frozen_is_old(self, pair):
+        # A heartbeat lies in the queue while the process is frozen. Taken for new after
+        # it woke up, it would prove that a primary leads that was replaced since.
+        sent_ms = pair.clock.now_ms()
+        pair.send(pair.first, pair.second, "a")
+        pair.second.send_round(make_beat(pair.second, "b"))
+        pair.clock.sleep_ms(8000)
+        pair.receive(pair.first)
+        assert pair.first.views["b"].heard_at_ms == sent_ms
+
+    def test_echo_of_a_process_before_this_one_proves_nothing(self, pair):
+        pair.send(pair.first, pair.second, "a")
+        pair.first.incarnation += 1
+        pair.send(pair.second, pair.first, "b")
+        assert pair.taken[-1] == NEVER_MS
+
+    def test_late_beat_is_left_aside(self, pair):
+        pair.first.send_round(make_beat(pair.first, "a"))
+        early = pair.second._sock.receive(8192)
+        pair.send(pair.first, pair.second, "a", mirror_at=9)
+        count = len(pair.taken)
+        pair.second._take(early, lambda *_: pair.taken.append(0))
+        assert len(pair.taken) == count
+        assert pair.second.views["a"].mirror_at == 9
+
+    def test_nonsense_is_left_aside(self, pair):
+        pair.first._take(b"\xc1nonsense", lambda *_: pair.taken.append(0))
+        assert pair.taken == []
+
+
+class TestAcknowledging:
+    def test_change_counts_as_known_once_nothing_is_under_way(self, pair):
+        lead = make_lead(4, settled=False)
+        pair.send(pair.first, pair.second, "a", leads=[lead])
+        assert pair.second.views["a"].acknowledged == {}
+        pair.send(pair.first, pair.second, "a", leads=[lead], quiet=[lead.service])
+        assert pair.second.views["a"].acknowledged == {lead.service: 4}
--- /dev/null
+++ b/tests/test_leadership.py
@@ -0,0 +1,88 @@
+"""Whether the primary of a service may be used now."""
+
+import pytest
+
+from bronzerelay.codes import Code
+from bronzerelay.pooler.leadership import LEASE_MS, LeadGuard
+from standins.lineplatform import SERVICE
+from tests.builders_pooler import (
+    SetClock,
+    make_directory,
+    make_instance,
+    make_lead,
+    make_runtime,
+)
+
+
+@pytest.fixture
+def clock():
+    return SetClock()
+
+
+@pytest.fixture
+def directory(clock):
+    directory = make_directory(make_runtime(clock))
+    directory.set_instance(make_instance("orders-0", leads=True))
+    directory.set_instance(make_instance("orders-1"))
+    return directory
+
+
+@pytest.fixture
+def guard(clock, directory):
+    guard = LeadGuard(make_runtime(clock), directory)
+    guard.note_store(clock.now_ms())
+    return guard
+
+
+class TestProof:
+    def test_without_a_proof_the_primary_isnt_used(self, guard, clock):
+        # A daemon is cut off and its primary is replaced meanwhile. What it reads there
+        # is old, and what it writes there is lost.
+        assert guard.enter(SERVICE, "orders-0") is None
+        clock.sleep_ms(LEASE_MS + 1)
+        assert guard.enter(SERVICE, "orders-0").code is Code.ISOLATED
+
+    def test_time_frozen_counts(self, guard, clock):
+        clock.sleep_ms(5000)
+        assert not guard.has_proof()
+
+    def test_most_members_are_a_proof(self, guard, clock):
+        clock.sleep_ms(5000)
+        now_ms = clock.now_ms()
+        guard.note_members([now_ms, now_ms, 0, 0])
+        assert guard.has_proof()
+
+    def test_half_of_the_members_are_no_proof(self, guard, clock):
+        # Four daemons in two halves: each could take the other for dead.
+        clock.sleep_ms(5000)
+        guard.note_members([clock.now_ms(), 0, 0])
+        assert not guard.has_proof()
+
+    def test_proof_counts_from_when_it_was_asked_for(self, guard, clock):
+        clock.sleep_ms(5000)
+        guard.note_members([clock.now_ms() - LEASE_MS - 1] * 3)
+        assert not guard.has_proof()
+
+
+class TestChanges:
+    def test_change_under_way_stops_all_use(self, guard, directory):
+        directory.set_lead(make_lead(1, settled=False))
+        assert guard.enter(SERVICE, "orders-0").code is Code.PRIMARY_REPLACED
+
+    def test_answer_that_came_during_a_change_isnt_believed(self, guard, directory):
+        # A write was sent before the change and its answer comes after it began. The
+        # instance that is promoted may lack it.
+        assert guard.enter(SERVICE, "orders-0") is None
+        directory.set_lead(make_lead(1, settled=False))
+        assert not guard.still_leads(SERVICE, "orders-0")
+
+    def test_quiet_once_all_uses_have_ended(self, guard):
+        guard.enter(SERVICE, "orders-0")
+        assert not guard.is_quiet(SERVICE)
+        guard.leave(SERVICE)
+        assert guard.is_quiet(SERVICE)
+
+    def test_settled_change_names_the_new_primary(self, guard, directory):
+        directory.set_lead(make_lead(1))
+        assert guard.enter(SERVICE, "orders-0").code is Code.PRIMARY_REPLACED
+        assert guard.enter(SERVICE, "orders-1") is None
--- /dev/null
+++ b/tests/test_line_codec.py
@@ -0,0 +1,152 @@
+"""The platform's lines, decoded and encoded."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from line_codec import (
+    CODEC,
+    decode_caller,
+    decode_instance,
+    encode_answer,
+    encode_query,
+    encode_refusal,
+    read_position,
+    read_status,
+)
+
+from bronzerelay.codes import CODES, NOT_RUN, Code, Refusal
+from bronzerelay.pooler.messages import (
+    Answer,
+    AnswerPart,
+    Fault,
+    Malformed,
+    Position,
+    Prepared,
+    Startup,
+    Statement,
+    Terminate,
+    TransactionState,
+    Verb,
+)
+
+# Words that tell a caller that nothing of its attempt is kept.
+PROMISES = {"RETRY", "ABORTED", "LAGGING", "READONLY", "MOVED", "MAXCONN"}
+
+
+def decode(text):
+    return decode_caller(text.encode(), True)
+
+
+class TestCallers:
+    def test_startup(self):
+        assert decode_caller(b"STARTUP db key", False) == Startup("db", "key")
+        assert decode_caller(b"STARTUP db", False) == Startup("db", "")
+        assert isinstance(decode_caller(b"QUERY a FETCH b", False), Malformed)
+
+    @pytest.mark.parametrize(
+        ("text", "verb"),
+        [
+            ("BEGIN", Verb.BEGIN),
+            ("BEGIN FETCH", Verb.BEGIN_READ_ONLY),
+            ("COMMIT", Verb.COMMIT),
+            ("ROLLBACK", Verb.ROLLBACK),
+            ("FETCH a", Verb.READ),
+            ("STORE a b c", Verb.WRITE),
+            ("SET a b", Verb.SET),
+            ("PARSE s FETCH q", Verb.PREPARE),
+            ("EXECUTE s a", Verb.EXECUTE),
+            ("CLOSE s", Verb.DEALLOCATE),
+        ],
+    )
+    def test_statement(self, text, verb):
+        statement = decode(f"QUERY id1 {text}")
+        assert (statement.id, statement.verb, statement.text) == ("id1", verb, text)
+
+    def test_fields_of_a_statement(self):
+        assert decode("QUERY i SET a b c").value == "b c"
+        assert decode("QUERY i PARSE s STORE q").prepared == Prepared(True, "q")
+        assert decode("QUERY i EXECUTE s a data x").arguments == "a data x"
+        assert decode("TERMINATE") == Terminate()
+
+    @pytest.mark.parametrize(
+        "text",
+        ["QUERY", "QUERY i", "QUERY i ", "QUERY i FETCH", "QUERY i PARSE s", "FETCH a"],
+    )
+    def test_bad_line(self, text):
+        assert isinstance(decode(text), Malformed)
+
+    def test_callers_cant_ask_for_what_only_the_pooler_sends(self):
+        # A caller that could send these would move the lead of a service.
+        for text in ("STATUS", "STEPDOWN 9", "PAUSE 9", "WAITLSN 1.1 FETCH a"):
+            assert isinstance(decode(f"QUERY i {text}"), Malformed)
+
+    @given(st.binary(max_size=200), st.booleans())
+    def test_any_bytes_are_decoded(self, data, started):
+        message = decode_caller(data, started)
+        assert isinstance(message, Startup | Statement | Terminate | Malformed)
+
+
+class TestInstances:
+    def test_lines(self):
+        assert decode_instance(b"DATAROW a b").text == "a b"
+        assert decode_instance(b"COMPLETE 7.1").part is AnswerPart.DONE
+        assert decode_instance(b"ERROR LAGGING x").fault is Fault.LAGGING
+        assert decode_instance(b"ERROR WHATEVER x").fault is Fault.REJECTED
+        ready = decode_instance(b"READY T 3.12")
+        assert (ready.state, ready.position) == (TransactionState.OPEN, Position(3, 12))
+
+    @given(st.binary(max_size=100))
+    def test_any_bytes_are_decoded_or_refused(self, data):
+        try:
+            decode_instance(data)
+        except ValueError:
+            return
+
+    def test_query_with_a_floor(self):
+        assert encode_query("i", "FETCH a", Position(3, 7)) == (
+            b"QUERY i WAITLSN 3.7 FETCH a\r\n"
+        )
+        assert encode_query("i", "FETCH a", None) == b"QUERY i FETCH a\r\n"
+
+    def test_position(self):
+        assert read_position("3.7") == Position(3, 7)
+        assert read_position("-") is None
+        with pytest.raises(ValueError):
+            read_position("x")
+
+    def test_status(self):
+        status = read_status("replica 3 3.1209 0 12 2 17")
+        assert (status.leads, status.term, status.received) == (
+            False,
+            3,
+            Position(3, 1209),
+        )
+        assert read_status("replica 3") is None
+        assert read_status("replica x 3.1 0 1 2 3") is None
+
+
+class TestAnswers:
+    def test_answer(self):
+        answer = Answer(rows=("a", "b"), signature="s")
+        assert encode_answer(answer, TransactionState.IDLE, Position(1, 2)) == (
+            b"DATAROW a\r\nDATAROW b\r\nCOMPLETE s\r\nREADY I 1.2\r\n"
+        )
+
+    def test_refusal_says_when_to_come_back(self):
+        refusal = Refusal(Code.RATE_EXCEEDED, "Over\r\nits rate.", NOT_RUN, 250)
+        line = encode_refusal(refusal)
+        assert line == b"ERROR RETRY Over its rate. Come back in 250 ms.\r\n"
+
+    @pytest.mark.parametrize("code", list(Code))
+    def test_codes_that_may_have_run_promise_nothing(self, code):
+        # A word that says "nothing is kept" lets the caller run its change again. For
+        # a change that went through it would be done twice.
+        if CODES[code].ran == NOT_RUN or code in (Code.OK, Code.INTERNAL_ERROR):
+            return
+        if code is Code.PLATFORM_UNAVAILABLE:
+            return  # only operators meet it
+        word = encode_refusal(Refusal(code, "x", CODES[code].ran)).split()[1].decode()
+        assert word not in PROMISES
+
+    def test_every_encoder_ends_its_line(self):
+        assert CODEC.encode_startup("s", "w", "i") == b"STARTUP s w i\r\n"
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,101 @@
+"""Which instance runs a read."""
+
+import pytest
+
+from bronzerelay.pooler.fleetconfig import Consistency
+from bronzerelay.pooler.messages import Position
+from bronzerelay.pooler.placement import POSITION_AGE_MS, Placement, ReadNeed
+from bronzerelay.pooler.positions import AGE_MARGIN_MS, LogPositions
+from standins.lineplatform import SERVICE
+from tests.builders_pooler import (
+    SetClock,
+    make_directory,
+    make_instance,
+    make_route,
+    make_runtime,
+)
+
+AGED = make_route(Consistency.STATED_AGE)
+OWN = make_route(Consistency.READ_YOUR_WRITES)
+PRIMARY, FIRST, SECOND = "orders-0", "orders-1", "orders-2"
+
+
+@pytest.fixture
+def clock():
+    return SetClock()
+
+
+@pytest.fixture
+def placement(clock):
+    runtime = make_runtime(clock)
+    directory = make_directory(runtime)
+    directory.set_instance(make_instance(PRIMARY, leads=True))
+    directory.set_instance(make_instance(FIRST))
+    directory.set_instance(make_instance(SECOND))
+    return Placement(runtime, directory)
+
+
+def list_readers(placement, need, tried=frozenset(), has_proof=True):
+    return placement.list_readers(SERVICE, need, tried, has_proof)
+
+
+class TestNeed:
+    def test_strict_reads_need_the_primary(self, placement):
+        assert placement.work_out_need(make_route(), None).primary_only
+
+    def test_without_a_sample_only_the_primary_is_young_enough(self, placement):
+        assert placement.work_out_need(AGED, None).primary_only
+
+    def test_floor_is_the_oldest_sample_that_is_young_enough(self, placement, clock):
+        positions = placement.positions_of(SERVICE)
+        for number in range(10):
+            positions.note(clock.now_ms(), Position(1, number))
+            clock.sleep_ms(300)
+        floor = placement.work_out_need(AGED, None).floor
+        assert floor == Position(1, 6)
+
+    def test_own_commit_raises_the_floor(self, placement, clock):
+        placement.positions_of(SERVICE).note(clock.now_ms(), Position(1, 3))
+        need = placement.work_out_need(OWN, Position(1, 9))
+        assert need.floor == Position(1, 9)
+
+    def test_sample_counts_from_when_it_was_asked_for(self, clock):
+        # The answer was held up for two seconds. What was committed meanwhile isn't in
+        # the position that it names.
+        positions = LogPositions(make_runtime(clock))
+        positions.note(clock.now_ms() - 2000, Position(1, 3))
+        assert positions.find_floor(1500) is None
+        assert positions.find_floor(2000 + AGE_MARGIN_MS) == Position(1, 3)
+
+
+class TestReaders:
+    need = ReadNeed(Position(1, 5), False)
+
+    def test_replicas_come_first(self, placement):
+        assert set(list_readers(placement, self.need)[:2]) == {FIRST, SECOND}
+
+    def test_replica_that_lacks_the_position_is_left_out(self, placement, clock):
+        entry = make_instance(FIRST)
+        placement.note_position(entry, Position(1, 4), clock.now_ms())
+        assert FIRST not in list_readers(placement, self.need)
+        clock.sleep_ms(POSITION_AGE_MS + 1)
+        assert FIRST in list_readers(placement, self.need)
+
+    def test_slow_replica_comes_later(self, placement):
+        for _ in range(20):
+            placement.note_answer(make_instance(PRIMARY), 5)
+            placement.note_answer(make_instance(FIRST), 50)
+            placement.note_answer(make_instance(SECOND), 5)
+        assert list_readers(placement, self.need)[0] == SECOND
+
+    def test_replica_out_of_reach_comes_last(self, placement, clock):
+        placement.note_trouble(make_instance(FIRST), clock.now_ms())
+        assert list_readers(placement, self.need)[-1] == FIRST
+
+    def test_primary_without_a_proof_isnt_read(self, placement):
+        assert PRIMARY not in list_readers(placement, self.need, has_proof=False)
+
+    def test_tried_ones_are_left_out(self, placement):
+        assert list_readers(placement, self.need, frozenset([FIRST, SECOND])) == [
+            PRIMARY
+        ]
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,195 @@
+"""The adapter as a whole: its folder, its clients, and the process that it starts."""
+
+import platform
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from failover_call import FailoverCall
+from store_client import StoreClient
+
+from bronzerelay.pooler.changes import Promotion
+from bronzerelay.pooler.httpcalls import CallLostError, HttpClient
+from bronzerelay.pooler.mirror import ConflictError, HistoryLostError, StoreError
+from bronzerelay.runtime import Address
+from standins.kvstore import PAGE_ITEMS, KvStore
+from standins.linecaller import LineCaller
+from standins.linegroup import LOCAL
+from standins.lineplatform import OWN, SERVICE, read_events
+from tests.builders_pooler import PoolerFleet, find_port, make_runtime
+
+ROOT = Path(__file__).parent.parent
+# Words of the platform's protocol, which the product itself must not know.
+FOREIGN_WORDS = ["kv-", "op/config", "servers/", "WAITLSN", "STEPDOWN", "DATAROW"]
+FOREIGN_WORDS += ["max_staleness_ms", "rate_per_s", "api_keys", "X-Fencing-Token"]
+# The largest resident size of a daemon after its start.
+MOST_KB = 45 * 1024
+
+
+@pytest.fixture
+def runtime():
+    runtime = make_runtime()
+    yield runtime
+    runtime.close(500)
+
+
+@pytest.fixture
+def store(runtime):
+    store = KvStore(runtime)
+    yield store
+    store.close()
+
+
+class TestFolder:
+    def test_standard_module_is_found_beside_the_folder(self):
+        assert platform.python_version()
+        assert not (ROOT / "platform" / "__init__.py").exists()
+
+    def test_product_doesnt_know_the_platforms_words(self):
+        for path in (ROOT / "bronzerelay").rglob("*.py"):
+            text = path.read_text()
+            assert [word for word in FOREIGN_WORDS if word in text] == [], path
+
+
+class TestStoreClient:
+    def test_load_reads_all_pages(self, runtime, store):
+        for number in range(PAGE_ITEMS + 3):
+            store.put(f"a/{number:04}", b"x")
+        client = StoreClient(runtime, store.address)
+        assert len(client.load("a/", 1000).items) == PAGE_ITEMS + 3
+
+    def test_change_and_conflict(self, runtime, store):
+        client = StoreClient(runtime, store.address)
+        revision = client.change({"k": 0}, {"k": b"one"}, [], 1000)
+        assert store.items["k"].data == b"one"
+        with pytest.raises(ConflictError):
+            client.change({"k": 0}, {"k": b"two"}, [], 1000)
+        client.change({"k": revision}, {}, ["k"], 1000)
+        assert "k" not in store.items
+
+    def test_watch(self, runtime, store):
+        client = StoreClient(runtime, store.address)
+        at = store.revision
+        store.put("k", b"one")
+        store.remove("k")
+        changes = client.watch("", at, 100)
+        assert [item.data for item in changes.items] == [b"one", None]
+        assert client.watch("", changes.at, 50).items == []
+
+    def test_lost_history(self, runtime, store):
+        store.forget_history()
+        with pytest.raises(HistoryLostError):
+            StoreClient(runtime, store.address).watch("", 1, 100)
+
+    def test_lost_answer_may_have_run(self, runtime, store):
+        store.lose = 1
+        with pytest.raises(StoreError) as caught:
+            StoreClient(runtime, store.address).change({"k": 0}, {"k": b"x"}, [], 1000)
+        assert caught.value.may_have_run
+        assert store.items["k"].data == b"x"
+
+    @pytest.mark.parametrize("status", [429, 503])
+    def test_refused_call_did_nothing(self, runtime, store, status):
+        store.status = status
+        with pytest.raises(StoreError) as caught:
+            StoreClient(runtime, store.address).change({"k": 0}, {"k": b"x"}, [], 1000)
+        assert not caught.value.may_have_run
+
+    def test_silent_store_is_given_up_in_time(self, runtime, store):
+        store.silent = True
+        started_ms = runtime.clock.now_ms()
+        with pytest.raises(StoreError):
+            StoreClient(runtime, store.address).load("", 200)
+        assert runtime.clock.now_ms() - started_ms < 2000
+        store.silent = False
+
+
+class TestHttpClient:
+    def test_nobody_listens(self, runtime):
+        with pytest.raises(CallLostError) as caught:
+            HttpClient(runtime, find_port(runtime)).call("GET", "/", b"", 500)
+        assert not caught.value.may_have_run
+
+
+class TestFailoverCall:
+    def test_outcomes(self):
+        fleet = PoolerFleet()
+        try:
+            call = FailoverCall(fleet.runtime, fleet.store.address)
+            assert call(SERVICE, "orders-1", "d1", 3, 1000) is Promotion.DONE
+            assert call(SERVICE, "gone", "d1", 4, 1000) is Promotion.NOT_RUNNING
+            nobody = FailoverCall(fleet.runtime, Address(LOCAL, 1))
+            assert nobody(SERVICE, "orders-1", "d1", 5, 300) is Promotion.UNKNOWN
+            assert fleet.platform.group.promotions[0] == ("orders-1", "d1", 3)
+        finally:
+            fleet.close()
+
+
+class TestProcess:
+    def start(self, fleet, path):
+        free = make_runtime()
+        ports = [find_port(free) for _ in range(3)]
+        fleet.platform.write_settings(path, "d1", ports)
+        process = subprocess.Popen(
+            [sys.executable, str(ROOT / "platform" / "main.py")],
+            env={"BRONZERELAY_SETTINGS": str(path), "PATH": "/usr/bin:/bin"},
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        return process, ports[0]
+
+    def connect(self, fleet, address):
+        sessions = []
+
+        def try_start():
+            try:
+                caller = LineCaller(fleet.runtime, address)
+                if caller.start(OWN, "north-key") == "READY I -":
+                    sessions.append(caller)
+            except OSError:
+                return False
+            return bool(sessions)
+
+        fleet.wait(try_start, "a session", 10_000)
+        return sessions[0]
+
+    def test_process_from_start_to_stop(self, tmp_path):
+        # The platform starts the program, changes its settings and stops it. A signal
+        # that nobody handles ends the process and cuts all sessions.
+        fleet = PoolerFleet()
+        process, address = self.start(fleet, tmp_path / "settings.toml")
+        try:
+            caller = self.connect(fleet, address)
+            fleet.wait(lambda: caller.query("STORE a 1").error == "", "a write")
+            process.send_signal(signal.SIGHUP)
+            fleet.runtime.clock.sleep_ms(400)
+            assert caller.query("FETCH a").rows == ["1"]
+            status = Path(f"/proc/{process.pid}/status").read_text()
+            resident_kb = int(status.partition("VmRSS:")[2].split()[0])
+            assert resident_kb < MOST_KB
+            process.send_signal(signal.SIGTERM)
+            output, _ = process.communicate(timeout=10)
+        finally:
+            process.kill()
+            process.wait()
+            fleet.close()
+        assert process.returncode == 0
+        messages = [event["message"] for event in read_events(output)]
+        assert "daemon: The daemon starts." in messages
+        assert "daemon: The settings were read again." in messages
+        assert "daemon: The daemon has stopped." in messages
+
+    def test_mistake_in_the_settings_is_named(self, tmp_path):
+        path = tmp_path / "settings.toml"
+        path.write_text("node_name = 3\n")
+        result = subprocess.run(
+            [sys.executable, str(ROOT / "platform" / "main.py")],
+            env={"BRONZERELAY_SETTINGS": str(path), "PATH": "/usr/bin:/bin"},
+            capture_output=True,
+            text=True,
+            timeout=20,
+        )
+        assert result.returncode == 2
+        assert "node_name" in result.stderr
--- /dev/null
+++ b/tests/test_settings_file.py
@@ -0,0 +1,64 @@
+"""The platform's settings file."""
+
+import os
+
+import pytest
+from settings_file import SettingsFile, read_settings
+
+TEXT = """
+node_name = "edge-1"
+ip = "10.1.0.26"
+zone = "z1"
+internal_ports = [7560, 7575]
+seeds = ["10.1.0.26:8462"]
+unknown = [1, 2]
+[bind_addrs]
+frontend = "10.1.0.26:8465"
+ready = "10.1.0.26:8460"
+admin = "10.1.0.26:8462"
+[limits]
+max_fds = 4200
+[bounds]
+grace_s = 6
+drain_ms = 7000
+[platform]
+address = "10.200.1.7:8466"
+[provider]
+address = "10.200.0.2:8466"
+"""
+
+
+class TestReading:
+    def test_settings(self):
+        settings = read_settings(TEXT, 9464)
+        assert str(settings.pooler.peer) == "10.1.0.26:7560"
+        assert str(settings.pooler.metrics) == "10.1.0.26:9464"
+        assert settings.pooler.grace_ms == 6000
+        assert str(settings.store) == "10.200.1.7:8466"
+
+    @pytest.mark.parametrize(
+        ("before", "after"),
+        [
+            ("grace_s = 6", 'grace_s = "six"'),
+            ("grace_s = 6", ""),
+            ("[limits]", "[limits"),
+            ("7560, 7575", ""),
+            ("10.1.0.26:8465", "nowhere"),
+        ],
+    )
+    def test_mistake(self, before, after):
+        with pytest.raises(ValueError):
+            read_settings(TEXT.replace(before, after), None)
+
+
+class TestChanges:
+    def test_changed_file_is_read_again(self, tmp_path):
+        path = tmp_path / "settings.toml"
+        path.write_text(TEXT)
+        file = SettingsFile(str(path), None)
+        file.read()
+        assert file.read_if_changed() is None
+        path.write_text(TEXT.replace("grace_s = 6", "grace_s = 9"))
+        os.utime(path, ns=(1, 1))
+        assert file.read_if_changed().grace_ms == 9000
+        assert file.read_if_changed() is None
