--- /dev/null
+++ b/tests/test_changes.py
@@ -0,0 +1,245 @@
+"""Changes of primary: when one is due, and what its maker waits for."""
+
+import msgspec
+import pytest
+
+from bronzerelay.pooler.changes import (
+    DEAD_AFTER_MS,
+    HOLD_MS,
+    LEAD_PREFIX,
+    LEADERLESS_MS,
+    TAKEOVER_MS,
+    FleetView,
+    LeadChanges,
+    Promotion,
+)
+from bronzerelay.pooler.counters import Counters
+from bronzerelay.pooler.directory import LeadRecord
+from bronzerelay.pooler.leadership import LEASE_MS
+from bronzerelay.pooler.messages import InstanceStatus, Position
+from bronzerelay.pooler.mirror import ConflictError, Item, StoreError
+from bronzerelay.pooler.placement import Placement
+from standins.lineplatform import SERVICE
+from tests.builders_pooler import (
+    SetClock,
+    make_directory,
+    make_instance,
+    make_lead,
+    make_log,
+    make_runtime,
+)
+
+PRIMARY, FIRST, SECOND = "orders-0", "orders-1", "orders-2"
+KEY = LEAD_PREFIX + SERVICE
+
+
+class FakeMirror:
+    """A store with one writer at a time, which may lose answers."""
+
+    def __init__(self):
+        self.items = {}
+        self.lose = 0
+        self.writes = []
+
+    def get(self, key):
+        return self.items.get(key)
+
+    read = get
+
+    def change(self, expected, puts, removed):
+        known = self.items.get(KEY)
+        if expected[KEY] != (known.revision if known else 0):
+            raise ConflictError("another revision")
+        revision = expected[KEY] + 1
+        self.items[KEY] = Item(KEY, puts[KEY], revision)
+        self.writes.append(msgspec.json.decode(puts[KEY], type=LeadRecord))
+        if self.lose:
+            self.lose -= 1
+            raise StoreError("the answer was lost", True)
+        return revision
+
+
+class Scene:
+    """One daemon's changes on a clock that moves when anybody waits."""
+
+    def __init__(self):
+        self.clock = SetClock()
+        self.runtime = make_runtime(self.clock)
+        self.runtime.sleep_ms = self.sleep_ms
+        self.runtime.start = lambda function, *args: function(*args)
+        self.directory = make_directory(self.runtime)
+        self.placement = Placement(self.runtime, self.directory)
+        self.mirror = FakeMirror()
+        self.names = ["d1", "d2", "d3"]
+        self.known = {"d1", "d2", "d3"}
+        self.received = {FIRST: Position(1, 5), SECOND: Position(1, 9)}
+        self.leads: set[str] = set()
+        self.orders = []
+        self.outcome = Promotion.DONE
+        self.on_sleep = lambda: None
+        for name in (PRIMARY, FIRST, SECOND):
+            self.directory.set_instance(make_instance(name, leads=name == PRIMARY))
+        self.changes = LeadChanges(
+            self.runtime,
+            "d1",
+            self.directory,
+            self.mirror,
+            self.placement,
+            FleetView(lambda: self.names, lambda service, epoch: self.known),
+            self.ask_status,
+            self.promote,
+            self.announce,
+            Counters(self.runtime),
+            make_log(self.runtime),
+        )
+
+    def sleep_ms(self, duration_ms):
+        self.clock.sleep_ms(duration_ms)
+        self.on_sleep()
+        return True
+
+    def announce(self, record):
+        self.directory.set_lead(record)
+
+    def ask_status(self, entry, timeout_ms):
+        received = self.received.get(entry.id)
+        if received is None:
+            return None
+        leads = entry.id in self.leads
+        return InstanceStatus(leads, 2 if leads else 1, received, 0)
+
+    def promote(self, service, instance, holder, epoch, timeout_ms):
+        self.orders.append((instance, epoch))
+        if self.outcome is not Promotion.NOT_RUNNING:
+            self.leads.add(instance)
+        return self.outcome
+
+    def kill_primary(self):
+        entry = self.directory.instances[PRIMARY]
+        for _ in range(3):
+            self.placement.note_trouble(entry, self.clock.now_ms())
+
+    def tend_for(self, duration_ms):
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.changes.tend()
+            self.clock.sleep_ms(100)
+
+
+@pytest.fixture
+def scene():
+    return Scene()
+
+
+class TestWhen:
+    def test_healthy_primary_stays(self, scene):
+        scene.tend_for(5000)
+        assert scene.orders == []
+
+    def test_dead_primary_is_replaced_by_the_one_with_most(self, scene):
+        scene.kill_primary()
+        scene.tend_for(DEAD_AFTER_MS + 2000)
+        assert scene.orders == [(SECOND, 1)]
+        assert scene.directory.find_leader(SERVICE).id == SECOND
+
+    def test_primary_that_a_peer_still_reaches_stays(self, scene):
+        # The primary is cut from this daemon only. Promoting another one would roll
+        # back what was acknowledged meanwhile.
+        scene.kill_primary()
+        for _ in range(40):
+            now_ms = scene.clock.now_ms()
+            scene.placement.positions_of(SERVICE).note(now_ms - 300, Position(1, 3))
+            scene.tend_for(100)
+        assert scene.orders == []
+
+    def test_service_without_a_primary_gets_one(self, scene):
+        scene.directory.set_instance(make_instance(PRIMARY, leads=False))
+        scene.tend_for(LEADERLESS_MS + 2000)
+        assert scene.orders == [(SECOND, 1)]
+
+    def test_change_of_a_living_holder_is_left_to_it(self, scene):
+        scene.directory.set_lead(make_lead(4, settled=False, holder="d2"))
+        scene.tend_for(TAKEOVER_MS - 200)
+        assert scene.orders == []
+
+    def test_stalled_change_is_taken_over_under_a_higher_epoch(self, scene):
+        scene.directory.set_lead(make_lead(4, settled=False, holder="d2"))
+        scene.tend_for(TAKEOVER_MS + 2000)
+        assert [epoch for _, epoch in scene.orders] == [5]
+
+
+class TestSafety:
+    def start(self, scene):
+        scene.kill_primary()
+        scene.tend_for(DEAD_AFTER_MS + 2000)
+
+    def test_unheard_daemon_delays_by_the_lease(self, scene):
+        # One daemon is cut off and may still use the old primary.
+        scene.known = {"d1", "d2"}
+        waited = []
+        scene.on_sleep = lambda: waited.append(scene.clock.now_ms())
+        self.start(scene)
+        assert scene.orders
+        assert waited[-1] - waited[0] >= LEASE_MS
+
+    def test_without_most_daemons_nothing_is_promoted(self, scene):
+        # This daemon is on the small side of a cut. The others may hear of the old
+        # primary, or make a change of their own.
+        scene.known = {"d1"}
+        self.start(scene)
+        assert scene.orders == []
+
+    def test_lost_answer_of_the_store_is_read_back(self, scene):
+        scene.mirror.lose = 1
+        self.start(scene)
+        assert scene.orders == [(SECOND, 1)]
+
+    def test_duty_of_another_daemon_is_respected(self, scene):
+        scene.mirror.items[KEY] = Item(KEY, b"[]", 3)
+        real = scene.mirror.change
+
+        def lose_race(expected, puts, removed):
+            scene.mirror.items[KEY] = Item(KEY, b"other", 9)
+            scene.directory.set_lead(make_lead(9, settled=False, holder="d2"))
+            return real(expected, puts, removed)
+
+        scene.mirror.change = lose_race
+        self.start(scene)
+        assert scene.orders == []
+
+    def test_holder_that_was_frozen_finds_out_before_it_promotes(self, scene):
+        # The holder is frozen after it took the duty; another daemon takes it over and
+        # promotes. Woken up, the first one would promote under an older epoch.
+        scene.known = {"d1", "d2"}
+        state = {"frozen": False}
+
+        def freeze():
+            if not state["frozen"]:
+                state["frozen"] = True
+                scene.clock.sleep_ms(HOLD_MS + TAKEOVER_MS)
+                scene.mirror.items[KEY] = Item(KEY, b"other", 9)
+
+        scene.on_sleep = freeze
+        scene.kill_primary()
+        scene.clock.sleep_ms(DEAD_AFTER_MS)
+        scene.changes.tend()
+        assert scene.orders == []
+
+    def test_instance_that_isnt_running_is_passed_over(self, scene):
+        scene.outcome = Promotion.NOT_RUNNING
+        self.start(scene)
+        assert {instance for instance, _ in scene.orders} == {FIRST, SECOND}
+
+    def test_outcome_is_told_though_the_store_is_out(self, scene):
+        # The store goes out between the promotion and the note of it. Callers would
+        # wait for the store though a primary leads.
+        real = scene.mirror.change
+
+        def fail_second(expected, puts, removed):
+            if scene.orders:
+                raise StoreError("down")
+            return real(expected, puts, removed)
+
+        scene.mirror.change = fail_second
+        self.start(scene)
+        assert scene.directory.find_leader(SERVICE).id == SECOND
--- /dev/null
+++ b/tests/test_mirror.py
@@ -0,0 +1,118 @@
+"""The mirror of the platform's store."""
+
+import msgspec
+import pytest
+
+from bronzerelay.pooler.mirror import (
+    Changes,
+    HistoryLostError,
+    Item,
+    Mirror,
+    PeerMirror,
+    StoreError,
+)
+from tests.builders_pooler import make_log, make_runtime
+
+
+class ScriptedStore:
+    """Answers each load and watch with the next step of a script, then stops."""
+
+    def __init__(self, runtime, steps):
+        self._runtime = runtime
+        self._steps = list(steps)
+        self.waits = []
+
+    def _next(self):
+        if not self._steps:
+            self._runtime._stopping.set()
+            raise StoreError("the script has ended")
+        step = self._steps.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+    def load(self, prefix, timeout_ms):
+        return self._next()
+
+    def watch(self, prefix, after, wait_ms):
+        self.waits.append((after, wait_ms))
+        return self._next()
+
+    def interrupt(self):
+        pass
+
+
+def run_script(*steps):
+    runtime = make_runtime()
+    store = ScriptedStore(runtime, steps)
+    taken = []
+    mirror = Mirror(runtime, store, taken.append, make_log(runtime))
+    mirror.run()
+    return mirror, store, taken
+
+
+A1, A2 = Item("a", b"1", 1), Item("a", b"2", 2)
+B1 = Item("b", b"1", 1)
+
+
+class TestFollowing:
+    def test_load_then_watch(self):
+        mirror, store, taken = run_script(Changes([A1], 1), Changes([A2], 2))
+        assert mirror.get("a") == A2
+        assert taken == [A1, A2]
+        assert [after for after, _ in store.waits] == [1, 2]
+
+    def test_removed_key(self):
+        gone = Item("a", None, 2)
+        mirror, _, taken = run_script(Changes([A1], 1), Changes([gone], 2))
+        assert mirror.get("a") is None
+        assert taken[-1] == gone
+
+    def test_lost_history_is_loaded_and_what_is_missing_counts_as_removed(self):
+        # The store forgets its history while a key is removed. Nobody will ever send
+        # that removal, and an instance that is gone would be used for good.
+        mirror, _, taken = run_script(
+            Changes([A1, B1], 1), HistoryLostError("gone"), Changes([A2], 5)
+        )
+        assert mirror.get("b") is None
+        assert taken[-1].key == "b" and taken[-1].data is None
+
+    def test_failure_is_tried_again(self):
+        mirror, _, _ = run_script(StoreError("down"), Changes([A1], 1))
+        assert mirror.get("a") == A1
+
+    def test_old_item_changes_nothing(self):
+        # An answer that was held up brings a key as it was before.
+        mirror, _, taken = run_script(Changes([A2], 2), Changes([A1], 3))
+        assert mirror.get("a") == A2
+        assert taken == [A2]
+
+    def test_watches_are_short_while_a_proof_is_wanted(self):
+        runtime = make_runtime()
+        store = ScriptedStore(runtime, [Changes([], 1), Changes([], 1)])
+        mirror = Mirror(runtime, store, lambda item: None, make_log(runtime))
+        mirror.wants_proof = lambda: True
+        mirror.run()
+        assert store.waits[0][1] < 1000
+
+
+class TestPeers:
+    def make(self):
+        mirror, _, taken = run_script(Changes([A1], 4))
+        return mirror, taken
+
+    def test_peer_that_is_ahead_is_taken_over(self):
+        mirror, _ = self.make()
+        ahead, _, _ = run_script(Changes([A2, B1], 9))
+        mirror.unpack(ahead.pack(), "peer")
+        assert (mirror.get("a"), mirror.get("b"), mirror.at) == (A2, B1, 9)
+
+    def test_peer_that_is_behind_changes_nothing(self):
+        mirror, _ = self.make()
+        behind = msgspec.msgpack.encode(PeerMirror(3, [("z", b"1", 2)]))
+        mirror.unpack(behind, "peer")
+        assert mirror.get("z") is None
+
+    def test_nonsense_is_refused(self):
+        with pytest.raises(ValueError, match="can't be read"):
+            self.make()[0].unpack(b"\xc1", "peer")
