--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 demo: setup  ## Run the main job once, on stand-ins, and say what each step did.
 	$(RUN) standins.demo
+	$(RUN) standins.linedemo
 
 capacity: setup  ## Measure the slopes (about 4 minutes) and rewrite docs/CAPACITY.md.
 	$(RUN) lab.slopes
--- a/bronzerelay/cli.py
+++ b/bronzerelay/cli.py
@@ -10,6 +10,7 @@
 from bronzerelay.filecommands import endpoint, workspace
 from bronzerelay.fleet import Counters, DaemonState, find_unasked
 from bronzerelay.keycommands import key
+from bronzerelay.logcommands import changes, story
 from bronzerelay.options import FLEET, Session, takes, write_examples
 from bronzerelay.printing import (
     DONE,
@@ -39,6 +40,8 @@
 main.add_command(workspace)
 main.add_command(endpoint)
 main.add_command(key)
+main.add_command(story)
+main.add_command(changes)
 
 
 @main.command(
--- a/bronzerelay/pooler/events.py
+++ b/bronzerelay/pooler/events.py
@@ -40,7 +40,8 @@
             self.dropped += 1
             return
         event = {
-            "t_ms": round(self._runtime.clock.now_ms(), 1),
+            "time_ms": round(self._runtime.clock.wall_ms()),
+            "steady_ms": round(self._runtime.clock.now_ms(), 1),
             "node": self._node,
             "part": part,
             "message": f"{part}: {message}",
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -164,31 +164,29 @@
 
     # Single statements
 
-    def run_single(
-        self, job: Job, own_commit: Position | None
-    ) -> tuple[Answer | Refusal, InstanceEntry | None]:
-        """Run a statement outside a transaction; return its answer and who gave it."""
+    def run_single(self, job: Job, own_commit: Position | None) -> Answer | Refusal:
+        """Run a statement outside a transaction and return its answer."""
         tried: frozenset[str] = frozenset()
         failure: Refusal | None = None
-        for attempt in range(MAX_TRIES):
+        for _ in range(MAX_TRIES):
             need = self._work_out_need(job, own_commit)
             outcome = self._try_single(job, need, tried)
             if isinstance(outcome, Refusal):
-                return failure or outcome, None
+                return failure or outcome
             answer, entry = outcome
             if answer.fault is None:
-                return answer, entry
+                return answer
             may_repeat = answer.fault in NOT_RUN_FAULTS or not job.writes
-            self._log_retry(job, entry, answer, attempt)
+            self._count_retry(answer)
             failure = refuse_fault(answer, job.writes)
             if not may_repeat or answer.fault in (Fault.FAILED, Fault.REJECTED):
-                return failure, entry
+                return failure
             if not self._has_time(job):
-                return failure, entry
+                return failure
             if entry.id != self._leader_id(job.route.service):
                 tried = tried | {entry.id}
             self._pause(answer.fault)
-        return failure or _refuse_no_primary(), None
+        return failure or _refuse_no_primary()
 
     def _work_out_need(self, job: Job, own_commit: Position | None) -> ReadNeed:
         if job.writes:
@@ -208,6 +206,7 @@
             answer = self._run_at(job, entry, need)
             if chosen.as_primary and job.writes:
                 answer = self._confirm(answer, entry)
+            self._log_attempt(job, chosen, need, answer)
             return answer, entry
         finally:
             self._release(chosen)
@@ -347,7 +346,7 @@
         """Return a link with a transaction open on it, or say why there is none."""
         tried: frozenset[str] = frozenset()
         failure: Refusal | None = None
-        for attempt in range(MAX_TRIES):
+        for _ in range(MAX_TRIES):
             need = ReadNeed(None, True)
             if read_only:
                 need = self._placement.work_out_need(job.route, own_commit)
@@ -357,7 +356,7 @@
             if isinstance(outcome, Refusal):
                 return failure or outcome
             answer, entry = outcome
-            self._log_retry(job, entry, answer, attempt)
+            self._count_retry(answer)
             # Nothing but BEGIN was sent, and what it began rolls back.
             failure = refuse_fault(answer, False)._replace(ran=NOT_RUN)
             if not self._has_time(job):
@@ -377,7 +376,10 @@
         try:
             if entry is None:
                 return _refuse_no_primary()
-            return self._begin_at(job, entry, read_only, need)
+            outcome = self._begin_at(job, entry, read_only, need)
+            answer = Answer() if isinstance(outcome, InstanceLink) else outcome[0]
+            self._log_attempt(job, chosen, need, answer, begins=True)
+            return outcome
         finally:
             self._release(chosen)
 
@@ -430,10 +432,14 @@
             link.close()
             return lose_transaction("its primary is being replaced")
         self._placement.view_of(chosen).outstanding += 1
+        place = Place(entry.service, chosen, as_primary)
         try:
-            return self._call_inside(link, job, as_primary)
+            outcome = self._call_inside(link, job, as_primary)
+            if isinstance(outcome, Answer):
+                self._log_attempt(job, place, ReadNeed(None, as_primary), outcome)
+            return outcome
         finally:
-            self._release(Place(entry.service, chosen, as_primary))
+            self._release(place)
 
     def _call_inside(
         self, link: InstanceLink, job: Job, as_primary: bool
@@ -492,22 +498,41 @@
 
     # Records of what happened
 
-    def _log_retry(
-        self, job: Job, entry: InstanceEntry, answer: Answer, attempt: int
-    ) -> None:
+    def _count_retry(self, answer: Answer) -> None:
         fault = answer.fault.name.lower() if answer.fault else "none"
         self._counters.count("retries", reason=fault)
+
+    def _log_attempt(
+        self,
+        job: Job,
+        place: Place,
+        need: ReadNeed,
+        answer: Answer,
+        begins: bool = False,
+    ) -> None:
+        """Write where a statement went, by what, and what came of it."""
+        view = self._placement.view_of(place.instance)
+        lead = self._directory.leads.get(place.service)
         self._log.write_request(
             "runner",
-            "An instance gave no result.",
+            "A transaction was opened." if begins else "A statement was sent.",
             request=job.statement.id,
             workspace=job.workspace,
-            service=entry.service,
-            instance=entry.id,
-            fault=fault,
-            detail=answer.detail,
-            attempt=attempt,
+            database=job.route.database,
+            verb=job.statement.verb.name,
+            service=place.service,
+            instance=place.instance,
+            as_primary=place.as_primary,
+            floor=need.floor,
+            instance_log_end=view.position,
+            proof_age_ms=round(self._guard.proof_age_ms()),
+            lead_epoch=lead.epoch if lead else 0,
+            config_version=self._directory.version,
+            answer_ms=round(view.answer_ms, 1),
             left_ms=round(job.deadline_ms - self._clock.now_ms()),
+            outcome=answer.fault.name.lower() if answer.fault else "done",
+            detail=answer.detail,
+            position=answer.position,
         )
 
 
--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -318,14 +318,12 @@
             return Reply(Answer())
         job = self._make_job(statement, route, workspace)
         own = self._own_commits.get(route.service)
-        outcome, entry = self._services.runner.run_single(job, own)
+        outcome = self._services.runner.run_single(job, own)
         if isinstance(outcome, Refusal) and outcome.ran == NOT_RUN:
             self._services.rates.give_back(workspace)
         position = outcome.position if isinstance(outcome, Answer) else None
         if job.writes and position is not None:
             self._note_commit(route.service, position)
-        if entry is not None and isinstance(outcome, Answer):
-            self._log_run(statement, workspace, entry.id, position)
         return Reply(outcome, position)
 
     def _make_job(self, statement: Statement, route: Route, workspace: str) -> Job:
@@ -414,15 +412,7 @@
             self._note_commit(transaction.route.service, answer.position)
         self._transaction = None
         if transaction.link is not None:
-            entry_id = transaction.link.entry.id
             self._services.runner.end(transaction.link)
-            self._services.log.write_request(
-                "session",
-                "A transaction was committed.",
-                workspace=transaction.workspace,
-                instance=entry_id,
-                wrote=transaction.wrote,
-            )
 
     def _end_with_commit(self, verb: Verb, reply: Reply) -> Reply:
         """End a failed transaction at once when it was the commit that failed."""
@@ -432,26 +422,6 @@
 
     # Records
 
-    def _log_run(
-        self,
-        statement: Statement,
-        workspace: str,
-        instance: str,
-        position: Position | None,
-    ) -> None:
-        self._services.counters.count("statements", database=self._database)
-        self._services.log.write_request(
-            "session",
-            "A statement ran.",
-            request=statement.id,
-            workspace=workspace,
-            database=self._database,
-            verb=statement.verb.name,
-            instance=instance,
-            position=position,
-            version=self._services.directory.version,
-        )
-
     def _log_refusal(
         self, statement: Statement, refusal: Refusal, started_ms: float
     ) -> None:
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -73,6 +73,10 @@
         """Return milliseconds since an arbitrary point; it never goes back."""
         return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
+    def wall_ms(self) -> float:
+        """Return the time of day in Unix milliseconds, for people; it may jump."""
+        return time.time() * 1000
+
     def sleep_ms(self, duration_ms: float) -> None:
         """Wait for `duration_ms`."""
         if duration_ms > 0:
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -9,25 +9,23 @@
 import sys
 import tempfile
 from pathlib import Path
-from typing import NamedTuple
 
 import click
 
+from lab.poolermutations import POOLER_MUTATIONS, Mutation
+
 ROOT = Path(__file__).resolve().parent.parent
-COPIED = ("bronzerelay", "standins", "tests", "lab", "docs", "pyproject.toml")
+COPIED = (
+    "bronzerelay",
+    "platform",
+    "standins",
+    "tests",
+    "lab",
+    "docs",
+    "pyproject.toml",
+)
 TIMEOUT_S = 180
 
-
-class Mutation(NamedTuple):
-    """A mechanism, the text that switches it off, and the test that must notice."""
-
-    mechanism: str
-    file: str
-    old: str
-    new: str
-    test: str
-
-
 MUTATIONS = (
     Mutation(
         "deeply nested answers are turned away before they are decoded",
@@ -525,7 +523,7 @@
 def main(only: str) -> None:
     """Try every mutation and end with 1 if a test missed one."""
     outcomes = []
-    for mutation in MUTATIONS:
+    for mutation in (*MUTATIONS, *POOLER_MUTATIONS):
         if only not in mutation.mechanism:
             continue
         outcome, closing = try_mutation(mutation)
--- /dev/null
+++ b/lab/poolermutations.py
@@ -0,0 +1,155 @@
+"""The pooler's mechanisms, each with what switches it off and the test that notices."""
+
+from typing import NamedTuple
+
+
+class Mutation(NamedTuple):
+    """A mechanism, the text that switches it off, and the test that must notice."""
+
+    mechanism: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+POOLER = "bronzerelay/pooler/"
+PATH = "tests/test_pooler_path.py::"
+
+POOLER_MUTATIONS = (
+    Mutation(
+        "a primary is used only with a proof that it leads",
+        POOLER + "leadership.py",
+        "if not self.has_proof():",
+        "if False:",
+        "tests/test_leadership.py::TestProof",
+    ),
+    Mutation(
+        "half of the members are no proof",
+        POOLER + "leadership.py",
+        "needed = (len(times) + 1) // 2",
+        "needed = len(times) // 2",
+        "tests/test_leadership.py::TestProof",
+    ),
+    Mutation(
+        "a heartbeat counts from when the one that it answers was sent",
+        POOLER + "gossip.py",
+        "                return sent_at_ms\n",
+        "                return self._clock.now_ms()\n",
+        "tests/test_gossip.py::TestProof",
+    ),
+    Mutation(
+        "a change counts as known once nothing is under way at the old primary",
+        POOLER + "gossip.py",
+        "if record.settled or record.service in beat.quiet",
+        "if True",
+        "tests/test_gossip.py::TestAcknowledging",
+    ),
+    Mutation(
+        "a change waits out the lease of daemons that aren't heard",
+        POOLER + "changes.py",
+        "if now_ms - majority_ms > LEASE_MS + LEASE_MARGIN_MS:",
+        "if True:",
+        "tests/test_changes.py::TestSafety",
+    ),
+    Mutation(
+        "the holder proves its duty anew before it promotes",
+        POOLER + "changes.py",
+        "if self._clock.now_ms() - self._proved_ms > HOLD_MS:",
+        "if False:",
+        "tests/test_changes.py::TestSafety",
+    ),
+    Mutation(
+        "the replica with most received is promoted",
+        POOLER + "changes.py",
+        "return max(found, key=lambda pair: pair[1].received, default=None)",
+        "return min(found, key=lambda pair: pair[1].received, default=None)",
+        "tests/test_changes.py::TestWhen",
+    ),
+    Mutation(
+        "a leaving primary stays until a replica has its log",
+        POOLER + "changes.py",
+        "return close or received > end",
+        "return True",
+        PATH + "TestChangesOfPrimary",
+    ),
+    Mutation(
+        "versions of the configuration never go back",
+        POOLER + "directory.py",
+        "if config.version <= known:",
+        "if False:",
+        "tests/test_directory.py::TestConfig",
+    ),
+    Mutation(
+        "a deposed primary that lives on doesn't lead again",
+        POOLER + "directory.py",
+        "deposed = record is not None and entry.id == record.deposed",
+        "deposed = False",
+        "tests/test_directory.py::TestLeads",
+    ),
+    Mutation(
+        "each operation is judged by the key's state now",
+        POOLER + "session.py",
+        "        admitted = self._admit()\n        if isinstance(admitted, Refusal):\n"
+        "            self._fail(admitted)",
+        "        admitted = None\n        if isinstance(admitted, Refusal):\n"
+        "            self._fail(admitted)",
+        PATH + "TestAdmission",
+    ),
+    Mutation(
+        "a write whose answer is lost isn't sent again",
+        POOLER + "runner.py",
+        "may_repeat = answer.fault in NOT_RUN_FAULTS or not job.writes",
+        "may_repeat = True",
+        PATH + "TestInstances",
+    ),
+    Mutation(
+        "a link with an open transaction isn't lent again",
+        POOLER + "links.py",
+        "if not link.usable or link.in_transaction:",
+        "if not link.usable:",
+        PATH + "TestSessions",
+    ),
+    Mutation(
+        "values of another session are wiped from a link",
+        POOLER + "links.py",
+        "surplus = any(name not in state.values for name in self._values)",
+        "surplus = False",
+        PATH + "TestSessions",
+    ),
+    Mutation(
+        "a sample of the primary's log counts from when it was asked for",
+        POOLER + "positions.py",
+        "if sample.at_ms >= oldest_ms:",
+        "if True:",
+        "tests/test_placement.py::TestNeed",
+    ),
+    Mutation(
+        "what a silent daemon may spend is set aside",
+        POOLER + "fleetrates.py",
+        "return (members - silent) / members",
+        "return 1.0",
+        "tests/test_fleetrates.py",
+    ),
+    Mutation(
+        "what others admit leaves the bucket",
+        POOLER + "fleetrates.py",
+        "bucket.tokens = min(bucket.spec.burst, bucket.tokens - spent)",
+        "pass",
+        "tests/test_fleetrates.py",
+    ),
+    Mutation(
+        "lines that requests cause are bounded",
+        POOLER + "events.py",
+        "if self._allowance < 1:",
+        "if False:",
+        "tests/test_events.py",
+    ),
+    Mutation(
+        "keys that a load lacks count as removed",
+        POOLER + "mirror.py",
+        "if self._items[key].revision <= at:",
+        "if False:",
+        "tests/test_mirror.py",
+    ),
+)
--- /dev/null
+++ b/standins/linedemo.py
@@ -0,0 +1,183 @@
+"""Runs the main job on the users' platform once, on stand-ins, with real daemons."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+
+from bronzerelay.runtime import Address, Runtime
+from standins.demo import DemoError, require, say
+from standins.linecaller import LineCaller, LineReply
+from standins.linegroup import LOCAL
+from standins.lineplatform import AGED, NORTH, OWN, STRICT, LinePlatform
+
+PROGRAM = Path(__file__).resolve().parent.parent / "platform" / "main.py"
+TASKS = 300
+WAIT_MS = 10_000
+STOP_S = 10
+NAMES = ("vm-1", "vm-2")
+# Below the ports that outgoing connections take.
+PORTS = range(15_000, 32_000)
+
+
+def find_address(runtime: Runtime) -> Address:
+    """Return a free address for a daemon."""
+    while True:
+        address = Address(LOCAL, runtime.random.choice(PORTS))
+        try:
+            runtime.listen(address).close()
+            runtime.open_datagrams(address).close()
+        except OSError:
+            continue
+        return address
+
+
+class Deployment:
+    """The platform's stand-in and two daemons in processes of their own."""
+
+    def __init__(self, runtime: Runtime, folder: Path):
+        self.runtime = runtime
+        self.platform = LinePlatform(runtime)
+        self.addresses: dict[str, Address] = {}
+        self.processes: dict[str, subprocess.Popen] = {}
+        for name in NAMES:
+            self._start(name, folder)
+
+    def _start(self, name: str, folder: Path) -> None:
+        ports = [find_address(self.runtime) for _ in range(3)]
+        self.addresses[name] = ports[0]
+        settings = folder / f"{name}.toml"
+        self.platform.write_settings(settings, name, ports)
+        with (folder / f"{name}.log").open("w") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, str(PROGRAM)],
+                env={**os.environ, "BRONZERELAY_SETTINGS": str(settings)},
+                stdout=log,
+            )
+
+    def wait(self, happens: Callable[[], bool], what: str) -> None:
+        """Wait until something happens, or raise DemoError."""
+        end_ms = self.runtime.clock.now_ms() + WAIT_MS
+        while not happens():
+            require(self.runtime.clock.now_ms() < end_ms, f"Not in time: {what}.")
+            self.runtime.clock.sleep_ms(20)
+
+    def connect(self, name: str, database: str) -> LineCaller:
+        """Return a session at a daemon, once it takes one."""
+        found: list[LineCaller] = []
+
+        def try_once() -> bool:
+            try:
+                caller = LineCaller(self.runtime, self.addresses[name])
+                if caller.start(database, NORTH.keys[0]) == "READY I -":
+                    found.append(caller)
+            except OSError:
+                return False
+            return bool(found)
+
+        self.wait(try_once, f"a session at {name}")
+        return found[0]
+
+    def close(self) -> None:
+        """End what was started."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        self.platform.close()
+
+
+def run_ok(caller: LineCaller, text: str) -> LineReply:
+    """Run a statement that must succeed."""
+    reply = caller.query(text)
+    require(not reply.error, f"{text!r} was refused: {reply.error} {reply.text}")
+    return reply
+
+
+def show_sessions(deployment: Deployment) -> None:
+    """Write, read back, prepare, and commit a transaction."""
+    caller = deployment.connect(NAMES[0], OWN)
+    deployment.wait(lambda: not caller.query("STORE lunch 40").error, "a first write")
+    require(run_ok(caller, "FETCH lunch").rows == ["40"], "The session lost its write.")
+    say("A session at vm-1 wrote and read its own change.")
+    run_ok(caller, "PARSE s1 FETCH q1")
+    require(run_ok(caller, "EXECUTE s1 lunch").rows == ["40"], "s1 read another row.")
+    run_ok(caller, "BEGIN")
+    run_ok(caller, "STORE diet celiac")
+    run_ok(caller, "STORE tray special")
+    run_ok(caller, "COMMIT")
+    require(run_ok(caller, "FETCH tray").rows == ["special"], "The commit is gone.")
+    say("It ran a prepared statement, and committed a transaction of two writes.")
+
+
+def show_replicas(deployment: Deployment) -> None:
+    """Read data of a stated age on replicas."""
+    caller = deployment.connect(NAMES[1], AGED)
+    deployment.wait(lambda: not caller.query("FETCH lunch").error, "a read at vm-2")
+    deployment.runtime.clock.sleep_ms(500)
+    before = len(deployment.platform.group.runs)
+    for _ in range(20):
+        require(run_ok(caller, "FETCH lunch").rows == ["40"], "A read was too old.")
+    runs = deployment.platform.group.runs[before:]
+    on_replicas = sum(run.instance != "orders-0" for run in runs)
+    require(on_replicas > 0, "No read went to a replica.")
+    say(f"Of 20 reads of a stated age at vm-2, replicas served {on_replicas}.")
+
+
+def show_change_of_primary(deployment: Deployment) -> None:
+    """Silence the primary and go on at another one."""
+    caller = deployment.connect(NAMES[0], STRICT)
+    deployment.platform.group.instances["orders-0"].silent = True
+    deployment.wait(lambda: not caller.query("STORE after 1").error, "a new primary")
+    chosen = deployment.platform.group.promotions[-1]
+    say(f"The primary fell silent; {chosen[0]} was promoted under epoch {chosen[2]}.")
+
+
+def show_withdrawn_key(deployment: Deployment) -> None:
+    """Withdraw the key of an open session."""
+    caller = deployment.connect(NAMES[1], STRICT)
+    deployment.platform.tenants = [NORTH._replace(keys=())]
+    deployment.platform.configure()
+    deployment.wait(
+        lambda: caller.query("FETCH lunch").error == "DENIED", "the withdrawn key"
+    )
+    say("The operator withdrew the key; the open session is refused.")
+
+
+def show_stop(deployment: Deployment) -> None:
+    """Stop both daemons."""
+    for process in deployment.processes.values():
+        process.send_signal(signal.SIGTERM)
+    for name, process in deployment.processes.items():
+        code = process.wait(STOP_S)
+        require(code == 0, f"{name} ended with exit code {code}.")
+    say("Both daemons ended after SIGTERM with exit code 0.")
+
+
+def main() -> None:
+    """Run the demo; exit 1 with the reason when a step fails."""
+    runtime = Runtime(task_limit=TASKS)
+    with tempfile.TemporaryDirectory(prefix="bronzerelay-lines-") as name:
+        say("On the users' platform: a store, a primary, two replicas, two daemons.")
+        deployment = Deployment(runtime, Path(name))
+        try:
+            show_sessions(deployment)
+            show_replicas(deployment)
+            show_change_of_primary(deployment)
+            show_withdrawn_key(deployment)
+            show_stop(deployment)
+        except (DemoError, OSError) as error:
+            say(f"The demo failed: {error}")
+            sys.exit(1)
+        finally:
+            deployment.close()
+            runtime.close(500)
+    say("The demo of the platform is done.")
+    # Its stand-ins' tasks wait for connections that have gone.
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_logcommands.py
@@ -0,0 +1,66 @@
+"""The commands that read daemons' logs."""
+
+import json
+
+from click.testing import CliRunner
+
+from bronzerelay.cli import main
+from bronzerelay.logcommands import read_lines, select_changes, select_story
+
+
+def make_line(time_ms, node="d1", part="session", **fields):
+    head = {"time_ms": time_ms, "steady_ms": 1.0, "node": node, "part": part}
+    return json.dumps({**head, "message": f"{part}: Something.", **fields}) + "\n"
+
+
+LOG = [
+    make_line(1000, part="config", version=3),
+    make_line(2000, part="runner", request="r1", service="s1", outcome="lost"),
+    make_line(2500, node="d2", part="leads", service="s1", epoch=4),
+    make_line(2600, node="d2", part="leads", service="s2", epoch=1),
+    make_line(3000, request="r1", reason="outcome_unknown"),
+    make_line(3100, request="r2", reason="rate_exceeded"),
+    make_line(90000, part="config", version=4),
+    "Traceback: no log line\n",
+    "{broken\n",
+]
+
+
+class TestStory:
+    def test_request_with_what_was_believed_around_it(self):
+        story = select_story(read_lines([LOG]), "r1")
+        assert [line.time_ms for line in story] == [1000, 2000, 2500, 3000]
+
+    def test_lines_are_in_order_over_files(self):
+        lines = read_lines([LOG[4:6], LOG[:4]])
+        assert [line.time_ms for line in lines] == sorted(
+            line.time_ms for line in lines
+        )
+
+    def test_unknown_request(self):
+        assert select_story(read_lines([LOG]), "r9") == []
+
+    def test_changes_of_one_service(self):
+        lines = read_lines([LOG])
+        assert len(select_changes(lines, None)) == 2
+        assert [line.fields["epoch"] for line in select_changes(lines, "s1")] == [4]
+
+
+class TestCommands:
+    def test_story(self, tmp_path):
+        path = tmp_path / "d1.log"
+        path.write_text("".join(LOG))
+        result = CliRunner().invoke(main, ["story", "r1", str(path)])
+        assert result.exit_code == 0
+        assert "reason=outcome_unknown" in result.output
+        assert "r2" not in result.output
+
+    def test_story_from_standard_input(self):
+        result = CliRunner().invoke(main, ["story", "r9"], input="".join(LOG))
+        assert result.exit_code == 1
+        assert "no line names the request r9" in result.output
+
+    def test_changes(self):
+        result = CliRunner().invoke(main, ["changes"], input="".join(LOG))
+        assert result.exit_code == 0
+        assert result.output.count("epoch=") == 2
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -421,3 +421,62 @@
         assert not daemon._sessions
         with pytest.raises(OSError):
             idle.read()
+
+
+class TestBadInput:
+    def is_ended(self, caller):
+        try:
+            while caller.read():
+                pass
+        except OSError:
+            return True
+
+    def test_line_over_the_limit_ends_the_session(self, fleet):
+        # A caller sends a line without an end. Kept, it would fill the memory.
+        daemon = fleet.start_ready("d1")[0]
+        caller = open_session(fleet)
+        try:
+            for _ in range(20):
+                caller.connection.send(b"x" * 100_000)
+        except OSError:
+            pass
+        assert self.is_ended(caller)
+        fleet.wait(lambda: not daemon._sessions, "the session's end")
+
+    def test_half_a_line_ends_the_session(self, fleet, monkeypatch):
+        # A caller sends half a line and waits. It would hold a task for ever.
+        monkeypatch.setattr("bronzerelay.pooler.session.LINE_TIMEOUT_MS", 200)
+        fleet.start_ready("d1")
+        caller = open_session(fleet)
+        caller.connection.send(b"QUERY x1 FET")
+        assert self.is_ended(caller)
+
+    def test_bytes_that_arent_text_are_refused(self, fleet):
+        fleet.start_ready("d1")
+        caller = open_session(fleet)
+        caller.connection.send(b"QUERY x \xff\xfe\r\n")
+        assert caller.read_reply().error == "PROTOERR"
+        run_ok(caller, "FETCH a")
+
+    @pytest.mark.parametrize("line", ["HELLO", "QUERY", "QUERY i WHAT", "", "STARTUP"])
+    def test_unknown_lines_are_refused(self, fleet, line):
+        fleet.start_ready("d1")
+        caller = open_session(fleet)
+        caller.send(line)
+        assert caller.read_reply().error == "PROTOERR"
+        run_ok(caller, "FETCH a")
+
+    def test_pipelined_statements_are_answered_in_order(self, fleet):
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        text = "".join(f"QUERY p{n} STORE row{n} {n}\r\n" for n in range(5))
+        caller.connection.send((text + "QUERY p9 FETCH row3\r\n").encode())
+        replies = [caller.read_reply() for _ in range(6)]
+        assert [reply.error for reply in replies] == [""] * 6
+        assert replies[-1].rows == ["3"]
+
+    def test_many_names_are_refused(self, fleet):
+        fleet.start_ready("d1")
+        caller = open_session(fleet)
+        errors = {caller.query(f"SET v{n} x").error for n in range(600)}
+        assert errors == {"", "PROTOERR"}
