Part the list of members from the daemon; keep upkeep going when a round fails

A round of upkeep that raised ended the task for good, and a change that found no task left its service marked as busy for ever. find_port stood twice.

--- a/bronzerelay/pooler/changes.py
+++ b/bronzerelay/pooler/changes.py
@@ -21,7 +21,7 @@
 from bronzerelay.pooler.mirror import Mirror, StoreError
 from bronzerelay.pooler.placement import Placement
 from bronzerelay.rendezvous import rank
-from bronzerelay.runtime import Runtime
+from bronzerelay.runtime import Runtime, TaskLimitError
 
 LEAD_PREFIX = "bronzerelay/leads/"
 # A primary that answered nobody for this long is taken for dead, in milliseconds. What
@@ -182,7 +182,13 @@
             if service in self._busy:
                 return
             self._busy.add(service)
-        self._runtime.start(self._run, service, reason)
+        try:
+            self._runtime.start(self._run, service, reason)
+        except TaskLimitError as error:
+            # Left among the busy ones, the service would never be looked at again.
+            with self._lock:
+                self._busy.discard(service)
+            self._log.write("changes", "No task for a change.", error=str(error))
 
     def _run(self, service: str, reason: str) -> None:
         try:
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+import traceback
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -29,8 +30,9 @@
 )
 from bronzerelay.pooler.leadership import LeadGuard
 from bronzerelay.pooler.links import LinkPool
+from bronzerelay.pooler.members import Members
 from bronzerelay.pooler.messages import LineCodec, Position
-from bronzerelay.pooler.mirror import Item, Mirror, Store, StoreError
+from bronzerelay.pooler.mirror import Item, Mirror, Store
 from bronzerelay.pooler.placement import Placement
 from bronzerelay.pooler.runner import Runner
 from bronzerelay.pooler.session import CallerSession, Services
@@ -41,7 +43,6 @@
     Runtime,
     Signal,
     TaskLimitError,
-    parse_address,
 )
 
 # Time between two rounds of upkeep, in milliseconds.
@@ -53,13 +54,6 @@
 MIRROR_PATH = "/mirror"
 METRICS_PATH = "/metrics"
 READY_PATH = "/-/readyz"
-# Keys of the pooler's own in the platform's store.
-OWN_PREFIX = "bronzerelay/"
-MEMBER_PREFIX = OWN_PREFIX + "members/"
-JOIN_RETRY_MS = 300
-# A member that nobody here has heard of for this long is taken off the list, in
-# milliseconds. One that lives on puts itself back.
-GONE_MEMBER_MS = 12_000
 # The part of the time that an instance has for leaving in which its lead is used. What
 # is sent at the end of it still has to arrive.
 LEAVE_PART = 0.7
@@ -115,13 +109,6 @@
         """Return the id of the instance that the key is for, or None."""
 
 
-class Member(NamedTuple):
-    """A daemon in the platform's store."""
-
-    name: str
-    address: str
-
-
 class Plugins(NamedTuple):
     """What an adapter brings for its platform."""
 
@@ -149,6 +136,9 @@
         self.rates = FleetRates(runtime, settings.name)
         self.mirror = Mirror(runtime, plugins.store, self._take_item, self.log)
         self.gossip = Gossip(runtime, settings.name, settings.peer, self.log)
+        self.members = Members(
+            runtime, settings.name, settings.peer, self.mirror, self.gossip, self.log
+        )
         self.guard = LeadGuard(runtime, self.directory)
         self.runner = Runner(
             runtime,
@@ -166,7 +156,7 @@
             self.directory,
             self.mirror,
             self.placement,
-            FleetView(self._list_names, self._list_acknowledged),
+            FleetView(self.members.list_names, self._list_acknowledged),
             self.runner.ask_status,
             plugins.promote,
             self._take_lead,
@@ -179,7 +169,6 @@
         self.stopping: Signal = runtime.make_signal()
         self.is_stopping = False
         self._ended: Signal = runtime.make_signal()
-        self._members: dict[str, Address] = {}
         self._behind_since_ms: float | None = None
         self._sessions: set[CallerSession] = set()
         self._lock = runtime.make_lock()
@@ -222,7 +211,7 @@
         return {
             "config_version": self.directory.version,
             "instances": len(self.directory.instances),
-            "members": len(self._members),
+            "members": len(self.members.list_names()),
             "sessions": len(self._sessions),
             "store_revision": self.mirror.at,
             "links_opened": self.pool.opened,
@@ -271,10 +260,7 @@
             self.pool.break_links(record.deposed)
         self.gossip.hurry()
 
-    # Membership
-
-    def _list_names(self) -> list[str]:
-        return [self._settings.name, *self._members]
+    # The other daemons
 
     def _list_acknowledged(self, service: str, epoch: int) -> set[str]:
         """Return the daemons that can't use the primary before a change any more."""
@@ -292,75 +278,9 @@
     def _wants_proof(self) -> bool:
         return not self.guard.has_proof()
 
-    def _join(self) -> None:
-        """Put this daemon on the list of members, and keep it there."""
-        key = MEMBER_PREFIX + self._settings.name
-        member = Member(self._settings.name, str(self._settings.peer))
-        data = msgspec.json.encode(member)
-        while not self._runtime.stopping:
-            if self.mirror.loaded and not self.is_stopping:
-                known = self.mirror.get(key)
-                if known is None or known.data != data:
-                    self._put_member(key, data, known.revision if known else 0)
-            self._runtime.sleep_ms(JOIN_RETRY_MS)
-
-    def _put_member(self, key: str, data: bytes, revision: int) -> None:
-        try:
-            self.mirror.change({key: revision}, {key: data}, [])
-        except StoreError as error:
-            # The watch shows what became of it; it is tried again if need be.
-            self.log.write("members", "Joining failed.", error=str(error))
-        self._runtime.sleep_ms(JOIN_RETRY_MS)
-
-    def _read_members(self) -> dict[str, Address]:
-        members = {}
-        for item in self.mirror.list_prefix(MEMBER_PREFIX):
-            try:
-                member = msgspec.json.decode(item.data or b"", type=Member)
-                members[member.name] = parse_address(member.address)
-            except (msgspec.DecodeError, ValueError) as error:
-                self.log.write(
-                    "members", "A member can't be read.", key=item.key, error=str(error)
-                )
-        members.pop(self._settings.name, None)
-        return members
-
-    def _update_members(self) -> None:
-        members = self._read_members()
-        if members != self._members:
-            self.log.write("members", "The members changed.", members=sorted(members))
-            self._members = members
-            self.gossip.set_members(members)
-            self.runner.daemons = len(members) + 1
-        # One that said it was stopping admits nothing once it is silent.
-        oldest_ms = self._clock.now_ms() - GONE_MEMBER_MS
-        views = self.gossip.views
-        self.rates.set_members(
-            name for name in members if not (name in views and views[name].stopping)
-        )
-        self._remove_gone(oldest_ms)
-
-    def _remove_gone(self, oldest_ms: float) -> None:
-        """Take members off the list that have been silent for very long."""
-        views = self.gossip.views
-        gone = [
-            name
-            for name, view in views.items()
-            if max(view.received_at_ms, view.listed_at_ms) < oldest_ms
-        ]
-        # Whoever hears of nobody is cut off itself.
-        if not gone or len(gone) * 2 > len(views):
-            return
-        name = gone[0]
-        views[name].listed_at_ms = self._clock.now_ms()
-        item = self.mirror.get(MEMBER_PREFIX + name)
-        if item is None or self.is_stopping:
-            return
-        try:
-            self.mirror.change({item.key: item.revision}, {}, [item.key])
-            self.log.write("members", "A silent member was removed.", peer=name)
-        except StoreError as error:
-            self.log.write("members", "Removing failed.", peer=name, error=str(error))
+    def _take_members(self, members: dict[str, Address]) -> None:
+        self.gossip.set_members(members)
+        self.runner.daemons = len(members) + 1
 
     # Heartbeats
 
@@ -448,15 +368,29 @@
 
     def _upkeep(self) -> None:
         while self._runtime.sleep_ms(UPKEEP_MS):
-            self._update_members()
-            self._catch_up()
-            self._reload()
-            self.mirror.tend()
-            if not self.is_stopping and self.guard.has_proof():
+            try:
+                self._tend()
+            except Exception:
+                # One round that fails must not end all later ones: members, changes of
+                # primary and idle links would be left as they are without a word.
+                self.log.write("daemon", "Upkeep failed.", trace=traceback.format_exc())
+
+    def _tend(self) -> None:
+        members = self.members.update()
+        if members is not None:
+            self._take_members(members)
+        # One that said it was stopping admits nothing once it is silent.
+        self.rates.set_members(self.members.list_serving())
+        self._catch_up()
+        self._reload()
+        self.mirror.tend()
+        if not self.is_stopping:
+            self.members.remove_gone()
+            if self.guard.has_proof():
                 self.changes.tend()
-            self.directory.forget_unlisted()
-            self.placement.forget_missing()
-            self.pool.close_unused(self._may_use)
+        self.directory.forget_unlisted()
+        self.placement.forget_missing()
+        self.pool.close_unused(self._may_use)
 
     def _reload(self) -> None:
         """Take over changed settings; what can't be used leaves the old ones."""
@@ -540,7 +474,7 @@
         for server in self._servers:
             run(server.run)
         run(self.mirror.run)
-        run(self._join)
+        run(self.members.join)
         run(self.gossip.run_sender, self._describe)
         run(self.gossip.run_receiver, self._take_beat)
         run(self._upkeep)
@@ -554,6 +488,7 @@
             "daemon", "The daemon is stopping.", sessions=len(self._sessions)
         )
         self.is_stopping = True
+        self.members.is_stopping = True
         self.stopping.set()
         serve_until_ms = begun_ms + SERVE_NEW_PART * grace_ms
         exit_by_ms = begun_ms + EXIT_PART * grace_ms
--- /dev/null
+++ b/bronzerelay/pooler/members.py
@@ -0,0 +1,128 @@
+"""Who the other daemons are: a list in the platform's store that each joins itself."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from bronzerelay.pooler.events import EventLog
+from bronzerelay.pooler.gossip import Gossip
+from bronzerelay.pooler.mirror import Item, Mirror, StoreError
+from bronzerelay.runtime import Address, Runtime, parse_address
+
+MEMBER_PREFIX = "bronzerelay/members/"
+# Time between two looks whether this daemon is on the list, in milliseconds.
+JOIN_RETRY_MS = 300
+# A member that nobody here has heard of for this long is taken off the list, in
+# milliseconds. One that lives on puts itself back.
+GONE_MEMBER_MS = 12_000
+
+
+class Member(NamedTuple):
+    """A daemon as the list has it, with its address for peers as HOST:PORT."""
+
+    name: str
+    address: str
+
+
+class Members:
+    """The list of members, as this daemon knows and keeps it."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        name: str,
+        address: Address,
+        mirror: Mirror,
+        gossip: Gossip,
+        log: EventLog,
+    ):
+        self._runtime = runtime
+        self._clock = runtime.clock
+        self._own = Member(name, str(address))
+        self._mirror = mirror
+        self._gossip = gossip
+        self._log = log
+        self._others: dict[str, Address] = {}
+        self.is_stopping = False
+
+    def list_names(self) -> list[str]:
+        """Return the names of all members, this daemon's first."""
+        return [self._own.name, *self._others]
+
+    def list_serving(self) -> list[str]:
+        """Return the names of the other members that didn't say they were stopping."""
+        views = self._gossip.views
+        return [
+            name
+            for name in self._others
+            if not (name in views and views[name].stopping)
+        ]
+
+    # The own entry
+
+    def join(self) -> None:
+        """Put this daemon on the list, and keep it there, until the runtime stops."""
+        key = MEMBER_PREFIX + self._own.name
+        data = msgspec.json.encode(self._own)
+        while not self._runtime.stopping:
+            if self._mirror.loaded and not self.is_stopping:
+                known = self._mirror.get(key)
+                if known is None or known.data != data:
+                    self._put(key, data, known)
+            self._runtime.sleep_ms(JOIN_RETRY_MS)
+
+    def _put(self, key: str, data: bytes, known: Item | None) -> None:
+        revision = known.revision if known else 0
+        try:
+            self._mirror.change({key: revision}, {key: data}, [])
+        except StoreError as error:
+            # The watch shows what became of it; it is tried again if need be.
+            self._log.write("members", "Joining failed.", error=str(error))
+        self._runtime.sleep_ms(JOIN_RETRY_MS)
+
+    # The others
+
+    def update(self) -> dict[str, Address] | None:
+        """Read the list; return the others' addresses when they changed, else None."""
+        others = self._read()
+        if others == self._others:
+            return None
+        self._log.write("members", "The members changed.", members=sorted(others))
+        self._others = others
+        return others
+
+    def _read(self) -> dict[str, Address]:
+        others = {}
+        for item in self._mirror.list_prefix(MEMBER_PREFIX):
+            try:
+                member = msgspec.json.decode(item.data or b"", type=Member)
+                others[member.name] = parse_address(member.address)
+            except (msgspec.DecodeError, ValueError) as error:
+                self._log.write(
+                    "members", "A member can't be read.", key=item.key, error=str(error)
+                )
+        others.pop(self._own.name, None)
+        return others
+
+    def remove_gone(self) -> None:
+        """Take one member off the list that has been silent for very long."""
+        oldest_ms = self._clock.now_ms() - GONE_MEMBER_MS
+        views = self._gossip.views
+        gone = [
+            name
+            for name, view in views.items()
+            if max(view.received_at_ms, view.listed_at_ms) < oldest_ms
+        ]
+        # Whoever hears of few is cut off itself.
+        if not gone or len(gone) * 2 > len(views):
+            return
+        name = gone[0]
+        views[name].listed_at_ms = self._clock.now_ms()
+        item = self._mirror.get(MEMBER_PREFIX + name)
+        if item is None:
+            return
+        try:
+            self._mirror.change({item.key: item.revision}, {}, [item.key])
+            self._log.write("members", "A silent member was removed.", peer=name)
+        except StoreError as error:
+            self._log.write("members", "Removing failed.", peer=name, error=str(error))
--- a/tests/builders_pooler.py
+++ b/tests/builders_pooler.py
@@ -20,6 +20,7 @@
 )
 from bronzerelay.runtime import Address, Clock, Runtime
 from standins.kvstore import KvStore
+from standins.linedemo import find_address
 from standins.linegroup import LOCAL
 from standins.lineplatform import SERVICE, LinePlatform
 
@@ -89,18 +90,6 @@
     return record._replace(**fields)
 
 
-def find_port(runtime: Runtime) -> Address:
-    """Return a free address, below those that outgoing connections take."""
-    while True:
-        address = Address(LOCAL, runtime.random.randrange(15_000, 32_000))
-        try:
-            runtime.listen(address).close()
-            runtime.open_datagrams(address).close()
-        except OSError:
-            continue
-        return address
-
-
 class PoolerFleet:
     """Daemons of one platform in one process, each with a runtime of its own."""
 
@@ -122,9 +111,9 @@
         settings = PoolerSettings(
             name,
             "z1",
-            find_port(free),
-            find_port(free),
-            find_port(free),
+            find_address(free),
+            find_address(free),
+            find_address(free),
             None,
             (),
             None,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -16,9 +16,10 @@
 from bronzerelay.runtime import Address
 from standins.kvstore import PAGE_ITEMS, KvStore
 from standins.linecaller import LineCaller
+from standins.linedemo import find_address
 from standins.linegroup import LOCAL
 from standins.lineplatform import OWN, SERVICE, read_events
-from tests.builders_pooler import PoolerFleet, find_port, make_runtime
+from tests.builders_pooler import PoolerFleet, make_runtime
 
 ROOT = Path(__file__).parent.parent
 # Words of the platform's protocol, which the product itself must not know.
@@ -109,7 +110,7 @@
 class TestHttpClient:
     def test_nobody_listens(self, runtime):
         with pytest.raises(CallLostError) as caught:
-            HttpClient(runtime, find_port(runtime)).call("GET", "/", b"", 500)
+            HttpClient(runtime, find_address(runtime)).call("GET", "/", b"", 500)
         assert not caught.value.may_have_run
 
 
@@ -130,7 +131,7 @@
 class TestProcess:
     def start(self, fleet, path):
         free = make_runtime()
-        ports = [find_port(free) for _ in range(3)]
+        ports = [find_address(free) for _ in range(3)]
         fleet.platform.write_settings(path, "d1", ports)
         process = subprocess.Popen(
             [sys.executable, str(ROOT / "platform" / "main.py")],
