--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -43,6 +43,9 @@
 DARK_FAILURES = 2
 # The pause after a try that an instance refused for want of a slot, in milliseconds.
 RETRY_PAUSE_MS = 12
+# The pause after an instance had no connection left, in milliseconds. What a killed
+# daemon held is free after seconds, what others hold idle after a statement or two.
+FULL_PAUSE_MS = 40
 # What a caller is told to wait when no primary can be used, in milliseconds.
 NO_PRIMARY_RETRY_MS = 250
 # What a caller is told to wait when instances are busy or out of reach, milliseconds.
@@ -335,7 +338,9 @@
         return self._clock.now_ms() < job.deadline_ms
 
     def _pause(self, fault: Fault) -> None:
-        if fault in (Fault.BUSY, Fault.TOO_MANY_LINKS, Fault.READ_ONLY):
+        if fault is Fault.TOO_MANY_LINKS:
+            self._runtime.sleep_ms(FULL_PAUSE_MS)
+        elif fault in (Fault.BUSY, Fault.READ_ONLY):
             self._runtime.sleep_ms(RETRY_PAUSE_MS)
 
     # Transactions
--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -432,8 +432,12 @@
     def _count_refusal(
         self, kind: str, request: str, verb: str, refusal: Refusal
     ) -> None:
-        config = self._services.directory.config
+        directory = self._services.directory
+        config = directory.config
         workspace = config.keys.get(self._key, "") if config else ""
+        route = directory.find_route(self._database)
+        service = route.service if route else ""
+        leader = directory.find_leader(service)
         self._services.counters.count(
             "refusals", code=refusal.code.name.lower(), ran=refusal.ran
         )
@@ -445,6 +449,8 @@
             verb=verb,
             workspace=workspace,
             database=self._database,
+            service=service,
+            primary=leader.id if leader else "none",
             code=int(refusal.code),
             reason=refusal.code.name.lower(),
             ran=refusal.ran,
