--- a/bronzerelay/logcommands.py
+++ b/bronzerelay/logcommands.py
@@ -1,5 +1,6 @@
 """The commands that read daemons' logs: a request's story, and changes of primary."""
 
+import sys
 from collections.abc import Iterable
 from typing import Any, NamedTuple, TextIO
 
@@ -106,7 +107,7 @@
 
 
 def _open_logs(logs: tuple[TextIO, ...]) -> list[LogLine]:
-    return read_lines(logs or [click.get_text_stream("stdin")])
+    return read_lines(logs or [sys.stdin])
 
 
 @click.command(
