Remove what nothing reads; let single statements and BEGIN share one way to a slot

Read over once more: a constant, two codec functions, a status field, priorities, zones and a copy of the raw configuration were never used; SessionState held only its values; the daemon judged listed instances beside Directory.is_listed; runner chose, looked up and released twice in the same words, and worked out the slots of a service two or three times for each statement. Tests keep their assertions; their builders lose those fields.

--- a/bronzerelay/pooler/changes.py
+++ b/bronzerelay/pooler/changes.py
@@ -248,10 +248,6 @@
                 found.append((entry, status))
         return max(found, key=lambda pair: pair[1].received, default=None)
 
-    def count_under_way(self) -> int:
-        """Return how many changes this daemon is making."""
-        return len(self._busy)
-
 
 class _LostDutyError(Exception):
     """Another daemon has the duty now, or nobody can tell."""
@@ -398,7 +394,7 @@
             if outcome is Promotion.NOT_RUNNING:
                 refused.add(entry.id)
                 continue
-            term = self._wait_for_lead(entry, status.term)
+            term = self._wait_for_lead(entry)
             if term is not None:
                 return entry, term
         raise _LostDutyError("no instance could be promoted")
@@ -428,7 +424,7 @@
     def _ask(self, entry: InstanceEntry) -> InstanceStatus | None:
         return self._parts._ask_status(entry, STATUS_TIMEOUT_MS)
 
-    def _wait_for_lead(self, entry: InstanceEntry, before: int) -> int | None:
+    def _wait_for_lead(self, entry: InstanceEntry) -> int | None:
         """Return the term at which the instance leads, None when it doesn't in time."""
         end_ms = self._clock.now_ms() + PROMOTE_MS
         while self._clock.now_ms() < end_ms:
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -66,9 +66,8 @@
 OWN_TASKS = 80
 # The grace before the kill is divided: until the first part new callers are served,
 # for the balancer takes two missed questions, a second apart, to send them elsewhere;
-# until the second open transactions may end; at the third the process ends.
+# until the second what is open may end, and then the process does.
 SERVE_NEW_PART = 0.42
-END_TRANSACTIONS_PART = 0.55
 EXIT_PART = 0.75
 STOP_POLL_MS = 50
 
@@ -77,7 +76,6 @@
     """Where a daemon listens and what it is bound to; times in milliseconds."""
 
     name: str
-    zone: str
     frontend: Address
     ready: Address
     # For peers: heartbeats over UDP and pages over TCP, at the same port.
@@ -390,7 +388,7 @@
                 self.changes.tend()
         self.directory.forget_unlisted()
         self.placement.forget_missing()
-        self.pool.close_unused(self._may_use)
+        self.pool.close_unused(self.directory.is_listed)
 
     def _reload(self) -> None:
         """Take over changed settings; what can't be used leaves the old ones."""
@@ -410,10 +408,6 @@
                 "daemon", "The settings were read again.", changed=settings is not None
             )
 
-    def _may_use(self, entry: InstanceEntry) -> bool:
-        known = self.directory.instances.get(entry.id)
-        return known is not None and known.born_ms == entry.born_ms
-
     # Callers
 
     def _accept(self) -> None:
--- a/bronzerelay/pooler/directory.py
+++ b/bronzerelay/pooler/directory.py
@@ -46,7 +46,6 @@
         self._clock = runtime.clock
         self._log = log
         self.config: FleetConfig | None = None
-        self.config_at_ms = 0.0
         self.instances: dict[str, InstanceEntry] = {}
         self.leads: dict[str, LeadRecord] = {}
         self._unlisted_ms: dict[str, float] = {}
@@ -69,7 +68,6 @@
             if config.version <= known:
                 return False
             self.config = config
-            self.config_at_ms = self._clock.now_ms()
         self._log.write(
             "config",
             "A configuration is in force.",
--- a/bronzerelay/pooler/fleetconfig.py
+++ b/bronzerelay/pooler/fleetconfig.py
@@ -18,8 +18,7 @@
     """Where the sessions of one database go, and within which times.
 
     `timeout_ms` limits one statement, `objective_ms` is the latency objective of an
-    operation, `max_age_ms` bounds the age of what reads see. 0 is the highest
-    priority.
+    operation, `max_age_ms` bounds the age of what reads see.
     """
 
     database: str
@@ -27,26 +26,23 @@
     consistency: Consistency
     timeout_ms: float
     objective_ms: float
-    priority: int
     max_age_ms: float
     public: bool
 
 
 class Service(NamedTuple):
-    """A group of instances: how many links each takes, and how it acknowledges."""
+    """A group of instances, and how many links each of them takes."""
 
     name: str
     max_links: int
-    sync_replicas: int
 
 
 class Workspace(NamedTuple):
-    """A workspace's rate (operations a second), burst (operations) and priority."""
+    """A workspace's rate (operations a second) and burst (operations)."""
 
     name: str
     rate: float
     burst: float
-    priority: int
 
 
 class FleetConfig(NamedTuple):
@@ -59,8 +55,6 @@
     # Which workspace holds a key.
     keys: dict[str, str]
     idle_transaction_ms: float
-    # As it was read, to be passed on to a peer.
-    raw: bytes
 
 
 class InstanceEntry(NamedTuple):
@@ -69,7 +63,6 @@
     id: str
     service: str
     address: Address
-    zone: str
     slots: int
     leaving: bool
     claims_lead: bool
--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from bronzerelay.pooler.fleetconfig import InstanceEntry
 from bronzerelay.pooler.lines import LineReader
@@ -40,13 +39,6 @@
 PREPARED_LIMIT = 200
 
 
-class SessionState(NamedTuple):
-    """What a caller's session has set and prepared."""
-
-    values: dict[str, str]
-    prepared: dict[str, Prepared]
-
-
 class LinkError(Exception):
     """A link can't be had or brought to a session's state; nothing of it has run."""
 
@@ -152,17 +144,17 @@
 
     # The session's state
 
-    def matches(self, state: SessionState) -> bool:
+    def matches(self, values: dict[str, str]) -> bool:
         """Return whether the values on the connection are those of the session."""
-        return self._values == state.values
+        return self._values == values
 
-    def adopt(self, state: SessionState, needed: Prepared | None) -> None:
+    def adopt(self, values: dict[str, str], needed: Prepared | None) -> None:
         """Bring the connection to the session's values and the needed statement.
 
         Raise LinkError when it can't be; the link is closed then, since nobody knows
         what lies on it.
         """
-        texts = self._list_steps(state, needed)
+        texts = self._list_steps(values, needed)
         if not texts:
             return
         deadline_ms = self._clock.now_ms() + PREPARE_TIMEOUT_MS
@@ -175,7 +167,7 @@
         if answer.fault is not None:
             self.close()
             raise LinkError(answer.fault, f"the session can't be laid on: {answer}")
-        self._values = dict(state.values)
+        self._values = dict(values)
 
     def _read_next(self, deadline_ms: float) -> Answer:
         try:
@@ -184,15 +176,15 @@
             self.close()
             return Answer(fault=Fault.UNREACHABLE, detail=str(error))
 
-    def _list_steps(self, state: SessionState, needed: Prepared | None) -> list[str]:
+    def _list_steps(self, values: dict[str, str], needed: Prepared | None) -> list[str]:
         """Return the statements that bring the connection to the session's state."""
         steps = []
-        surplus = any(name not in state.values for name in self._values)
+        surplus = any(name not in values for name in self._values)
         if surplus or len(self._prepared) > PREPARED_LIMIT:
             steps.append(self._codec.write_discard())
             self._values = {}
             self._prepared = set()
-        for name, value in state.values.items():
+        for name, value in values.items():
             if self._values.get(name) != value:
                 steps.append(self._codec.write_set(name, value))
         if needed is not None:
@@ -237,12 +229,12 @@
         self,
         entry: InstanceEntry,
         workspace: str,
-        state: SessionState,
+        values: dict[str, str],
         deadline_ms: float,
     ) -> InstanceLink:
         """Return a link of the workspace to the instance, or raise LinkError."""
         while True:
-            link = self._take_idle(entry, workspace, state)
+            link = self._take_idle(entry, workspace, values)
             if link is None:
                 link = self._dial(entry, workspace, deadline_ms)
             elif not link.is_sound():
@@ -253,7 +245,7 @@
             return link
 
     def _take_idle(
-        self, entry: InstanceEntry, workspace: str, state: SessionState
+        self, entry: InstanceEntry, workspace: str, values: dict[str, str]
     ) -> InstanceLink | None:
         with self._lock:
             idle = self._idle.get(entry.id, [])
@@ -266,7 +258,7 @@
             ]
             if not fitting:
                 return None
-            best = next((one for one in fitting if one.matches(state)), fitting[-1])
+            best = next((one for one in fitting if one.matches(values)), fitting[-1])
             idle.remove(best)
             return best
 
--- a/bronzerelay/pooler/messages.py
+++ b/bronzerelay/pooler/messages.py
@@ -148,7 +148,6 @@
     leads: bool
     term: int
     received: Position
-    held_term: int
 
 
 class LineCodec(NamedTuple):
@@ -171,6 +170,4 @@
     write_discard: Callable[[], str]
     write_rollback: Callable[[], str]
     write_status: Callable[[], str]
-    write_pause: Callable[[int], str]
-    write_step_down: Callable[[int], str]
     read_status: Callable[[str], InstanceStatus | None]
--- a/bronzerelay/pooler/positions.py
+++ b/bronzerelay/pooler/positions.py
@@ -57,8 +57,3 @@
                 if sample.at_ms >= oldest_ms:
                     return sample.position
         return None
-
-    def clear(self) -> None:
-        """Forget all samples: the primary that gave them leads no more."""
-        with self._lock:
-            self._samples.clear()
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -1,6 +1,7 @@
 """Runs statements at instances: waits for a slot, lends a link, and tries again."""
 
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple, TypeVar
 
 from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN, Code, Refusal
 from bronzerelay.pooler.counters import Counters
@@ -13,7 +14,6 @@
     InstanceLink,
     LinkError,
     LinkPool,
-    SessionState,
     name_prepared,
 )
 from bronzerelay.pooler.messages import (
@@ -71,6 +71,11 @@
 }
 
 
+Outcome = TypeVar("Outcome")
+# A link with an open transaction, or who began none and what it answered.
+Began = InstanceLink | tuple[Answer, InstanceEntry]
+
+
 class Job(NamedTuple):
     """One statement on its way to an instance.
 
@@ -81,7 +86,8 @@
     statement: Statement
     route: Route
     workspace: str
-    state: SessionState
+    # The values that the session has set.
+    values: dict[str, str]
     prepared: Prepared | None
     deadline_ms: float
     slot_by_ms: float
@@ -127,24 +133,28 @@
         self._log = log
         self._lock = runtime.make_lock()
         self._queues: dict[str, SlotQueue] = {}
-        self._slots: dict[str, dict[str, int]] = {}
+        # The instances that the queues' slots are those of.
+        self._groups: dict[str, tuple[InstanceEntry, ...]] = {}
         self.daemons = 1
 
     # Slots
 
     def _queue_of(self, service: str) -> SlotQueue:
         """Return the queue of a service, its slots brought up to date."""
-        slots = {
-            entry.id: entry.slots for entry in self._directory.list_instances(service)
-        }
+        group = self._directory.list_instances(service)
+        # The directory replaces a group whenever one of its instances changes, so that
+        # the slots are worked out then and not for each statement.
+        if self._groups.get(service) is not group:
+            self._set_slots(service, group)
+        return self._queues[service]
+
+    def _set_slots(self, service: str, group: tuple[InstanceEntry, ...]) -> None:
         with self._lock:
             queue = self._queues.get(service)
             if queue is None:
                 queue = self._queues[service] = SlotQueue(self._runtime, WAITING_LIMIT)
-            if self._slots.get(service) != slots:
-                self._slots[service] = slots
-                queue.set_endpoints(slots)
-        return queue
+            queue.set_endpoints({entry.id: entry.slots for entry in group})
+            self._groups[service] = group
 
     def _acquire(self, job: Job, readers: list[str]) -> str | Refusal:
         """Return the first of `readers` with a free slot, waiting for one."""
@@ -196,23 +206,34 @@
             return ReadNeed(None, True)
         return self._placement.work_out_need(job.route, own_commit)
 
+    def _visit(
+        self,
+        job: Job,
+        need: ReadNeed,
+        tried: frozenset[str],
+        act: Callable[[Place, InstanceEntry], Outcome],
+    ) -> Outcome | Refusal:
+        """Return what `act` makes of a slot of an instance that suits the job."""
+        place = self._choose(job, need, tried)
+        if isinstance(place, Refusal):
+            return place
+        entry = self._directory.instances.get(place.instance)
+        try:
+            return _refuse_no_primary() if entry is None else act(place, entry)
+        finally:
+            self._release(place)
+
     def _try_single(
         self, job: Job, need: ReadNeed, tried: frozenset[str]
     ) -> tuple[Answer, InstanceEntry] | Refusal:
-        chosen = self._choose(job, need, tried)
-        if isinstance(chosen, Refusal):
-            return chosen
-        entry = self._directory.instances.get(chosen.instance)
-        try:
-            if entry is None:
-                return _refuse_no_primary()
+        def run(place: Place, entry: InstanceEntry) -> tuple[Answer, InstanceEntry]:
             answer = self._run_at(job, entry, need)
-            if chosen.as_primary and job.writes:
+            if place.as_primary and job.writes:
                 answer = self._confirm(answer, entry)
-            self._log_attempt(job, chosen, need, answer)
+            self._log_attempt(job, place, need, answer)
             return answer, entry
-        finally:
-            self._release(chosen)
+
+        return self._visit(job, need, tried, run)
 
     def _confirm(self, answer: Answer, entry: InstanceEntry) -> Answer:
         """Return the answer to a write unless another instance may lead by now.
@@ -296,9 +317,9 @@
             self._pool.give_back(link, self.keep_links(entry.service))
 
     def _borrow(self, job: Job, entry: InstanceEntry) -> InstanceLink:
-        link = self._pool.lend(entry, job.workspace, job.state, job.deadline_ms)
+        link = self._pool.lend(entry, job.workspace, job.values, job.deadline_ms)
         try:
-            link.adopt(job.state, job.prepared)
+            link.adopt(job.values, job.prepared)
         except LinkError:
             self._pool.give_back(link, 0)
             raise
@@ -373,24 +394,18 @@
 
     def _try_begin(
         self, job: Job, read_only: bool, need: ReadNeed, tried: frozenset[str]
-    ) -> InstanceLink | Refusal | tuple[Answer, InstanceEntry]:
-        chosen = self._choose(job, need, tried)
-        if isinstance(chosen, Refusal):
-            return chosen
-        entry = self._directory.instances.get(chosen.instance)
-        try:
-            if entry is None:
-                return _refuse_no_primary()
+    ) -> Began | Refusal:
+        def begin(place: Place, entry: InstanceEntry) -> Began:
             outcome = self._begin_at(job, entry, read_only, need)
             answer = Answer() if isinstance(outcome, InstanceLink) else outcome[0]
-            self._log_attempt(job, chosen, need, answer, begins=True)
+            self._log_attempt(job, place, need, answer, begins=True)
             return outcome
-        finally:
-            self._release(chosen)
+
+        return self._visit(job, need, tried, begin)
 
     def _begin_at(
         self, job: Job, entry: InstanceEntry, read_only: bool, need: ReadNeed
-    ) -> InstanceLink | tuple[Answer, InstanceEntry]:
+    ) -> Began:
         began_ms = self._clock.now_ms()
         try:
             link = self._borrow(job, entry)
@@ -450,7 +465,7 @@
         self, link: InstanceLink, job: Job, as_primary: bool
     ) -> Answer | Refusal:
         try:
-            link.adopt(job.state, job.prepared)
+            link.adopt(job.values, job.prepared)
         except LinkError as error:
             return lose_transaction(error.detail)
         answer = self._call(link, job, None)
@@ -476,9 +491,8 @@
     ) -> InstanceStatus | None:
         """Return where an instance stands, or None when it doesn't say in time."""
         deadline_ms = self._clock.now_ms() + timeout_ms
-        state = SessionState({}, {})
         try:
-            link = self._pool.lend(entry, STATUS_WORKSPACE, state, deadline_ms)
+            link = self._pool.lend(entry, STATUS_WORKSPACE, {}, deadline_ms)
         except LinkError as error:
             self._log_status(entry, str(error))
             return None
--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -9,7 +9,7 @@
 from bronzerelay.pooler.fleetconfig import FleetConfig, Route
 from bronzerelay.pooler.fleetrates import FleetRates
 from bronzerelay.pooler.lines import LINE_TIMEOUT_MS, LineReader
-from bronzerelay.pooler.links import InstanceLink, SessionState
+from bronzerelay.pooler.links import InstanceLink
 from bronzerelay.pooler.messages import (
     Answer,
     LineCodec,
@@ -335,7 +335,7 @@
             statement,
             route,
             workspace,
-            SessionState(self._values, self._prepared),
+            self._values,
             prepared,
             now_ms + route.timeout_ms,
             now_ms + min(route.timeout_ms, route.objective_ms * SLOT_WAIT_PART),
@@ -456,7 +456,7 @@
             ran=refusal.ran,
             detail=refusal.message,
             retry_after_ms=refusal.retry_after_ms,
-            version=self._services.directory.version,
+            version=directory.version,
         )
 
 
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -113,7 +113,7 @@
     Mutation(
         "values of another session are wiped from a link",
         POOLER + "links.py",
-        "surplus = any(name not in state.values for name in self._values)",
+        "surplus = any(name not in values for name in self._values)",
         "surplus = False",
         PATH + "TestSessions",
     ),
--- a/standins/lineplatform.py
+++ b/standins/lineplatform.py
@@ -127,10 +127,6 @@
         ]
         path.write_text("\n".join(lines) + "\n")
 
-    def count_runs(self, word: str) -> int:
-        """Return how many statements that callers sent hold a word."""
-        return sum(word in run.text for run in self.group.runs)
-
     def close(self) -> None:
         """Stop everything."""
         self.group.close()
--- a/tests/builders_pooler.py
+++ b/tests/builders_pooler.py
@@ -1,7 +1,5 @@
 """Builders of the pooler's test data: daemons on stand-ins, entries, routes, clocks."""
 
-from pathlib import Path
-
 from failover_call import FailoverCall
 from line_codec import CODEC
 from records import PlatformRecords
@@ -26,7 +24,6 @@
 
 TASKS = 400
 WAIT_MS = 8000
-NO_FILE = 1
 
 
 class SetClock(Clock):
@@ -49,7 +46,7 @@
     return runtime
 
 
-def make_log(runtime: Runtime, path: Path | None = None) -> EventLog:
+def make_log(runtime: Runtime) -> EventLog:
     """Return a log whose lines stay queued."""
     return EventLog(runtime, "test")
 
@@ -59,28 +56,27 @@
 
 
 def make_instance(name: str, leads: bool = False, **fields) -> InstanceEntry:
-    entry = InstanceEntry(name, SERVICE, Address(LOCAL, 1), "z1", 3, False, leads, 1)
+    entry = InstanceEntry(name, SERVICE, Address(LOCAL, 1), 3, False, leads, 1)
     return entry._replace(**fields)
 
 
 def make_route(consistency: Consistency = Consistency.PRIMARY, **fields) -> Route:
-    route = Route(SERVICE, SERVICE, consistency, 1000, 400, 1, 1500, False)
+    route = Route(SERVICE, SERVICE, consistency, 1000, 400, 1500, False)
     return route._replace(**fields)
 
 
 def make_workspace(name: str = "north", rate: float = 50, burst: float = 50):
-    return Workspace(name, rate, burst, 1)
+    return Workspace(name, rate, burst)
 
 
 def make_config(version: int, **fields) -> FleetConfig:
     config = FleetConfig(
         version,
         {SERVICE: make_route()},
-        {SERVICE: Service(SERVICE, 21, 0)},
+        {SERVICE: Service(SERVICE, 21)},
         {"north": make_workspace()},
         {"north-key": "north"},
         3000,
-        b"{}",
     )
     return config._replace(**fields)
 
@@ -110,7 +106,6 @@
         free = Runtime(task_limit=1)
         settings = PoolerSettings(
             name,
-            "z1",
             find_address(free),
             find_address(free),
             find_address(free),
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -106,7 +106,7 @@
         if received is None:
             return None
         leads = entry.id in self.leads
-        return InstanceStatus(leads, 2 if leads else 1, received, 0)
+        return InstanceStatus(leads, 2 if leads else 1, received)
 
     def promote(self, service, instance, holder, epoch, timeout_ms):
         self.orders.append((instance, epoch))
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -3,13 +3,13 @@
 import pytest
 from line_codec import CODEC
 
-from bronzerelay.pooler.links import LinkError, LinkPool, SessionState
+from bronzerelay.pooler.links import LinkError, LinkPool
 from bronzerelay.pooler.messages import Fault, Prepared
 from standins.linegroup import LineGroup
 from standins.lineplatform import SERVICE
 from tests.builders_pooler import make_instance, make_runtime
 
-NOTHING = SessionState({}, {})
+NOTHING: dict[str, str] = {}
 
 
 @pytest.fixture
@@ -26,12 +26,12 @@
     return LinkPool(group.runtime, CODEC)
 
 
-def lend(group, pool, workspace="north", state=NOTHING):
+def lend(group, pool, workspace="north", values=NOTHING):
     instance = group.instances["orders-0"]
     entry = make_instance("orders-0", leads=True, address=instance.address)
     deadline_ms = group.runtime.clock.now_ms() + 2000
-    link = pool.lend(entry, workspace, state, deadline_ms)
-    link.adopt(state, None)
+    link = pool.lend(entry, workspace, values, deadline_ms)
+    link.adopt(values, None)
     return link
 
 
@@ -88,8 +88,8 @@
 
 class TestState:
     def test_values_are_replaced_and_wiped(self, group, pool):
-        link = lend(group, pool, state=SessionState({"a": "1", "b": "2"}, {}))
-        link.adopt(SessionState({"a": "3"}, {}), None)
+        link = lend(group, pool, values={"a": "1", "b": "2"})
+        link.adopt({"a": "3"}, None)
         call(group, link, "FETCH x")
         assert group.runs[-1].values == (("a", "3"),)
 
