Find a dead primary by what all daemons miss; send what peers lack

The daemon whose turn it was had sent it nothing, and each further one waits half a second longer. Acknowledging took 640 ms more: statements that were still opening a link counted as uses of the primary, and the end of the last one was told only with the next heartbeat.

Ruled out: the platform's call and the new primary's start (0.3 s together).

Change: heartbeats tell which instances give the sender no answer, and since when; two such reports of any daemons count. A primary is used from when a statement is sent to it. The end of the last use is told at once. Besides, reports of rates hold what changed since the last heartbeat that the receiver got, and ends of logs are told by the daemon that has them from the primary.

Tests, each seen to fail first: test_changes.py (dead to peers alone), test_gossip.py, test_leadership.py::TestQuiet, test_pooler_path.py::test_link_that_is_being_opened_holds_up_no_change.

--- a/bronzerelay/pooler/changes.py
+++ b/bronzerelay/pooler/changes.py
@@ -27,7 +27,8 @@
 # A primary that answered nobody for this long is taken for dead, in milliseconds. What
 # peers see of it is up to two heartbeats old; a slow statement takes less.
 DEAD_AFTER_MS = 1_000
-# Failures that this daemon itself must have seen of it.
+# Failures that this daemon and its peers must have seen of it. Each daemon of many has
+# little traffic of its own, and the one that has to act may have had none.
 DEAD_FAILURES = 2
 # A service without any primary gets one after this time, in milliseconds: entries come
 # one by one, and that of the primary may be the last.
@@ -80,6 +81,8 @@
     names: Callable[[], list[str]]
     # The members that know of a change and have nothing under way at the old primary.
     acknowledged: Callable[[str, int], set[str]]
+    # Since when an instance has given no answer to each of the peers that miss one.
+    silent_since_ms: Callable[[str], list[float]]
 
 
 AskStatus = Callable[[InstanceEntry, float], InstanceStatus | None]
@@ -159,9 +162,9 @@
     def _looks_dead(self, leader: InstanceEntry, now_ms: float) -> bool:
         """Return whether the primary answers neither this daemon nor any peer."""
         view = self._placement.view_of(leader.id)
-        if view.failures < DEAD_FAILURES:
-            return False
-        if now_ms - view.failing_since_ms < DEAD_AFTER_MS:
+        since_ms = self._fleet.silent_since_ms(leader.id)
+        since_ms += [view.failing_since_ms] * view.failures
+        if len(since_ms) < DEAD_FAILURES or now_ms - min(since_ms) < DEAD_AFTER_MS:
             return False
         newest = self._placement.positions_of(leader.service).newest()
         return newest is None or now_ms - newest.at_ms > DEAD_AFTER_MS
@@ -348,9 +351,11 @@
         while True:
             names = set(self._parts._fleet.names())
             known = self._parts._fleet.acknowledged(self._service, self._record.epoch)
+            now_ms = self._clock.now_ms()
             if names <= known:
+                waited_ms = round(now_ms - began_ms)
+                self._say("All daemons know of the change.", waited_ms=waited_ms)
                 return
-            now_ms = self._clock.now_ms()
             if len(known) * 2 > len(names):
                 majority_ms = majority_ms or now_ms
                 if now_ms - majority_ms > LEASE_MS + LEASE_MARGIN_MS:
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -20,7 +20,7 @@
 from bronzerelay.pooler.directory import Directory, LeadRecord
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.fleetconfig import FleetConfig, InstanceEntry
-from bronzerelay.pooler.fleetrates import FleetRates
+from bronzerelay.pooler.fleetrates import NO_REPORT, FleetRates
 from bronzerelay.pooler.gossip import Beat, Gossip
 from bronzerelay.pooler.httpcalls import (
     CallLostError,
@@ -28,7 +28,7 @@
     HttpClient,
     PageServer,
 )
-from bronzerelay.pooler.leadership import LeadGuard
+from bronzerelay.pooler.leadership import LEASE_MS, LeadGuard
 from bronzerelay.pooler.links import LinkPool
 from bronzerelay.pooler.members import Members
 from bronzerelay.pooler.messages import LineCodec, Position
@@ -60,6 +60,9 @@
 # A daemon that has had no proof of any primary for this long asks for no more callers,
 # in milliseconds: a few heartbeats more than it takes to lose the proof.
 CUT_OFF_MS = 2_500
+# How old the end of a primary's log may be that heartbeats tell, in milliseconds: two
+# heartbeats, of which one may be lost.
+SAMPLE_AGE_MS = 600
 # Changes of primary that heartbeats repeat.
 LEADS_IN_BEAT = 8
 # Tasks besides those of callers.
@@ -154,7 +157,11 @@
             self.directory,
             self.mirror,
             self.placement,
-            FleetView(self.members.list_names, self._list_acknowledged),
+            FleetView(
+                self.members.list_names,
+                self._list_acknowledged,
+                self._list_silent_since,
+            ),
             self.runner.ask_status,
             plugins.promote,
             self._take_lead,
@@ -163,6 +170,7 @@
         )
         self.mirror.wants_proof = self._wants_proof
         self.mirror.note_proof = self.guard.note_store
+        self.guard.note_quiet = self._tell_quiet
         self.reload_wanted = False
         self.stopping: Signal = runtime.make_signal()
         self.is_stopping = False
@@ -273,6 +281,21 @@
             names.add(self._settings.name)
         return names
 
+    def _list_silent_since(self, instance_id: str) -> list[float]:
+        """Return since when an instance has given no answer to peers heard lately."""
+        oldest_ms = self._clock.now_ms() - LEASE_MS
+        return [
+            view.silent_since_ms[instance_id]
+            for view in self.gossip.views.values()
+            if view.received_at_ms >= oldest_ms and instance_id in view.silent_since_ms
+        ]
+
+    def _tell_quiet(self, service: str) -> None:
+        """Tell at once that nothing is under way, where a change waits for it."""
+        record = self.directory.leads.get(service)
+        if record is not None and not record.settled:
+            self.gossip.hurry()
+
     def _wants_proof(self) -> bool:
         return not self.guard.has_proof()
 
@@ -284,12 +307,12 @@
 
     def _describe(self) -> Beat:
         now_ms = self._clock.now_ms()
-        positions = {}
-        for service in {entry.service for entry in self.directory.instances.values()}:
-            sample = self.placement.positions_of(service).newest()
-            if sample is not None:
-                term, number = sample.position
-                positions[service] = (term, number, round(now_ms - sample.at_ms, 1))
+        # What peers have told reaches all others from themselves.
+        samples = self.placement.list_own_samples(now_ms - SAMPLE_AGE_MS)
+        positions = {
+            service: (*sample.position, round(now_ms - sample.at_ms, 1))
+            for service, sample in samples.items()
+        }
         leads = list(self.directory.leads.values())[-LEADS_IN_BEAT:]
         return Beat(
             self._settings.name,
@@ -299,10 +322,14 @@
             0,
             self.is_stopping,
             self.mirror.at,
-            self.rates.make_report(),
+            NO_REPORT,
             positions,
             leads,
             [record.service for record in leads if self.guard.is_quiet(record.service)],
+            {
+                instance_id: round(now_ms - since_ms, 1)
+                for instance_id, since_ms in self.placement.list_silent().items()
+            },
         )
 
     def _take_beat(self, beat: Beat, proven_ms: float) -> None:
@@ -469,7 +496,7 @@
             run(server.run)
         run(self.mirror.run)
         run(self.members.join)
-        run(self.gossip.run_sender, self._describe)
+        run(self.gossip.run_sender, self._describe, self.rates.make_report)
         run(self.gossip.run_receiver, self._take_beat)
         run(self._upkeep)
         run(self._accept)
--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -31,12 +31,6 @@
 # The part of what is saved up that is given away before the next reports come. With
 # all of it given away each time, the fleet would spend and starve by turns.
 SAVED_PART = 0.5
-# How long a count that has changed is repeated in reports, in milliseconds: four of
-# them may be lost.
-REPEAT_MS = 1_500
-# Time between two reports that hold all counts, in milliseconds. Workspaces that nobody
-# uses make up most of them.
-WHOLE_MS = 3_000
 
 
 class Tally(NamedTuple):
@@ -53,6 +47,9 @@
     tallies: dict[str, Tally]
 
 
+NO_REPORT = Report(False, {})
+
+
 class PeerReports:
     """What one peer's process has reported."""
 
@@ -73,7 +70,7 @@
         # All that this process has admitted and was asked for, as it is reported.
         self.admitted = 0
         self.asked = 0
-        self.asked_at_ms = 0.0
+        self.changed_at_ms = 0.0
         # What the fleet was asked for lately; older operations count for less.
         self.demand = 0.0
         # What adds up to the next operation while only a part is admitted.
@@ -94,7 +91,6 @@
         self._peers: dict[str, PeerReports] = {}
         # When each other member was last heard of; all that may admit operations.
         self._heard_ms: dict[str, float] = {}
-        self._whole_at_ms = -math.inf
 
     def set_workspaces(self, specs: Iterable[Workspace]) -> None:
         """Take over the rates of a configuration."""
@@ -124,50 +120,50 @@
 
     # Reports
 
-    def make_report(self) -> Report:
-        """Return what the others have to know now."""
-        now_ms = self._clock.now_ms()
+    def make_report(self, since_ms: float | None) -> Report:
+        """Return what has changed since a moment, or all when that is None."""
+        oldest_ms = -math.inf if since_ms is None else since_ms
         with self._lock:
-            whole = now_ms - self._whole_at_ms >= WHOLE_MS
-            if whole:
-                self._whole_at_ms = now_ms
             tallies = {
                 name: Tally(bucket.admitted, bucket.asked)
                 for name, bucket in self._buckets.items()
-                if bucket.asked and (whole or now_ms - bucket.asked_at_ms <= REPEAT_MS)
+                if bucket.asked and bucket.changed_at_ms >= oldest_ms
             }
-        return Report(whole, tallies)
+        return Report(since_ms is None, tallies)
 
     def note_report(
         self, peer: str, incarnation: int, heard_at_ms: float, report: Report
     ) -> None:
-        """Take what a peer has admitted out of the buckets."""
+        """Take what a peer has admitted out of the buckets.
+
+        What it admitted while it wasn't heard of was set aside already.
+        """
         now_ms = self._clock.now_ms()
         with self._lock:
-            known = self._find_reports(peer, incarnation, now_ms)
+            known = self._find_reports(peer, incarnation)
+            was_silent = self._is_silent(peer, now_ms)
             for name, tally in report.tallies.items():
                 base = known.tallies.get(name)
                 if base is None and known.complete:
                     base = Tally(0, 0)
                 known.tallies[name] = tally
                 bucket = self._buckets.get(name)
-                if base is not None and bucket is not None:
+                if bucket is not None and base is not None and not was_silent:
                     self._take_out(bucket, base, tally, now_ms)
             known.complete = known.complete or report.whole
             if peer in self._heard_ms:
                 self._heard_ms[peer] = max(self._heard_ms[peer], heard_at_ms)
 
-    def _find_reports(self, peer: str, incarnation: int, now_ms: float) -> PeerReports:
+    def _find_reports(self, peer: str, incarnation: int) -> PeerReports:
         """Return what the peer's process has reported so far.
 
-        What it admitted before this process heard of it, or while it was silent, isn't
-        counted: of the first nobody knows when it was, the second was set aside.
+        Of what it admitted before this process heard of it nobody knows when it was, so
+        that only a process that takes the place of a known one is taken to begin anew.
         """
         known = self._peers.get(peer)
-        if known is None or self._is_silent(peer, now_ms):
-            known = self._peers[peer] = PeerReports(incarnation, False)
-        elif known.incarnation != incarnation:
-            known = self._peers[peer] = PeerReports(incarnation, True)
+        if known is None or known.incarnation != incarnation:
+            known = PeerReports(incarnation, known is not None)
+            self._peers[peer] = known
         return known
 
     def _take_out(
@@ -190,7 +186,7 @@
                 return 0.0
             self._fill(bucket, now_ms)
             bucket.asked += 1
-            bucket.asked_at_ms = now_ms
+            bucket.changed_at_ms = now_ms
             bucket.demand += 1
             rate = max(bucket.spec.rate * bucket.part, 0.001)
             if bucket.tokens < 1:
@@ -219,7 +215,7 @@
                 bucket.admitted -= 1
                 bucket.asked -= 1
                 bucket.demand = max(0.0, bucket.demand - 1)
-                bucket.asked_at_ms = self._clock.now_ms()
+                bucket.changed_at_ms = self._clock.now_ms()
 
     def _count_members(self) -> int:
         return len(self._heard_ms) + 1
--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -38,7 +38,8 @@
     that the sender knows. `report` is what it was asked for and has admitted.
     `positions` holds the end of the log (term, number) and its age in milliseconds for
     each service, `leads` the changes of primary that the sender knows of, and
-    `quiet` the services at whose old primary it has nothing under way.
+    `quiet` the services at whose old primary it has nothing under way. `silent` holds
+    the instances that give the sender no answer, and for how many milliseconds.
     """
 
     sender: str
@@ -52,6 +53,7 @@
     positions: dict[str, tuple[int, int, float]]
     leads: list[LeadRecord]
     quiet: list[str]
+    silent: dict[str, float]
 
 
 class PeerView:
@@ -68,10 +70,16 @@
         self.mirror_at = 0
         # For each service the epoch of the change that the peer has acknowledged.
         self.acknowledged: dict[str, int] = {}
+        # The instances that give the peer no answer, and since when.
+        self.silent_since_ms: dict[str, float] = {}
+        # The last of this process's heartbeats that the peer has got.
+        self.echoed = -1
 
 
 # Makes the part of a heartbeat that doesn't depend on its receiver.
 Describe = Callable[[], Beat]
+# Makes a report of what has changed since a moment, or of all when that is None.
+MakeReport = Callable[[float | None], Report]
 # Takes a heartbeat and the moment from which what it says counts.
 TakeBeat = Callable[[Beat, float], None]
 
@@ -109,7 +117,7 @@
                 views[name] = view
             self.views = views
 
-    def run_sender(self, describe: Describe) -> None:
+    def run_sender(self, describe: Describe, make_report: MakeReport) -> None:
         """Send heartbeats until the runtime stops."""
         while not self._runtime.stopping:
             with self._condition:
@@ -117,7 +125,7 @@
                     self._condition, lambda: self._hurried, BEAT_MS
                 )
                 self._hurried = False
-            self.send_round(describe())
+            self.send_round(describe(), make_report)
             if hurried:
                 self._runtime.sleep_ms(HURRY_MS)
 
@@ -127,18 +135,27 @@
             self._hurried = True
             self._condition.notify()
 
-    def send_round(self, beat: Beat) -> None:
-        """Send one heartbeat to the next members in turn."""
+    def send_round(self, beat: Beat, make_report: MakeReport) -> None:
+        """Send one heartbeat to the next members in turn.
+
+        Each gets what has changed since the last one that it has got. Repeated in full,
+        the reports were most of what the fleet sends.
+        """
         self._number += 1
         self._sent.append((self._number, self._clock.now_ms()))
+        reports: dict[float | None, Report] = {}
         views = list(self.views.values())
         if len(views) > FANOUT:
             start = self._turn % len(views)
             views = (views + views)[start : start + FANOUT]
             self._turn += FANOUT
         for view in views:
+            since_ms = self._find_sent(view.echoed)
+            if since_ms not in reports:
+                reports[since_ms] = make_report(since_ms)
             packed = self._encoder.encode(
                 beat._replace(
+                    report=reports[since_ms],
                     number=self._number,
                     echo=view.number,
                     echo_incarnation=view.incarnation,
@@ -199,18 +216,24 @@
                 for record in beat.leads
                 if record.settled or record.service in beat.quiet
             }
-            proven_ms = self._find_sent(beat)
+            view.silent_since_ms = {
+                instance_id: view.received_at_ms - for_ms
+                for instance_id, for_ms in beat.silent.items()
+            }
+            view.echoed = -1
+            if beat.echo_incarnation == self.incarnation:
+                view.echoed = beat.echo
+            sent_at_ms = self._find_sent(view.echoed)
+            proven_ms = NEVER_MS if sent_at_ms is None else sent_at_ms
             view.heard_at_ms = max(view.heard_at_ms, proven_ms)
         take(beat, proven_ms)
 
-    def _find_sent(self, beat: Beat) -> float:
-        """Return when the heartbeat was sent that this one answers."""
-        if beat.echo_incarnation != self.incarnation:
-            return NEVER_MS
+    def _find_sent(self, wanted: int) -> float | None:
+        """Return when a heartbeat was sent, None when that is long ago or never."""
         for number, sent_at_ms in reversed(self._sent):
-            if number == beat.echo:
+            if number == wanted:
                 return sent_at_ms
-        return NEVER_MS
+        return None
 
     def close(self) -> None:
         """Close the socket."""
--- a/bronzerelay/pooler/leadership.py
+++ b/bronzerelay/pooler/leadership.py
@@ -10,7 +10,7 @@
 majorities have a member in common.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from bronzerelay.codes import NOT_RUN, Code, Refusal
 from bronzerelay.pooler.directory import Directory
@@ -35,6 +35,8 @@
         self._directory = directory
         self._lock = runtime.make_lock()
         self._under_way: dict[str, int] = {}
+        # Takes the service at whose primary the last use under way has ended.
+        self.note_quiet: Callable[[str], None] = lambda _: None
         # Up to when most members were heard of, or the store was.
         self._proven_ms = NEVER_MS
 
@@ -70,7 +72,7 @@
         Who got None calls `leave` afterwards.
         """
         with self._lock:
-            refusal = self._judge(service, instance_id)
+            refusal = self.judge(service, instance_id)
             if refusal is None:
                 self._under_way[service] = self._under_way.get(service, 0) + 1
             return refusal
@@ -79,16 +81,20 @@
         """End a use of the primary."""
         with self._lock:
             self._under_way[service] -= 1
+            quiet = self._under_way[service] == 0
+        if quiet:
+            self.note_quiet(service)
 
     def still_leads(self, service: str, instance_id: str) -> bool:
         """Return whether what the primary has just answered may be believed."""
-        return self._judge(service, instance_id) is None
+        return self.judge(service, instance_id) is None
 
     def is_quiet(self, service: str) -> bool:
         """Return whether no use of the service's primary is under way."""
         return self._under_way.get(service, 0) == 0
 
-    def _judge(self, service: str, instance_id: str) -> Refusal | None:
+    def judge(self, service: str, instance_id: str) -> Refusal | None:
+        """Return why the primary of the service may not be used now, or None."""
         leader = self._directory.find_leader(service)
         if leader is None or leader.id != instance_id:
             message = "The primary of the service is being replaced."
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -5,7 +5,7 @@
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.pooler.fleetconfig import Consistency, InstanceEntry, Route
 from bronzerelay.pooler.messages import Position
-from bronzerelay.pooler.positions import LogPositions
+from bronzerelay.pooler.positions import LogPositions, Sample
 from bronzerelay.runtime import Runtime
 
 # The assumed time of an answer before any was measured, in milliseconds, and the weight
@@ -81,6 +81,23 @@
             for gone in set(self._views) - set(listed):
                 del self._views[gone]
 
+    def list_own_samples(self, since_ms: float) -> dict[str, Sample]:
+        """Return what primaries have told this daemon since a moment, by service."""
+        found = {}
+        for service, positions in list(self._positions.items()):
+            sample = positions.own
+            if sample is not None and sample.at_ms >= since_ms:
+                found[service] = sample
+        return found
+
+    def list_silent(self) -> dict[str, float]:
+        """Return the instances that give no answer, and since when."""
+        return {
+            instance_id: view.failing_since_ms
+            for instance_id, view in list(self._views.items())
+            if view.failures > 0
+        }
+
     # What answers tell
 
     def note_answer(self, entry: InstanceEntry, took_ms: float) -> None:
@@ -110,7 +127,7 @@
         view.position_at_ms = sent_at_ms
         leader = self._directory.find_leader(entry.service)
         if leader is not None and leader.id == entry.id:
-            self.positions_of(entry.service).note(sent_at_ms, position)
+            self.positions_of(entry.service).note_own(sent_at_ms, position)
 
     # Choosing
 
--- a/bronzerelay/pooler/positions.py
+++ b/bronzerelay/pooler/positions.py
@@ -33,6 +33,14 @@
         self._clock = runtime.clock
         self._lock = runtime.make_lock()
         self._samples: deque[Sample] = deque(maxlen=SAMPLES)
+        # The newest one that this daemon has from the primary itself.
+        self.own: Sample | None = None
+
+    def note_own(self, at_ms: float, position: Position) -> None:
+        """Note what the primary itself has told this daemon."""
+        if self.own is None or at_ms > self.own.at_ms:
+            self.own = Sample(at_ms, position)
+        self.note(at_ms, position)
 
     def note(self, at_ms: float, position: Position) -> None:
         """Note that the primary's log ended at `position` at `at_ms` or later."""
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -226,8 +226,12 @@
     def _try_single(
         self, job: Job, need: ReadNeed, tried: frozenset[str]
     ) -> tuple[Answer, InstanceEntry] | Refusal:
-        def run(place: Place, entry: InstanceEntry) -> tuple[Answer, InstanceEntry]:
-            answer = self._run_at(job, entry, need)
+        def run(
+            place: Place, entry: InstanceEntry
+        ) -> tuple[Answer, InstanceEntry] | Refusal:
+            answer = self._run_at(job, place, entry, need)
+            if isinstance(answer, Refusal):
+                return answer
             if place.as_primary and job.writes:
                 answer = self._confirm(answer, entry)
             self._log_attempt(job, place, need, answer)
@@ -258,11 +262,10 @@
         if isinstance(chosen, Refusal):
             return chosen
         as_primary = need.primary_only or chosen == self._leader_id(service)
-        if as_primary:
-            refusal = self._guard.enter(service, chosen)
-            if refusal is not None:
-                self._queue_of(service).release(chosen)
-                return refusal
+        refusal = self._guard.judge(service, chosen) if as_primary else None
+        if refusal is not None:
+            self._queue_of(service).release(chosen)
+            return refusal
         self._placement.view_of(chosen).outstanding += 1
         return Place(service, chosen, as_primary)
 
@@ -296,8 +299,6 @@
             self._runtime.sleep_ms(RETRY_PAUSE_MS)
 
     def _release(self, place: Place) -> None:
-        if place.as_primary:
-            self._guard.leave(place.service)
         self._placement.view_of(place.instance).outstanding -= 1
         self._queue_of(place.service).release(place.instance)
 
@@ -305,14 +306,36 @@
         leader = self._directory.find_leader(service)
         return leader.id if leader else None
 
-    def _run_at(self, job: Job, entry: InstanceEntry, need: ReadNeed) -> Answer:
+    def _use(
+        self, entry: InstanceEntry, as_primary: bool, act: Callable[[], Outcome]
+    ) -> Outcome | Refusal:
+        """Return what `act` makes of an instance, which still leads if it has to.
+
+        Only what is sent to the primary counts as a use of it. A link that is still
+        being opened can't be broken off, and a change of primary would wait for it.
+        """
+        if not as_primary:
+            return act()
+        refusal = self._guard.enter(entry.service, entry.id)
+        if refusal is not None:
+            return refusal
+        try:
+            return act()
+        finally:
+            self._guard.leave(entry.service)
+
+    def _run_at(
+        self, job: Job, place: Place, entry: InstanceEntry, need: ReadNeed
+    ) -> Answer | Refusal:
         began_ms = self._clock.now_ms()
         try:
             link = self._borrow(job, entry)
         except LinkError as error:
             return self._note_no_link(entry, error, began_ms)
         try:
-            return self._call(link, job, need.floor)
+            return self._use(
+                entry, place.as_primary, lambda: self._call(link, job, need.floor)
+            )
         finally:
             self._pool.give_back(link, self.keep_links(entry.service))
 
@@ -395,8 +418,10 @@
     def _try_begin(
         self, job: Job, read_only: bool, need: ReadNeed, tried: frozenset[str]
     ) -> Began | Refusal:
-        def begin(place: Place, entry: InstanceEntry) -> Began:
-            outcome = self._begin_at(job, entry, read_only, need)
+        def begin(place: Place, entry: InstanceEntry) -> Began | Refusal:
+            outcome = self._begin_at(job, place, entry, read_only, need)
+            if isinstance(outcome, Refusal):
+                return outcome
             answer = Answer() if isinstance(outcome, InstanceLink) else outcome[0]
             self._log_attempt(job, place, need, answer, begins=True)
             return outcome
@@ -404,21 +429,36 @@
         return self._visit(job, need, tried, begin)
 
     def _begin_at(
-        self, job: Job, entry: InstanceEntry, read_only: bool, need: ReadNeed
-    ) -> Began:
+        self,
+        job: Job,
+        place: Place,
+        entry: InstanceEntry,
+        read_only: bool,
+        need: ReadNeed,
+    ) -> Began | Refusal:
         began_ms = self._clock.now_ms()
         try:
             link = self._borrow(job, entry)
         except LinkError as error:
             return self._note_no_link(entry, error, began_ms), entry
-        text = self._codec.write_begin(read_only)
-        sent_at_ms = self._clock.now_ms()
-        answer = link.call(OWN_ID, text, need.floor, job.deadline_ms)
-        self._learn(entry, answer, sent_at_ms)
-        if answer.fault is None and link.in_transaction:
+        answer = self._use(
+            entry,
+            place.as_primary,
+            lambda: self._send_begin(link, job, read_only, need.floor),
+        )
+        if isinstance(answer, Answer) and answer.fault is None and link.in_transaction:
             return link
         self._pool.give_back(link, self.keep_links(entry.service))
-        return answer, entry
+        return answer if isinstance(answer, Refusal) else (answer, entry)
+
+    def _send_begin(
+        self, link: InstanceLink, job: Job, read_only: bool, floor: Position | None
+    ) -> Answer:
+        text = self._codec.write_begin(read_only)
+        sent_at_ms = self._clock.now_ms()
+        answer = link.call(OWN_ID, text, floor, job.deadline_ms)
+        self._learn(link.entry, answer, sent_at_ms)
+        return answer
 
     def run_inside(
         self, link: InstanceLink, job: Job, as_primary: bool
@@ -447,10 +487,6 @@
         chosen = self._acquire(job, [entry.id])
         if isinstance(chosen, Refusal):
             return chosen
-        if as_primary and self._guard.enter(entry.service, entry.id) is not None:
-            self._queue_of(entry.service).release(chosen)
-            link.close()
-            return lose_transaction("its primary is being replaced")
         self._placement.view_of(chosen).outstanding += 1
         place = Place(entry.service, chosen, as_primary)
         try:
@@ -468,7 +504,10 @@
             link.adopt(job.values, job.prepared)
         except LinkError as error:
             return lose_transaction(error.detail)
-        answer = self._call(link, job, None)
+        answer = self._use(link.entry, as_primary, lambda: self._call(link, job, None))
+        if isinstance(answer, Refusal):
+            link.close()
+            return lose_transaction("its primary is being replaced")
         if as_primary and job.statement.verb is Verb.COMMIT:
             return self._confirm(answer, link.entry)
         return answer
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -74,6 +74,8 @@
         self.known = {"d1", "d2", "d3"}
         self.received = {FIRST: Position(1, 5), SECOND: Position(1, 9)}
         self.leads: set[str] = set()
+        # Since when an instance has given no answer to peers.
+        self.silent_since_ms: dict[str, list[float]] = {}
         self.orders = []
         self.outcome = Promotion.DONE
         self.on_sleep = lambda: None
@@ -85,7 +87,11 @@
             self.directory,
             self.mirror,
             self.placement,
-            FleetView(lambda: self.names, lambda service, epoch: self.known),
+            FleetView(
+                lambda: self.names,
+                lambda service, epoch: self.known,
+                lambda instance_id: self.silent_since_ms.get(instance_id, []),
+            ),
             self.ask_status,
             self.promote,
             self.announce,
@@ -136,6 +142,19 @@
         scene.tend_for(5000)
         assert scene.orders == []
 
+    def test_primary_that_is_dead_to_peers_alone_is_replaced(self, scene):
+        # The daemon that has to act is one of many and has sent the primary nothing
+        # since it died. Each daemon further down would wait half a second longer.
+        scene.silent_since_ms[PRIMARY] = [scene.clock.now_ms()] * 2
+        scene.tend_for(DEAD_AFTER_MS + 1500)
+        assert [order[0] for order in scene.orders] == [SECOND]
+
+    def test_primary_that_one_peer_misses_stays(self, scene):
+        # One daemon is cut off from a primary that serves all others.
+        scene.silent_since_ms[PRIMARY] = [scene.clock.now_ms()]
+        scene.tend_for(5000)
+        assert scene.orders == []
+
     def test_dead_primary_is_replaced_by_the_one_with_most(self, scene):
         scene.kill_primary()
         scene.tend_for(DEAD_AFTER_MS + 2000)
--- a/tests/test_fleetrates.py
+++ b/tests/test_fleetrates.py
@@ -4,10 +4,8 @@
 
 from bronzerelay.pooler.fleetrates import (
     FIRST_TOKENS,
-    REPEAT_MS,
     ROUND_MS,
     SILENT_MS,
-    WHOLE_MS,
     FleetRates,
     Report,
     Tally,
@@ -34,16 +32,20 @@
             rates.set_workspaces([make_workspace(rate=rate, burst=burst)])
             rates.set_members(self.names)
         self._reported_ms = 0.0
+        # When each daemon last told each other one.
+        self._sent_ms = {}
 
     def report(self):
         for sender in self.names:
             self.report_of(sender)
 
     def report_of(self, sender):
-        report = self.rates[sender].make_report()
+        now_ms = self.clock.now_ms()
         for receiver in self.names:
             if sender != receiver and not {sender, receiver} & self.cut:
-                now_ms = self.clock.now_ms()
+                since_ms = self._sent_ms.get((sender, receiver))
+                report = self.rates[sender].make_report(since_ms)
+                self._sent_ms[sender, receiver] = now_ms
                 self.rates[receiver].note_report(sender, 1, now_ms, report)
 
     def play_callers(self, duration_ms, rate, retries=0):
@@ -183,20 +185,18 @@
 
 
 class TestReports:
-    def test_idle_workspaces_are_left_out_until_the_whole_report(self):
-        # Forty daemons tell each other of eighty workspaces three times a second;
-        # with those of nobody's interest left out it is a tenth of the bytes.
+    def test_what_the_receiver_knows_is_left_out(self):
+        # Forty daemons tell each other of eighty workspaces three times a second. Most
+        # of these were used by nobody since.
         fleet = Fleet(2)
         rates = fleet.rates["d0"]
         fleet.clock.sleep_ms(1000)
         assert rates.spend("north") == 0
-        whole = rates.make_report()
-        fleet.clock.sleep_ms(REPEAT_MS + 1)
-        brief = rates.make_report()
-        fleet.clock.sleep_ms(WHOLE_MS)
-        again = rates.make_report()
-        assert [one.whole for one in (whole, brief, again)] == [True, False, True]
-        assert [len(one.tallies) for one in (whole, brief, again)] == [1, 0, 1]
+        used_ms = fleet.clock.now_ms()
+        fleet.clock.sleep_ms(100)
+        assert list(rates.make_report(None).tallies) == ["north"]
+        assert list(rates.make_report(used_ms).tallies) == ["north"]
+        assert rates.make_report(used_ms + 1).tallies == {}
 
     def test_what_a_process_spent_before_this_one_began_isnt_counted(self):
         # A daemon starts beside one that has admitted thousands. Counted as spent now,
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,7 +11,7 @@
 
 def make_beat(gossip, name, **fields):
     beat = Beat(
-        name, gossip.incarnation, 0, 0, 0, False, 7, Report(False, {}), {}, [], []
+        name, gossip.incarnation, 0, 0, 0, False, 7, Report(False, {}), {}, [], [], {}
     )
     return beat._replace(**fields)
 
@@ -22,6 +22,8 @@
     def __init__(self):
         self.clock = SetClock()
         self.taken = []
+        # Since when each report was wanted.
+        self.reported_since = []
         self.first, self.second = self.make("a"), self.make("b")
         self.first.set_members({"b": self.second._sock.address})
         self.second.set_members({"a": self.first._sock.address})
@@ -31,9 +33,13 @@
         return Gossip(runtime, name, Address(LOCAL, 0), make_log(runtime))
 
     def send(self, sender, receiver, name, **fields):
-        sender.send_round(make_beat(sender, name, **fields))
+        sender.send_round(make_beat(sender, name, **fields), self.make_report)
         self.receive(receiver)
 
+    def make_report(self, since_ms):
+        self.reported_since.append(since_ms)
+        return Report(since_ms is None, {})
+
     def receive(self, receiver):
         data = receiver._sock.receive(8192)
         receiver._take(data, lambda beat, proven_ms: self.taken.append(proven_ms))
@@ -62,7 +68,7 @@
         # it woke up, it would prove that a primary leads that was replaced since.
         sent_ms = pair.clock.now_ms()
         pair.send(pair.first, pair.second, "a")
-        pair.second.send_round(make_beat(pair.second, "b"))
+        pair.second.send_round(make_beat(pair.second, "b"), pair.make_report)
         pair.clock.sleep_ms(8000)
         pair.receive(pair.first)
         assert pair.first.views["b"].heard_at_ms == sent_ms
@@ -74,7 +80,7 @@
         assert pair.taken[-1] == NEVER_MS
 
     def test_late_beat_is_left_aside(self, pair):
-        pair.first.send_round(make_beat(pair.first, "a"))
+        pair.first.send_round(make_beat(pair.first, "a"), pair.make_report)
         early = pair.second._sock.receive(8192)
         pair.send(pair.first, pair.second, "a", mirror_at=9)
         count = len(pair.taken)
@@ -94,3 +100,28 @@
         assert pair.second.views["a"].acknowledged == {}
         pair.send(pair.first, pair.second, "a", leads=[lead], quiet=[lead.service])
         assert pair.second.views["a"].acknowledged == {lead.service: 4}
+
+
+class TestSilentInstances:
+    def test_instance_that_answers_a_peer_nothing_is_known_here(self, pair):
+        # A primary goes dark. The daemon that has to act had no statement for it, and
+        # would hear of it from nobody.
+        now_ms = pair.clock.now_ms()
+        pair.send(pair.first, pair.second, "a", silent={"orders-0": 700.0})
+        assert pair.second.views["a"].silent_since_ms == {"orders-0": now_ms - 700}
+        pair.send(pair.first, pair.second, "a")
+        assert pair.second.views["a"].silent_since_ms == {}
+
+
+class TestReports:
+    def test_report_holds_what_changed_since_the_last_one_that_was_got(self, pair):
+        # A heartbeat is lost. What it told would be missing at the peer for good, and
+        # the workspace would be given that much more than its rate.
+        pair.send(pair.first, pair.second, "a")
+        got_ms = pair.clock.now_ms()
+        pair.send(pair.second, pair.first, "b")
+        pair.clock.sleep_ms(300)
+        pair.first.send_round(make_beat(pair.first, "a"), pair.make_report)
+        pair.clock.sleep_ms(300)
+        pair.first.send_round(make_beat(pair.first, "a"), pair.make_report)
+        assert pair.reported_since == [None, None, got_ms, got_ms]
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -86,3 +86,17 @@
         directory.set_lead(make_lead(1))
         assert guard.enter(SERVICE, "orders-0").code is Code.PRIMARY_REPLACED
         assert guard.enter(SERVICE, "orders-1") is None
+
+
+class TestQuiet:
+    def test_end_of_the_last_use_is_told(self, guard):
+        # A change of primary waits for what is under way at the old one. Told only with
+        # the next heartbeat, its end kept the service without a primary for longer.
+        told = []
+        guard.note_quiet = told.append
+        guard.enter(SERVICE, "orders-0")
+        guard.enter(SERVICE, "orders-0")
+        guard.leave(SERVICE)
+        assert (guard.is_quiet(SERVICE), told) == (False, [])
+        guard.leave(SERVICE)
+        assert (guard.is_quiet(SERVICE), told) == (True, [SERVICE])
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -4,8 +4,10 @@
 
 from bronzerelay.pooler.changes import CLOSE_ENTRIES
 from bronzerelay.pooler.placement import POSITION_AGE_MS
+from bronzerelay.runtime import Address
 from standins.linecaller import LineCaller
-from standins.lineplatform import AGED, NORTH, OWN, STRICT
+from standins.linegroup import LOCAL
+from standins.lineplatform import AGED, NORTH, OWN, SERVICE, STRICT
 from tests.builders_pooler import PoolerFleet
 
 
@@ -339,6 +341,20 @@
         assert caller.query("COMMIT").error == "ABORTED"
         assert primary.log == []
 
+    def test_link_that_is_being_opened_holds_up_no_change(self, fleet):
+        # A primary goes dark and takes connections that it never answers. Counted as
+        # used until they fail, it would be replaced half a second later.
+        daemon = fleet.start_ready("d1")[0]
+        caller = open_session(fleet, STRICT)
+        dark = fleet.runtime.listen(Address(LOCAL, 0))
+        entry = daemon.directory.instances["orders-0"]
+        daemon.directory.set_instance(entry._replace(address=dark.address))
+        caller.send("QUERY x1 STORE a 1")
+        fleet.wait(lambda: daemon.pool.opened > 0, "a link is being opened")
+        fleet.runtime.clock.sleep_ms(50)
+        assert daemon.guard.is_quiet(SERVICE)
+        dark.close()
+
     def test_former_primary_that_lives_on_isnt_used(self, fleet):
         # The old primary is cut from the other instances and takes itself for leading.
         daemon = fleet.start_ready("d1")[0]
