Keep no idle links where an instance's connections don't suffice

Cause: each of 70 daemons kept one idle link of the 74 connections that an instance takes.

Change: where half of the connections leaves less than one to a daemon, none is kept. Test: test_pooler_path.py::TestManyDaemons (failed before: 1 kept).

--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -169,11 +169,13 @@
         """Return how many idle links to one instance this daemon may keep.
 
         Half of the connections are divided evenly. The other half is for what runs,
-        and for what a daemon that was killed holds until the instance notices.
+        and for what a daemon that was killed holds until the instance notices. Where
+        that leaves none to a daemon none is kept: idle links of many daemons would
+        take all connections of an instance, and each statement would wait for one.
         """
         config = self._directory.config
         spec = config.services.get(service) if config else None
-        return max(1, spec.max_links // (2 * self.daemons)) if spec else 1
+        return spec.max_links // (2 * self.daemons) if spec else 0
 
     # Single statements
 
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -251,6 +251,21 @@
         }
 
 
+class TestManyDaemons:
+    @pytest.mark.parametrize(("daemons", "kept"), [(2, 5), (10, 1), (70, 0)])
+    def test_idle_links_leave_an_instance_half_of_its_connections(
+        self, fleet, daemons, kept
+    ):
+        # Seventy daemons that keep one idle link each take 70 of the 74 connections of
+        # an instance, and statements are refused for want of one.
+        daemon = fleet.start_ready("d1")[0]
+        daemon.runner.daemons = daemons
+        assert daemon.runner.keep_links(SERVICE) == kept
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "FETCH a")
+        assert daemon.pool.count_open("orders-0") == min(kept, 1)
+
+
 class TestChangesOfPrimary:
     def change_to(self, fleet):
         return {name for name, _, _ in fleet.platform.group.promotions}
