--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -18,6 +18,10 @@
 WATCH_WAIT_MS = 14_000
 # How long it waits while the store has to show that nothing has changed.
 PROOF_WAIT_MS = 350
+# The pause after a watch that brought changes, in milliseconds. All daemons come and
+# their instances change in bursts, and each change by itself costs each daemon a call;
+# what must be known sooner travels in heartbeats.
+GATHER_MS = 120
 # The time that any other call may take, in milliseconds.
 CALL_TIMEOUT_MS = 1_500
 # Pauses after failed calls, in milliseconds: short at first, since most outages are.
@@ -178,9 +182,12 @@
         self._waits_long = not self.wants_proof()
         wait_ms = WATCH_WAIT_MS if self._waits_long else PROOF_WAIT_MS
         try:
-            self._apply(self._store.watch("", self.at, wait_ms))
+            changes = self._store.watch("", self.at, wait_ms)
+            self._apply(changes)
         finally:
             self._waits_long = False
+        if changes.items and not self.wants_proof():
+            self._runtime.sleep_ms(GATHER_MS)
 
     def tend(self) -> None:
         """Break off a long watch when the store has to show that nothing changed."""
