Let half of the members decide where the others know the same list

The half with the store began to replace the primary, waited for more than half of the members, and no daemon had a primary until the cut healed.

Ruled out: a shorter lease (the wait wasn't for it).

Change: a daemon proves a lead by most of all members, so that the other half can prove nothing without one of this half, if it knows the same list of members. A shorter list, from before somebody joined, is ruled out by what the others were last heard to know of the store.

--- a/bronzerelay/pooler/changes.py
+++ b/bronzerelay/pooler/changes.py
@@ -81,6 +81,8 @@
     names: Callable[[], list[str]]
     # The members that know of a change and have nothing under way at the old primary.
     acknowledged: Callable[[str, int], set[str]]
+    # Whether no other members than these can prove to each other that a primary leads.
+    outvotes: Callable[[set[str]], bool]
     # Since when an instance has given no answer to each of the peers that miss one.
     silent_since_ms: Callable[[str], list[float]]
 
@@ -356,7 +358,7 @@
                 waited_ms = round(now_ms - began_ms)
                 self._say("All daemons know of the change.", waited_ms=waited_ms)
                 return
-            if len(known) * 2 > len(names):
+            if self._parts._fleet.outvotes(known):
                 majority_ms = majority_ms or now_ms
                 if now_ms - majority_ms > LEASE_MS + LEASE_MARGIN_MS:
                     missing = sorted(names - known)
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -160,6 +160,7 @@
             FleetView(
                 self.members.list_names,
                 self._list_acknowledged,
+                self.members.outvotes,
                 self._list_silent_since,
             ),
             self.runner.ask_status,
--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -58,6 +58,21 @@
             if not (name in views and views[name].stopping)
         ]
 
+    def outvotes(self, known: set[str]) -> bool:
+        """Return whether no other daemons than `known` can be most of all members.
+
+        Exactly half of them are enough while the others have the same list: most of
+        it can't be found without one of `known`. With a shorter list, from before
+        somebody joined, they could still be most of theirs.
+        """
+        names = self.list_names()
+        if len(known) * 2 != len(names):
+            return len(known) * 2 > len(names)
+        joined_at = max(item.revision for item in self._list_items())
+        views = self._gossip.views
+        others = [views.get(name) for name in names if name not in known]
+        return all(view is not None and view.mirror_at >= joined_at for view in others)
+
     # The own entry
 
     def join(self) -> None:
@@ -93,7 +108,7 @@
 
     def _read(self) -> dict[str, Address]:
         others = {}
-        for item in self._mirror.list_prefix(MEMBER_PREFIX):
+        for item in self._list_items():
             try:
                 member = msgspec.json.decode(item.data or b"", type=Member)
                 others[member.name] = parse_address(member.address)
@@ -104,6 +119,9 @@
         others.pop(self._own.name, None)
         return others
 
+    def _list_items(self) -> list[Item]:
+        return self._mirror.list_prefix(MEMBER_PREFIX)
+
     def remove_gone(self) -> None:
         """Take one member off the list that has been silent for very long."""
         oldest_ms = self._clock.now_ms() - GONE_MEMBER_MS
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -90,6 +90,7 @@
             FleetView(
                 lambda: self.names,
                 lambda service, epoch: self.known,
+                lambda known: len(known) * 2 > len(self.names),
                 lambda instance_id: self.silent_since_ms.get(instance_id, []),
             ),
             self.ask_status,
