Start samples anew with a new primary; keep one that was only cut off

They waited for positions of the old term that were rolled back, and no log will ever hold them. And the change itself was made as a cut healed: its maker had waited 3 s for daemons that used the primary all along, and 26 acknowledged commits were rolled back.

Change: samples of a log's end are forgotten with a change of primary, and commits of a session that are older than the present lead raise no floor. A change that had to wait for two leases asks the old primary once more.

Tests, seen to fail first: test_placement.py (two), test_changes.py:: TestSafety::test_primary_that_was_only_cut_off_from_here_stays.

--- a/bronzerelay/pooler/changes.py
+++ b/bronzerelay/pooler/changes.py
@@ -50,6 +50,9 @@
 # A planned change begins once a replica lacks no more than this many entries of the
 # log: while it catches up with the rest nobody can write, and it takes milliseconds.
 CLOSE_ENTRIES = 20
+# A change that had to wait this long for daemons looks once more whether the primary is
+# dead, in milliseconds: it is what a cut takes that heals, not what a crash takes.
+LONG_WAIT_MS = 2 * LEASE_MS
 STATUS_TIMEOUT_MS = 400
 POLL_MS = 40
 PROMOTE_TIMEOUT_MS = 900
@@ -290,8 +293,9 @@
         self._say("A change of primary begins.", reason=self._reason, old=self._old)
         try:
             self._take_duty()
-            self._wait_for_daemons()
-            chosen, term = self._promote_one()
+            waited_ms = self._wait_for_daemons()
+            found = self._find_alive(waited_ms)
+            chosen, term = found or self._promote_one()
             self._settle(chosen, term)
         except (_LostDutyError, StoreError) as error:
             self._say("A change of primary was given up.", error=str(error))
@@ -346,8 +350,8 @@
 
     # The other daemons
 
-    def _wait_for_daemons(self) -> None:
-        """Wait until no daemon can still use the old primary."""
+    def _wait_for_daemons(self) -> float:
+        """Wait until no daemon can still use the old primary; return for how long."""
         began_ms = self._clock.now_ms()
         majority_ms = None
         while True:
@@ -355,15 +359,15 @@
             known = self._parts._fleet.acknowledged(self._service, self._record.epoch)
             now_ms = self._clock.now_ms()
             if names <= known:
-                waited_ms = round(now_ms - began_ms)
-                self._say("All daemons know of the change.", waited_ms=waited_ms)
-                return
+                waited_ms = now_ms - began_ms
+                self._say("All daemons know of the change.", waited_ms=round(waited_ms))
+                return waited_ms
             if self._parts._fleet.outvotes(known):
                 majority_ms = majority_ms or now_ms
                 if now_ms - majority_ms > LEASE_MS + LEASE_MARGIN_MS:
                     missing = sorted(names - known)
                     self._say("Not all daemons were heard of.", missing=missing)
-                    return
+                    return now_ms - began_ms
             if now_ms - began_ms > 2 * TAKEOVER_MS:
                 raise _LostDutyError("most daemons don't know of the change")
             self._pause()
@@ -374,6 +378,21 @@
 
     # The new primary
 
+    def _find_alive(self, waited_ms: float) -> tuple[InstanceEntry, int] | None:
+        """Return the old primary and its term if it lives on, None if it doesn't.
+
+        While the maker was cut off from most daemons, these may have used the primary
+        all along. Replaced when the cut heals, it would lose what it acknowledged.
+        """
+        old = self._parts._directory.instances.get(self._old)
+        if self._reason != "dead" or waited_ms < LONG_WAIT_MS or old is None:
+            return None
+        status = self._ask(old)
+        if status is None or not status.leads or old.leaving:
+            return None
+        self._say("The primary lives on and stays.", instance=old.id)
+        return old, status.term
+
     def _promote_one(self) -> tuple[InstanceEntry, int]:
         refused: set[str] = set()
         for _ in range(TRIES):
@@ -443,8 +462,9 @@
         return None
 
     def _settle(self, chosen: InstanceEntry, term: int) -> None:
+        deposed = "" if chosen.id == self._old else self._old
         self._record = self._record._replace(
-            instance=chosen.id, term=term, settled=True
+            instance=chosen.id, term=term, settled=True, deposed=deposed
         )
         for _ in range(TRIES):
             try:
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -262,7 +262,9 @@
     def _take_lead(self, record: LeadRecord) -> None:
         if not self.directory.set_lead(record):
             return
-        if not record.settled and not record.planned:
+        if record.settled:
+            self.placement.positions_of(record.service).restart()
+        elif not record.planned:
             # A dead primary answers nothing, and the change would wait for timeouts.
             self.pool.break_links(record.deposed)
         self.gossip.hurry()
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -138,10 +138,20 @@
         floor = self.positions_of(route.service).find_floor(route.max_age_ms)
         if floor is None:
             return ReadNeed(None, True)
-        if route.consistency is Consistency.READ_YOUR_WRITES and own_commit:
+        own_matters = route.consistency is Consistency.READ_YOUR_WRITES
+        if own_matters and own_commit and not self._is_replaced(route, own_commit):
             floor = max(floor, own_commit)
         return ReadNeed(floor, False)
 
+    def _is_replaced(self, route: Route, commit: Position) -> bool:
+        """Return whether a commit is older than the lead of the present primary.
+
+        All samples are of that primary then, and hold each such commit that was kept.
+        One that wasn't is in no log any more, and a read would wait for it in vain.
+        """
+        record = self._directory.leads.get(route.service)
+        return record is not None and commit.term < record.term
+
     def list_readers(
         self, service: str, need: ReadNeed, tried: frozenset[str], has_proof: bool
     ) -> list[str]:
--- a/bronzerelay/pooler/positions.py
+++ b/bronzerelay/pooler/positions.py
@@ -36,6 +36,16 @@
         # The newest one that this daemon has from the primary itself.
         self.own: Sample | None = None
 
+    def restart(self) -> None:
+        """Forget all samples, since another instance leads now.
+
+        Its log lacks what only its predecessor had. A replica never reaches such a
+        position, and reads that wait for it would be refused until the samples age.
+        """
+        with self._lock:
+            self._samples.clear()
+            self.own = None
+
     def note_own(self, at_ms: float, position: Position) -> None:
         """Note what the primary itself has told this daemon."""
         if self.own is None or at_ms > self.own.at_ms:
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -209,6 +209,27 @@
         self.start(scene)
         assert scene.orders == []
 
+    def test_primary_that_was_only_cut_off_from_here_stays(self, scene):
+        # The maker of the change is in the smaller half of a cut, the primary and most
+        # daemons in the other. When the cut heals, a change would cost the commits that
+        # were acknowledged there meanwhile.
+        scene.kill_primary()
+        scene.known = {"d1"}
+        begun_ms = scene.clock.now_ms()
+
+        def heal():
+            if scene.clock.now_ms() > begun_ms + 4500:
+                scene.known = {"d1", "d2", "d3"}
+                scene.received[PRIMARY] = Position(1, 30)
+                scene.leads.add(PRIMARY)
+
+        scene.on_sleep = heal
+        scene.tend_for(DEAD_AFTER_MS + 1500)
+        assert scene.orders == []
+        record = scene.directory.leads[SERVICE]
+        assert (record.settled, record.instance, record.deposed) == (True, PRIMARY, "")
+        assert scene.directory.find_leader(SERVICE).id == PRIMARY
+
     def test_lost_answer_of_the_store_is_read_back(self, scene):
         scene.mirror.lose = 1
         self.start(scene)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,6 +11,7 @@
     SetClock,
     make_directory,
     make_instance,
+    make_lead,
     make_route,
     make_runtime,
 )
@@ -59,6 +60,27 @@
         need = placement.work_out_need(OWN, Position(1, 9))
         assert need.floor == Position(1, 9)
 
+    def test_own_commit_of_a_former_primary_holds_up_no_read(self, placement, clock):
+        # A commit was acknowledged and lost when its primary crashed, and nothing was
+        # committed since. Each later read of its session would wait for it and be
+        # refused.
+        placement._directory.set_lead(make_lead(1))
+        positions = placement.positions_of(SERVICE)
+        positions.note(clock.now_ms(), Position(1, 71))
+        need = placement.work_out_need(OWN, Position(1, 90))
+        assert need.floor == Position(1, 71)
+        need = placement.work_out_need(OWN, Position(2, 90))
+        assert need.floor == Position(2, 90)
+
+    def test_samples_of_a_former_primary_are_forgotten(self, placement, clock):
+        # What they name may be in no log any more. Reads of a stated age would be
+        # refused as too old until the samples are old enough themselves.
+        positions = placement.positions_of(SERVICE)
+        positions.note_own(clock.now_ms(), Position(1, 90))
+        positions.restart()
+        assert placement.work_out_need(AGED, None).primary_only
+        assert placement.list_own_samples(0) == {}
+
     def test_sample_counts_from_when_it_was_asked_for(self, clock):
         # The answer was held up for two seconds. What was committed meanwhile isn't in
         # the position that it names.
