Name what a refusal over the rate was decided by

The line had the code and the workspace alone. Now it tells what is left of the fleet's bucket, the rate, what callers ask for and how many daemons are heard of.

--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -202,6 +202,19 @@
             bucket.admitted += 1
             return 0.0
 
+    def describe(self, workspace: str) -> str:
+        """Return what a decision about a workspace goes by, for people."""
+        with self._lock:
+            bucket = self._buckets.get(workspace)
+            if bucket is None:
+                return "it has no rate"
+            asked = bucket.demand * 1000 / DEMAND_MS
+            return (
+                f"{bucket.tokens:.1f} of {bucket.spec.burst:g} operations left, "
+                f"{bucket.spec.rate:g} a second due, {asked:.1f} a second asked for, "
+                f"{bucket.part:.0%} of the daemons heard of"
+            )
+
     def give_back(self, workspace: str) -> None:
         """Take back an operation that no instance has run.
 
--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -246,7 +246,8 @@
         wait_ms = self._services.rates.spend(workspace)
         if wait_ms <= 0:
             return None
-        message = f"The workspace {workspace} is over its rate."
+        inputs = self._services.rates.describe(workspace)
+        message = f"The workspace {workspace} is over its rate: {inputs}."
         return Refusal(Code.RATE_EXCEEDED, message, NOT_RUN, round(wait_ms))
 
     # Statements
