--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -193,6 +193,8 @@
                 return max(1.0, (1 - bucket.tokens) / rate * 1000)
             expected = bucket.demand * ROUND_MS / DEMAND_MS
             budget = bucket.tokens * SAVED_PART + rate * ROUND_MS / 1000
+            # With no more care than for tokens, a flood through 40 daemons gets 58 to
+            # 164 operations a second of 100 (simulated), with it 79 to 105.
             bucket.credit += min(1.0, budget / expected)
             if bucket.credit < 1:
                 # So long the rate takes for those who come too much in one round.
--- a/tests/test_fleetrates.py
+++ b/tests/test_fleetrates.py
@@ -168,6 +168,17 @@
         assert count_most(admitted) <= (rate * 5 + rate) * 1.1 + 20
         assert len(admitted) >= 0.85 * rate * 12
 
+    def test_flood_is_served_evenly(self):
+        # A workspace floods forty daemons. All see a few operations come free at the
+        # same moment and spend each of them many times over, and then refuse until that
+        # is made good: its callers get 164 operations in one second and 58 in another.
+        fleet = Fleet(MANY, 100, 100)
+        fleet.play_callers(4000, 60)
+        fleet.play_callers(2000, 800, retries=2)
+        for _ in range(6):
+            admitted, _ = fleet.play_callers(1000, 800, retries=2)
+            assert 75 <= len(admitted) <= 125
+
     @pytest.mark.parametrize("rate", [2, 10, 100])
     def test_flood_upon_a_restart_of_all_daemons_stays_inside_the_rate(self, rate):
         # All processes are killed during a flood. None knows what its predecessor
