Let callers wait for a daemon's first configuration

Change: a session that begins before the first configuration waits for it, 300 ms at most; after that the store is out, and it is refused at once.

--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -38,6 +38,11 @@
 # While the daemon stops, a session that is silent for this long ends. Milliseconds;
 # longer than a caller pauses within a burst of operations.
 QUIET_MS = 250
+# How long a caller waits for the first configuration of a daemon that has just started,
+# in milliseconds. It is there some 20 after the start, and a caller that is refused has
+# to try elsewhere; where it isn't there by then, the store is out and others do better.
+FIRST_CONFIG_MS = 300
+FIRST_CONFIG_POLL_MS = 10
 # Who a caller of a public route without a key of its own is to the instances.
 ANONYMOUS = "public"
 
@@ -129,6 +134,7 @@
             self._send(self._codec.encode_refusal(_refuse_protocol("no STARTUP")))
             return False
         self._database, self._key = message.database, message.key
+        self._wait_for_config()
         admitted = self._admit()
         if isinstance(admitted, Refusal):
             self._count_refusal("startup", "-", "", admitted)
@@ -137,6 +143,15 @@
         self._send(self._codec.encode_ready(TransactionState.IDLE, None))
         return True
 
+    def _wait_for_config(self) -> None:
+        runtime = self._services.runtime
+        until_ms = self._clock.now_ms() + FIRST_CONFIG_MS
+        while self._services.directory.config is None:
+            if self._clock.now_ms() >= until_ms:
+                return
+            if not runtime.sleep_ms(FIRST_CONFIG_POLL_MS):
+                return
+
     def _serve_one(self) -> bool:
         if not self._wait_for_statement():
             return False
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bronzerelay.pooler import session
 from bronzerelay.pooler.changes import CLOSE_ENTRIES
 from bronzerelay.pooler.placement import POSITION_AGE_MS
 from bronzerelay.runtime import Address
@@ -388,6 +389,34 @@
         assert len(old.log) == before
 
 
+class TestStart:
+    def test_caller_that_comes_before_the_configuration_is_served(
+        self, fleet, monkeypatch
+    ):
+        # All daemons have lost power and start again, and their callers come back at
+        # once. Refused for the few milliseconds that loading takes, each would use up
+        # one of its tries.
+        # A starved machine may take longer than a platform's store.
+        monkeypatch.setattr(session, "FIRST_CONFIG_MS", 5000)
+        fleet.store.status = 503
+        daemon = fleet.start("d1")
+        caller = LineCaller(fleet.runtime, fleet.address("d1"))
+        caller.send(f"STARTUP {STRICT} north-key")
+        fleet.runtime.clock.sleep_ms(30)
+        assert daemon.directory.config is None
+        fleet.store.status = 0
+        assert caller.read() == "READY I -"
+        caller.close()
+
+    def test_caller_isnt_kept_waiting_for_a_store_that_is_out(self, fleet):
+        fleet.store.status = 503
+        fleet.start("d1")
+        caller = LineCaller(fleet.runtime, fleet.address("d1"))
+        caller.send(f"STARTUP {STRICT} north-key")
+        assert caller.read().startswith("ERROR RETRY")
+        caller.close()
+
+
 class TestStore:
     def test_sessions_go_on_while_the_store_is_out(self, fleet):
         fleet.start_ready("d1", "d2")
