Notice connections that have fallen silent

Each daemon waits on its watch until that times out, after up to 15.5 s, and since all watches began with the same change, none is ahead whom the others could ask.

Change: keep-alive probes on all connections that this side opens; a silent one ends within 3 s.

--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -28,6 +28,14 @@
 # How often a task that waits for datagrams looks whether the process ends.
 DATAGRAM_WAIT_MS = 1000
 BACKLOG = 1024
+# A connection may fall silent for good while new ones work, and a wait on it lasts as
+# long as its timeout: where all daemons' watches of the platform fell silent at once,
+# withdrawn keys worked for up to 15 s more. The kernel asks the other side after a
+# second of silence, and again each second; after two questions without an answer a wait
+# ends with an error, within about 3 s, and the connection is opened anew.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
 # The type of a random source, for modules that name it.
 Random = random.Random
 # An idle task's stack stays this small, so that thousands of them fit.
@@ -127,6 +135,16 @@
     return any(ready == descriptor for ready, _ in poller.poll(timeout_ms))
 
 
+def _keep_alive(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def is_encrypted(sock: socket.socket) -> bool:
     """Return whether a socket speaks TLS, without importing `ssl` to find out."""
     return hasattr(sock, "do_handshake")
@@ -396,6 +414,7 @@
         """Return a connection to `address`, or raise OSError within the timeout."""
         sock = socket.create_connection(address, timeout_ms / 1000)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _keep_alive(sock)
         if tls is not None:
             sock = tls.wrap_socket(sock, server_hostname=server_name or address.host)
         return self._adopt(sock)
