Judge a new primary by what it answers; leave a change to a holder at work

And a change whose holder waited for daemons was taken over as stalled by one that can't know whether a promotion was ordered.

Tests, seen to fail first: test_changes.py::TestWhen, the two new ones.

--- a/bronzerelay/pooler/changes.py
+++ b/bronzerelay/pooler/changes.py
@@ -126,8 +126,8 @@
         self._busy: set[str] = set()
         # Since when a change of a service has looked due, and why.
         self._due: dict[str, tuple[str, float]] = {}
-        # The record last seen of a service, and when it was first seen.
-        self._seen: dict[str, tuple[LeadRecord, float]] = {}
+        # The record last seen of a service, at which revision, and since when.
+        self._seen: dict[str, tuple[LeadRecord, int, float]] = {}
 
     # When a change is due
 
@@ -158,11 +158,15 @@
         # wait whether it comes back.
         if record.holder == self._name and record.service not in self._busy:
             return "restarted"
+        # A holder that waits for long writes the same record again, so that nobody
+        # takes the change over from it.
+        item = self._mirror.get(LEAD_PREFIX + record.service)
+        revision = item.revision if item else 0
         seen = self._seen.get(record.service)
-        if seen is None or seen[0] != record:
-            self._seen[record.service] = (record, now_ms)
+        if seen is None or seen[:2] != (record, revision):
+            self._seen[record.service] = (record, revision, now_ms)
             return None
-        return "stalled" if now_ms - seen[1] > TAKEOVER_MS else None
+        return "stalled" if now_ms - seen[2] > TAKEOVER_MS else None
 
     def _looks_dead(self, leader: InstanceEntry, now_ms: float) -> bool:
         """Return whether the primary answers neither this daemon nor any peer."""
@@ -171,8 +175,9 @@
         since_ms += [view.failing_since_ms] * view.failures
         if len(since_ms) < DEAD_FAILURES or now_ms - min(since_ms) < DEAD_AFTER_MS:
             return False
-        newest = self._placement.positions_of(leader.service).newest()
-        return newest is None or now_ms - newest.at_ms > DEAD_AFTER_MS
+        # What was missed of it before it led says nothing about the new primary.
+        last_ms = self._placement.positions_of(leader.service).last_ms()
+        return now_ms - last_ms > DEAD_AFTER_MS
 
     def _is_turn(self, service: str, reason: str) -> bool:
         now_ms = self._clock.now_ms()
@@ -370,6 +375,7 @@
                     return now_ms - began_ms
             if now_ms - began_ms > 2 * TAKEOVER_MS:
                 raise _LostDutyError("most daemons don't know of the change")
+            self._prove()
             self._pause()
 
     def _pause(self) -> None:
--- a/bronzerelay/pooler/positions.py
+++ b/bronzerelay/pooler/positions.py
@@ -1,5 +1,6 @@
 """How far a primary's log was at known times, so that replicas can be judged by it."""
 
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -33,6 +34,8 @@
         self._clock = runtime.clock
         self._lock = runtime.make_lock()
         self._samples: deque[Sample] = deque(maxlen=SAMPLES)
+        # Since when another instance leads, as far as this daemon has seen it.
+        self.restarted_at_ms = -math.inf
         # The newest one that this daemon has from the primary itself.
         self.own: Sample | None = None
 
@@ -45,6 +48,7 @@
         with self._lock:
             self._samples.clear()
             self.own = None
+            self.restarted_at_ms = self._clock.now_ms()
 
     def note_own(self, at_ms: float, position: Position) -> None:
         """Note what the primary itself has told this daemon."""
@@ -59,10 +63,10 @@
             if last is None or at_ms - last.at_ms >= SPACING_MS:
                 self._samples.append(Sample(at_ms, position))
 
-    def newest(self) -> Sample | None:
-        """Return the newest sample."""
+    def last_ms(self) -> float:
+        """Return when the primary was last heard of, or began to lead."""
         with self._lock:
-            return self._samples[-1] if self._samples else None
+            return self._samples[-1].at_ms if self._samples else self.restarted_at_ms
 
     def find_floor(self, max_age_ms: float) -> Position | None:
         """Return the least position that a log must hold to be young enough.
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -172,6 +172,28 @@
             scene.tend_for(100)
         assert scene.orders == []
 
+    def test_new_primary_that_was_missed_before_stays(self, scene):
+        # The instance that leads now was cut off while it was a replica. Judged by what
+        # was missed then, it would be replaced as soon as it leads.
+        entry = scene.directory.instances[SECOND]
+        for _ in range(3):
+            scene.placement.note_trouble(entry, scene.clock.now_ms())
+        scene.clock.sleep_ms(5000)
+        scene.directory.set_lead(make_lead(1, instance=SECOND))
+        positions = scene.placement.positions_of(SERVICE)
+        positions.restart()
+        scene.tend_for(DEAD_AFTER_MS - 100)
+        assert scene.orders == []
+
+    def test_change_whose_holder_writes_its_record_again_is_left_to_it(self, scene):
+        # The holder waits for daemons behind a cut. A second one that begins the change
+        # anew doesn't know whether the first has ordered a promotion.
+        scene.directory.set_lead(make_lead(1, settled=False, holder="d9"))
+        for revision in range(1, 12):
+            scene.mirror.items[KEY] = Item(KEY, b"", revision)
+            scene.tend_for(TAKEOVER_MS / 3)
+        assert scene.mirror.writes == []
+
     def test_service_without_a_primary_gets_one(self, scene):
         scene.directory.set_instance(make_instance(PRIMARY, leads=False))
         scene.tend_for(LEADERLESS_MS + 2000)
