--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from bronzerelay.env import ADVISED_SWITCH_INTERVAL_S
+from bronzerelay.pooler.catchup import MIRROR_PATH, CatchUp
 from bronzerelay.pooler.changes import (
     LEAD_PREFIX,
     FleetView,
@@ -20,18 +21,17 @@
 from bronzerelay.pooler.directory import Directory, LeadRecord
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.fleetconfig import FleetConfig, InstanceEntry
-from bronzerelay.pooler.fleetrates import NO_REPORT, FleetRates
-from bronzerelay.pooler.gossip import Beat, Gossip
+from bronzerelay.pooler.fleetrates import FleetRates
+from bronzerelay.pooler.gossip import Gossip
+from bronzerelay.pooler.heartbeats import Heartbeats
 from bronzerelay.pooler.httpcalls import (
-    CallLostError,
     HttpAnswer,
-    HttpClient,
     PageServer,
 )
-from bronzerelay.pooler.leadership import LEASE_MS, LeadGuard
+from bronzerelay.pooler.leadership import LeadGuard
 from bronzerelay.pooler.links import LinkPool
 from bronzerelay.pooler.members import Members
-from bronzerelay.pooler.messages import LineCodec, Position
+from bronzerelay.pooler.messages import LineCodec
 from bronzerelay.pooler.mirror import Item, Mirror, Store
 from bronzerelay.pooler.placement import Placement
 from bronzerelay.pooler.runner import Runner
@@ -47,11 +47,6 @@
 
 # Time between two rounds of upkeep, in milliseconds.
 UPKEEP_MS = 250
-# How long a peer may be ahead of this mirror before the peer is asked, in
-# milliseconds: a watch that works brings the change within a few.
-BEHIND_MS = 400
-PEER_CALL_MS = 600
-MIRROR_PATH = "/mirror"
 METRICS_PATH = "/metrics"
 READY_PATH = "/-/readyz"
 # The part of the time that an instance has for leaving in which its lead is used. What
@@ -60,11 +55,6 @@
 # A daemon that has had no proof of any primary for this long asks for no more callers,
 # in milliseconds: a few heartbeats more than it takes to lose the proof.
 CUT_OFF_MS = 2_500
-# How old the end of a primary's log may be that heartbeats tell, in milliseconds: two
-# heartbeats, of which one may be lost.
-SAMPLE_AGE_MS = 600
-# Changes of primary that heartbeats repeat.
-LEADS_IN_BEAT = 8
 # Tasks besides those of callers.
 OWN_TASKS = 80
 # The grace before the kill is divided: until the first part new callers are served,
@@ -141,6 +131,26 @@
             runtime, settings.name, settings.peer, self.mirror, self.gossip, self.log
         )
         self.guard = LeadGuard(runtime, self.directory)
+        self.heartbeats = Heartbeats(
+            runtime,
+            settings.name,
+            self.gossip,
+            self.mirror,
+            self.directory,
+            self.placement,
+            self.rates,
+            self.guard,
+            self._take_lead,
+        )
+        self.catch_up = CatchUp(
+            runtime,
+            plugins.store,
+            self.mirror,
+            self.gossip,
+            settings.seeds,
+            (settings.admin, settings.peer),
+            self.log,
+        )
         self.runner = Runner(
             runtime,
             plugins.codec,
@@ -159,9 +169,9 @@
             self.placement,
             FleetView(
                 self.members.list_names,
-                self._list_acknowledged,
+                self.heartbeats.list_acknowledged,
                 self.members.outvotes,
-                self._list_silent_since,
+                self.heartbeats.list_silent_since,
             ),
             self.runner.ask_status,
             plugins.promote,
@@ -171,12 +181,11 @@
         )
         self.mirror.wants_proof = self._wants_proof
         self.mirror.note_proof = self.guard.note_store
-        self.guard.note_quiet = self._tell_quiet
+        self.guard.note_quiet = self.heartbeats.tell_quiet
         self.reload_wanted = False
         self.stopping: Signal = runtime.make_signal()
         self.is_stopping = False
         self._ended: Signal = runtime.make_signal()
-        self._behind_since_ms: float | None = None
         self._sessions: set[CallerSession] = set()
         self._lock = runtime.make_lock()
         self._listener: Listener = runtime.listen(settings.frontend)
@@ -271,34 +280,6 @@
 
     # The other daemons
 
-    def _list_acknowledged(self, service: str, epoch: int) -> set[str]:
-        """Return the daemons that can't use the primary before a change any more."""
-        names = {
-            name
-            for name, view in self.gossip.views.items()
-            if view.acknowledged.get(service, 0) >= epoch
-        }
-        record = self.directory.leads.get(service)
-        known = record is not None and record.epoch >= epoch
-        if known and self.guard.is_quiet(service):
-            names.add(self._settings.name)
-        return names
-
-    def _list_silent_since(self, instance_id: str) -> list[float]:
-        """Return since when an instance has given no answer to peers heard lately."""
-        oldest_ms = self._clock.now_ms() - LEASE_MS
-        return [
-            view.silent_since_ms[instance_id]
-            for view in self.gossip.views.values()
-            if view.received_at_ms >= oldest_ms and instance_id in view.silent_since_ms
-        ]
-
-    def _tell_quiet(self, service: str) -> None:
-        """Tell at once that nothing is under way, where a change waits for it."""
-        record = self.directory.leads.get(service)
-        if record is not None and not record.settled:
-            self.gossip.hurry()
-
     def _wants_proof(self) -> bool:
         return not self.guard.has_proof()
 
@@ -306,94 +287,6 @@
         self.gossip.set_members(members)
         self.runner.daemons = len(members) + 1
 
-    # Heartbeats
-
-    def _describe(self) -> Beat:
-        now_ms = self._clock.now_ms()
-        # What peers have told reaches all others from themselves.
-        samples = self.placement.list_own_samples(now_ms - SAMPLE_AGE_MS)
-        positions = {
-            service: (*sample.position, round(now_ms - sample.at_ms, 1))
-            for service, sample in samples.items()
-        }
-        leads = list(self.directory.leads.values())[-LEADS_IN_BEAT:]
-        return Beat(
-            self._settings.name,
-            self.gossip.incarnation,
-            0,
-            0,
-            0,
-            self.is_stopping,
-            self.mirror.at,
-            NO_REPORT,
-            positions,
-            leads,
-            [record.service for record in leads if self.guard.is_quiet(record.service)],
-            {
-                instance_id: round(now_ms - since_ms, 1)
-                for instance_id, since_ms in self.placement.list_silent().items()
-            },
-        )
-
-    def _take_beat(self, beat: Beat, proven_ms: float) -> None:
-        self.rates.note_report(beat.sender, beat.incarnation, proven_ms, beat.report)
-        epochs = {}
-        for record in beat.leads:
-            epochs[record.service] = record.epoch
-            self._take_lead(record)
-        if beat.mirror_at > 0:
-            self._note_heard()
-        for service, (term, number, age_ms) in beat.positions.items():
-            known = self.directory.leads.get(service)
-            if epochs.get(service) == (known.epoch if known else None):
-                positions = self.placement.positions_of(service)
-                positions.note(proven_ms - age_ms, Position(term, number))
-
-    def _note_heard(self) -> None:
-        self.guard.note_members(
-            view.heard_at_ms if view.mirror_at > 0 else -1e15
-            for view in self.gossip.views.values()
-        )
-
-    # Catching up from peers
-
-    def _catch_up(self) -> None:
-        """Take a peer's mirror when it has been ahead of this one for a while."""
-        ahead = [
-            view
-            for view in self.gossip.views.values()
-            if view.mirror_at > self.mirror.at
-        ]
-        now_ms = self._clock.now_ms()
-        if self.mirror.loaded and not ahead:
-            self._behind_since_ms = None
-            return
-        if self._behind_since_ms is None:
-            self._behind_since_ms = now_ms
-        if now_ms - self._behind_since_ms < BEHIND_MS:
-            return
-        self._behind_since_ms = None
-        # The watch may hang on a connection that has fallen silent.
-        self._plugins.store.interrupt()
-        addresses = [view.address for view in ahead] or list(self._settings.seeds)
-        if addresses:
-            address = self._runtime.random.choice(addresses)
-            if address not in (self._settings.admin, self._settings.peer):
-                self._fetch_mirror(address)
-
-    def _fetch_mirror(self, address: Address) -> None:
-        client = HttpClient(self._runtime, address)
-        try:
-            answer = client.call("GET", MIRROR_PATH, b"", PEER_CALL_MS)
-            if answer.status == 200:
-                self.mirror.unpack(answer.body, str(address))
-        except (CallLostError, ValueError) as error:
-            self.log.write_request(
-                "store", "A peer gave no mirror.", peer=str(address), error=str(error)
-            )
-        finally:
-            client.interrupt()
-
     def _upkeep(self) -> None:
         while self._runtime.sleep_ms(UPKEEP_MS):
             try:
@@ -409,7 +302,7 @@
             self._take_members(members)
         # One that said it was stopping admits nothing once it is silent.
         self.rates.set_members(self.members.list_serving())
-        self._catch_up()
+        self.catch_up.tend()
         self._reload()
         self.mirror.tend()
         if not self.is_stopping:
@@ -499,8 +392,8 @@
             run(server.run)
         run(self.mirror.run)
         run(self.members.join)
-        run(self.gossip.run_sender, self._describe, self.rates.make_report)
-        run(self.gossip.run_receiver, self._take_beat)
+        run(self.gossip.run_sender, self.heartbeats.describe, self.rates.make_report)
+        run(self.gossip.run_receiver, self.heartbeats.take)
         run(self._upkeep)
         run(self._accept)
 
@@ -513,6 +406,7 @@
         )
         self.is_stopping = True
         self.members.is_stopping = True
+        self.heartbeats.is_stopping = True
         self.stopping.set()
         serve_until_ms = begun_ms + SERVE_NEW_PART * grace_ms
         exit_by_ms = begun_ms + EXIT_PART * grace_ms
--- /dev/null
+++ b/bronzerelay/pooler/refusals.py
@@ -0,0 +1,52 @@
+"""What callers are told of faults, and whether their statement has run."""
+
+from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN, Code, Refusal
+from bronzerelay.pooler.messages import NOT_RUN_FAULTS, Answer, Fault
+
+# What a caller is told to wait when no primary can be used, in milliseconds.
+NO_PRIMARY_RETRY_MS = 250
+# What a caller is told to wait when instances are busy or out of reach, milliseconds.
+BUSY_RETRY_MS = 100
+
+# What becomes of a fault that the caller is told of.
+FAULT_CODES = {
+    Fault.BUSY: Code.QUEUE_FULL,
+    Fault.UNPREPARED: Code.ENDPOINT_UNREACHABLE,
+    Fault.LAGGING: Code.TOO_STALE,
+    Fault.READ_ONLY: Code.PRIMARY_REPLACED,
+    Fault.WRONG_INSTANCE: Code.ENDPOINT_UNREACHABLE,
+    Fault.TOO_MANY_LINKS: Code.CONNECTION_LIMIT,
+    Fault.ABORTED: Code.TRANSACTION_LOST,
+    Fault.UNREACHABLE: Code.ENDPOINT_UNREACHABLE,
+    Fault.FAILED: Code.STATEMENT_FAILED,
+    Fault.TIMED_OUT: Code.STATEMENT_TIMED_OUT,
+    Fault.LOST: Code.OUTCOME_UNKNOWN,
+    Fault.REJECTED: Code.STATEMENT_FAILED,
+}
+
+
+def refuse_fault(answer: Answer, writes: bool) -> Refusal:
+    """Return what the caller is told of a fault; "not run" only when that is true."""
+    fault = answer.fault or Fault.REJECTED
+    code = FAULT_CODES[fault]
+    if fault in NOT_RUN_FAULTS:
+        return Refusal(code, answer.detail or code.name, NOT_RUN, BUSY_RETRY_MS)
+    if fault is Fault.ABORTED:
+        return Refusal(code, answer.detail or code.name, NOT_RUN)
+    if fault is Fault.FAILED:
+        return Refusal(code, answer.detail or code.name, RAN)
+    if fault is Fault.LOST and not writes:
+        return Refusal(Code.STATEMENT_FAILED, answer.detail or code.name, RAN)
+    return Refusal(code, answer.detail or code.name, UNKNOWN)
+
+
+def lose_transaction(detail: str) -> Refusal:
+    """Return what a caller is told whose transaction ended without a commit."""
+    message = f"The transaction has ended and nothing of it is kept: {detail}."
+    return Refusal(Code.TRANSACTION_LOST, message, NOT_RUN, BUSY_RETRY_MS)
+
+
+def refuse_no_primary() -> Refusal:
+    """Return what a caller is told while no instance can serve it."""
+    message = "The service has no instance that can be used just now."
+    return Refusal(Code.NO_PRIMARY, message, NOT_RUN, NO_PRIMARY_RETRY_MS)
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 
-from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN, Code, Refusal
+from bronzerelay.codes import NOT_RUN, Refusal
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.pooler.events import EventLog
@@ -29,6 +29,12 @@
     Verb,
 )
 from bronzerelay.pooler.placement import Placement, ReadNeed
+from bronzerelay.pooler.refusals import (
+    NO_PRIMARY_RETRY_MS,
+    lose_transaction,
+    refuse_fault,
+    refuse_no_primary,
+)
 from bronzerelay.runtime import Runtime
 from bronzerelay.slots import SlotQueue
 
@@ -46,31 +52,9 @@
 # The pause after an instance had no connection left, in milliseconds. What a killed
 # daemon held is free after seconds, what others hold idle after a statement or two.
 FULL_PAUSE_MS = 40
-# What a caller is told to wait when no primary can be used, in milliseconds.
-NO_PRIMARY_RETRY_MS = 250
-# What a caller is told to wait when instances are busy or out of reach, milliseconds.
-BUSY_RETRY_MS = 100
-
 # Who the pooler itself is to the instances when it asks for their status.
 STATUS_WORKSPACE = "bronzerelay"
 
-# What becomes of a fault that the caller is told of.
-FAULT_CODES = {
-    Fault.BUSY: Code.QUEUE_FULL,
-    Fault.UNPREPARED: Code.ENDPOINT_UNREACHABLE,
-    Fault.LAGGING: Code.TOO_STALE,
-    Fault.READ_ONLY: Code.PRIMARY_REPLACED,
-    Fault.WRONG_INSTANCE: Code.ENDPOINT_UNREACHABLE,
-    Fault.TOO_MANY_LINKS: Code.CONNECTION_LIMIT,
-    Fault.ABORTED: Code.TRANSACTION_LOST,
-    Fault.UNREACHABLE: Code.ENDPOINT_UNREACHABLE,
-    Fault.FAILED: Code.STATEMENT_FAILED,
-    Fault.TIMED_OUT: Code.STATEMENT_TIMED_OUT,
-    Fault.LOST: Code.OUTCOME_UNKNOWN,
-    Fault.REJECTED: Code.STATEMENT_FAILED,
-}
-
-
 Outcome = TypeVar("Outcome")
 # A link with an open transaction, or who began none and what it answered.
 Began = InstanceLink | tuple[Answer, InstanceEntry]
@@ -201,7 +185,7 @@
             if entry.id != self._leader_id(job.route.service):
                 tried = tried | {entry.id}
             self._pause(answer.fault)
-        return failure or _refuse_no_primary()
+        return failure or refuse_no_primary()
 
     def _work_out_need(self, job: Job, own_commit: Position | None) -> ReadNeed:
         if job.writes:
@@ -221,7 +205,7 @@
             return place
         entry = self._directory.instances.get(place.instance)
         try:
-            return _refuse_no_primary() if entry is None else act(place, entry)
+            return refuse_no_primary() if entry is None else act(place, entry)
         finally:
             self._release(place)
 
@@ -259,7 +243,7 @@
         service = job.route.service
         readers = self._find_readers(job, need, tried)
         if not readers or self._is_dark(readers):
-            return _refuse_no_primary()
+            return refuse_no_primary()
         chosen = self._acquire(job, readers)
         if isinstance(chosen, Refusal):
             return chosen
@@ -415,7 +399,7 @@
             if entry.id != self._leader_id(job.route.service):
                 tried = tried | {entry.id}
             self._pause(answer.fault or Fault.BUSY)
-        return failure or _refuse_no_primary()
+        return failure or refuse_no_primary()
 
     def _try_begin(
         self, job: Job, read_only: bool, need: ReadNeed, tried: frozenset[str]
@@ -594,29 +578,3 @@
             detail=answer.detail,
             position=answer.position,
         )
-
-
-def refuse_fault(answer: Answer, writes: bool) -> Refusal:
-    """Return what the caller is told of a fault; "not run" only when that is true."""
-    fault = answer.fault or Fault.REJECTED
-    code = FAULT_CODES[fault]
-    if fault in NOT_RUN_FAULTS:
-        return Refusal(code, answer.detail or code.name, NOT_RUN, BUSY_RETRY_MS)
-    if fault is Fault.ABORTED:
-        return Refusal(code, answer.detail or code.name, NOT_RUN)
-    if fault is Fault.FAILED:
-        return Refusal(code, answer.detail or code.name, RAN)
-    if fault is Fault.LOST and not writes:
-        return Refusal(Code.STATEMENT_FAILED, answer.detail or code.name, RAN)
-    return Refusal(code, answer.detail or code.name, UNKNOWN)
-
-
-def lose_transaction(detail: str) -> Refusal:
-    """Return what a caller is told whose transaction ended without a commit."""
-    message = f"The transaction has ended and nothing of it is kept: {detail}."
-    return Refusal(Code.TRANSACTION_LOST, message, NOT_RUN, BUSY_RETRY_MS)
-
-
-def _refuse_no_primary() -> Refusal:
-    message = "The service has no instance that can be used just now."
-    return Refusal(Code.NO_PRIMARY, message, NOT_RUN, NO_PRIMARY_RETRY_MS)
--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -22,13 +22,8 @@
     TransactionState,
     Verb,
 )
-from bronzerelay.pooler.runner import (
-    SLOT_WAIT_PART,
-    Job,
-    Runner,
-    lose_transaction,
-    refuse_fault,
-)
+from bronzerelay.pooler.refusals import lose_transaction, refuse_fault
+from bronzerelay.pooler.runner import SLOT_WAIT_PART, Job, Runner
 from bronzerelay.runtime import Connection, Runtime, Signal
 
 # Values and prepared names of one session; more are refused to bound its memory.
