Ask the old primary by the entry it had; wait until it is listed again

Cause: the primary that was cut off from the store, too, had lapsed from the list when the cut healed, so that it wasn't asked and was replaced.

Change: the change keeps its entry, and waits up to 2.5 s for it to be listed again, writing its record meanwhile.

--- a/bronzerelay/pooler/changes.py
+++ b/bronzerelay/pooler/changes.py
@@ -53,6 +53,9 @@
 # A change that had to wait this long for daemons looks once more whether the primary is
 # dead, in milliseconds: it is what a cut takes that heals, not what a crash takes.
 LONG_WAIT_MS = 2 * LEASE_MS
+# How long the entry of an instance that was cut off may take to be listed again, in
+# milliseconds: the platform promises about two seconds.
+RELISTED_MS = 2_500
 STATUS_TIMEOUT_MS = 400
 POLL_MS = 40
 PROMOTE_TIMEOUT_MS = 900
@@ -280,6 +283,8 @@
         leader = parts._directory.find_leader(service)
         known = parts._directory.leads.get(service)
         self._old = leader.id if leader else (known.deposed if known else "")
+        # Its entry, which lapses when it is cut off from the store for long.
+        self._old_entry = leader
         epoch = known.epoch if known else 0
         self._record = LeadRecord(
             service,
@@ -390,14 +395,27 @@
         While the maker was cut off from most daemons, these may have used the primary
         all along. Replaced when the cut heals, it would lose what it acknowledged.
         """
-        old = self._parts._directory.instances.get(self._old)
-        if self._reason != "dead" or waited_ms < LONG_WAIT_MS or old is None:
+        if self._reason != "dead" or waited_ms < LONG_WAIT_MS:
             return None
-        status = self._ask(old)
-        if status is None or not status.leads or old.leaving:
+        status = self._ask(self._old_entry) if self._old_entry else None
+        if status is None or not status.leads:
             return None
-        self._say("The primary lives on and stays.", instance=old.id)
-        return old, status.term
+        entry = self._wait_for_entry()
+        if entry is None or entry.leaving:
+            return None
+        self._say("The primary lives on and stays.", instance=entry.id)
+        return entry, status.term
+
+    def _wait_for_entry(self) -> InstanceEntry | None:
+        """Return the old primary's entry, waiting for it if it has lapsed."""
+        until_ms = self._clock.now_ms() + RELISTED_MS
+        while self._clock.now_ms() < until_ms:
+            entry = self._parts._directory.instances.get(self._old)
+            if entry is not None:
+                return entry
+            self._prove()
+            self._pause()
+        return None
 
     def _promote_one(self) -> tuple[InstanceEntry, int]:
         refused: set[str] = set()
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -234,16 +234,24 @@
     def test_primary_that_was_only_cut_off_from_here_stays(self, scene):
         # The maker of the change is in the smaller half of a cut, the primary and most
         # daemons in the other. When the cut heals, a change would cost the commits that
-        # were acknowledged there meanwhile.
+        # were acknowledged there meanwhile. The primary's entry has lapsed and comes
+        # back a second later.
         scene.kill_primary()
         scene.known = {"d1"}
         begun_ms = scene.clock.now_ms()
+        entry = scene.directory.instances[PRIMARY]
 
         def heal():
-            if scene.clock.now_ms() > begun_ms + 4500:
-                scene.known = {"d1", "d2", "d3"}
-                scene.received[PRIMARY] = Position(1, 30)
-                scene.leads.add(PRIMARY)
+            now_ms = scene.clock.now_ms()
+            if now_ms < begun_ms + 4500:
+                scene.directory.unlist_instance(PRIMARY)
+                scene.directory.forget_unlisted()
+                return
+            scene.known = {"d1", "d2", "d3"}
+            scene.received[PRIMARY] = Position(1, 30)
+            scene.leads.add(PRIMARY)
+            if now_ms > begun_ms + 5500:
+                scene.directory.set_instance(entry)
 
         scene.on_sleep = heal
         scene.tend_for(DEAD_AFTER_MS + 1500)
