Ask the store for proofs before the lease runs out

Found by a test that failed 9 times in a loop of 75 at load 16, whose last runs had the change already: test_pooler_path.py:: test_leaving_primary_stays_until_a_replica_has_its_log was refused with "can't tell whether the primary still leads".

Cause: a daemon that hears of few goes by the store, but asked it only once the last proof had run out, and went back to long watches after each answer. It had no proof for a third of the time: 35 of 120 writes were refused at a daemon alone.

Ruled out: the machine's load: a daemon alone shows it on an idle one.

Change: watches are short for as long as most members were heard 700 ms ago or longer, whatever the store has proved meanwhile.

Tests, seen to fail first: test_leadership.py::TestStoreProofs, test_pooler_path.py::TestAlone.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -179,7 +179,7 @@
             self.counters,
             self.log,
         )
-        self.mirror.wants_proof = self._wants_proof
+        self.mirror.wants_proof = self.guard.needs_store
         self.mirror.note_proof = self.guard.note_store
         self.guard.note_quiet = self.heartbeats.tell_quiet
         self.reload_wanted = False
@@ -280,9 +280,6 @@
 
     # The other daemons
 
-    def _wants_proof(self) -> bool:
-        return not self.guard.has_proof()
-
     def _take_members(self, members: dict[str, Address]) -> None:
         self.gossip.set_members(members)
         self.runner.set_daemons(len(members) + 1)
--- a/bronzerelay/pooler/leadership.py
+++ b/bronzerelay/pooler/leadership.py
@@ -22,6 +22,10 @@
 # What the maker of a change waits beyond the lease, in milliseconds, for what a daemon
 # had just sent when its proof ran out.
 LEASE_MARGIN_MS = 150
+# The store has to give proofs once most members were last heard this long ago, in
+# milliseconds. Heartbeats that work keep it at some 450. Waited with until the lease has
+# run out, a daemon that hears of few would have no proof for a third of the time.
+LATE_MS = 700
 UNDER_CHANGE_RETRY_MS = 300
 NO_PROOF_RETRY_MS = 400
 NEVER_MS = -1e15
@@ -37,7 +41,8 @@
         self._under_way: dict[str, int] = {}
         # Takes the service at whose primary the last use under way has ended.
         self.note_quiet: Callable[[str], None] = lambda _: None
-        # Up to when most members were heard of, or the store was.
+        # Up to when most members were heard of, and up to when they or the store were.
+        self._heard_ms = NEVER_MS
         self._proven_ms = NEVER_MS
 
     # The proof
@@ -49,13 +54,18 @@
         with self._lock:
             if needed == 0:
                 return
-            self._proven_ms = max(self._proven_ms, times[needed - 1])
+            self._heard_ms = max(self._heard_ms, times[needed - 1])
+            self._proven_ms = max(self._proven_ms, self._heard_ms)
 
     def note_store(self, read_at_ms: float) -> None:
         """Note that all changes in the store up to `read_at_ms` are known here."""
         with self._lock:
             self._proven_ms = max(self._proven_ms, read_at_ms)
 
+    def needs_store(self) -> bool:
+        """Return whether the store has to give proofs, as most members don't."""
+        return self._clock.now_ms() - self._heard_ms > LATE_MS
+
     def has_proof(self) -> bool:
         """Return whether no change can have come into effect unheard of."""
         return self.proof_age_ms() <= LEASE_MS
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bronzerelay.codes import Code
-from bronzerelay.pooler.leadership import LEASE_MS, LeadGuard
+from bronzerelay.pooler.leadership import LATE_MS, LEASE_MS, LeadGuard
 from standins.lineplatform import SERVICE
 from tests.builders_pooler import (
     SetClock,
@@ -88,6 +88,19 @@
         assert guard.enter(SERVICE, "orders-1") is None
 
 
+class TestStoreProofs:
+    def test_store_is_asked_before_the_lease_runs_out(self, guard, clock):
+        # A daemon hears of few others and goes by the store. Asked only once the last
+        # proof has run out, it leaves the daemon without one for a third of the time.
+        guard.note_members([clock.now_ms()] * 3)
+        assert not guard.needs_store()
+        clock.sleep_ms(LATE_MS + 1)
+        assert guard.has_proof()
+        assert guard.needs_store()
+        guard.note_store(clock.now_ms())
+        assert guard.needs_store()
+
+
 class TestQuiet:
     def test_end_of_the_last_use_is_told(self, guard):
         # A change of primary waits for what is under way at the old one. Told only with
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -484,6 +484,20 @@
         assert len(daemon.directory.instances) == 3
 
 
+class TestAlone:
+    def test_daemon_that_hears_of_nobody_goes_by_the_store(self, fleet):
+        # The only daemon that is left proves by the store that its primary leads. It
+        # asked only when the last proof had run out, and refused a third of the
+        # statements meanwhile.
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        refused = 0
+        for number in range(120):
+            refused += caller.query(f"STORE row{number} 1").error != ""
+            fleet.runtime.clock.sleep_ms(25)
+        assert refused <= 6
+
+
 class TestStopping:
     def test_stopping_daemon_isnt_ready_and_cuts_nothing(self, fleet):
         # A daemon is told to stop while a statement runs and a session stands idle.
