--- a/bronzerelay/pooler/leadership.py
+++ b/bronzerelay/pooler/leadership.py
@@ -23,7 +23,7 @@
 # had just sent when its proof ran out.
 LEASE_MARGIN_MS = 150
 # The store has to give proofs once most members were last heard this long ago, in
-# milliseconds. Heartbeats that work keep it at some 450. Waited with until the lease has
+# milliseconds. Heartbeats that work keep it at some 450. Put off until the lease has
 # run out, a daemon that hears of few would have no proof for a third of the time.
 LATE_MS = 700
 UNDER_CHANGE_RETRY_MS = 300
