--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -222,4 +222,25 @@
         "        refusal",
         PATH + "TestChangesOfPrimary",
     ),
+    Mutation(
+        "the store is asked before the lease runs out",
+        POOLER + "leadership.py",
+        "return self._clock.now_ms() - self._heard_ms > LATE_MS",
+        "return not self.has_proof()",
+        "tests/test_leadership.py::TestStoreProofs",
+    ),
+    Mutation(
+        "daemons share the slots of an instance",
+        POOLER + "runner.py",
+        "return min(slots, max(1, math.ceil(STATEMENTS_A_SLOT * slots / daemons)))",
+        "return slots",
+        PATH + "TestManyDaemons",
+    ),
+    Mutation(
+        "a busy primary is asked again on the same link",
+        POOLER + "runner.py",
+        "if not place.as_primary or self._clock.now_ms() >= job.slot_by_ms:",
+        "if True:",
+        PATH + "TestManyDaemons",
+    ),
 )
