--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -48,8 +48,8 @@
     Mutation(
         "a change waits out the lease of daemons that aren't heard",
         POOLER + "changes.py",
-        "if now_ms - majority_ms > LEASE_MS + LEASE_MARGIN_MS:",
-        "if True:",
+        "elif now_ms - enough_ms > LEASE_MS + LEASE_MARGIN_MS:",
+        "elif True:",
         "tests/test_changes.py::TestSafety",
     ),
     Mutation(
