Fetch the version that a reply announces before the reply counts

Cause: a heartbeat's reply ends the isolation of a daemon that was frozen, and the newer configuration that the same reply announces was fetched only afterwards. A request that came between was admitted by the old one.

Change: the version is fetched first; if that fails, the reply doesn't count.

Test: test_spread.py, two cases, both seen to fail.

--- a/bronzerelay/spread.py
+++ b/bronzerelay/spread.py
@@ -95,8 +95,12 @@
                 self._membership.mark_unreachable(name)
             return False
         self._membership.clear_unreachable(name)
-        self._membership.merge_reply(result.ok.views, sent_at_ms)
         self._fetch_news(address, result.ok)
+        # A daemon that was frozen is isolated until it hears of others. Counted before
+        # the version that the reply announces is here, it would admit requests with a
+        # key that this version withdraws.
+        if result.ok.config_version <= self._store.version:
+            self._membership.merge_reply(result.ok.views, sent_at_ms)
         return True
 
     def make_beat(self) -> Beat:
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,74 @@
+"""What a daemon learns from heartbeats, and in which order."""
+
+import pytest
+from expression import Error, Ok
+
+from bronzerelay.peerlink.ttypes import Beat, Record
+from bronzerelay.runtime import Address
+from bronzerelay.spread import Spreader, SpreadSettings
+from tests.endpoints import open_runtime
+
+PEER = Address("127.0.0.1", 1)
+
+
+class FakeStore:
+    """A configuration of one version."""
+
+    def __init__(self):
+        self.version = 1
+
+    def accept(self, record):
+        self.version = record["version"]
+
+
+class FakeMembership:
+    """Notes which version was in force when a peer's views were taken over."""
+
+    name = "vm-1"
+    roster = {"epoch": 1, "members": []}
+
+    def __init__(self, store):
+        self._store = store
+        self.merged_at = []
+
+    def make_views(self):
+        return []
+
+    def clear_unreachable(self, name):
+        pass
+
+    def merge_reply(self, views, sent_at_ms):
+        self.merged_at.append(self._store.version)
+
+
+class FakeLinks:
+    """A peer that has version 2, and gives it unless it is cut off meanwhile."""
+
+    def __init__(self, gives):
+        self._gives = gives
+
+    def call(self, address, method, argument, timeout_ms):
+        if method == "beat":
+            return Ok(Beat("vm-2", 1, 2, []))
+        if not self._gives:
+            return Error(None)
+        return Ok(Record(version=2, value=b'{"version": 2}'))
+
+
+@pytest.mark.parametrize(("gives", "merged_at"), [(True, [2]), (False, [])])
+def test_a_reply_counts_once_the_configuration_that_it_announces_is_here(
+    gives, merged_at
+):
+    """A daemon was frozen while a key was withdrawn. The first reply that it gets says
+    that the platform answers others, and that there is a newer version. Taken over at
+    once, the first would let requests in with the withdrawn key until the second is
+    fetched.
+    """
+    with open_runtime(10) as runtime:
+        store = FakeStore()
+        membership = FakeMembership(store)
+        links = FakeLinks(gives)
+        settings = SpreadSettings()
+        spreader = Spreader(runtime, settings, membership, store, links, None)
+        assert spreader.beat("vm-2", PEER)
+    assert membership.merged_at == merged_at
