Send the callers of a cut-off daemon elsewhere

Ruled out: reads at their replicas (9 served in 4 s on the code before).

Change: a session that is refused for want of any proof ends after the refusal, unless it stands in a transaction or has sent more. The balancer sends its caller to a daemon that is ready. The test failed on the code before.

--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -164,7 +164,18 @@
             reason = message.reason if isinstance(message, Malformed) else "unexpected"
             reply = Reply(_refuse_protocol(reason))
         self._send_reply(reply)
-        return True
+        return not self._should_move(reply)
+
+    def _should_move(self, reply: Reply) -> bool:
+        """Return whether the caller does better to connect again.
+
+        A long session would come back to a daemon that is cut off for as long as the
+        cut lasts, and use up its retries there. The balancer sends it elsewhere.
+        """
+        outcome = reply.outcome
+        is_isolated = isinstance(outcome, Refusal) and outcome.code is Code.ISOLATED
+        is_idle = self._state() is TransactionState.IDLE
+        return is_isolated and is_idle and not self._reader.has_line()
 
     def _wait_for_statement(self) -> bool:
         """Wait for the caller; return False when the session is to end.
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -544,6 +544,19 @@
         assert reply.error == "RETRY"
         assert "Come back in" in reply.text
 
+    def test_caller_of_a_daemon_that_is_cut_off_is_sent_elsewhere(self, fleet):
+        # A session stands open at a daemon that hears of nobody for seconds. Its caller
+        # is refused, comes back on the same connection, and has used up its retries
+        # before the cut ends, while all other daemons could serve it.
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "STORE row 1")
+        fleet.store.status = 503
+        fleet.runtime.clock.sleep_ms(1500)
+        assert caller.query("STORE row 2").error == "RETRY"
+        with pytest.raises(OSError):
+            caller.query("STORE row 3")
+
 
 class TestStopping:
     def test_stopping_daemon_isnt_ready_and_cuts_nothing(self, fleet):
