Exchange heartbeats through relays in a large fleet

Change: above twelve members the first two daemons of each failure domain, in an order that all work out alike, are its relays. The others exchange heartbeats with these alone, and relays with each other; whoever finds one silent goes on to the next. Nothing else is decided anew: - A proof that a primary leads is passed on with its age. It holds because its sender tells all changes that it knows of, and says so; a heartbeat without room for all proves nothing. Relays still hear of most members, by name. - Rates: a relay adds up its domain for other relays, and all others for each of its daemons; one relay at a time is believed, what it hasn't heard of counts as silent as before. - Acknowledgements and silent instances are passed on by name. - Changes of primary are told only to those that don't know them yet.

Fleets up to twelve send to everybody as before.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -17,6 +17,7 @@
     LeadChanges,
     Promoter,
 )
+from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import Directory, LeadRecord
 from bronzerelay.pooler.events import EventLog
@@ -79,6 +80,8 @@
     # How long an instance that leaves may still get requests.
     drain_ms: float
     max_sessions: int
+    # The failure domain that the VM stands in.
+    domain: str = ""
 
 
 class Records(Protocol):
@@ -125,12 +128,18 @@
         self.mirror = Mirror(runtime, plugins.store, self._take_item, self.log)
         self.gossip = Gossip(runtime, settings.name, settings.peer, self.log)
         self.members = Members(
-            runtime, settings.name, settings.peer, self.mirror, self.gossip, self.log
+            runtime,
+            settings.name,
+            Peer(settings.peer, settings.domain),
+            self.mirror,
+            self.gossip,
+            self.log,
         )
         self.guard = LeadGuard(runtime, self.directory)
         self.heartbeats = Heartbeats(
             runtime,
             settings.name,
+            settings.domain,
             self.gossip,
             self.mirror,
             self.directory,
@@ -228,6 +237,7 @@
             "sessions": len(self._sessions),
             "store_revision": self.mirror.at,
             "links_opened": self.pool.opened,
+            "heartbeat_bytes": self.gossip.bytes_sent,
             "log_lines_dropped": self.log.dropped,
             "tasks": self._runtime.running_tasks(),
         }
@@ -277,8 +287,9 @@
 
     # The other daemons
 
-    def _take_members(self, members: dict[str, Address]) -> None:
+    def _take_members(self, members: dict[str, Peer]) -> None:
         self.gossip.set_members(members)
+        self.heartbeats.contacts.set_peers(members)
         self.runner.set_daemons(len(members) + 1)
 
     def _upkeep(self) -> None:
@@ -295,12 +306,14 @@
         if members is not None:
             self._take_members(members)
         # One that said it was stopping admits nothing once it is silent.
-        self.rates.set_members(self.members.list_serving())
+        serving = self.members.list_serving()
+        self.rates.set_sources(self.heartbeats.list_sources(serving))
         self.catch_up.tend()
         self._reload()
         self.mirror.tend()
         if not self.is_stopping:
-            self.members.remove_gone()
+            if self.heartbeats.judges_members():
+                self.members.remove_gone()
             if self.guard.has_proof():
                 self.changes.tend()
         self.directory.forget_unlisted()
@@ -387,7 +400,11 @@
             run(server.run)
         run(self.mirror.run)
         run(self.members.join)
-        run(self.gossip.run_sender, self.heartbeats.describe, self.rates.make_report)
+        run(
+            self.gossip.run_sender,
+            self.heartbeats.begin_round,
+            self.heartbeats.complete,
+        )
         run(self.gossip.run_receiver, self.heartbeats.take)
         run(self._upkeep)
         run(self._accept)
--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -13,14 +13,25 @@
 from typing import NamedTuple
 
 from bronzerelay.pooler.fleetconfig import Workspace
+from bronzerelay.pooler.sources import (
+    NOTHING,
+    SILENT_MS,
+    PeerReports,
+    Report,
+    Scope,
+    Source,
+    SourceGroup,
+    Sum,
+    Tally,
+)
 from bronzerelay.runtime import Runtime
 
 # The time that reports need to reach everybody, in milliseconds: what is spent within
 # it is spent without knowing of the others.
 ROUND_MS = 300
-# A daemon that wasn't heard of for this long may be cut off and spend its part without
-# anybody being told. Milliseconds; three reports may be lost before.
-SILENT_MS = 1_000
+# The same through relays: from a daemon to its relay, to that of another failure
+# domain, and to the daemons there.
+RELAYED_ROUND_MS = 3 * ROUND_MS
 # What a process begins with, in operations. What its predecessor spent isn't known to
 # it, so that it begins with next to nothing; with nothing at all the first caller of
 # each workspace would be refused.
@@ -33,13 +44,6 @@
 SAVED_PART = 0.5
 
 
-class Tally(NamedTuple):
-    """What one process has admitted of a workspace, and was asked for, in all."""
-
-    admitted: int
-    asked: int
-
-
 class Grant(NamedTuple):
     """What becomes of an operation: it runs after `wait_ms`, or may come back then."""
 
@@ -47,26 +51,6 @@
     wait_ms: float = 0.0
 
 
-class Report(NamedTuple):
-    """What a daemon tells the others: all its tallies, or those that changed lately."""
-
-    whole: bool
-    tallies: dict[str, Tally]
-
-
-NO_REPORT = Report(False, {})
-
-
-class PeerReports:
-    """What one peer's process has reported."""
-
-    def __init__(self, incarnation: int, complete: bool):
-        self.incarnation = incarnation
-        # Whether a workspace that wasn't named yet counts as one never asked for.
-        self.complete = complete
-        self.tallies: dict[str, Tally] = {}
-
-
 class Bucket:
     """The fleet's bucket of one workspace, as this daemon sees it."""
 
@@ -95,9 +79,11 @@
         self._lock = runtime.make_lock()
         self._name = name
         self._buckets: dict[str, Bucket] = {}
-        self._peers: dict[str, PeerReports] = {}
-        # When each other member was last heard of; all that may admit operations.
-        self._heard_ms: dict[str, float] = {}
+        self._reports: dict[tuple[str, Scope], PeerReports] = {}
+        self._sources: dict[str, Source] = {}
+        # What was counted of this failure domain's other daemons, and of other domains.
+        self._sums: dict[Scope, dict[str, Sum]] = {Scope.OWN: {}, Scope.DOMAIN: {}}
+        self._round_ms = ROUND_MS
 
     def set_workspaces(self, specs: Iterable[Workspace]) -> None:
         """Take over the rates of a configuration."""
@@ -115,72 +101,152 @@
             self._buckets = kept
 
     def set_members(self, names: Iterable[str]) -> None:
-        """Take over who else may admit operations."""
+        """Take over who else may admit operations, where each reports here itself."""
+        others = [name for name in names if name != self._name]
+        self.set_sources({name: SourceGroup(Scope.OWN, (name,)) for name in others})
+
+    def set_sources(self, groups: dict[str, SourceGroup]) -> None:
+        """Take over who tells of whom; all members but this one belong to one group."""
         now_ms = self._clock.now_ms()
         with self._lock:
-            self._heard_ms = {
-                # A new one counts as heard of: it begins with nothing.
-                name: self._heard_ms.get(name, now_ms)
-                for name in names
-                if name != self._name
-            }
+            kept = {}
+            for key, group in groups.items():
+                source = self._sources.get(key)
+                if source is None or source.group.scope is not group.scope:
+                    source = Source(group, now_ms)
+                source.group = group
+                if source.current not in group.names:
+                    source.current = None
+                kept[key] = source
+            self._sources = kept
+            is_relayed = any(group.scope is not Scope.OWN for group in groups.values())
+            self._round_ms = RELAYED_ROUND_MS if is_relayed else ROUND_MS
 
     # Reports
 
-    def make_report(self, since_ms: float | None) -> Report:
+    def make_report(
+        self, since_ms: float | None, scope: Scope = Scope.OWN, receiver: str = ""
+    ) -> Report:
         """Return what has changed since a moment, or all when that is None."""
         oldest_ms = -math.inf if since_ms is None else since_ms
+        now_ms = self._clock.now_ms()
         with self._lock:
-            tallies = {
-                name: Tally(bucket.admitted, bucket.asked)
-                for name, bucket in self._buckets.items()
-                if bucket.asked and bucket.changed_at_ms >= oldest_ms
-            }
-        return Report(since_ms is None, tallies)
+            names = set(self._buckets)
+            if scope is not Scope.OWN:
+                names.update(*self._sums.values())
+            tallies = {}
+            for name in names:
+                tally, changed_at_ms = self._add_up(name, scope, receiver)
+                if tally.asked and changed_at_ms >= oldest_ms:
+                    tallies[name] = tally
+            heard, members = self._count_covered(scope, receiver, now_ms)
+        return Report(since_ms is None, tallies, scope, heard, members)
+
+    def _add_up(self, workspace: str, scope: Scope, receiver: str) -> Sum:
+        """Return what a report of a scope says of a workspace to a receiver."""
+        bucket = self._buckets.get(workspace)
+        total, changed_at_ms = NOTHING, -math.inf
+        if bucket is not None:
+            total = Tally(bucket.admitted, bucket.asked)
+            changed_at_ms = bucket.changed_at_ms
+        counted = {
+            Scope.OWN: (),
+            Scope.DOMAIN: (Scope.OWN,),
+            Scope.FLEET: (Scope.OWN, Scope.DOMAIN),
+        }[scope]
+        for part in counted:
+            found = self._sums[part].get(workspace)
+            if found is not None:
+                total = total.plus(found.tally)
+                changed_at_ms = max(changed_at_ms, found.changed_at_ms)
+        if scope is Scope.FLEET:
+            reports = self._reports.get((receiver, Scope.OWN))
+            if reports is not None:
+                total = total.minus(reports.counted.get(workspace, NOTHING))
+        return Sum(total, changed_at_ms)
+
+    def _count_covered(
+        self, scope: Scope, receiver: str, now_ms: float
+    ) -> tuple[int, int]:
+        """Return how many members a report stands for: those heard of, and all."""
+        heard = members = 1
+        if scope is Scope.OWN:
+            return heard, members
+        for source in self._sources.values():
+            if scope is Scope.DOMAIN and source.group.scope is not Scope.OWN:
+                continue
+            if source.group.names == (receiver,):
+                continue
+            members += source.members
+            heard += 0 if source.is_silent(now_ms) else source.heard
+        return heard, members
 
     def note_report(
         self, peer: str, incarnation: int, heard_at_ms: float, report: Report
     ) -> None:
-        """Take what a peer has admitted out of the buckets.
+        """Take what a peer tells as admitted out of the buckets.
 
-        What it admitted while it wasn't heard of was set aside already.
+        What was admitted while it wasn't heard of was set aside already.
         """
         now_ms = self._clock.now_ms()
         with self._lock:
-            known = self._find_reports(peer, incarnation)
-            was_silent = self._is_silent(peer, now_ms)
+            known = self._find_reports(peer, incarnation, report.scope)
+            source = self._find_source(peer, report.scope, now_ms)
+            counts = source is not None and not source.is_silent(now_ms)
             for name, tally in report.tallies.items():
                 base = known.tallies.get(name)
                 if base is None and known.complete:
-                    base = Tally(0, 0)
+                    base = NOTHING
                 known.tallies[name] = tally
-                bucket = self._buckets.get(name)
-                if bucket is not None and base is not None and not was_silent:
-                    self._take_out(bucket, base, tally, now_ms)
+                if base is not None and counts:
+                    self._count(known, report.scope, name, tally.minus(base), now_ms)
             known.complete = known.complete or report.whole
-            if peer in self._heard_ms:
-                self._heard_ms[peer] = max(self._heard_ms[peer], heard_at_ms)
+            if source is not None:
+                source.note(report, heard_at_ms)
 
-    def _find_reports(self, peer: str, incarnation: int) -> PeerReports:
+    def _find_reports(self, peer: str, incarnation: int, scope: Scope) -> PeerReports:
         """Return what the peer's process has reported so far.
 
         Of what it admitted before this process heard of it nobody knows when it was, so
         that only a process that takes the place of a known one is taken to begin anew.
         """
-        known = self._peers.get(peer)
+        known = self._reports.get((peer, scope))
         if known is None or known.incarnation != incarnation:
             known = PeerReports(incarnation, known is not None)
-            self._peers[peer] = known
+            self._reports[peer, scope] = known
         return known
 
-    def _take_out(
-        self, bucket: Bucket, base: Tally, tally: Tally, now_ms: float
+    def _find_source(self, peer: str, scope: Scope, now_ms: float) -> Source | None:
+        """Return the group for which the peer's word counts now, or None."""
+        for source in self._sources.values():
+            group = source.group
+            if group.scope is scope and peer in group.names:
+                return source if source.believes(peer, now_ms) else None
+        return None
+
+    def _count(
+        self,
+        reports: PeerReports,
+        scope: Scope,
+        workspace: str,
+        added: Tally,
+        now_ms: float,
     ) -> None:
-        self._fill(bucket, now_ms)
-        # Less than before where more was given back than spent.
-        spent = tally.admitted - base.admitted
-        bucket.tokens = min(bucket.spec.burst, bucket.tokens - spent)
-        bucket.demand = max(0.0, bucket.demand + tally.asked - base.asked)
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            self._fill(bucket, now_ms)
+            # Less than before where more was given back than spent.
+            left = bucket.tokens - added.admitted
+            bucket.tokens = min(bucket.spec.burst, left)
+            bucket.demand = max(0.0, bucket.demand + added.asked)
+        sums = self._sums.get(scope)
+        if sums is None:
+            return
+        counted = reports.counted.get(workspace, NOTHING)
+        reports.counted[workspace] = counted.plus(added)
+        known = sums.get(workspace)
+        total = known.tally.plus(added) if known else added
+        sums[workspace] = Sum(total, now_ms)
 
     # Spending
 
@@ -207,8 +273,8 @@
             is_flooded = bucket.demand * 1000 / DEMAND_MS > rate
             if due_ms > (0.0 if is_flooded else patience_ms):
                 return Grant(False, max(1.0, due_ms))
-            expected = bucket.demand * ROUND_MS / DEMAND_MS
-            budget = bucket.tokens * SAVED_PART + rate * ROUND_MS / 1000
+            expected = bucket.demand * self._round_ms / DEMAND_MS
+            budget = bucket.tokens * SAVED_PART + rate * self._round_ms / 1000
             # With no more care than for tokens, a flood through 40 daemons gets 58 to
             # 164 operations a second of 100 (simulated), with it 79 to 105.
             bucket.credit += min(1.0, max(0.0, budget / expected))
@@ -248,9 +314,6 @@
                 bucket.demand = max(0.0, bucket.demand - 1)
                 bucket.changed_at_ms = self._clock.now_ms()
 
-    def _count_members(self) -> int:
-        return len(self._heard_ms) + 1
-
     def _fill(self, bucket: Bucket, now_ms: float) -> None:
         """Refill the bucket with the part of the rate that this side may spend."""
         elapsed_ms = now_ms - bucket.filled_at_ms
@@ -271,10 +334,8 @@
         bucket.demand *= math.exp(-elapsed_ms / DEMAND_MS)
 
     def _work_out_part(self, now_ms: float) -> float:
-        members = self._count_members()
-        silent = sum(1 for name in self._heard_ms if self._is_silent(name, now_ms))
-        return (members - silent) / members
-
-    def _is_silent(self, name: str, now_ms: float) -> bool:
-        heard_ms = self._heard_ms.get(name)
-        return heard_ms is None or now_ms - heard_ms > SILENT_MS
+        heard = members = 1
+        for source in self._sources.values():
+            members += source.members
+            heard += 0 if source.is_silent(now_ms) else source.heard
+        return heard / members
--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -6,15 +6,15 @@
 sent, by the receiver's own clock.
 """
 
-from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import NamedTuple
 
 import msgspec
 
+from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.directory import LeadRecord
 from bronzerelay.pooler.events import EventLog
-from bronzerelay.pooler.fleetrates import Report
+from bronzerelay.pooler.sources import Report
 from bronzerelay.runtime import Address, Datagrams, Runtime
 
 # Time between two heartbeats, in milliseconds. A daemon counts as silent after three
@@ -22,24 +22,42 @@
 BEAT_MS = 300
 # The least time between two heartbeats, in milliseconds.
 HURRY_MS = 15
-# Heartbeats whose sending time is remembered, to match the numbers that come back.
-REMEMBERED = 32
+# How long the sending time of a heartbeat is remembered, to match the numbers that
+# come back, in milliseconds. What is older than a lease proves nothing.
+REMEMBERED_MS = 3_000
 # Peers that one round reaches; with more of them the rounds take turns.
 FANOUT = 128
+# Who was heard within this time gets news at once, in milliseconds: as long as proofs
+# last.
+ANSWER_MS = 1_000
 MAX_DATAGRAM_BYTES = 8192
 NEVER_MS = -1e15
 
 
+class Relayed(NamedTuple):
+    """What a relay has heard of the members that it exchanges heartbeats with.
+
+    `heard` says for how many milliseconds all that a member had told is known to the
+    relay. `acknowledged` holds for a service whose primary is being changed the epoch
+    and the members that can't use the old primary any more.
+    """
+
+    heard: dict[str, float]
+    acknowledged: dict[str, tuple[int, list[str]]]
+
+
 class Beat(NamedTuple):
     """One heartbeat.
 
     `echo` is the number of the last heartbeat that the sender got from the receiver's
     incarnation `echo_incarnation`. `mirror_at` is the revision of the platform's store
-    that the sender knows. `report` is what it was asked for and has admitted.
-    `positions` holds the end of the log (term, number) and its age in milliseconds for
-    each service, `leads` the changes of primary that the sender knows of, and
-    `quiet` the services at whose old primary it has nothing under way. `silent` holds
-    the instances that give the sender no answer, and for how many milliseconds.
+    that the sender knows. `report` is what was asked for and admitted. `positions`
+    holds the end of the log (term, number) and its age in milliseconds for each
+    service, and `silent` by observer the instances that give it no answer, and for how
+    many milliseconds. `leads` are the changes of primary that the sender knows of and
+    the receiver may not; `all_told` says that none was left out for want of room.
+    `acknowledged` is the epoch of each change that the sender knows of and has nothing
+    under way before. `proof_age_ms` is the age of the sender's proof, None without one.
     """
 
     sender: str
@@ -51,41 +69,62 @@
     mirror_at: int
     report: Report
     positions: dict[str, tuple[int, int, float]]
+    silent: dict[str, dict[str, float]]
     leads: list[LeadRecord]
-    quiet: list[str]
-    silent: dict[str, float]
+    all_told: bool
+    acknowledged: dict[str, int]
+    proof_age_ms: float | None
+    relaying: bool
+    relayed: Relayed | None
+    # Whether the receiver is to answer at once, and not when it is due to send.
+    asks: bool = False
 
 
 class PeerView:
     """What was last heard of one peer; times are of the own clock."""
 
-    def __init__(self, address: Address, listed_at_ms: float):
-        self.address = address
+    def __init__(self, name: str, peer: Peer, listed_at_ms: float):
+        self.name = name
+        self.peer = peer
         self.listed_at_ms = listed_at_ms
+        # Since when it is addressed of this daemon's own accord, None when it isn't.
+        self.addressed_since_ms: float | None = None
         self.incarnation = 0
         self.number = -1
-        self.heard_at_ms = NEVER_MS
         self.received_at_ms = NEVER_MS
         self.stopping = False
+        self.relaying = False
         self.mirror_at = 0
+        # All that it had told anybody up to then is known here, by itself or a relay.
+        self.told_at_ms = NEVER_MS
         # For each service the epoch of the change that the peer has acknowledged.
         self.acknowledged: dict[str, int] = {}
-        # The instances that give the peer no answer, and since when.
+        # The same when it was last looked at for news.
+        self.acknowledged_before: dict[str, int] = {}
+        # The instances that give the peer no answer, since when, and when it said so.
         self.silent_since_ms: dict[str, float] = {}
+        self.silent_at_ms = NEVER_MS
+        # Whether it said so here itself, and not through a relay.
+        self.silent_directly = False
         # The last of this process's heartbeats that the peer has got.
         self.echoed = -1
 
+    @property
+    def address(self) -> Address:
+        """Return where the peer listens."""
+        return self.peer.address
+
 
 # Makes the part of a heartbeat that doesn't depend on its receiver.
 Describe = Callable[[], Beat]
-# Makes a report of what has changed since a moment, or of all when that is None.
-MakeReport = Callable[[float | None], Report]
-# Takes a heartbeat and the moment from which what it says counts.
-TakeBeat = Callable[[Beat, float], None]
+# Adds what is for one receiver, which has got all that was told up to a moment.
+Complete = Callable[[Beat, PeerView, float | None], Beat]
+# Takes a heartbeat, its sender, and the moment from which what it says counts.
+TakeBeat = Callable[[Beat, PeerView, float], None]
 
 
 class Gossip:
-    """Sends heartbeats to all members and keeps a view of each."""
+    """Exchanges heartbeats with other members and keeps a view of each."""
 
     def __init__(self, runtime: Runtime, name: str, address: Address, log: EventLog):
         self._runtime = runtime
@@ -95,7 +134,8 @@
         self._lock = runtime.make_lock()
         self._sock: Datagrams = runtime.open_datagrams(address)
         self.incarnation = runtime.random.getrandbits(48)
-        self._sent: deque[tuple[int, float]] = deque(maxlen=REMEMBERED)
+        # When the heartbeats of the last seconds were sent, by number.
+        self._sent: dict[int, float] = {}
         self._number = 0
         self._turn = 0
         self._condition = runtime.make_condition()
@@ -103,21 +143,31 @@
         self._decoder = msgspec.msgpack.Decoder(Beat)
         self._encoder = msgspec.msgpack.Encoder()
         self.views: dict[str, PeerView] = {}
+        self.bytes_sent = 0
 
-    def set_members(self, addresses: dict[str, Address]) -> None:
+    def set_members(self, peers: dict[str, Peer]) -> None:
         """Take over who the others are and where they listen."""
         with self._lock:
             views = {}
-            for name, address in addresses.items():
+            for name, peer in peers.items():
                 if name == self._name:
                     continue
                 view = self.views.get(name)
-                if view is None or view.address != address:
-                    view = PeerView(address, self._clock.now_ms())
+                if view is None or view.peer != peer:
+                    view = PeerView(name, peer, self._clock.now_ms())
                 views[name] = view
             self.views = views
 
-    def run_sender(self, describe: Describe, make_report: MakeReport) -> None:
+    def set_contacts(self, names: Container[str]) -> None:
+        """Take over whom to address of this daemon's own accord."""
+        now_ms = self._clock.now_ms()
+        for name, view in self.views.items():
+            if name not in names:
+                view.addressed_since_ms = None
+            elif view.addressed_since_ms is None:
+                view.addressed_since_ms = now_ms
+
+    def run_sender(self, describe: Describe, complete: Complete) -> None:
         """Send heartbeats until the runtime stops."""
         while not self._runtime.stopping:
             with self._condition:
@@ -125,7 +175,7 @@
                     self._condition, lambda: self._hurried, BEAT_MS
                 )
                 self._hurried = False
-            self.send_round(describe(), make_report)
+            self.send_round(describe(), complete, hurried)
             if hurried:
                 self._runtime.sleep_ms(HURRY_MS)
 
@@ -135,41 +185,69 @@
             self._hurried = True
             self._condition.notify()
 
-    def send_round(self, beat: Beat, make_report: MakeReport) -> None:
-        """Send one heartbeat to the next members in turn.
+    def send_round(self, beat: Beat, complete: Complete, hurried: bool = False) -> None:
+        """Send one heartbeat to all contacts, or to the next ones in turn.
 
-        Each gets what has changed since the last one that it has got. A report in full
-        takes 12 bytes a workspace, and a heartbeat without one 55.
+        One that holds news goes to those, too, who address this daemon. Each gets what
+        has changed since the last one that it has got: a report in full takes 12 bytes
+        a workspace, and a heartbeat without one 55.
         """
-        self._number += 1
-        self._sent.append((self._number, self._clock.now_ms()))
-        reports: dict[float | None, Report] = {}
-        views = list(self.views.values())
+        number = self._take_number()
+        views = self._list_receivers(hurried)
         if len(views) > FANOUT:
             start = self._turn % len(views)
             views = (views + views)[start : start + FANOUT]
             self._turn += FANOUT
         for view in views:
-            since_ms = self._find_sent(view.echoed)
-            if since_ms not in reports:
-                reports[since_ms] = make_report(since_ms)
-            packed = self._encoder.encode(
-                beat._replace(
-                    report=reports[since_ms],
-                    number=self._number,
-                    echo=view.number,
-                    echo_incarnation=view.incarnation,
-                )
+            completed = complete(beat, view, self._find_sent(view.echoed))
+            self._send(completed, view, number)
+
+    def answer(self, beat: Beat, view: PeerView, complete: Complete) -> None:
+        """Send one heartbeat to a peer that has asked for it."""
+        number = self._take_number()
+        completed = complete(beat, view, self._find_sent(view.echoed))
+        self._send(completed._replace(asks=False), view, number)
+
+    def _take_number(self) -> int:
+        """Return the number of the next heartbeat, which is sent now."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            self._number += 1
+            self._sent[self._number] = now_ms
+            for number in list(self._sent):
+                if self._sent[number] >= now_ms - REMEMBERED_MS:
+                    break
+                del self._sent[number]
+            return self._number
+
+    def _list_receivers(self, hurried: bool) -> list[PeerView]:
+        """Return the contacts, and where there is news all who were heard lately."""
+        now_ms = self._clock.now_ms()
+        oldest_ms = now_ms - ANSWER_MS if hurried else now_ms
+        return [
+            view
+            for view in self.views.values()
+            if view.addressed_since_ms is not None or view.received_at_ms > oldest_ms
+        ]
+
+    def _send(self, beat: Beat, view: PeerView, number: int) -> None:
+        packed = self._encoder.encode(
+            beat._replace(
+                number=number,
+                echo=view.number,
+                echo_incarnation=view.incarnation,
+            )
+        )
+        self.bytes_sent += len(packed)
+        try:
+            self._sock.send_to(packed, view.address)
+        except OSError as error:
+            self._log.write_request(
+                "gossip",
+                "A heartbeat couldn't be sent.",
+                peer=str(view.address),
+                error=str(error),
             )
-            try:
-                self._sock.send_to(packed, view.address)
-            except OSError as error:
-                self._log.write_request(
-                    "gossip",
-                    "A heartbeat couldn't be sent.",
-                    peer=str(view.address),
-                    error=str(error),
-                )
 
     def run_receiver(self, take: TakeBeat) -> None:
         """Take heartbeats in until the runtime stops."""
@@ -210,30 +288,22 @@
             view.number = beat.number
             view.received_at_ms = self._clock.now_ms()
             view.stopping = beat.stopping
+            view.relaying = beat.relaying
             view.mirror_at = beat.mirror_at
-            view.acknowledged = {
-                record.service: record.epoch
-                for record in beat.leads
-                if record.settled or record.service in beat.quiet
-            }
-            view.silent_since_ms = {
-                instance_id: view.received_at_ms - for_ms
-                for instance_id, for_ms in beat.silent.items()
-            }
+            view.acknowledged = dict(beat.acknowledged)
             view.echoed = -1
             if beat.echo_incarnation == self.incarnation:
                 view.echoed = beat.echo
             sent_at_ms = self._find_sent(view.echoed)
             proven_ms = NEVER_MS if sent_at_ms is None else sent_at_ms
-            view.heard_at_ms = max(view.heard_at_ms, proven_ms)
-        take(beat, proven_ms)
+            # Who knows nothing of the store yet may not know of a change either.
+            if beat.mirror_at > 0 and beat.all_told:
+                view.told_at_ms = max(view.told_at_ms, proven_ms)
+        take(beat, view, proven_ms)
 
     def _find_sent(self, wanted: int) -> float | None:
         """Return when a heartbeat was sent, None when that is long ago or never."""
-        for number, sent_at_ms in reversed(self._sent):
-            if number == wanted:
-                return sent_at_ms
-        return None
+        return self._sent.get(wanted)
 
     def close(self) -> None:
         """Close the socket."""
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -1,21 +1,36 @@
-"""What a daemon tells its peers in heartbeats, and what it learns from theirs."""
+"""What a daemon tells its peers in heartbeats, and what it learns from theirs.
+
+A proof that a primary still leads is passed on: who has one, and has told all changes
+that it knows of, proves as much to the receiver. So only relays have to hear of most
+members, and the others of one relay.
+"""
 
 from collections.abc import Callable
 
+from bronzerelay.pooler.contacts import Contacts, Plan
 from bronzerelay.pooler.directory import Directory, LeadRecord
-from bronzerelay.pooler.fleetrates import NO_REPORT, FleetRates
-from bronzerelay.pooler.gossip import NEVER_MS, Beat, Gossip
+from bronzerelay.pooler.fleetrates import FleetRates
+from bronzerelay.pooler.gossip import Beat, Gossip, PeerView, Relayed
 from bronzerelay.pooler.leadership import LEASE_MS, LeadGuard
 from bronzerelay.pooler.messages import Position
 from bronzerelay.pooler.mirror import Mirror
 from bronzerelay.pooler.placement import Placement
+from bronzerelay.pooler.sources import NO_REPORT, Scope, SourceGroup
 from bronzerelay.runtime import Runtime
 
 # How old the end of a primary's log may be that heartbeats tell, in milliseconds: two
 # heartbeats, of which one may be lost.
 SAMPLE_AGE_MS = 600
-# Changes of primary that heartbeats repeat.
+# The same for what a relay passes on, which has come two ways by then.
+RELAYED_SAMPLE_AGE_MS = 1_000
+# Changes of primary that one heartbeat tells.
 LEADS_IN_BEAT = 8
+# A peer that is addressed and wasn't heard of for this long is silent, in milliseconds.
+SILENT_PEER_MS = 1_000
+# Observers whose word on silent instances a relay passes on.
+OBSERVERS = 8
+# Who tells of the fleet where relays do.
+FLEET = "fleet"
 
 
 class Heartbeats:
@@ -25,6 +40,7 @@
         self,
         runtime: Runtime,
         name: str,
+        domain: str,
         gossip: Gossip,
         mirror: Mirror,
         directory: Directory,
@@ -35,6 +51,7 @@
     ):
         self._clock = runtime.clock
         self._name = name
+        self._domain = domain
         self._gossip = gossip
         self._mirror = mirror
         self._directory = directory
@@ -42,18 +59,70 @@
         self._rates = rates
         self._guard = guard
         self._take_lead = take_lead
+        self.contacts = Contacts(name, domain)
+        self._plan = Plan(frozenset())
         self.is_stopping = False
 
+    # Whom to address, and who tells of whom
+
+    def update_plan(self) -> None:
+        """Choose the contacts anew, by who is silent now."""
+        makes_change = any(
+            record.holder == self._name and not record.settled
+            for record in list(self._directory.leads.values())
+        )
+        self._plan = self.contacts.plan(self._is_silent, makes_change)
+        self._gossip.set_contacts(self._plan.contacts)
+
+    def _is_silent(self, name: str) -> bool:
+        view = self._gossip.views.get(name)
+        if view is None or view.addressed_since_ms is None:
+            return False
+        heard_ms = max(view.received_at_ms, view.addressed_since_ms)
+        return self._clock.now_ms() - heard_ms > SILENT_PEER_MS
+
+    def judges_members(self) -> bool:
+        """Return whether this daemon hears of enough to take silent ones for gone."""
+        return self._plan.relaying or self.contacts.is_mesh()
+
+    def list_sources(self, serving: list[str]) -> dict[str, SourceGroup]:
+        """Return who tells of the operations of the other members that serve."""
+        if self.contacts.is_mesh():
+            return {name: SourceGroup(Scope.OWN, (name,)) for name in serving}
+        plan = self._plan
+        if not plan.relaying:
+            relays = plan.relays.get(self._domain, ())
+            return {FLEET: SourceGroup(Scope.FLEET, relays, len(serving))}
+        near = set(self.contacts.list_domain(self._domain))
+        groups = {
+            name: SourceGroup(Scope.OWN, (name,)) for name in serving if name in near
+        }
+        for domain, relays in plan.relays.items():
+            members = len(set(serving) & set(self.contacts.list_domain(domain)))
+            if domain != self._domain and members:
+                key = f"{Scope.DOMAIN.name} {domain}"
+                groups[key] = SourceGroup(Scope.DOMAIN, relays, members)
+        return groups
+
+    # Telling
+
+    def begin_round(self) -> Beat:
+        """Choose the contacts anew and return what to tell them."""
+        self.update_plan()
+        return self.describe()
+
     def describe(self) -> Beat:
         """Return the part of a heartbeat that doesn't depend on its receiver."""
         now_ms = self._clock.now_ms()
-        # What peers have told reaches all others from themselves.
-        samples = self._placement.list_own_samples(now_ms - SAMPLE_AGE_MS)
+        relaying = self._plan.relaying
+        # Where all hear of all, what peers have told comes to the others from them.
+        age_ms = RELAYED_SAMPLE_AGE_MS if relaying else SAMPLE_AGE_MS
+        samples = self._placement.list_samples(now_ms - age_ms, own=not relaying)
         positions = {
-            service: (*sample.position, round(now_ms - sample.at_ms, 1))
+            service: (*sample.position, round(now_ms - sample.at_ms))
             for service, sample in samples.items()
         }
-        leads = list(self._directory.leads.values())[-LEADS_IN_BEAT:]
+        proof_age_ms = self._guard.proof_age_ms()
         return Beat(
             self._name,
             self._gossip.incarnation,
@@ -64,39 +133,166 @@
             self._mirror.at,
             NO_REPORT,
             positions,
-            leads,
-            [
-                record.service
-                for record in leads
-                if self._guard.is_quiet(record.service)
-            ],
-            {
-                instance_id: round(now_ms - since_ms, 1)
-                for instance_id, since_ms in self._placement.list_silent().items()
-            },
+            {},
+            [],
+            True,
+            self._list_own_acknowledged(),
+            proof_age_ms if proof_age_ms <= LEASE_MS else None,
+            relaying,
+            None,
         )
 
-    def take(self, beat: Beat, proven_ms: float) -> None:
+    def _list_own_acknowledged(self) -> dict[str, int]:
+        return {
+            record.service: record.epoch
+            for record in list(self._directory.leads.values())
+            if record.settled or self._guard.is_quiet(record.service)
+        }
+
+    def _describe_silent(
+        self, scope: Scope, now_ms: float
+    ) -> dict[str, dict[str, float]]:
+        """Return which instances give whom no answer, and for how long.
+
+        A relay passes on to others what it was told itself, and to the daemons behind
+        it all that it knows. Told on and on, it would never be forgotten.
+        """
+        silent = {self._name: self._placement.list_silent()}
+        if self._plan.relaying:
+            for name, view in self._gossip.views.items():
+                fresh = view.silent_at_ms >= now_ms - LEASE_MS
+                passed_on = view.silent_directly or scope is Scope.FLEET
+                if not view.silent_since_ms:
+                    continue
+                if fresh and passed_on and len(silent) < OBSERVERS:
+                    silent[name] = view.silent_since_ms
+        return {
+            name: {one: round(now_ms - since_ms) for one, since_ms in instances.items()}
+            for name, instances in silent.items()
+            if instances
+        }
+
+    def complete(self, beat: Beat, view: PeerView, since_ms: float | None) -> Beat:
+        """Add to a heartbeat what is for the peer that gets it.
+
+        What it is known to know already is left out: with changes of primary in full a
+        heartbeat is twice as large.
+        """
+        missing = [
+            record
+            for record in list(self._directory.leads.values())
+            if since_ms is None
+            or view.acknowledged.get(record.service, 0) < record.epoch
+        ]
+        scope = self._find_scope(view)
+        return beat._replace(
+            report=self._rates.make_report(since_ms, scope, view.name),
+            silent=self._describe_silent(scope, self._clock.now_ms()),
+            leads=missing[:LEADS_IN_BEAT],
+            all_told=len(missing) <= LEADS_IN_BEAT,
+            relayed=self._relay_to(view) if self._plan.relaying else None,
+            # News from behind a relay would else wait for the timers of all on its way.
+            asks=not self.contacts.is_mesh() and view.name in self._plan.contacts,
+        )
+
+    def _find_scope(self, view: PeerView) -> Scope:
+        if not self._plan.relaying:
+            return Scope.OWN
+        if view.peer.domain != self._domain:
+            return Scope.DOMAIN
+        return Scope.OWN if view.relaying else Scope.FLEET
+
+    def _relay_to(self, view: PeerView) -> Relayed | None:
+        """Return what a relay or the maker of a change needs to hear of the others."""
+        unsettled = [
+            record
+            for record in list(self._directory.leads.values())
+            if not record.settled
+        ]
+        makes_change = any(record.holder == view.name for record in unsettled)
+        if not (view.relaying or makes_change):
+            return None
+        now_ms = self._clock.now_ms()
+        near = self.contacts.list_domain(self._domain)
+        views = {name: self._gossip.views.get(name) for name in near}
+        heard = {
+            name: round(now_ms - one.told_at_ms)
+            for name, one in views.items()
+            if one is not None and one.told_at_ms >= now_ms - LEASE_MS
+        }
+        acknowledged = {}
+        for record in unsettled:
+            names = [
+                name
+                for name, one in views.items()
+                if one is not None
+                and one.acknowledged.get(record.service, 0) >= record.epoch
+            ]
+            acknowledged[record.service] = (record.epoch, names)
+        return Relayed(heard, acknowledged)
+
+    # Learning
+
+    def take(self, beat: Beat, view: PeerView, proven_ms: float) -> None:
         """Take a peer's heartbeat, which counts from `proven_ms`."""
         self._rates.note_report(beat.sender, beat.incarnation, proven_ms, beat.report)
-        epochs = {}
         for record in beat.leads:
-            epochs[record.service] = record.epoch
             self._take_lead(record)
-        if beat.mirror_at > 0:
-            self._note_heard()
+        if beat.relayed is not None:
+            self._take_relayed(beat.relayed, proven_ms)
+        self._take_proof(beat, proven_ms)
+        self._take_silent(beat)
         for service, (term, number, age_ms) in beat.positions.items():
             known = self._directory.leads.get(service)
-            if epochs.get(service) == (known.epoch if known else None):
+            if beat.acknowledged.get(service) == (known.epoch if known else None):
                 positions = self._placement.positions_of(service)
                 positions.note(proven_ms - age_ms, Position(term, number))
+        if self._plan.relaying and self._tells_of_change(view):
+            self._gossip.hurry()
+        if beat.asks:
+            self._gossip.answer(self.describe(), view, self.complete)
 
-    def _note_heard(self) -> None:
+    def _take_relayed(self, relayed: Relayed, proven_ms: float) -> None:
+        views = self._gossip.views
+        for name, age_ms in relayed.heard.items():
+            if name in views:
+                told_at_ms = views[name].told_at_ms
+                views[name].told_at_ms = max(told_at_ms, proven_ms - age_ms)
+        for service, (epoch, names) in relayed.acknowledged.items():
+            for name in names:
+                if name in views:
+                    known = views[name].acknowledged.get(service, 0)
+                    views[name].acknowledged[service] = max(known, epoch)
+
+    def _take_proof(self, beat: Beat, proven_ms: float) -> None:
+        if beat.mirror_at <= 0 or not beat.all_told:
+            return
+        if beat.proof_age_ms is not None:
+            self._guard.note_passed_on(proven_ms - beat.proof_age_ms)
         self._guard.note_members(
-            view.heard_at_ms if view.mirror_at > 0 else NEVER_MS
-            for view in self._gossip.views.values()
+            view.told_at_ms for view in self._gossip.views.values()
         )
 
+    def _take_silent(self, beat: Beat) -> None:
+        now_ms = self._clock.now_ms()
+        # Who tells of none has none any more.
+        told = {beat.sender: {}, **beat.silent}
+        for name, instances in told.items():
+            view = self._gossip.views.get(name)
+            if view is None:
+                continue
+            view.silent_at_ms = now_ms
+            view.silent_directly = name == beat.sender
+            view.silent_since_ms = {
+                one: now_ms - for_ms for one, for_ms in instances.items()
+            }
+
+    def _tells_of_change(self, view: PeerView) -> bool:
+        """Return whether a peer has just acknowledged a change that is under way."""
+        before = view.acknowledged_before
+        view.acknowledged_before = dict(view.acknowledged)
+        return before != view.acknowledged_before
+
     # What changes of primary go by
 
     def list_acknowledged(self, service: str, epoch: int) -> set[str]:
@@ -118,7 +314,7 @@
         return [
             view.silent_since_ms[instance_id]
             for view in self._gossip.views.values()
-            if view.received_at_ms >= oldest_ms and instance_id in view.silent_since_ms
+            if view.silent_at_ms >= oldest_ms and instance_id in view.silent_since_ms
         ]
 
     def tell_quiet(self, service: str) -> None:
--- a/bronzerelay/pooler/leadership.py
+++ b/bronzerelay/pooler/leadership.py
@@ -60,6 +60,16 @@
             self._heard_ms = max(self._heard_ms, times[needed - 1])
             self._proven_ms = max(self._proven_ms, self._heard_ms)
 
+    def note_passed_on(self, proven_ms: float) -> None:
+        """Take over the proof of a peer that has told all changes that it knows of.
+
+        It was no later than the heartbeat which brings it, so that no change that the
+        proof rules out can have come into effect without this daemon knowing of it.
+        """
+        with self._lock:
+            self._heard_ms = max(self._heard_ms, proven_ms)
+            self._proven_ms = max(self._proven_ms, proven_ms)
+
     def note_store(self, read_at_ms: float) -> None:
         """Note that all changes in the store up to `read_at_ms` are known here."""
         with self._lock:
--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -4,10 +4,11 @@
 
 import msgspec
 
+from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.gossip import Gossip
 from bronzerelay.pooler.mirror import Item, Mirror, StoreError
-from bronzerelay.runtime import Address, Runtime, parse_address
+from bronzerelay.runtime import Runtime, parse_address
 
 MEMBER_PREFIX = "bronzerelay/members/"
 # Time between two looks whether this daemon is on the list, in milliseconds.
@@ -24,6 +25,8 @@
 
     name: str
     address: str
+    # Its failure domain.
+    domain: str = ""
 
 
 class Members:
@@ -33,18 +36,18 @@
         self,
         runtime: Runtime,
         name: str,
-        address: Address,
+        own: Peer,
         mirror: Mirror,
         gossip: Gossip,
         log: EventLog,
     ):
         self._runtime = runtime
         self._clock = runtime.clock
-        self._own = Member(name, str(address))
+        self._own = Member(name, str(own.address), own.domain)
         self._mirror = mirror
         self._gossip = gossip
         self._log = log
-        self._others: dict[str, Address] = {}
+        self._others: dict[str, Peer] = {}
         self.is_stopping = False
 
     def list_names(self) -> list[str]:
@@ -99,8 +102,8 @@
 
     # The others
 
-    def update(self) -> dict[str, Address] | None:
-        """Read the list; return the others' addresses when they changed, else None."""
+    def update(self) -> dict[str, Peer] | None:
+        """Read the list; return the others when they changed, else None."""
         others = self._read()
         if others == self._others:
             return None
@@ -108,12 +111,13 @@
         self._others = others
         return others
 
-    def _read(self) -> dict[str, Address]:
+    def _read(self) -> dict[str, Peer]:
         others = {}
         for item in self._list_items():
             try:
                 member = msgspec.json.decode(item.data or b"", type=Member)
-                others[member.name] = parse_address(member.address)
+                address = parse_address(member.address)
+                others[member.name] = Peer(address, member.domain)
             except (msgspec.DecodeError, ValueError) as error:
                 self._log.write(
                     "members", "A member can't be read.", key=item.key, error=str(error)
@@ -125,13 +129,18 @@
         return self._mirror.list_prefix(MEMBER_PREFIX)
 
     def remove_gone(self) -> None:
-        """Take one member off the list that has been silent for very long."""
+        """Take one member off the list that is addressed and silent for very long."""
         oldest_ms = self._clock.now_ms() - GONE_MEMBER_MS
-        views = self._gossip.views
+        views = {
+            name: view
+            for name, view in self._gossip.views.items()
+            if view.addressed_since_ms is not None
+        }
         gone = [
             name
             for name, view in views.items()
-            if max(view.received_at_ms, view.listed_at_ms) < oldest_ms
+            if max(view.received_at_ms, view.listed_at_ms, view.addressed_since_ms)
+            < oldest_ms
         ]
         # Whoever hears of few is cut off itself.
         if not gone or len(gone) * 2 > len(views):
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -81,11 +81,14 @@
             for gone in set(self._views) - set(listed):
                 del self._views[gone]
 
-    def list_own_samples(self, since_ms: float) -> dict[str, Sample]:
-        """Return what primaries have told this daemon since a moment, by service."""
+    def list_samples(self, since_ms: float, own: bool) -> dict[str, Sample]:
+        """Return the newest sample of each primary's log since a moment, by service.
+
+        With `own` those alone that primaries have told this daemon itself.
+        """
         found = {}
         for service, positions in list(self._positions.items()):
-            sample = positions.own
+            sample = positions.own if own else positions.newest()
             if sample is not None and sample.at_ms >= since_ms:
                 found[service] = sample
         return found
--- a/bronzerelay/pooler/positions.py
+++ b/bronzerelay/pooler/positions.py
@@ -63,6 +63,11 @@
             if last is None or at_ms - last.at_ms >= SPACING_MS:
                 self._samples.append(Sample(at_ms, position))
 
+    def newest(self) -> Sample | None:
+        """Return the newest sample, whoever had it from the primary."""
+        with self._lock:
+            return self._samples[-1] if self._samples else None
+
     def last_ms(self) -> float:
         """Return when the primary was last heard of, or began to lead."""
         with self._lock:
--- /dev/null
+++ b/tests/builders_heartbeats.py
@@ -0,0 +1,171 @@
+"""A fleet's heartbeats in one process: real senders and receivers on a set clock."""
+
+from collections import deque
+
+from bronzerelay.pooler.contacts import Peer
+from bronzerelay.pooler.fleetrates import FleetRates
+from bronzerelay.pooler.gossip import BEAT_MS, Gossip
+from bronzerelay.pooler.heartbeats import Heartbeats
+from bronzerelay.pooler.leadership import LeadGuard
+from bronzerelay.pooler.placement import Placement
+from bronzerelay.runtime import Address, Random
+from tests.builders_pooler import (
+    SetClock,
+    make_directory,
+    make_log,
+    make_runtime,
+    make_workspace,
+)
+
+STEP_MS = 10.0
+UPKEEP_STEPS = 25
+
+
+class FakeMirror:
+    """A mirror that has been loaded."""
+
+    def __init__(self):
+        self.at = 7
+
+
+class FakeDatagrams:
+    """A port on the fleet's network."""
+
+    def __init__(self, network: "Network", address: Address):
+        self._network = network
+        self.address = address
+        self.arrived: deque[bytes] = deque()
+
+    def send_to(self, data: bytes, address: Address) -> None:
+        self._network.send(self.address, address, data)
+
+    def receive(self, size: int) -> bytes:
+        return self.arrived.popleft()
+
+
+class Network:
+    """Carries datagrams at the next step, unless a cut lies between their ends."""
+
+    def __init__(self):
+        self.ports: dict[Address, FakeDatagrams] = {}
+        self.is_cut = lambda sender, receiver: False
+        self.sent: list[tuple[Address, Address, bytes]] = []
+        self.bytes_between: dict[tuple[str, str], int] = {}
+        self.domains: dict[Address, str] = {}
+
+    def open(self, address: Address) -> FakeDatagrams:
+        self.ports[address] = FakeDatagrams(self, address)
+        return self.ports[address]
+
+    def send(self, sender: Address, receiver: Address, data: bytes) -> None:
+        pair = (self.domains[sender], self.domains[receiver])
+        self.bytes_between[pair] = self.bytes_between.get(pair, 0) + len(data)
+        self.sent.append((sender, receiver, data))
+
+    def count_between_domains(self) -> int:
+        return sum(n for (one, two), n in self.bytes_between.items() if one != two)
+
+    def deliver(self) -> None:
+        sent, self.sent = self.sent, []
+        for sender, receiver, data in sent:
+            if not self.is_cut(sender.host, receiver.host):
+                self.ports[receiver].arrived.append(data)
+
+
+class Daemon:
+    """The parts of a daemon that heartbeats concern."""
+
+    def __init__(self, fleet: "HeartbeatFleet", name: str, domain: str, number: int):
+        runtime = make_runtime(fleet.clock)
+        runtime.open_datagrams = fleet.network.open
+        self.name = name
+        self.peer = Peer(Address(name, number), domain)
+        fleet.network.domains[self.peer.address] = domain
+        self.directory = make_directory(runtime)
+        self.placement = Placement(runtime, self.directory)
+        self.rates = FleetRates(runtime, name)
+        self.guard = LeadGuard(runtime, self.directory)
+        self.gossip = Gossip(runtime, name, self.peer.address, make_log(runtime))
+        self.gossip.incarnation = fleet.chance.getrandbits(48)
+        self.heartbeats = Heartbeats(
+            runtime,
+            name,
+            domain,
+            self.gossip,
+            FakeMirror(),
+            self.directory,
+            self.placement,
+            self.rates,
+            self.guard,
+            self.take_lead,
+        )
+        self.next_beat_ms = fleet.clock.now_ms() + fleet.chance.uniform(0, BEAT_MS)
+        self.is_alive = True
+
+    def take_lead(self, record) -> None:
+        if self.directory.set_lead(record):
+            self.gossip.hurry()
+
+    def set_peers(self, peers: dict[str, Peer]) -> None:
+        others = {name: peer for name, peer in peers.items() if name != self.name}
+        self.gossip.set_members(others)
+        self.heartbeats.contacts.set_peers(others)
+
+    def beat(self, now_ms: float) -> None:
+        if now_ms < self.next_beat_ms and not self.gossip._hurried:
+            return
+        hurried, self.gossip._hurried = self.gossip._hurried, False
+        self.next_beat_ms = now_ms + BEAT_MS
+        beat = self.heartbeats.begin_round()
+        self.gossip.send_round(beat, self.heartbeats.complete, hurried)
+
+    def receive(self) -> None:
+        arrived = self.gossip._sock.arrived
+        while arrived:
+            self.gossip._take(arrived.popleft(), self.heartbeats.take)
+
+
+class HeartbeatFleet:
+    """Daemons spread evenly over failure domains."""
+
+    def __init__(self, count: int, domains: int = 3, seed: int = 1, **workspace):
+        self.clock = SetClock()
+        self.chance = Random(seed)
+        self.network = Network()
+        self.daemons: dict[str, Daemon] = {}
+        for number in range(count):
+            name = f"d{number}"
+            domain = f"z{number % domains}"
+            self.daemons[name] = Daemon(self, name, domain, number + 1)
+        peers = {name: daemon.peer for name, daemon in self.daemons.items()}
+        for daemon in self.daemons.values():
+            daemon.set_peers(peers)
+            daemon.rates.set_workspaces([make_workspace(**workspace)])
+        self._steps = 0
+
+    def list_alive(self) -> list[Daemon]:
+        return [daemon for daemon in self.daemons.values() if daemon.is_alive]
+
+    def list_relays(self) -> list[Daemon]:
+        alive = self.list_alive()
+        return [one for one in alive if one.heartbeats.describe().relaying]
+
+    def step(self) -> None:
+        """Let one step pass: what was sent arrives, and who is due sends."""
+        self.clock.sleep_ms(STEP_MS)
+        self._steps += 1
+        self.network.deliver()
+        now_ms = self.clock.now_ms()
+        names = list(self.daemons)
+        for daemon in self.list_alive():
+            daemon.receive()
+            daemon.beat(now_ms)
+            if self._steps % UPKEEP_STEPS == 0:
+                serving = [name for name in names if name != daemon.name]
+                daemon.rates.set_sources(daemon.heartbeats.list_sources(serving))
+
+    def run(self, duration_ms: float, each_step=lambda: None) -> None:
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.step()
+            each_step()
