Let daemons behind relays fetch from them what changes in the store

Ruled out: loads at the start (81) and joining (81).

Change: a daemon that hears a relay of its failure domain waits for what the relay tells of the store's revision, and fetches from it what has changed since its own; relays tell such news at once. It watches the store itself without a relay, when it wants a proof, and for 5 s after a relay gave it nothing (one whose link is too narrow is heard all the same). A mirror for a peer holds the changes after a revision, with removed keys, and is compressed.

Tests: what a peer gets, removed keys, a relay that gives nothing, relays that go; a configuration and a change of primary through relays on the stand-ins.

--- a/bronzerelay/pooler/catchup.py
+++ b/bronzerelay/pooler/catchup.py
@@ -1,5 +1,7 @@
 """Taking a peer's mirror of the store, where this daemon's own is behind."""
 
+from urllib.parse import parse_qs
+
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.gossip import Gossip
 from bronzerelay.pooler.httpcalls import CallLostError, HttpClient
@@ -7,12 +9,20 @@
 from bronzerelay.runtime import Address, Runtime
 
 MIRROR_PATH = "/mirror"
+# The field of its query that names the revision after which changes are wanted.
+AFTER = "after"
 # How long a peer may be ahead of this mirror before the peer is asked, in
 # milliseconds: a watch that works brings the change within a few.
 BEHIND_MS = 400
 PEER_CALL_MS = 600
 
 
+def read_after(query: str) -> int:
+    """Return the revision that a query for a mirror names; 0, for all, without one."""
+    found = parse_qs(query).get(AFTER, ["0"])[0]
+    return int(found) if found.isdecimal() else 0
+
+
 class CatchUp:
     """Looks whether peers are ahead, and asks one of them."""
 
@@ -59,17 +69,22 @@
         if addresses:
             address = self._runtime.random.choice(addresses)
             if address not in self._own:
-                self._fetch_mirror(address)
+                self.fetch(address)
 
-    def _fetch_mirror(self, address: Address) -> None:
+    def fetch(self, address: Address) -> bool:
+        """Take over what a peer knows beyond this mirror; return whether it told."""
         client = HttpClient(self._runtime, address)
+        path = f"{MIRROR_PATH}?{AFTER}={self._mirror.at}"
         try:
-            answer = client.call("GET", MIRROR_PATH, b"", PEER_CALL_MS)
-            if answer.status == 200:
-                self._mirror.unpack(answer.body, str(address))
+            answer = client.call("GET", path, b"", PEER_CALL_MS)
+            if answer.status != 200:
+                return False
+            self._mirror.unpack(answer.body, str(address))
+            return True
         except (CallLostError, ValueError) as error:
             self._log.write_request(
                 "store", "A peer gave no mirror.", peer=str(address), error=str(error)
             )
+            return False
         finally:
             client.interrupt()
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from bronzerelay.env import ADVISED_SWITCH_INTERVAL_S
-from bronzerelay.pooler.catchup import MIRROR_PATH, CatchUp
+from bronzerelay.pooler.catchup import MIRROR_PATH, CatchUp, read_after
 from bronzerelay.pooler.changes import (
     LEAD_PREFIX,
     FleetView,
@@ -187,6 +187,9 @@
         )
         self.mirror.wants_proof = self.guard.needs_store
         self.mirror.note_proof = self.guard.note_store
+        self.mirror.goes_by_relay = self.heartbeats.has_relay
+        self.mirror.note_change = self.heartbeats.tell_change
+        self.mirror.fetch = self.catch_up.fetch
         self.guard.note_quiet = self.heartbeats.tell_quiet
         self.reload_wanted = False
         self.stopping: Signal = runtime.make_signal()
@@ -220,11 +223,11 @@
 
     def show_page(self, path: str) -> HttpAnswer:
         """Return the page at a path."""
-        path = path.partition("?")[0]
+        path, _, query = path.partition("?")
         if path == READY_PATH:
             return HttpAnswer(200 if self.is_ready() else 503, b"")
         if path == MIRROR_PATH:
-            return HttpAnswer(200, self.mirror.pack())
+            return HttpAnswer(200, self.mirror.pack(read_after(query)))
         if path == METRICS_PATH:
             return HttpAnswer(200, self.counters.render(self._list_gauges()))
         return HttpAnswer(404, b"")
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -85,6 +85,21 @@
         """Return whether this daemon hears of enough to take silent ones for gone."""
         return self._plan.relaying or self.contacts.is_mesh()
 
+    def has_relay(self) -> bool:
+        """Return whether a relay tells this daemon what changes in the store."""
+        if self.contacts.is_mesh() or self._plan.relaying:
+            return False
+        views = self._gossip.views
+        return any(
+            name in views and views[name].mirror_at > 0 and not self._is_silent(name)
+            for name in self._plan.relays.get(self._domain, ())
+        )
+
+    def tell_change(self) -> None:
+        """Tell at once that something has changed in the store, where others wait."""
+        if self._plan.relaying:
+            self._gossip.hurry()
+
     def list_sources(self, serving: list[str]) -> dict[str, SourceGroup]:
         """Return who tells of the operations of the other members that serve."""
         if self.contacts.is_mesh():
@@ -238,6 +253,8 @@
         self._rates.note_report(beat.sender, beat.incarnation, proven_ms, beat.report)
         for record in beat.leads:
             self._take_lead(record)
+        if view.relaying and not self._plan.relaying:
+            self._mirror.note_told(beat.mirror_at, view.address)
         if beat.relayed is not None:
             self._take_relayed(beat.relayed, proven_ms)
         self._take_proof(beat, proven_ms)
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -1,17 +1,19 @@
-"""A mirror of the platform's store: loaded once, then kept by one watch.
+"""A mirror of the platform's store: loaded once, then kept by a watch or from a relay.
 
-All daemons watch everything, so that each change costs each daemon one call. A daemon
-that the store turns away, or whose watch fell silent, takes the mirror of a peer that
-is ahead of it.
+Who watches, watches everything, so that each change costs each of them one call. In a
+large fleet only relays do, and the daemons behind them fetch from them what is new. A
+daemon that the store turns away, or whose watch fell silent, takes the mirror of a peer
+that is ahead of it.
 """
 
+import zlib
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, Protocol
 
 import msgspec
 
 from bronzerelay.pooler.events import EventLog
-from bronzerelay.runtime import Runtime
+from bronzerelay.runtime import Address, Runtime
 
 # How long a watch may wait at the store, in milliseconds. Whatever a silent watch
 # misses is fetched from a peer, so that it may be long and calls few.
@@ -24,6 +26,18 @@
 GATHER_MS = 120
 # The time that any other call may take, in milliseconds.
 CALL_TIMEOUT_MS = 1_500
+# How long a daemon behind a relay waits for news before it looks again whether it
+# should still go by the relay, in milliseconds.
+FOLLOW_WAIT_MS = 300
+# How long a daemon goes by the store itself after a relay gave it nothing, in
+# milliseconds: a relay may be heard of and its link be too narrow for a mirror.
+DISTRUST_MS = 5_000
+# How hard a mirror is compressed for a peer, of 9: configurations shrink to a tenth.
+COMPRESSION = 1
+# The largest mirror that is taken from a peer, in bytes.
+MAX_MIRROR_BYTES = 64 * 1024 * 1024
+# Removed keys that are remembered, to tell a peer what has changed since a revision.
+REMOVED_LIMIT = 1_000
 # Pauses after failed calls, in milliseconds: short at first, since most outages are.
 RETRY_PAUSES_MS = (100, 200, 400, 700)
 
@@ -86,10 +100,29 @@
 
 
 class PeerMirror(NamedTuple):
-    """A mirror as it travels between daemons."""
+    """A mirror as it travels between daemons: whole, or what changed after `since`.
 
+    A key without data was removed at its revision.
+    """
+
+    at: int
+    items: list[tuple[str, bytes | None, int]]
+    since: int = 0
+
+
+class Told(NamedTuple):
+    """A revision that a relay knows, and where the relay is."""
+
+    at: int
+    address: Address | None
+
+
+class Packed(NamedTuple):
+    """A mirror for a peer, with the revisions that it is from and up to."""
+
+    since: int
     at: int
-    items: list[tuple[str, bytes, int]]
+    data: bytes
 
 
 class Mirror:
@@ -103,6 +136,15 @@
         self._log = log
         self._lock = runtime.make_lock()
         self._items: dict[str, Item] = {}
+        # The revisions at which keys were removed, all of those after `_removed_from`.
+        self._removed: dict[str, int] = {}
+        self._removed_from = 0
+        self._condition = runtime.make_condition()
+        # The newest revision that a relay has told of, and which one it was.
+        self._told = Told(0, None)
+        self._distrust_until_ms = 0.0
+        # The last answer to a peer, with the revisions that it is from and up to.
+        self._packed = Packed(0, 0, b"")
         self._failures = 0
         self.at = 0
         self.loaded = False
@@ -110,6 +152,12 @@
         self.wants_proof: Callable[[], bool] = lambda: False
         # Takes the moment up to which all changes are known.
         self.note_proof: Callable[[float], None] = lambda _: None
+        # Whether this daemon goes by a relay instead of watching the store.
+        self.goes_by_relay: Callable[[], bool] = lambda: False
+        # Fetches from a peer what is new; returns whether it gave an answer.
+        self.fetch: Callable[[Address], bool] = lambda _: False
+        # Is told that something has changed here.
+        self.note_change: Callable[[], None] = lambda: None
         self._hurried = False
         self._waits_long = False
 
@@ -124,10 +172,13 @@
     # Taking changes in
 
     def _apply(self, changes: Changes) -> None:
+        before = self.at
         with self._lock:
             for item in changes.items:
                 self._apply_item(item)
             self.at = max(self.at, changes.at)
+        if self.at > before:
+            self.note_change()
 
     def _apply_item(self, item: Item) -> None:
         known = self._items.get(item.key)
@@ -135,10 +186,19 @@
             return
         if item.data is None:
             self._items.pop(item.key, None)
+            self._remember_removed(item)
         else:
             self._items[item.key] = item
+            self._removed.pop(item.key, None)
         self._take(item)
 
+    def _remember_removed(self, item: Item) -> None:
+        self._removed.pop(item.key, None)
+        self._removed[item.key] = item.revision
+        while len(self._removed) > REMOVED_LIMIT:
+            oldest = next(iter(self._removed))
+            self._removed_from = max(self._removed_from, self._removed.pop(oldest))
+
     def _replace(self, items: Iterable[Item], at: int) -> None:
         """Take over a whole state; keys that it lacks count as removed."""
         with self._lock:
@@ -154,6 +214,9 @@
                     self._apply_item(Item(key, None, at + 1))
             self.at = at
             self.loaded = True
+            # At which revisions the missing keys were removed isn't known.
+            self._removed_from = at
+        self.note_change()
 
     # Following the store
 
@@ -167,6 +230,9 @@
                     changes = self._store.load("", CALL_TIMEOUT_MS)
                     self._replace(changes.items, changes.at)
                     loaded = True
+                elif self._should_follow():
+                    self._follow()
+                    continue
                 else:
                     self._watch()
             except HistoryLostError as error:
@@ -189,6 +255,36 @@
         if changes.items and not self.wants_proof():
             self._runtime.sleep_ms(GATHER_MS)
 
+    # Following a relay
+
+    def note_told(self, at: int, address: Address) -> None:
+        """Note that a relay at an address knows all changes up to a revision."""
+        with self._condition:
+            if at > self._told.at:
+                self._told = Told(at, address)
+                self._condition.notify()
+
+    def _should_follow(self) -> bool:
+        return (
+            self._clock.now_ms() >= self._distrust_until_ms
+            and self.goes_by_relay()
+            and not self.wants_proof()
+        )
+
+    def _follow(self) -> None:
+        """Wait for news from a relay, and fetch them."""
+        with self._condition:
+            self._runtime.wait_for(
+                self._condition, lambda: self._told.at > self.at, FOLLOW_WAIT_MS
+            )
+            told = self._told
+        if told.address is None or told.at <= self.at:
+            return
+        if not self.fetch(told.address):
+            self._distrust_until_ms = self._clock.now_ms() + DISTRUST_MS
+            with self._condition:
+                self._told = Told(self.at, None)
+
     def tend(self) -> None:
         """Break off a long watch when the store has to show that nothing changed."""
         if self._waits_long and self.wants_proof():
@@ -214,26 +310,44 @@
 
     # Between daemons
 
-    def pack(self) -> bytes:
-        """Return the mirror for a peer."""
+    def pack(self, after: int = 0) -> bytes:
+        """Return for a peer what changed after a revision, or all when that is old."""
         with self._lock:
-            items = [
-                (item.key, item.data or b"", item.revision)
+            since = after if after >= self._removed_from and after > 0 else 0
+            if self._packed[:2] == (since, self.at):
+                return self._packed.data
+            items: list[tuple[str, bytes | None, int]] = [
+                (item.key, item.data, item.revision)
                 for item in self._items.values()
+                if item.revision > since
             ]
-            return msgspec.msgpack.encode(PeerMirror(self.at, items))
+            if since:
+                items += [
+                    (key, None, revision)
+                    for key, revision in self._removed.items()
+                    if revision > since
+                ]
+            encoded = msgspec.msgpack.encode(PeerMirror(self.at, items, since))
+            data = zlib.compress(encoded, COMPRESSION)
+            # All daemons behind a relay ask for the same after a change.
+            self._packed = Packed(since, self.at, data)
+            return data
 
     def unpack(self, data: bytes, source: str) -> None:
         """Take over a peer's mirror if it is ahead; raise ValueError on nonsense."""
         try:
-            packed = msgspec.msgpack.decode(data, type=PeerMirror)
-        except msgspec.DecodeError as error:
+            encoded = zlib.decompressobj().decompress(data, MAX_MIRROR_BYTES)
+            packed = msgspec.msgpack.decode(encoded, type=PeerMirror)
+        except (zlib.error, msgspec.DecodeError) as error:
             raise ValueError(f"the mirror of {source} can't be read: {error}") from None
         if packed.at <= self.at:
             return
         before = self.at
         items = [Item(key, value, revision) for key, value, revision in packed.items]
-        self._replace(items, packed.at)
+        if packed.since == 0:
+            self._replace(items, packed.at)
+        elif packed.since <= before:
+            self._apply(Changes(items, packed.at))
         self._log.write(
             "store",
             "A peer's mirror was taken over.",
--- a/tests/builders_heartbeats.py
+++ b/tests/builders_heartbeats.py
@@ -26,6 +26,10 @@
 
     def __init__(self):
         self.at = 7
+        self.told = []
+
+    def note_told(self, at, address) -> None:
+        self.told.append(at)
 
 
 class FakeDatagrams:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -1,5 +1,7 @@
 """The mirror of the platform's store."""
 
+import zlib
+
 import msgspec
 import pytest
 
@@ -110,9 +112,73 @@
     def test_peer_that_is_behind_changes_nothing(self):
         mirror, _ = self.make()
         behind = msgspec.msgpack.encode(PeerMirror(3, [("z", b"1", 2)]))
-        mirror.unpack(behind, "peer")
+        mirror.unpack(zlib.compress(behind), "peer")
         assert mirror.get("z") is None
 
     def test_nonsense_is_refused(self):
         with pytest.raises(ValueError, match="can't be read"):
             self.make()[0].unpack(b"\xc1", "peer")
+
+    def test_peer_gets_what_changed_after_its_revision(self):
+        gone = Item("b", None, 8)
+        ahead, _, _ = run_script(Changes([A1, B1], 4), Changes([A2, gone], 9))
+        encoded = zlib.decompress(ahead.pack(4))
+        packed = msgspec.msgpack.decode(encoded, type=PeerMirror)
+        assert packed == PeerMirror(9, [("b", None, 8)], 4)
+        mirror, _, _ = run_script(Changes([A1, B1], 4))
+        mirror.unpack(ahead.pack(4), "peer")
+        assert (mirror.get("b"), mirror.at) == (None, 9)
+
+    def test_peer_that_is_too_far_behind_gets_all(self):
+        # A relay loads the store anew and can't tell when the keys that it lacks were
+        # removed. Told only what changed, a peer would keep an instance that is gone.
+        ahead, _, _ = run_script(
+            Changes([A1, B1], 4), HistoryLostError("gone"), Changes([A2], 9)
+        )
+        mirror, _, _ = run_script(Changes([A1, B1], 4))
+        mirror.unpack(ahead.pack(4), "peer")
+        assert (mirror.get("b"), mirror.at) == (None, 9)
+
+    def test_changes_that_begin_after_this_mirrors_revision_are_left_aside(self):
+        # The answer to an earlier question comes late, or a peer answers nonsense. What
+        # changed in between would be missing for good.
+        mirror, _ = self.make()
+        ahead = msgspec.msgpack.encode(PeerMirror(9, [("z", b"1", 8)], 6))
+        mirror.unpack(zlib.compress(ahead), "peer")
+        assert (mirror.get("z"), mirror.at) == (None, 4)
+
+
+class TestRelays:
+    def make(self, *steps):
+        runtime = make_runtime()
+        store = ScriptedStore(runtime, [Changes([A1], 1), *steps])
+        mirror = Mirror(runtime, store, lambda item: None, make_log(runtime))
+        mirror.goes_by_relay = lambda: True
+        return runtime, store, mirror
+
+    def test_news_of_a_relay_are_fetched_and_the_store_isnt_asked(self):
+        runtime, store, mirror = self.make()
+        relay, _, _ = run_script(Changes([A2], 9))
+        fetched = []
+
+        def fetch(address):
+            fetched.append(address)
+            mirror.unpack(relay.pack(mirror.at), "relay")
+            runtime._stopping.set()
+            return True
+
+        mirror.fetch = fetch
+        mirror.note_told(9, "relay")
+        mirror.run()
+        assert (fetched, store.waits) == (["relay"], [])
+        assert (mirror.get("a"), mirror.at) == (A2, 9)
+
+    def test_daemon_whose_relay_gives_nothing_goes_by_the_store(self):
+        # A relay is heard, but its link is too narrow to send its mirror in time. A key
+        # that was withdrawn would go on working behind it.
+        _, store, mirror = self.make(Changes([A2], 9))
+        mirror.fetch = lambda address: False
+        mirror.note_told(9, "relay")
+        mirror.run()
+        assert store.waits[0][0] == 1
+        assert mirror.get("a") == A2
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bronzerelay.pooler import session
+from bronzerelay.pooler import contacts, session
 from bronzerelay.pooler.changes import CLOSE_ENTRIES
 from bronzerelay.pooler.placement import POSITION_AGE_MS
 from bronzerelay.pooler.runner import share_slots
@@ -300,6 +300,65 @@
         assert daemon.pool.opened == opened + 1
 
 
+class TestRelays:
+    """Four daemons, of which two are relays and two stand behind them."""
+
+    NAMES = ("d1", "d2", "d3", "d4")
+
+    @pytest.fixture(autouse=True)
+    def shrink(self, monkeypatch):
+        monkeypatch.setattr(contacts, "FULL_MESH", 3)
+
+    def start(self, fleet):
+        """Return the relays and those behind them."""
+        daemons = [fleet.start(name) for name in self.NAMES]
+
+        def is_settled():
+            behind = [one for one in daemons if one.heartbeats.has_relay()]
+            return len(behind) == 2 and all(one.is_ready() for one in daemons)
+
+        fleet.wait(is_settled, "two daemons are behind relays")
+        # Watches that began before the relays were known have to end.
+        for daemon in daemons:
+            daemon._plugins.store.interrupt()
+        fleet.runtime.clock.sleep_ms(300)
+        relays = [one for one in daemons if not one.heartbeats.has_relay()]
+        return relays, [one for one in daemons if one not in relays]
+
+    def test_configuration_comes_through_relays(self, fleet):
+        # Each change of the store costs a call for each daemon that watches it. Of 81
+        # daemons 75 were called for nothing, since six could tell them.
+        _, behind = self.start(fleet)
+        for daemon in behind:
+            daemon._plugins.store.watch = None
+        version = fleet.platform.configure()
+        fleet.wait(
+            lambda: all(one.directory.version == version for one in behind),
+            "the new version behind relays",
+            2000,
+        )
+
+    def test_daemons_go_by_the_store_when_their_relays_are_gone(self, fleet):
+        relays, behind = self.start(fleet)
+        for relay in relays:
+            relay.gossip.close()
+        fleet.runtime.clock.sleep_ms(1500)
+        version = fleet.platform.configure()
+        fleet.wait(
+            lambda: all(one.directory.version == version for one in behind),
+            "the new version without relays",
+            2500,
+        )
+
+    def test_silent_primary_is_replaced(self, fleet):
+        _, behind = self.start(fleet)
+        caller = open_session(fleet, STRICT, name=behind[0]._settings.name)
+        run_ok(caller, "STORE row 1")
+        fleet.platform.group.instances["orders-0"].silent = True
+        fleet.wait(lambda: not caller.query("STORE row 2").error, "a new primary")
+        assert len(fleet.platform.group.promotions) == 1
+
+
 class TestChangesOfPrimary:
     def change_to(self, fleet):
         return {name for name, _, _ in fleet.platform.group.promotions}
