Count in daemons' logs what was refused and tried again, and when

The command 'summary' reads logs as 'story' does, and prints a table by reason, workspace, service or daemon and interval, as text, JSON or a plot. Reading of log lines stands in a module of its own.

--- a/bronzerelay/cli.py
+++ b/bronzerelay/cli.py
@@ -10,7 +10,7 @@
 from bronzerelay.filecommands import endpoint, workspace
 from bronzerelay.fleet import Counters, DaemonState, find_unasked
 from bronzerelay.keycommands import key
-from bronzerelay.logcommands import changes, story
+from bronzerelay.logcommands import changes, story, summary
 from bronzerelay.options import FLEET, Session, takes, write_examples
 from bronzerelay.printing import (
     DONE,
@@ -42,6 +42,7 @@
 main.add_command(key)
 main.add_command(story)
 main.add_command(changes)
+main.add_command(summary)
 
 
 @main.command(
--- a/bronzerelay/logcommands.py
+++ b/bronzerelay/logcommands.py
@@ -1,13 +1,20 @@
-"""The commands that read daemons' logs: a request's story, and changes of primary."""
+"""The commands that read daemons' logs: a request's story, changes, a summary."""
 
 import sys
-from collections.abc import Iterable
-from typing import Any, NamedTuple, TextIO
+from pathlib import Path
+from typing import TextIO
 
 import click
-import msgspec
 
 from bronzerelay.codes import Code, refuse
+from bronzerelay.loglines import LogLine, read_lines
+from bronzerelay.logsummary import (
+    GROUPINGS,
+    describe,
+    summarize,
+    write_plot,
+    write_table,
+)
 from bronzerelay.options import Session, takes, write_examples
 from bronzerelay.printing import DONE, show, show_refusal
 
@@ -21,42 +28,6 @@
 HEAD_FIELDS = ("time_ms", "steady_ms", "node", "part", "message")
 
 
-class LogLine(NamedTuple):
-    """One line of a daemon's log."""
-
-    time_ms: int
-    node: str
-    part: str
-    message: str
-    fields: dict[str, Any]
-
-
-def read_lines(files: Iterable[TextIO]) -> list[LogLine]:
-    """Return the log lines of all files by time; what is no log line is left out.
-
-    Clocks of two VMs may differ: between VMs the order is good to that difference.
-    """
-    lines = []
-    for file in files:
-        for text in file:
-            line = _read_line(text)
-            if line is not None:
-                lines.append(line)
-    return sorted(lines, key=lambda line: line.time_ms)
-
-
-def _read_line(text: str) -> LogLine | None:
-    start = text.find("{")
-    if start < 0:
-        return None
-    try:
-        fields = msgspec.json.decode(text[start:].strip().encode())
-        head = [fields.pop(name) for name in ("time_ms", "node", "part", "message")]
-    except (msgspec.DecodeError, KeyError, AttributeError, TypeError):
-        return None
-    return LogLine(*head, fields)
-
-
 def select_story(lines: list[LogLine], request: str) -> list[LogLine]:
     """Return a request's lines, and what its daemons came to believe around them."""
     own = [line for line in lines if line.fields.get("request") == request]
@@ -133,3 +104,59 @@
     """Show the changes of primary that LOGS (or standard input) hold, in order."""
     found = select_changes(_open_logs(logs), service)
     return _show(session, found, "no line is on a change of primary")
+
+
+@click.command(
+    epilog=write_examples(
+        "bronzerelay summary *.log",
+        "bronzerelay summary --by workspace --every 5 *.log",
+    )
+)
+@click.option(
+    "--by", type=click.Choice(GROUPINGS), default=GROUPINGS[0], show_default=True
+)
+@click.option(
+    "--every",
+    type=click.IntRange(1, 3600),
+    default=2,
+    show_default=True,
+    help="Seconds that a row of the table is for.",
+)
+@click.option(
+    "--most",
+    type=click.IntRange(1, 20),
+    default=6,
+    show_default=True,
+    help="Columns of the table: the most frequent refusals and retries.",
+)
+@click.option(
+    "--plot",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="A PNG file to draw the table into; needs matplotlib.",
+)
+@click.argument("logs", nargs=-1, type=click.File("r", errors="replace"))
+@takes()
+def summary(
+    session: Session,
+    by: str,
+    every: int,
+    most: int,
+    plot: Path | None,
+    logs: tuple[TextIO, ...],
+) -> int:
+    """Count in LOGS (or standard input) what was served, refused and tried again.
+
+    It shows when, and by reason, workspace, service or daemon.
+    """
+    found = summarize(_open_logs(logs), every, by)
+    if not found.totals:
+        missing = "no line tells what became of a statement"
+        return show_refusal(session.output, refuse(Code.NOT_FOUND, missing).error)
+    if plot is not None:
+        try:
+            write_plot(found, plot, most)
+        except ImportError:
+            missing = "--plot needs the library matplotlib, which isn't installed"
+            return show_refusal(session.output, refuse(Code.NOT_FOUND, missing).error)
+    show(session.output, describe(found), write_table(found, most))
+    return DONE
--- /dev/null
+++ b/bronzerelay/loglines.py
@@ -0,0 +1,42 @@
+"""Lines of daemons' logs, read from files."""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple, TextIO
+
+import msgspec
+
+
+class LogLine(NamedTuple):
+    """One line of a daemon's log."""
+
+    time_ms: int
+    node: str
+    part: str
+    message: str
+    fields: dict[str, Any]
+
+
+def read_lines(files: Iterable[TextIO]) -> list[LogLine]:
+    """Return the log lines of all files by time; what is no log line is left out.
+
+    Clocks of two VMs may differ: between VMs the order is good to that difference.
+    """
+    lines = []
+    for file in files:
+        for text in file:
+            line = _read_line(text)
+            if line is not None:
+                lines.append(line)
+    return sorted(lines, key=lambda line: line.time_ms)
+
+
+def _read_line(text: str) -> LogLine | None:
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        fields = msgspec.json.decode(text[start:].strip().encode())
+        head = [fields.pop(name) for name in ("time_ms", "node", "part", "message")]
+    except (msgspec.DecodeError, KeyError, AttributeError, TypeError):
+        return None
+    return LogLine(*head, fields)
--- a/tests/test_logcommands.py
+++ b/tests/test_logcommands.py
@@ -5,7 +5,9 @@
 from click.testing import CliRunner
 
 from bronzerelay.cli import main
-from bronzerelay.logcommands import read_lines, select_changes, select_story
+from bronzerelay.logcommands import select_changes, select_story
+from bronzerelay.loglines import read_lines
+from bronzerelay.logsummary import summarize
 
 
 def make_line(time_ms, node="d1", part="session", **fields):
@@ -64,3 +66,57 @@
         result = CliRunner().invoke(main, ["changes"], input="".join(LOG))
         assert result.exit_code == 0
         assert result.output.count("epoch=") == 2
+
+
+def make_refusal(time_ms, reason, **fields):
+    line = json.loads(make_line(time_ms, reason=reason, **fields))
+    return json.dumps({**line, "message": "session: A caller was refused."})
+
+
+def make_attempt(time_ms, outcome, **fields):
+    line = json.loads(make_line(time_ms, part="runner", outcome=outcome, **fields))
+    return json.dumps({**line, "message": "runner: A statement was sent."})
+
+
+DAY = [
+    make_attempt(1000, "done", workspace="north"),
+    make_refusal(1500, "rate_exceeded", workspace="north"),
+    make_attempt(4100, "busy", workspace="south"),
+    make_refusal(4200, "rate_exceeded", workspace="south", node="d2"),
+]
+
+
+class TestSummary:
+    def test_counts_by_reason_and_interval(self):
+        found = summarize(read_lines([DAY]), 2, "reason")
+        assert found.totals == {
+            ("served", "done"): 1,
+            ("refused", "rate_exceeded"): 2,
+            ("tried again", "busy"): 1,
+        }
+        assert sorted(found.intervals) == [0, 2]
+        assert found.intervals[2][("refused", "rate_exceeded")] == 1
+
+    def test_counts_by_workspace(self):
+        found = summarize(read_lines([DAY]), 2, "workspace")
+        assert found.totals[("refused", "north")] == 1
+        assert found.totals[("tried again", "south")] == 1
+
+    def test_dropped_lines_are_told(self):
+        lines = [*DAY, make_line(5000, part="log", count=7)]
+        lines[-1] = lines[-1].replace("log: Something.", "log: Lines were dropped.")
+        assert summarize(read_lines([lines]), 2, "reason").dropped == 7
+
+    def test_command_prints_a_table_and_draws_it(self, tmp_path):
+        path, plot = tmp_path / "d1.log", tmp_path / "day.png"
+        path.write_text("\n".join(DAY))
+        arguments = ["summary", "--plot", str(plot), str(path)]
+        result = CliRunner().invoke(main, arguments)
+        assert result.exit_code == 0, result.output
+        assert "2  refused, rate_exceeded" in result.output
+        assert plot.stat().st_size > 0
+
+    def test_command_without_any_statement(self):
+        result = CliRunner().invoke(main, ["summary"], input="no log\n")
+        assert result.exit_code == 1
+        assert "no line tells" in result.output
