--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 RATIO ?= 1.25
 
 # Each name here stands for a job, not for a file.
-.PHONY: help setup demo capacity test bench bench-compare soak mutations lint
+.PHONY: help setup demo capacity test bench bench-compare soak mutations ablation lint
 .PHONY: format format-check check
 
 help:  ## Show this list.
@@ -43,6 +43,9 @@
 mutations: setup  ## Switch off one mechanism after another and see its test fail.
 	$(RUN) lab.mutations
 
+ablation: setup  ## Say how to measure what each mechanism is worth.
+	$(RUN) lab.ablation --help
+
 lint: setup  ## Check the code with the linter.
 	$(RUN) ruff check .
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,7 +9,7 @@
 from bronzerelay.pooler.mirror import Item
 from bronzerelay.runtime import Address
 from standins.linegroup import LOCAL
-from tests.builders_pooler import make_log, make_runtime
+from tests.builders_pooler import SetClock, make_log, make_runtime
 
 ADDRESS = Address(LOCAL, 1)
 PEER = Peer(ADDRESS)
@@ -20,6 +20,13 @@
 
     def __init__(self, revisions):
         self._revisions = revisions
+        self.removed = []
+
+    def get(self, key):
+        return next(item for item in self.list_prefix(key) if item.key == key)
+
+    def change(self, expected, puts, removed):
+        self.removed += removed
 
     def list_prefix(self, prefix):
         return [
@@ -81,3 +88,38 @@
     def test_half_are_too_few_where_the_others_were_never_heard_of(self):
         members = make_members({"d1": 1, "d2": 2}, {})
         assert not members.outvotes({"d1"})
+
+
+class TestRemoving:
+    """Five others are addressed, of which some have been silent."""
+
+    def make(self, silent_ms, addressed=("d2", "d3", "d4", "d5", "d6")):
+        clock = SetClock()
+        runtime = make_runtime(clock)
+        names = ["d2", "d3", "d4", "d5", "d6"]
+        gossip = FakeGossip(dict.fromkeys(names, 7))
+        for name, view in gossip.views.items():
+            view.received_at_ms = clock.now_ms() - silent_ms.get(name, 100)
+            view.addressed_since_ms = 0.0 if name in addressed else None
+        mirror = FakeMirror(dict.fromkeys(["d1", *names], 3))
+        members = Members(runtime, "d1", PEER, mirror, gossip, make_log(runtime))
+        members.update()
+        members.remove_gone()
+        return mirror.removed
+
+    def test_member_that_is_gone_for_good_is_off_the_list_after_seconds(self):
+        # A VM is replaced without a word. As long as it is listed a part of each
+        # workspace's rate is set aside for it: one caller of seven is refused beside a
+        # flood, and a change of primary may wait for it.
+        assert self.make({"d3": 6000}) == [MEMBER_PREFIX + "d3"]
+
+    def test_member_that_was_frozen_for_a_moment_stays(self):
+        assert self.make({"d3": 4000}) == []
+
+    def test_who_hears_of_few_removes_nobody(self):
+        # A daemon that is cut off itself would take all others off the list.
+        assert self.make({"d2": 6000, "d3": 6000, "d4": 6000}) == []
+
+    def test_member_that_isnt_addressed_isnt_judged(self):
+        # Behind relays a daemon hears of most others through these alone.
+        assert self.make({"d3": 6000}, addressed=("d2", "d4")) == []
