--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -241,6 +241,7 @@
             "store_revision": self.mirror.at,
             "links_opened": self.pool.opened,
             "heartbeat_bytes": self.gossip.bytes_sent,
+            "relaying": self.heartbeats.is_relaying(),
             "log_lines_dropped": self.log.dropped,
             "tasks": self._runtime.running_tasks(),
         }
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -81,6 +81,10 @@
         heard_ms = max(view.received_at_ms, view.addressed_since_ms)
         return self._clock.now_ms() - heard_ms > SILENT_PEER_MS
 
+    def is_relaying(self) -> bool:
+        """Return whether this daemon is a relay of its failure domain."""
+        return self._plan.relaying
+
     def judges_members(self) -> bool:
         """Return whether this daemon hears of enough to take silent ones for gone."""
         return self._plan.relaying or self.contacts.is_mesh()
--- a/lab/ablation.py
+++ b/lab/ablation.py
@@ -19,6 +19,8 @@
 
 WHOLE = "nothing switched off"
 COPIED = ("bronzerelay", "platform", "deploy")
+# What a play prints that broke a rule.
+BROKEN = "rules broken"
 # How long one play may take, in seconds.
 PLAY_LIMIT_S = 900
 
@@ -64,7 +66,7 @@
                 worth = float(fields[3])
             except ValueError:
                 continue
-            return Play(day, worth, "RULE" in output or "BROKEN" in output)
+            return Play(day, worth, BROKEN in output)
     return None
 
 
@@ -123,7 +125,12 @@
     chosen = [one for one in POOLER_MUTATIONS if only in one.mechanism]
     trees = {WHOLE: make_tree(out / "whole", None)}
     for number, mutation in enumerate(chosen):
-        trees[mutation.mechanism] = make_tree(out / f"without-{number}", mutation)
+        try:
+            tree = make_tree(out / f"without-{number}", mutation)
+        except ValueError as error:
+            click.echo(f"left out: {error}", err=True)
+            continue
+        trees[mutation.mechanism] = tree
     plays: dict[str, list[Play]] = {}
     running: list[Run] = []
     for mechanism, tree in trees.items():
