--- a/lab/ablation.py
+++ b/lab/ablation.py
@@ -117,12 +117,20 @@
 )
 @click.option("--days", required=True, help="Names of days, divided by commas.")
 @click.option("--seeds", default="1,2,3", show_default=True)
-@click.option("--only", default="", help="Only mechanisms that contain this text.")
+@click.option(
+    "--only", multiple=True, help="Only mechanisms that contain this text; repeatable."
+)
 @click.option("--jobs", default=3, show_default=True, help="Plays at a time.")
 @click.option("--out", type=click.Path(path_type=Path), required=True)
-def main(command: str, days: str, seeds: str, only: str, jobs: int, out: Path) -> None:
+def main(
+    command: str, days: str, seeds: str, only: tuple[str, ...], jobs: int, out: Path
+) -> None:
     """Play days in a tree for each mechanism that is switched off, and one as it is."""
-    chosen = [one for one in POOLER_MUTATIONS if only in one.mechanism]
+    chosen = [
+        one
+        for one in POOLER_MUTATIONS
+        if not only or any(text in one.mechanism for text in only)
+    ]
     trees = {WHOLE: make_tree(out / "whole", None)}
     for number, mutation in enumerate(chosen):
         try:
--- /dev/null
+++ b/lab/heartbeats.py
@@ -0,0 +1,105 @@
+"""Measures what heartbeats cost a daemon in fleets of growing size.
+
+It runs real senders and receivers on a set clock, with callers of a few workspaces, and
+counts bytes and processor time. Run it with `python -m lab.heartbeats`.
+"""
+
+import resource
+import sys
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from lab.mutations import ROOT
+
+# The adapter's folder, which the builders use, is no package.
+sys.path.append(str(ROOT / "platform"))
+
+from tests.builders_heartbeats import HeartbeatFleet  # noqa: E402
+from tests.builders_pooler import make_workspace  # noqa: E402
+
+WARM_UP_MS = 3_000
+MEASURED_MS = 3_000
+# Operations a second that callers ask of each daemon.
+ASKED_PER_S = 8
+
+
+def count_cpu_ms() -> float:
+    """Return the processor time of this process so far, in milliseconds."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return (usage.ru_utime + usage.ru_stime) * 1000
+
+
+def make_fleet(daemons: int, domains: int, workspaces: int) -> HeartbeatFleet:
+    """Return a fleet whose daemons all know the same workspaces."""
+    fleet = HeartbeatFleet(daemons, domains)
+    specs = [make_workspace(f"w{number}", 50, 50) for number in range(workspaces)]
+    for daemon in fleet.daemons.values():
+        daemon.rates.set_workspaces(specs)
+    return fleet
+
+
+def play(fleet: HeartbeatFleet, duration_ms: float, workspaces: int) -> None:
+    """Let time pass while callers come to random daemons."""
+    names = list(fleet.daemons)
+    owed = 0.0
+
+    def ask() -> None:
+        nonlocal owed
+        owed += len(names) * ASKED_PER_S / 100
+        while owed >= 1:
+            owed -= 1
+            workspace = f"w{fleet.chance.randrange(workspaces)}"
+            fleet.daemons[fleet.chance.choice(names)].rates.spend(workspace)
+
+    fleet.run(duration_ms, ask)
+
+
+def measure(daemons: int, domains: int, workspaces: int) -> list[str]:
+    """Return a row of the table."""
+    fleet = make_fleet(daemons, domains, workspaces)
+    play(fleet, WARM_UP_MS, workspaces)
+    relays = {daemon.name for daemon in fleet.list_relays()}
+    before = {name: one.gossip.bytes_sent for name, one in fleet.daemons.items()}
+    between = fleet.network.count_between_domains()
+    cpu_ms = count_cpu_ms()
+    play(fleet, MEASURED_MS, workspaces)
+    cpu_ms = count_cpu_ms() - cpu_ms
+    between = fleet.network.count_between_domains() - between
+    seconds = MEASURED_MS / 1000
+    sent = {
+        name: (one.gossip.bytes_sent - before[name]) / seconds
+        for name, one in fleet.daemons.items()
+    }
+    behind = [rate for name, rate in sent.items() if name not in relays]
+    relaying = [rate for name, rate in sent.items() if name in relays]
+    return [
+        str(daemons),
+        f"{sum(behind) / max(1, len(behind)):,.0f}",
+        f"{sum(relaying) / max(1, len(relaying)):,.0f}",
+        f"{between / seconds / daemons:,.0f}",
+        f"{cpu_ms / seconds / daemons:.2f}",
+    ]
+
+
+@click.command()
+@click.option("--sizes", default="8,30,81,300", show_default=True)
+@click.option("--domains", default=3, show_default=True)
+@click.option("--workspaces", default=83, show_default=True)
+def main(sizes: str, domains: int, workspaces: int) -> None:
+    """Print bytes and processor time of heartbeats for fleets of some sizes."""
+    table = Table(
+        "daemons",
+        "sent by a daemon, B/s",
+        "by a relay, B/s",
+        "between domains, B/s a daemon",
+        "processor, ms/s a daemon",
+    )
+    for size in sizes.split(","):
+        table.add_row(*measure(int(size), domains, workspaces))
+    Console(width=120).print(table)
+
+
+if __name__ == "__main__":
+    main()
