Test that a proof which two daemons pass to each other runs out

The mutation that passes a proof on without its age was missed by the tests under random cuts: there the proof of most members is as fresh.

--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -97,6 +97,21 @@
         fleet.run(LEASE_MS + 50)
         assert not fleet.daemons["d4"].guard.has_proof()
 
+    def test_proof_that_two_pass_to_each_other_still_ends(self):
+        # Two of five daemons hear of nobody else, and one had word from the store a
+        # moment ago. Passed back and forth without its age, its proof would never run
+        # out, and both would use a primary that the others have replaced.
+        fleet = HeartbeatFleet(5)
+        pair = [fleet.daemons["d0"], fleet.daemons["d1"]]
+        fleet.network.is_cut = lambda one, two: {one, two} != {"d0", "d1"}
+        fleet.run(CALM_MS)
+        assert not any(one.guard.has_proof() for one in pair)
+        pair[0].guard.note_store(fleet.clock.now_ms())
+        fleet.run(700)
+        assert all(one.guard.has_proof() for one in pair)
+        fleet.run(LEASE_MS - 700 + 50)
+        assert not any(one.guard.has_proof() for one in pair)
+
     def test_daemons_whose_relays_are_killed_have_one_again(self):
         # Both relays of a failure domain are killed at once. The others of it go on to
         # the next ones in the order.
