Match the answer of a peer to the call that it is for

Cause: the generated thrift client gives every call the number 0 and looks at no number of an answer. A kept link is looked at before it is used again, but an answer that comes twice, the second time just after that look, was taken for that of the next call.

Now calls of a link are numbered and answers to earlier ones passed over.

--- a/bronzerelay/peers.py
+++ b/bronzerelay/peers.py
@@ -7,7 +7,7 @@
 
 from expression import Error, Ok, Result
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
-from thrift.Thrift import TException
+from thrift.Thrift import TException, TType
 from thrift.transport.TTransport import TFramedTransport, TTransportBase
 
 from bronzerelay.peerlink import Peer
@@ -24,6 +24,8 @@
 HANDSHAKE_TIMEOUT_MS = 1000
 # Links kept to one peer; more calls at once wait for none, they open new ones.
 KEPT_LINKS = 64
+# Calls of a link are numbered below this; thrift's numbers have 32 bits with a sign.
+LAST_NUMBER = 2**31
 
 
 class PeerError(NamedTuple):
@@ -66,10 +68,37 @@
 
 
 def make_protocol(connection: Connection) -> TBinaryProtocolAccelerated:
-    """Return the protocol that both ends of a link speak."""
+    """Return the protocol of a link, as its serving end speaks it."""
     return TBinaryProtocolAccelerated(TFramedTransport(ConnectionTransport(connection)))
 
 
+class NumberedProtocol(TBinaryProtocolAccelerated):
+    """Numbers the calls of a link and passes over answers to earlier ones.
+
+    The generated client gives all calls the number 0 and looks at none. An answer that
+    comes twice, the second time after the link was looked at, would be taken for that
+    of the next call: a commit would count as done before it has run.
+    """
+
+    def __init__(self, transport: TTransportBase):
+        super().__init__(transport)
+        self._number = 0
+
+    def writeMessageBegin(self, name: str, kind: int, seqid: int) -> None:  # noqa: N802
+        """Begin a call under the next number."""
+        self._number = (self._number + 1) % LAST_NUMBER
+        super().writeMessageBegin(name, kind, self._number)
+
+    def readMessageBegin(self) -> tuple[str, int, int]:  # noqa: N802
+        """Return the head of the answer to the last call."""
+        while True:
+            name, kind, seqid = super().readMessageBegin()
+            if seqid == self._number:
+                return name, kind, seqid
+            self.skip(TType.STRUCT)
+            self.readMessageEnd()
+
+
 def prove(secret: str, role: str, nonces: bytes) -> bytes:
     """Return the proof that its sender knows `secret` and plays `role`."""
     return hmac.digest(secret.encode(), role.encode() + nonces, hashlib.sha256)
@@ -278,7 +307,8 @@
         except OSError:
             connection.close()
             raise
-        return PeerLink(connection, Peer.Client(make_protocol(connection)))
+        transport = TFramedTransport(ConnectionTransport(connection))
+        return PeerLink(connection, Peer.Client(NumberedProtocol(transport)))
 
     def _keep(self, address: Address, link: PeerLink) -> None:
         with self._lock:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,7 +6,8 @@
 
 from bronzerelay.peerlink.ttypes import LoanCall, LoanReply
 from bronzerelay.peers import PeerLinks, PeerServer, greet_server
-from bronzerelay.runtime import Address
+from bronzerelay.runtime import Address, Connection
+from standins.cutter import REPEAT_REPLY, Cutter
 from tests.endpoints import open_runtime, wait_until
 
 SECRET = "a secret of peers"
@@ -53,6 +54,27 @@
         yield Peer(runtime)
 
 
+def test_an_answer_that_comes_twice_isnt_taken_for_the_next_one(peer, monkeypatch):
+    """A link delivers an answer twice, the second time after it was looked at.
+
+    The next call would get the answer of the one before: a caller is told that its
+    commit is done though it hasn't run yet.
+    """
+    cutter = Cutter(peer.runtime, peer.server.address)
+    cutter.start()
+    links = PeerLinks(peer.runtime, SECRET)
+    assert links.call(cutter.address, "lend", CALL, TIMEOUT_MS).is_ok()
+    monkeypatch.setattr(Connection, "is_quiet", lambda connection: True)
+    cutter.arm(REPEAT_REPLY)
+    amounts = []
+    for amount in (3.0, 4.0, 5.0):
+        call = LoanCall(borrower="vm-1", workspace="north", amount=amount)
+        amounts.append(links.call(cutter.address, "lend", call, TIMEOUT_MS).ok.amount)
+    assert cutter.struck == 1
+    assert amounts == [3.0, 4.0, 5.0]
+    cutter.stop()
+
+
 def test_a_kept_link_serves_one_call_after_another(peer):
     links = PeerLinks(peer.runtime, SECRET)
     replies = [
