Note which heartbeats are answered before describing this daemon

Cause, found by reading: a heartbeat is described first and names the last one that it answers when it is packed. A process that is frozen in between takes newer ones in when it wakes up, and answers these with what it knew before the freeze: positions, changes of primary and, since proofs are passed on, its proof, which then counts as told after the freeze. The new test shows it (told 2,300 ms later than it was).

Now what is answered is noted before anything is described.

--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -80,6 +80,16 @@
     asks: bool = False
 
 
+class Echo(NamedTuple):
+    """The last heartbeat that was got of a peer, which the next one to it answers."""
+
+    number: int
+    incarnation: int
+
+
+NO_ECHO = Echo(-1, 0)
+
+
 class PeerView:
     """What was last heard of one peer; times are of the own clock."""
 
@@ -175,7 +185,7 @@
                     self._condition, lambda: self._hurried, BEAT_MS
                 )
                 self._hurried = False
-            self.send_round(describe(), complete, hurried)
+            self.run_round(describe, complete, hurried)
             if hurried:
                 self._runtime.sleep_ms(HURRY_MS)
 
@@ -185,13 +195,40 @@
             self._hurried = True
             self._condition.notify()
 
-    def send_round(self, beat: Beat, complete: Complete, hurried: bool = False) -> None:
+    def run_round(
+        self, describe: Describe, complete: Complete, hurried: bool = False
+    ) -> None:
+        """Describe this daemon and send the round.
+
+        Which heartbeats are answered is noted before. While this process is frozen
+        between the two, newer ones arrive; answered with what was described before the
+        freeze, that would count as told after it, and an old proof as a new one.
+        """
+        echoes = self._list_echoes()
+        self.send_round(describe(), complete, hurried, echoes)
+
+    def _list_echoes(self) -> dict[str, Echo]:
+        with self._lock:
+            return {
+                name: Echo(view.number, view.incarnation)
+                for name, view in self.views.items()
+            }
+
+    def send_round(
+        self,
+        beat: Beat,
+        complete: Complete,
+        hurried: bool = False,
+        echoes: dict[str, Echo] | None = None,
+    ) -> None:
         """Send one heartbeat to all contacts, or to the next ones in turn.
 
         One that holds news goes to those, too, who address this daemon. Each gets what
         has changed since the last one that it has got: a report in full takes 12 bytes
         a workspace, and a heartbeat without one 55.
         """
+        if echoes is None:
+            echoes = self._list_echoes()
         number = self._take_number()
         views = self._list_receivers(hurried)
         if len(views) > FANOUT:
@@ -200,13 +237,14 @@
             self._turn += FANOUT
         for view in views:
             completed = complete(beat, view, self._find_sent(view.echoed))
-            self._send(completed, view, number)
+            self._send(completed, view, number, echoes.get(view.name, NO_ECHO))
 
     def answer(self, beat: Beat, view: PeerView, complete: Complete) -> None:
         """Send one heartbeat to a peer that has asked for it."""
         number = self._take_number()
         completed = complete(beat, view, self._find_sent(view.echoed))
-        self._send(completed._replace(asks=False), view, number)
+        echo = Echo(view.number, view.incarnation)
+        self._send(completed._replace(asks=False), view, number, echo)
 
     def _take_number(self) -> int:
         """Return the number of the next heartbeat, which is sent now."""
@@ -230,12 +268,10 @@
             if view.addressed_since_ms is not None or view.received_at_ms > oldest_ms
         ]
 
-    def _send(self, beat: Beat, view: PeerView, number: int) -> None:
+    def _send(self, beat: Beat, view: PeerView, number: int, echo: Echo) -> None:
         packed = self._encoder.encode(
             beat._replace(
-                number=number,
-                echo=view.number,
-                echo_incarnation=view.incarnation,
+                number=number, echo=echo.number, echo_incarnation=echo.incarnation
             )
         )
         self.bytes_sent += len(packed)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -91,6 +91,25 @@
         pair.receive(pair.first)
         assert pair.first.views["b"].told_at_ms == sent_ms
 
+    def test_what_was_described_before_a_freeze_answers_no_later_heartbeat(self, pair):
+        # A daemon is frozen just after it has written down its proof and before it
+        # sends it. Newer heartbeats are in its queue when it wakes up; if it answered
+        # these, their sender would take a proof of seconds ago for a new one and use a
+        # primary that was replaced since.
+        pair.send(pair.first, pair.second, "a")
+        sent_ms = pair.clock.now_ms()
+        pair.clock.sleep_ms(300)
+
+        def describe():
+            beat = make_beat(pair.second, "b")
+            pair.clock.sleep_ms(2000)
+            pair.send(pair.first, pair.second, "a")
+            return beat
+
+        pair.second.run_round(describe, pair.complete)
+        pair.receive(pair.first)
+        assert pair.first.views["b"].told_at_ms == sent_ms
+
     def test_echo_of_a_process_before_this_one_proves_nothing(self, pair):
         pair.send(pair.first, pair.second, "a")
         pair.first.incarnation += 1
