Show how old a daemon's knowledge of the store is

In the incident the daemons wrote nothing for 15 s and the metrics had no figure for it: a watch that waits and one that is lost looked alike, and whether news hadn't come or hadn't been taken over was to be seen in the users' count of calls alone. No decision changes.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -239,6 +239,7 @@
             "members": len(self.members.list_names()),
             "sessions": len(self._sessions),
             "store_revision": self.mirror.at,
+            "store_age_ms": round(self.mirror.store_age_ms()),
             "links_opened": self.pool.opened,
             "heartbeat_bytes": self.gossip.bytes_sent,
             "relaying": self.heartbeats.is_relaying(),
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -146,6 +146,8 @@
         # The last answer to a peer, with the revisions that it is from and up to.
         self._packed = Packed(0, 0, b"")
         self._failures = 0
+        # When the call was sent whose answer last showed what the store holds.
+        self._answered_ms = runtime.clock.now_ms()
         self.at = 0
         self.loaded = False
         # Asks for a sign of life of the store more often than changes alone bring.
@@ -165,6 +167,10 @@
         """Return a key as it is known, or None."""
         return self._items.get(key)
 
+    def store_age_ms(self) -> float:
+        """Return how long ago the call was sent that the store answered last."""
+        return self._clock.now_ms() - self._answered_ms
+
     def list_prefix(self, prefix: str) -> list[Item]:
         """Return the known items whose keys start with `prefix`."""
         return [item for key, item in self._items.items() if key.startswith(prefix)]
@@ -240,7 +246,7 @@
                 loaded = False
                 continue
             except StoreError as error:
-                self._note_failure(error)
+                self._note_failure(error, sent_at_ms)
                 continue
             self._note_answer(sent_at_ms)
 
@@ -294,16 +300,30 @@
     def _note_answer(self, sent_at_ms: float) -> None:
         self.note_proof(sent_at_ms)
         if self._failures:
-            self._log.write("store", "The store answers again.", failed=self._failures)
+            self._log.write(
+                "store",
+                "The store answers again.",
+                failed=self._failures,
+                age_ms=round(self.store_age_ms()),
+                at=self.at,
+            )
+        self._answered_ms = sent_at_ms
         self._failures = 0
 
-    def _note_failure(self, error: StoreError) -> None:
+    def _note_failure(self, error: StoreError, sent_at_ms: float) -> None:
         hurried, self._hurried = self._hurried, False
         if self._runtime.stopping or hurried:
             return
         self._failures += 1
         if self._failures == 1:
-            self._log.write("store", "The store gives no answer.", error=str(error))
+            self._log.write(
+                "store",
+                "The store gives no answer.",
+                error=str(error),
+                waited_ms=round(self._clock.now_ms() - sent_at_ms),
+                age_ms=round(self.store_age_ms()),
+                at=self.at,
+            )
         step = min(self._failures, len(RETRY_PAUSES_MS)) - 1
         jitter = self._runtime.random.uniform(0.7, 1.3)
         self._runtime.sleep_ms(RETRY_PAUSES_MS[step] * jitter)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -13,7 +13,7 @@
     PeerMirror,
     StoreError,
 )
-from tests.builders_pooler import make_log, make_runtime
+from tests.builders_pooler import SetClock, make_log, make_runtime
 
 
 class ScriptedStore:
@@ -98,6 +98,17 @@
         assert store.waits[0][1] < 1000
 
 
+    def test_age_counts_from_when_the_answered_call_was_sent(self):
+        clock = SetClock()
+        runtime = make_runtime(clock)
+        mirror = Mirror(runtime, None, lambda item: None, make_log(runtime))
+        sent_at_ms = clock.now_ms()
+        clock.sleep_ms(700)
+        mirror._note_answer(sent_at_ms)
+        clock.sleep_ms(300)
+        assert mirror.store_age_ms() == 1000
+
+
 class TestPeers:
     def make(self):
         mirror, _, taken = run_script(Changes([A1], 4))
