--- a/standins/kvstore.py
+++ b/standins/kvstore.py
@@ -25,8 +25,10 @@
 class KvStore:
     """Keys with revisions and a history, on a port of its own.
 
-    Switches: `status` answers every call with it, `silent` answers none, `lose` drops
-    the answers of that many changes after they were made, `delay_ms` holds answers up.
+    Switches: `status` answers every call with it, `silent` answers none until it is
+    back, `swallow` never answers what arrives while it is set, on connections that stay
+    open, `lose` drops the answers of that many changes after they were made, `delay_ms`
+    holds answers up.
     """
 
     def __init__(self, runtime: Runtime):
@@ -38,6 +40,7 @@
         self.forgotten = 0
         self.status = 0
         self.silent = False
+        self.swallow = False
         self.lose = 0
         self.delay_ms = 0.0
         self.calls: list[str] = []
@@ -189,7 +192,8 @@
 
             def _serve(self, method: str) -> None:
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
-                while store.silent:
+                swallowed = store.swallow
+                while store.silent or swallowed:
                     if not store.runtime.sleep_ms(10):
                         return
                 if self.path == "/failover":
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -4,6 +4,7 @@
 
 from bronzerelay.pooler import contacts, session
 from bronzerelay.pooler.changes import CLOSE_ENTRIES
+from bronzerelay.pooler.mirror import GATHER_MS
 from bronzerelay.pooler.placement import POSITION_AGE_MS
 from bronzerelay.pooler.runner import share_slots
 from bronzerelay.runtime import Address
@@ -571,6 +572,39 @@
         assert len(daemon.directory.instances) == 3
 
 
+# How soon after its acknowledgement a configuration has to be in force everywhere, in
+# milliseconds, as the users' rules state it.
+APPLY_WITHIN_MS = 3_000
+
+
+def wait_for_version(fleet, version, timeout_ms=APPLY_WITHIN_MS):
+    def is_in_force():
+        daemons = fleet.daemons.values()
+        return all(one.directory.version == version for one in daemons)
+
+    fleet.wait(is_in_force, f"version {version}", timeout_ms)
+
+
+def wait_for_long_watches(fleet):
+    def all_watch():
+        return all(one.mirror._waits_long for one in fleet.daemons.values())
+
+    fleet.wait(all_watch, "all daemons watch the store")
+
+
+class TestLostWatches:
+    def test_change_is_in_force_after_an_outage_that_lost_all_watches(self, fleet):
+        # Guards against lost watches that are waited out, as no peer is ahead.
+        fleet.start_ready("d1", "d2", "d3")
+        wait_for_long_watches(fleet)
+        fleet.store.swallow = True
+        wait_for_version(fleet, fleet.platform.configure())
+        fleet.runtime.clock.sleep_ms(2 * GATHER_MS)
+        wait_for_long_watches(fleet)
+        fleet.store.swallow = False
+        wait_for_version(fleet, fleet.platform.configure())
+
+
 class TestAlone:
     def test_daemon_that_hears_of_nobody_goes_by_the_store(self, fleet):
         # The only daemon that is left proves by the store that its primary leads. It
