Poll the store, so that lost watches are noticed while nobody is ahead

Cause: a watch that is sent while the store is silent is never answered, and its connection stays open, so that keep-alive probes succeed. It was waited out, 14 s and a margin of 1.5 s. Peers were to help a daemon with such a watch, since they are ahead; here all nine watches were lost at once, and nobody was. The class: a fallback that only works while faults come one at a time, and a dependency whose silence can't be told from having no news.

Ruled out: news that came and weren't taken over (no answered call, no line of an item that can't be used); sessions that go by an older version than the daemon's (lines of statements and metrics agree).

Now each daemon knows up to which moment all changes of the store are known to it, heartbeats pass that on with its age, and when it is older than a quarter of the time in which a change has to be in force, the first daemon in an order asks the store for its revision. An answer at or below the mirror's revision proves that nothing is missing; one above it lets the watch be sent anew. Each further daemon waits until those before it should have told it, so that a fleet makes about one more call in 750 ms (at 3 s), however many daemons it has, and after failures pauses grow along the order. Shorter watches at each daemon would have cost nine times as many calls.

--- a/bronzerelay/pooler/catchup.py
+++ b/bronzerelay/pooler/catchup.py
@@ -5,15 +5,12 @@
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.gossip import Gossip
 from bronzerelay.pooler.httpcalls import CallLostError, HttpClient
-from bronzerelay.pooler.mirror import Mirror, Store
+from bronzerelay.pooler.mirror import BEHIND_MS, Mirror, Store
 from bronzerelay.runtime import Address, Runtime
 
 MIRROR_PATH = "/mirror"
 # The field of its query that names the revision after which changes are wanted.
 AFTER = "after"
-# How long a peer may be ahead of this mirror before the peer is asked, in
-# milliseconds: a watch that works brings the change within a few.
-BEHIND_MS = 400
 PEER_CALL_MS = 600
 
 
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -23,6 +23,7 @@
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.fleetconfig import FleetConfig, InstanceEntry
 from bronzerelay.pooler.fleetrates import FleetRates
+from bronzerelay.pooler.freshness import StorePoller
 from bronzerelay.pooler.gossip import Gossip
 from bronzerelay.pooler.heartbeats import Heartbeats
 from bronzerelay.pooler.httpcalls import (
@@ -79,6 +80,8 @@
     grace_ms: float
     # How long an instance that leaves may still get requests.
     drain_ms: float
+    # How soon after its acknowledgement a configuration has to be in force.
+    apply_within_ms: float
     max_sessions: int
     # The failure domain that the VM stands in.
     domain: str = ""
@@ -157,6 +160,15 @@
             (settings.admin, settings.peer),
             self.log,
         )
+        self.poller = StorePoller(
+            runtime,
+            plugins.store,
+            self.mirror,
+            settings.apply_within_ms,
+            self.heartbeats.find_turn,
+            self.counters,
+            self.log,
+        )
         self.runner = Runner(
             runtime,
             plugins.codec,
@@ -404,6 +416,7 @@
         for server in self._servers:
             run(server.run)
         run(self.mirror.run)
+        run(self.poller.run)
         run(self.members.join)
         run(
             self.gossip.run_sender,
--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -58,6 +58,7 @@
     the receiver may not; `all_told` says that none was left out for want of room.
     `acknowledged` is the epoch of each change that the sender knows of and has nothing
     under way before. `proof_age_ms` is the age of the sender's proof, None without one.
+    All changes of the store up to `store_age_ms` ago have revisions up to `mirror_at`.
     """
 
     sender: str
@@ -67,6 +68,7 @@
     echo_incarnation: int
     stopping: bool
     mirror_at: int
+    store_age_ms: float
     report: Report
     positions: dict[str, tuple[int, int, float]]
     silent: dict[str, dict[str, float]]
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -5,17 +5,20 @@
 members, and the others of one relay.
 """
 
+import math
 from collections.abc import Callable
 
 from bronzerelay.pooler.contacts import Contacts, Plan
 from bronzerelay.pooler.directory import Directory, LeadRecord
 from bronzerelay.pooler.fleetrates import FleetRates
-from bronzerelay.pooler.gossip import Beat, Gossip, PeerView, Relayed
+from bronzerelay.pooler.freshness import Turn
+from bronzerelay.pooler.gossip import BEAT_MS, Beat, Gossip, PeerView, Relayed
 from bronzerelay.pooler.leadership import LEASE_MS, LeadGuard
 from bronzerelay.pooler.messages import Position
 from bronzerelay.pooler.mirror import Mirror
 from bronzerelay.pooler.placement import Placement
 from bronzerelay.pooler.sources import NO_REPORT, Scope, SourceGroup
+from bronzerelay.rendezvous import rank
 from bronzerelay.runtime import Runtime
 
 # How old the end of a primary's log may be that heartbeats tell, in milliseconds: two
@@ -31,6 +34,12 @@
 OBSERVERS = 8
 # Who tells of the fleet where relays do.
 FLEET = "fleet"
+# How much later a daemon learns what another one knows, in milliseconds. Where all hear
+# of all, it counts from the heartbeat before the last one; relays answer at once.
+MESH_LAG_MS = 2 * BEAT_MS + 100
+RELAY_LAG_MS = BEAT_MS + 100
+# What the order is named by in which daemons ask the store.
+STORE = "store"
 
 
 class Heartbeats:
@@ -99,6 +108,24 @@
             for name in self._plan.relays.get(self._domain, ())
         )
 
+    def find_turn(self) -> Turn:
+        """Return when it is this daemon's turn to ask the store, were nothing heard."""
+        if not (self.contacts.is_mesh() or self._plan.relaying):
+            return Turn(0, math.inf)
+        lag_ms = RELAY_LAG_MS
+        names = {name for names in self._plan.relays.values() for name in names}
+        if self.contacts.is_mesh():
+            lag_ms = MESH_LAG_MS
+            names = set(self._gossip.views)
+        views = self._gossip.views
+        heard = [
+            name
+            for name in names
+            if name in views and views[name].mirror_at > 0 and not self._is_silent(name)
+        ]
+        place = rank(STORE, [*heard, self._name]).index(self._name)
+        return Turn(place, lag_ms if place else 0.0)
+
     def tell_change(self) -> None:
         """Tell at once that something has changed in the store, where others wait."""
         if self._plan.relaying:
@@ -142,6 +169,8 @@
             for service, sample in samples.items()
         }
         proof_age_ms = self._guard.proof_age_ms()
+        # Before the revision: an age that is read later may be for a later one.
+        store_age_ms = self._mirror.store_age_ms()
         return Beat(
             self._name,
             self._gossip.incarnation,
@@ -150,6 +179,7 @@
             0,
             self.is_stopping,
             self._mirror.at,
+            int(store_age_ms) + 1,
             NO_REPORT,
             positions,
             {},
@@ -259,6 +289,8 @@
             self._take_lead(record)
         if view.relaying and not self._plan.relaying:
             self._mirror.note_told(beat.mirror_at, view.address)
+        if beat.mirror_at > 0:
+            self._mirror.note_known(beat.mirror_at, proven_ms - beat.store_age_ms)
         if beat.relayed is not None:
             self._take_relayed(beat.relayed, proven_ms)
         self._take_proof(beat, proven_ms)
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -15,8 +15,8 @@
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.runtime import Address, Runtime
 
-# How long a watch may wait at the store, in milliseconds. Whatever a silent watch
-# misses is fetched from a peer, so that it may be long and calls few.
+# How long a watch may wait at the store, in milliseconds. What a lost watch misses is
+# found by polls, so that it may be long and calls few.
 WATCH_WAIT_MS = 14_000
 # How long it waits while the store has to show that nothing has changed.
 PROOF_WAIT_MS = 350
@@ -26,6 +26,9 @@
 GATHER_MS = 120
 # The time that any other call may take, in milliseconds.
 CALL_TIMEOUT_MS = 1_500
+# How long the store or a peer may be ahead of this mirror before something is done, in
+# milliseconds: a watch that works brings the change within a few.
+BEHIND_MS = 400
 # How long a daemon behind a relay waits for news before it looks again whether it
 # should still go by the relay, in milliseconds.
 FOLLOW_WAIT_MS = 300
@@ -40,6 +43,7 @@
 REMOVED_LIMIT = 1_000
 # Pauses after failed calls, in milliseconds: short at first, since most outages are.
 RETRY_PAUSES_MS = (100, 200, 400, 700)
+NEVER_MS = -1e15
 
 
 class Item(NamedTuple):
@@ -82,6 +86,9 @@
     def watch(self, prefix: str, after: int, wait_ms: float) -> Changes:
         """Return what changed after a revision, waiting for it at most `wait_ms`."""
 
+    def read_revision(self, timeout_ms: float) -> int:
+        """Return the revision that the store is at now, or raise StoreError."""
+
     def change(
         self,
         expected: dict[str, int],
@@ -146,8 +153,8 @@
         # The last answer to a peer, with the revisions that it is from and up to.
         self._packed = Packed(0, 0, b"")
         self._failures = 0
-        # When the call was sent whose answer last showed what the store holds.
-        self._answered_ms = runtime.clock.now_ms()
+        # All changes of the store up to then are known here.
+        self._known_ms = NEVER_MS
         self.at = 0
         self.loaded = False
         # Asks for a sign of life of the store more often than changes alone bring.
@@ -168,8 +175,19 @@
         return self._items.get(key)
 
     def store_age_ms(self) -> float:
-        """Return how long ago the call was sent that the store answered last."""
-        return self._clock.now_ms() - self._answered_ms
+        """Return how long ago all changes of the store were known here."""
+        return self._clock.now_ms() - self._known_ms
+
+    def note_known(self, at: int, known_ms: float) -> bool:
+        """Note that all changes up to a moment have revisions up to `at`.
+
+        Return whether this mirror has reached it; else nothing is noted.
+        """
+        if at > self.at:
+            return False
+        self._known_ms = max(self._known_ms, known_ms)
+        self.note_proof(known_ms)
+        return True
 
     def list_prefix(self, prefix: str) -> list[Item]:
         """Return the known items whose keys start with `prefix`."""
@@ -291,6 +309,12 @@
             with self._condition:
                 self._told = Told(self.at, None)
 
+    def renew(self) -> None:
+        """Ask the store anew for what the watch, or a relay, should have brought."""
+        self._distrust_until_ms = self._clock.now_ms() + DISTRUST_MS
+        self._hurried = True
+        self._store.interrupt()
+
     def tend(self) -> None:
         """Break off a long watch when the store has to show that nothing changed."""
         if self._waits_long and self.wants_proof():
@@ -298,7 +322,6 @@
             self._store.interrupt()
 
     def _note_answer(self, sent_at_ms: float) -> None:
-        self.note_proof(sent_at_ms)
         if self._failures:
             self._log.write(
                 "store",
@@ -307,7 +330,7 @@
                 age_ms=round(self.store_age_ms()),
                 at=self.at,
             )
-        self._answered_ms = sent_at_ms
+        self.note_known(self.at, sent_at_ms)
         self._failures = 0
 
     def _note_failure(self, error: StoreError, sent_at_ms: float) -> None:
--- a/standins/lineplatform.py
+++ b/standins/lineplatform.py
@@ -120,6 +120,7 @@
             "[bounds]",
             "grace_s = 6",
             "drain_ms = 7000",
+            "config_apply_ms = 3000",
             "[platform]",
             f'address = "{store}"',
             "[provider]",
--- a/tests/builders_heartbeats.py
+++ b/tests/builders_heartbeats.py
@@ -4,7 +4,7 @@
 
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.fleetrates import FleetRates
-from bronzerelay.pooler.gossip import BEAT_MS, Gossip
+from bronzerelay.pooler.gossip import BEAT_MS, NEVER_MS, Gossip
 from bronzerelay.pooler.heartbeats import Heartbeats
 from bronzerelay.pooler.leadership import LeadGuard
 from bronzerelay.pooler.placement import Placement
@@ -22,15 +22,24 @@
 
 
 class FakeMirror:
-    """A mirror that has been loaded."""
+    """A mirror that has been loaded; one whose `age_ms` is set goes on knowing more."""
 
-    def __init__(self):
+    def __init__(self, clock):
+        self._clock = clock
         self.at = 7
         self.told = []
+        self.age_ms = 0.0
+        self._known_ms = NEVER_MS
+
+    def store_age_ms(self) -> float:
+        return min(self.age_ms, self._clock.now_ms() - self._known_ms)
 
     def note_told(self, at, address) -> None:
         self.told.append(at)
 
+    def note_known(self, at, known_ms) -> None:
+        self._known_ms = max(self._known_ms, known_ms)
+
 
 class FakeDatagrams:
     """A port on the fleet's network."""
@@ -90,13 +99,14 @@
         self.rates = FleetRates(runtime, name)
         self.guard = LeadGuard(runtime, self.directory)
         self.gossip = Gossip(runtime, name, self.peer.address, make_log(runtime))
+        self.mirror = FakeMirror(fleet.clock)
         self.gossip.incarnation = fleet.chance.getrandbits(48)
         self.heartbeats = Heartbeats(
             runtime,
             name,
             domain,
             self.gossip,
-            FakeMirror(),
+            self.mirror,
             self.directory,
             self.placement,
             self.rates,
--- a/tests/builders_pooler.py
+++ b/tests/builders_pooler.py
@@ -114,6 +114,7 @@
             None,
             3000,
             7000,
+            3000,
             100,
         )
         plugins = Plugins(
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -19,6 +19,7 @@
         0,
         False,
         7,
+        0.0,
         NO_REPORT,
         {},
         {},
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bronzerelay.pooler.heartbeats import MESH_LAG_MS, RELAY_LAG_MS
 from bronzerelay.pooler.leadership import LEASE_MARGIN_MS, LEASE_MS
 from bronzerelay.pooler.sources import SILENT_MS
 from bronzerelay.runtime import Random
@@ -77,6 +78,66 @@
         ]
 
 
+class TestStoreAge:
+    @pytest.mark.parametrize("count", [8, LARGE])
+    def test_what_one_knows_of_the_store_all_know_soon(self, count):
+        fleet = HeartbeatFleet(count)
+        fleet.run(CALM_MS)
+        for daemon in fleet.daemons.values():
+            daemon.mirror.age_ms = 60_000.0
+        (fleet.list_relays() or fleet.list_alive())[0].mirror.age_ms = 0.0
+        fleet.run(CALM_MS)
+        lag_ms = MESH_LAG_MS if count < LARGE else 2 * RELAY_LAG_MS
+        ages = [one.mirror.store_age_ms() for one in fleet.daemons.values()]
+        assert max(ages) <= lag_ms
+
+    def test_it_counts_from_the_heartbeat_that_is_answered(self):
+        # Guards against news that waited in a queue while the process was frozen.
+        fleet = HeartbeatFleet(2)
+        first, second = fleet.daemons.values()
+        first.mirror.age_ms = 60_000.0
+        fleet.run(CALM_MS)
+        late = first.gossip._sock.arrived
+        second.beat(second.next_beat_ms)
+        fleet.network.deliver()
+        assert late
+        fleet.clock.sleep_ms(10_000)
+        first.receive()
+        assert first.mirror.store_age_ms() >= 10_000
+
+    @pytest.mark.parametrize("count", [1, 8])
+    def test_each_daemon_has_a_place_of_its_own_in_the_order(self, count):
+        fleet = HeartbeatFleet(count)
+        fleet.run(CALM_MS)
+        turns = [one.heartbeats.find_turn() for one in fleet.daemons.values()]
+        assert sorted(turn.place for turn in turns) == list(range(count))
+        assert [turn.lag_ms for turn in turns if turn.place == 0] == [0.0]
+
+    def test_place_of_a_silent_daemon_is_taken(self):
+        fleet = HeartbeatFleet(8)
+        fleet.run(CALM_MS)
+        first = next(
+            one
+            for one in fleet.daemons.values()
+            if not one.heartbeats.find_turn().place
+        )
+        first.is_alive = False
+        fleet.run(CALM_MS)
+        places = [one.heartbeats.find_turn().place for one in fleet.list_alive()]
+        assert sorted(places) == list(range(7))
+
+    def test_in_a_large_fleet_one_relay_is_first(self):
+        # Guards against as many polls as there are daemons.
+        fleet = HeartbeatFleet(LARGE)
+        fleet.run(CALM_MS)
+        relays = fleet.list_relays()
+        turns = {
+            name: one.heartbeats.find_turn() for name, one in fleet.daemons.items()
+        }
+        places = sorted(turns[one.name].place for one in relays)
+        assert places == list(range(len(relays)))
+
+
 class TestProof:
     @pytest.mark.parametrize("count", [3, 8, LARGE, 81])
     def test_every_daemon_has_a_proof_all_the_time(self, count):
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -53,6 +53,10 @@
     return mirror, store, taken
 
 
+def pack_mirror(mirror):
+    return zlib.compress(msgspec.msgpack.encode(mirror))
+
+
 A1, A2 = Item("a", b"1", 1), Item("a", b"2", 2)
 B1 = Item("b", b"1", 1)
 
@@ -97,7 +101,6 @@
         mirror.run()
         assert store.waits[0][1] < 1000
 
-
     def test_age_counts_from_when_the_answered_call_was_sent(self):
         clock = SetClock()
         runtime = make_runtime(clock)
@@ -122,8 +125,7 @@
 
     def test_peer_that_is_behind_changes_nothing(self):
         mirror, _ = self.make()
-        behind = msgspec.msgpack.encode(PeerMirror(3, [("z", b"1", 2)]))
-        mirror.unpack(zlib.compress(behind), "peer")
+        mirror.unpack(pack_mirror(PeerMirror(3, [("z", b"1", 2)])), "peer")
         assert mirror.get("z") is None
 
     def test_nonsense_is_refused(self):
@@ -154,8 +156,7 @@
         # The answer to an earlier question comes late, or a peer answers nonsense. What
         # changed in between would be missing for good.
         mirror, _ = self.make()
-        ahead = msgspec.msgpack.encode(PeerMirror(9, [("z", b"1", 8)], 6))
-        mirror.unpack(zlib.compress(ahead), "peer")
+        mirror.unpack(pack_mirror(PeerMirror(9, [("z", b"1", 8)], 6)), "peer")
         assert (mirror.get("z"), mirror.at) == (None, 4)
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -79,6 +79,12 @@
         assert [item.data for item in changes.items] == [b"one", None]
         assert client.watch("", changes.at, 50).items == []
 
+    def test_revision(self, runtime, store):
+        client = StoreClient(runtime, store.address)
+        assert client.read_revision(1000) == store.revision
+        revision = store.put("k", b"one")
+        assert client.read_revision(1000) == revision
+
     def test_lost_history(self, runtime, store):
         store.forget_history()
         with pytest.raises(HistoryLostError):
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -4,6 +4,7 @@
 
 from bronzerelay.pooler import contacts, session
 from bronzerelay.pooler.changes import CLOSE_ENTRIES
+from bronzerelay.pooler.httpcalls import CallLostError
 from bronzerelay.pooler.mirror import GATHER_MS
 from bronzerelay.pooler.placement import POSITION_AGE_MS
 from bronzerelay.pooler.runner import share_slots
@@ -33,6 +34,38 @@
     return reply
 
 
+# How soon after its acknowledgement a configuration has to be in force everywhere, in
+# milliseconds, as the users' rules state it.
+APPLY_WITHIN_MS = 3_000
+
+
+def wait_for_version(fleet, version, timeout_ms=APPLY_WITHIN_MS):
+    def is_in_force():
+        daemons = fleet.daemons.values()
+        return all(one.directory.version == version for one in daemons)
+
+    fleet.wait(is_in_force, f"version {version}", timeout_ms)
+
+
+def wait_for_long_watches(fleet):
+    def all_watch():
+        return all(one.mirror._waits_long for one in fleet.daemons.values())
+
+    fleet.wait(all_watch, "all daemons watch the store")
+
+
+def cut_off_store(daemon):
+    """Let the store give a daemon no answer any more."""
+
+    def refuse(*_):
+        raise CallLostError("cut off", False)
+
+    store = daemon._plugins.store
+    for client in vars(store).values():
+        client._connect = refuse
+        client.interrupt()
+
+
 class TestSessions:
     def test_session_reads_its_own_write(self, fleet):
         fleet.start_ready("d1")
@@ -545,11 +578,7 @@
         # meanwhile would go on working at that daemon.
         first, second = fleet.start_ready("d1", "d2")
 
-        def refuse(*_):
-            raise OSError("turned away")
-
-        second._plugins.store._watches._connect = refuse
-        second._plugins.store.interrupt()
+        cut_off_store(second)
         fleet.platform.tenants = [NORTH._replace(keys=())]
         version = fleet.platform.configure()
         fleet.wait(lambda: first.directory.version == version, "the new version")
@@ -572,26 +601,6 @@
         assert len(daemon.directory.instances) == 3
 
 
-# How soon after its acknowledgement a configuration has to be in force everywhere, in
-# milliseconds, as the users' rules state it.
-APPLY_WITHIN_MS = 3_000
-
-
-def wait_for_version(fleet, version, timeout_ms=APPLY_WITHIN_MS):
-    def is_in_force():
-        daemons = fleet.daemons.values()
-        return all(one.directory.version == version for one in daemons)
-
-    fleet.wait(is_in_force, f"version {version}", timeout_ms)
-
-
-def wait_for_long_watches(fleet):
-    def all_watch():
-        return all(one.mirror._waits_long for one in fleet.daemons.values())
-
-    fleet.wait(all_watch, "all daemons watch the store")
-
-
 class TestLostWatches:
     def test_change_is_in_force_after_an_outage_that_lost_all_watches(self, fleet):
         # Guards against lost watches that are waited out, as no peer is ahead.
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -21,6 +21,7 @@
 [bounds]
 grace_s = 6
 drain_ms = 7000
+config_apply_ms = 3000
 [platform]
 address = "10.200.1.7:8466"
 [provider]
@@ -34,6 +35,7 @@
         assert str(settings.pooler.peer) == "10.1.0.26:7560"
         assert str(settings.pooler.metrics) == "10.1.0.26:9464"
         assert settings.pooler.grace_ms == 6000
+        assert settings.pooler.apply_within_ms == 3000
         assert str(settings.store) == "10.200.1.7:8466"
 
     @pytest.mark.parametrize(
@@ -41,6 +43,7 @@
         [
             ("grace_s = 6", 'grace_s = "six"'),
             ("grace_s = 6", ""),
+            ("config_apply_ms = 3000", ""),
             ("[limits]", "[limits"),
             ("7560, 7575", ""),
             ("10.1.0.26:8465", "nowhere"),
