Let daemons behind relays poll the store when their relays know nothing new

What callers would see: withdrawn keys and dropped routes work on for as long as both relays of a failure domain are cut off from the store and from other relays, at daemons that reach the store themselves.

--- a/bronzerelay/pooler/contacts.py
+++ b/bronzerelay/pooler/contacts.py
@@ -64,6 +64,10 @@
         order = self._orders.get(domain, [])
         return [name for name in order if name != self._name]
 
+    def find_place(self) -> int:
+        """Return this daemon's place in the order of its failure domain."""
+        return self._orders.get(self._domain, [self._name]).index(self._name)
+
     def plan(self, is_silent: Callable[[str], bool], makes_change: bool) -> Plan:
         """Return whom to address while some members are found silent.
 
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -5,7 +5,6 @@
 members, and the others of one relay.
 """
 
-import math
 from collections.abc import Callable
 
 from bronzerelay.pooler.contacts import Contacts, Plan
@@ -111,7 +110,7 @@
     def find_turn(self) -> Turn:
         """Return when it is this daemon's turn to ask the store, were nothing heard."""
         if not (self.contacts.is_mesh() or self._plan.relaying):
-            return Turn(0, math.inf)
+            return Turn(self.contacts.find_place(), 2 * RELAY_LAG_MS)
         lag_ms = RELAY_LAG_MS
         names = {name for names in self._plan.relays.values() for name in names}
         if self.contacts.is_mesh():
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -136,6 +136,9 @@
         }
         places = sorted(turns[one.name].place for one in relays)
         assert places == list(range(len(relays)))
+        behind = [turns[one] for one in turns if one not in {r.name for r in relays}]
+        assert min(turn.place for turn in behind) >= 2
+        assert {turn.lag_ms for turn in behind} == {2 * RELAY_LAG_MS}
 
 
 class TestProof:
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -384,6 +384,13 @@
             2500,
         )
 
+    def test_change_comes_though_the_relays_are_cut_off_from_the_store(self, fleet):
+        # Guards against going by relays that are heard of and know nothing new.
+        relays, _ = self.start(fleet)
+        for relay in relays:
+            cut_off_store(relay)
+        wait_for_version(fleet, fleet.platform.configure())
+
     def test_silent_primary_is_replaced(self, fleet):
         _, behind = self.start(fleet)
         caller = open_session(fleet, STRICT, name=behind[0]._settings.name)
