Remove a silent member only where most of the list hear each other and know it

Cause: four of nine daemons, with the store, couldn't hear the other five, who heard each other and were a majority. The five fell silent at moments that differed by some hundred milliseconds, and who looked whether it heard of few counted only those who had been silent for 5 s by then. So the four removed the others one by one, were the whole list after half a second, and 'all daemons know of the change' (log of edge-mty-a-3, second 14.2). The five went on with the proof that five of nine give.

Now a member is removed only by a daemon that has just heard of most of the list, counting those alone who know the list as it is. Most of a list and most of the one before it have a member in common, which knows of a change on one side and tells the other.

Evidence: the two tests fail without the change.

The price: while most members are gone at once nobody is taken off the list.

--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -6,7 +6,8 @@
 
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.events import EventLog
-from bronzerelay.pooler.gossip import Gossip
+from bronzerelay.pooler.gossip import Gossip, PeerView
+from bronzerelay.pooler.leadership import LEASE_MS
 from bronzerelay.pooler.mirror import Item, Mirror, StoreError
 from bronzerelay.runtime import Runtime, parse_address
 
@@ -48,6 +49,8 @@
         self._gossip = gossip
         self._log = log
         self._others: dict[str, Peer] = {}
+        # The store's revision when the list last changed here.
+        self._changed_at = 0
         self.is_stopping = False
 
     def list_names(self) -> list[str]:
@@ -107,6 +110,7 @@
         others = self._read()
         if others == self._others:
             return None
+        self._changed_at = self._mirror.at
         self._log.write("members", "The members changed.", members=sorted(others))
         self._others = others
         return others
@@ -128,6 +132,26 @@
     def _list_items(self) -> list[Item]:
         return self._mirror.list_prefix(MEMBER_PREFIX)
 
+    def _hears_most(self) -> bool:
+        """Return whether most members were just heard of and know the list as it is.
+
+        Most of a list and most of the list before it have a member in common. Without
+        one, the others could still be most of a list that they know, and use a primary
+        that this side replaces.
+        """
+        oldest_ms = self._clock.now_ms() - LEASE_MS
+        heard = [
+            view
+            for view in self._gossip.views.values()
+            if view.told_at_ms >= oldest_ms and self._knows_list(view, oldest_ms)
+        ]
+        return (1 + len(heard)) * 2 > len(self.list_names())
+
+    def _knows_list(self, view: PeerView, oldest_ms: float) -> bool:
+        # Who is heard of through relays doesn't tell what it knows.
+        told_itself = view.received_at_ms >= oldest_ms
+        return not told_itself or view.mirror_at >= self._changed_at
+
     def remove_gone(self) -> None:
         """Take one member off the list that is addressed and silent for very long."""
         oldest_ms = self._clock.now_ms() - GONE_MEMBER_MS
@@ -142,8 +166,7 @@
             if max(view.received_at_ms, view.listed_at_ms, view.addressed_since_ms)
             < oldest_ms
         ]
-        # Whoever hears of few is cut off itself.
-        if not gone or len(gone) * 2 > len(views):
+        if not gone or not self._hears_most():
             return
         name = gone[0]
         views[name].listed_at_ms = self._clock.now_ms()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -20,6 +20,7 @@
 
     def __init__(self, revisions):
         self._revisions = revisions
+        self.at = 7
         self.removed = []
 
     def get(self, key):
@@ -93,13 +94,14 @@
 class TestRemoving:
     """Five others are addressed, of which some have been silent."""
 
-    def make(self, silent_ms, addressed=("d2", "d3", "d4", "d5", "d6")):
+    def make(self, silent_ms, addressed=("d2", "d3", "d4", "d5", "d6"), behind=()):
         clock = SetClock()
         runtime = make_runtime(clock)
         names = ["d2", "d3", "d4", "d5", "d6"]
-        gossip = FakeGossip(dict.fromkeys(names, 7))
+        gossip = FakeGossip({name: 6 if name in behind else 7 for name in names})
         for name, view in gossip.views.items():
             view.received_at_ms = clock.now_ms() - silent_ms.get(name, 100)
+            view.told_at_ms = view.received_at_ms
             view.addressed_since_ms = 0.0 if name in addressed else None
         mirror = FakeMirror(dict.fromkeys(["d1", *names], 3))
         members = Members(runtime, "d1", PEER, mirror, gossip, make_log(runtime))
@@ -120,6 +122,16 @@
         # A daemon that is cut off itself would take all others off the list.
         assert self.make({"d2": 6000, "d3": 6000, "d4": 6000}) == []
 
+    def test_minority_removes_nobody_while_the_others_fall_silent_one_by_one(self):
+        # Guards against a minority that shrinks the list until it is most of it, and
+        # replaces a primary that the majority still uses.
+        assert self.make({"d2": 5100, "d3": 4900, "d4": 4900}) == []
+
+    def test_nobody_else_is_removed_before_most_know_the_list(self):
+        # Guards against removals one after another that a majority knows nothing of.
+        assert self.make({"d2": 6000}, behind=("d3", "d4", "d5")) == []
+        assert self.make({"d2": 6000}, behind=("d3",)) != []
+
     def test_member_that_isnt_addressed_isnt_judged(self):
         # Behind relays a daemon hears of most others through these alone.
         assert self.make({"d3": 6000}, addressed=("d2", "d4")) == []
