Let others ask the platform when its watchers get no answer (own interface)

What callers would see: a withdrawn key works on, and a new version comes into force nowhere, for as long as the platform gives no answer to the three daemons that watch it for all, while it answers operators and every other daemon.

The cause of the incident at the own interface: the watchers are chosen by who is alive, not by who gets answers, and the others took their silence for an outage of the platform, in which nothing new can be accepted. Now a daemon that hears of no answer for 2.5 s asks itself, one after another in the order of the watchers, with pauses that grow along it.

Found by looking for the cause wherever state is passed on.

--- a/bronzerelay/platformwatch.py
+++ b/bronzerelay/platformwatch.py
@@ -1,4 +1,9 @@
-"""The watches on the platform, kept by a few daemons for all."""
+"""The watches on the platform, kept by a few daemons for all.
+
+Those few may be the ones that the platform gives no answer, which looks to the others
+like an outage of the platform. So the others ask, one after another, when no daemon
+that they hear of has got an answer for long.
+"""
 
 from collections.abc import Callable
 from typing import Any
@@ -21,6 +26,11 @@
 WATCH_MS = 1000
 IDLE_MS = 200
 RETRY_MS = 250
+# How old the newest answer of the platform may be before others than the watchers ask,
+# in milliseconds: two watches, and the heartbeats that tell of them.
+LATE_MS = 2 * WATCH_MS + 500
+# How much longer each further daemon waits, in milliseconds.
+STEP_MS = 50
 
 
 class PlatformWatch:
@@ -58,12 +68,18 @@
     def _accept_roster(self, value: Any) -> None:
         self._spreader.accept_roster(msgspec.convert(value, Roster))
 
-    def _is_watcher(self) -> bool:
-        """Return whether it is this daemon's turn, or it knows of nobody else's."""
+    def _find_place(self) -> int:
+        """Return how many daemons ask before this one does; 0 for a watcher."""
         if self._store.version == 0:
-            return True
-        alive = self._membership.alive_names()
-        return self._membership.name in rank("platform", alive)[:WATCHERS]
+            return 0
+        order = rank("platform", self._membership.alive_names())
+        name = self._membership.name
+        place = order.index(name) if name in order else len(order)
+        return max(0, place - WATCHERS + 1)
+
+    def _is_turn(self, place: int) -> bool:
+        late_ms = self._membership.platform_age_ms() - LATE_MS
+        return place == 0 or late_ms > place * STEP_MS
 
     def _watch(
         self,
@@ -73,13 +89,15 @@
     ) -> None:
         revision = 0
         while not self._runtime.stopping:
-            if not self._is_watcher():
+            place = self._find_place()
+            if not self._is_turn(place):
                 self._runtime.sleep_ms(IDLE_MS)
                 continue
             sent_at_ms = self._runtime.clock.now_ms()
             result = self._key_value.watch(key, revision, WATCH_MS)
             if not result.is_ok() and result.error.code != Code.NOT_FOUND:
-                spread = self._runtime.random.uniform(0.5, 1.5)
+                # In proportion, so that an outage costs a large fleet few calls.
+                spread = self._runtime.random.uniform(0.5, 1.5) * (1 + place)
                 self._runtime.sleep_ms(RETRY_MS * spread)
                 continue
             note_answer(sent_at_ms)
--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -6,6 +6,8 @@
 
 from bronzerelay.codes import NOT_RUN, RAN, Code
 from bronzerelay.keys import hash_key, make_key
+from bronzerelay.platformwatch import WATCH_MS, WATCHERS
+from bronzerelay.rendezvous import rank
 from bronzerelay.runtime import Runtime
 from standins.caller import Caller, CallerSettings
 from standins.checks import check_keys, run_checks
@@ -148,6 +150,19 @@
     assert set(list_versions(cluster).values()) == {version}
 
 
+def test_a_version_comes_though_the_platform_turns_all_watchers_away(cluster):
+    """Guards against leaving the platform to daemons that get no answer from it."""
+    watchers = rank("platform", cluster.daemon_names)[:WATCHERS]
+    cluster.set_platform_fault("down", callers=watchers)
+    cluster.runtime.clock.sleep_ms(2 * WATCH_MS)
+    version = cluster.put_bundle()
+    cluster.wait_until(
+        lambda: min(list_versions(cluster).values()) >= version,
+        f"version {version} on all daemons",
+        IN_FORCE_MS,
+    )
+
+
 def test_a_daemon_that_was_frozen_admits_nothing_on_old_news(cluster):
     """A daemon is frozen, a key is withdrawn, and it is thawed with a request for that
     key in its socket. What it knows is older than it can tell from its own timers.
