Tell in heartbeats that a change of primary is settled

What callers would see: after a failover writes are refused (no primary) at all daemons but one for as long as the store is out, though the new primary leads.

Cause: a heartbeat leaves out the changes that its receiver has acknowledged, by their epoch, and a change under way and its end have the same one. So once a change was known, its end came by the watch of the store alone; the comment at the maker, who announces the end also when the store can't be written, said that heartbeats tell it.

Heartbeats now name the changes whose end their sender doesn't know, which is an empty map nearly always.

--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -56,6 +56,7 @@
     service, and `silent` by observer the instances that give it no answer, and for how
     many milliseconds. `leads` are the changes of primary that the sender knows of and
     the receiver may not; `all_told` says that none was left out for want of room.
+    `under_way` holds the epochs of those that aren't settled for all that it knows.
     `acknowledged` is the epoch of each change that the sender knows of and has nothing
     under way before. `proof_age_ms` is the age of the sender's proof, None without one.
     All changes of the store up to `store_age_ms` ago have revisions up to `mirror_at`.
@@ -74,6 +75,7 @@
     silent: dict[str, dict[str, float]]
     leads: list[LeadRecord]
     all_told: bool
+    under_way: dict[str, int]
     acknowledged: dict[str, int]
     proof_age_ms: float | None
     relaying: bool
@@ -111,7 +113,9 @@
         self.told_at_ms = NEVER_MS
         # For each service the epoch of the change that the peer has acknowledged.
         self.acknowledged: dict[str, int] = {}
-        # The same when it was last looked at for news.
+        # For each service the epoch of the change that it doesn't know the end of.
+        self.under_way: dict[str, int] = {}
+        # What it had acknowledged when it was last looked at for news.
         self.acknowledged_before: dict[str, int] = {}
         # The instances that give the peer no answer, since when, and when it said so.
         self.silent_since_ms: dict[str, float] = {}
@@ -328,6 +332,7 @@
             view.stopping = beat.stopping
             view.relaying = beat.relaying
             view.mirror_at = beat.mirror_at
+            view.under_way = beat.under_way
             view.acknowledged = dict(beat.acknowledged)
             view.echoed = -1
             if beat.echo_incarnation == self.incarnation:
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -184,12 +184,20 @@
             {},
             [],
             True,
+            self._list_under_way(),
             self._list_own_acknowledged(),
             proof_age_ms if proof_age_ms <= LEASE_MS else None,
             relaying,
             None,
         )
 
+    def _list_under_way(self) -> dict[str, int]:
+        return {
+            record.service: record.epoch
+            for record in list(self._directory.leads.values())
+            if not record.settled
+        }
+
     def _list_own_acknowledged(self) -> dict[str, int]:
         return {
             record.service: record.epoch
@@ -231,6 +239,7 @@
             for record in list(self._directory.leads.values())
             if since_ms is None
             or view.acknowledged.get(record.service, 0) < record.epoch
+            or (record.settled and view.under_way.get(record.service) == record.epoch)
         ]
         scope = self._find_scope(view)
         return beat._replace(
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -26,6 +26,7 @@
         [],
         True,
         {},
+        {},
         None,
         False,
         None,
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -41,6 +41,20 @@
         # Its process may be another one by then, which knows of nothing.
         assert first.heartbeats.complete(beat, view, None).leads != []
 
+    @pytest.mark.parametrize("count", [2, LARGE])
+    def test_end_of_a_change_is_told_to_who_knows_that_it_is_under_way(self, count):
+        # Guards against services without a primary while the store is out, which alone
+        # told that a change was settled.
+        fleet = HeartbeatFleet(count)
+        fleet.run(CALM_MS)
+        first, *others = fleet.daemons.values()
+        first.take_lead(make_lead(4, settled=False))
+        fleet.run(CALM_MS)
+        first.take_lead(make_lead(4))
+        fleet.run(CALM_MS)
+        leads = [one.directory.leads[make_lead(4).service] for one in others]
+        assert all(lead.settled for lead in leads)
+
     def test_heartbeat_without_room_for_all_changes_proves_nothing(self):
         # Ten primaries are changed at once and a heartbeat holds eight of the records.
         # Its receiver would have a proof and not know of the other two changes.
