Let a daemon that the platform answers clean the roster (own interface)

What operators and callers would see: VMs that are gone stay in the roster, and their part of each rate is lost, for as long as the platform turns away the one daemon whose turn it is.

It falls to the first of those that got an answer lately now.

--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -225,6 +225,13 @@
         """Return how long ago the platform answered any daemon that we heard of."""
         return self._runtime.clock.now_ms() - self._platform_at_ms
 
+    def list_answered(self, names: list[str], within_ms: float) -> list[str]:
+        """Return those of `names` that the platform has answered within a time."""
+        oldest_ms = self._runtime.clock.now_ms() - within_ms
+        return [
+            name for name in names if self.view_of(name).platform_at_ms >= oldest_ms
+        ]
+
     def is_isolated(self) -> bool:
         """Return whether a key could be withdrawn without this daemon learning it.
 
--- a/bronzerelay/roster.py
+++ b/bronzerelay/roster.py
@@ -20,6 +20,9 @@
 ROSTER_KEY = "roster"
 JOIN_RETRY_MS = 300
 JANITOR_MS = 1000
+# How long an answer of the platform counts, in milliseconds: what the watchers' answers
+# and the heartbeats that tell of them take, and a lost one.
+ANSWERED_MS = 3000
 CAS_TRIES = 8
 EMPTY_ROSTER: Roster = {"epoch": 0, "members": []}
 
@@ -130,8 +133,10 @@
                 self._settle()
 
     def _is_janitor(self) -> bool:
+        """Return whether this daemon comes first of those whom the platform answers."""
         alive = self._membership.alive_names()
-        return rank("roster", alive)[:1] == [self._entry["name"]]
+        answered = self._membership.list_answered(alive, ANSWERED_MS)
+        return rank("roster", answered or alive)[:1] == [self._entry["name"]]
 
     def _remove_gone(self) -> None:
         members = set(self._membership.member_names())
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -4,6 +4,8 @@
 
 from bronzerelay import logs
 from bronzerelay.membership import Membership, MembershipSettings, names_of
+from bronzerelay.peerlink.ttypes import MemberView
+from bronzerelay.rendezvous import rank
 from bronzerelay.roster import (
     ROSTER_KEY,
     RosterKeeper,
@@ -143,6 +145,19 @@
     assert trial.stored()["epoch"] == 2
 
 
+def test_a_daemon_that_gets_answers_cleans_the_roster(platform):
+    """Guards against leaving it to one that the platform turns away."""
+    first, second, third = rank("roster", NAMES)
+    trial = Trial(platform, second)
+    trial.put(make_roster(1, NAMES))
+    now_ms = trial.clock.clock.now_ms()
+    views = [MemberView(name, 1, 1, 1, 0, 60_000, False) for name in (first, third)]
+    trial.membership.merge_reply(views, now_ms)
+    assert not trial.keeper._is_janitor()
+    trial.membership.note_platform(now_ms)
+    assert trial.keeper._is_janitor()
+
+
 def test_a_roster_is_settled_only_when_every_member_applied_it(platform):
     trial = Trial(platform)
     trial.put(make_roster(1, ["vm-1", "vm-2"]))
