Don't let half of a list decide that the other half doesn't know

Together with the removed member the other half is still most of the list that it knows, and goes on using the primary, while the first half replaces it.

Half of the members are enough only where the others know the list as it is. That was judged by the last join; now it is by the last removal, too. Found by reading, after the split; the test fails without the change.

--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -70,16 +70,17 @@
         """Return whether no other daemons than `known` can be most of all members.
 
         Exactly half of them are enough while the others have the same list: most of
-        it can't be found without one of `known`. With a shorter list, from before
-        somebody joined, they could still be most of theirs.
+        it can't be found without one of `known`. With a list from before somebody
+        joined, or was removed, they could still be most of theirs.
         """
         names = self.list_names()
         if len(known) * 2 != len(names):
             return len(known) * 2 > len(names)
         joined_at = max(item.revision for item in self._list_items())
+        changed_at = max(joined_at, self._changed_at)
         views = self._gossip.views
         others = [views.get(name) for name in names if name not in known]
-        return all(view is not None and view.mirror_at >= joined_at for view in others)
+        return all(view is not None and view.mirror_at >= changed_at for view in others)
 
     # The own entry
 
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -190,7 +190,7 @@
     Mutation(
         "half of the members are too few where somebody joined unheard of",
         POOLER + "members.py",
-        "return all(view is not None and view.mirror_at >= joined_at",
+        "return all(view is not None and view.mirror_at >= changed_at",
         "return all(True",
         "tests/test_members.py",
     ),
@@ -362,6 +362,13 @@
         "return True",
         "tests/test_members.py::TestRemoving",
     ),
+    Mutation(
+        "half of the members are too few where the others know of no removal",
+        POOLER + "members.py",
+        "changed_at = max(joined_at, self._changed_at)",
+        "changed_at = joined_at",
+        "tests/test_members.py::TestOutvoting",
+    ),
     Mutation(
         "who doesn't know the list doesn't count for the next removal",
         POOLER + "members.py",
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -20,7 +20,7 @@
 
     def __init__(self, revisions):
         self._revisions = revisions
-        self.at = 7
+        self.at = max(revisions.values())
         self.removed = []
 
     def get(self, key):
@@ -29,6 +29,10 @@
     def change(self, expected, puts, removed):
         self.removed += removed
 
+    def remove(self, name, revision):
+        del self._revisions[name]
+        self.at = revision
+
     def list_prefix(self, prefix):
         return [
             Item(
@@ -86,6 +90,16 @@
         members = make_members({"d1": 1, "d2": 2, "d3": 3, "d4": 8}, {"d2": 3, "d3": 3})
         assert not members.outvotes({"d1", "d4"})
 
+    def test_half_are_too_few_where_the_others_know_of_no_removal(self):
+        # Guards against halves of a list that is shorter than the one by which the
+        # other half, with the member that was removed, still has a majority.
+        names = ["d1", "d2", "d3", "d4", "d5"]
+        members = make_members(dict.fromkeys(names, 1), dict.fromkeys(names[1:], 5))
+        assert members.outvotes({"d1", "d2", "d3"})
+        members._mirror.remove("d5", 8)
+        members.update()
+        assert not members.outvotes({"d1", "d2"})
+
     def test_half_are_too_few_where_the_others_were_never_heard_of(self):
         members = make_members({"d1": 1, "d2": 2}, {})
         assert not members.outvotes({"d1"})
@@ -98,7 +112,7 @@
         clock = SetClock()
         runtime = make_runtime(clock)
         names = ["d2", "d3", "d4", "d5", "d6"]
-        gossip = FakeGossip({name: 6 if name in behind else 7 for name in names})
+        gossip = FakeGossip({name: 2 if name in behind else 3 for name in names})
         for name, view in gossip.views.items():
             view.received_at_ms = clock.now_ms() - silent_ms.get(name, 100)
             view.told_at_ms = view.received_at_ms
