--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -105,6 +105,17 @@
         ages = [one.mirror.store_age_ms() for one in fleet.daemons.values()]
         assert max(ages) <= lag_ms
 
+    def test_what_is_passed_back_and_forth_gets_old(self):
+        # Guards against daemons that keep each other's old knowledge young.
+        fleet = HeartbeatFleet(3)
+        known_ms = fleet.clock.now_ms()
+        for daemon in fleet.daemons.values():
+            daemon.mirror.age_ms = 60_000.0
+            daemon.mirror.note_known(7, known_ms)
+        fleet.run(5000)
+        ages = [one.mirror.store_age_ms() for one in fleet.daemons.values()]
+        assert min(ages) >= 5000
+
     def test_it_counts_from_the_heartbeat_that_is_answered(self):
         # Guards against news that waited in a queue while the process was frozen.
         fleet = HeartbeatFleet(2)
