Look at the age of what is known only when a poll may be due

Looking every 50 ms took processor time, most of it in waking up. Nothing is due before the age reaches this daemon's limit, whatever is heard until then, so that it sleeps that long. The test counts the looks.

--- a/bronzerelay/pooler/freshness.py
+++ b/bronzerelay/pooler/freshness.py
@@ -24,8 +24,10 @@
 # The pause after a poll without an answer or with news, in milliseconds. Further down
 # the order it is longer in proportion, so that an outage costs a large fleet few calls.
 RETRY_MS = 500
-# Time between two looks at the age, in milliseconds.
+# The least time between two looks at the age, in milliseconds.
 LOOK_MS = 50
+# Time between two looks whether the mirror has been loaded, in milliseconds.
+LOADING_MS = 250
 
 
 class Turn(NamedTuple):
@@ -61,16 +63,24 @@
 
     def run(self) -> None:
         """Poll the store when it is due, until the runtime stops."""
-        while self._runtime.sleep_ms(LOOK_MS):
-            self.tend()
-
-    def tend(self) -> None:
-        """Poll the store if it is this daemon's turn."""
-        if not self._mirror.loaded or self._clock.now_ms() < self._next_ms:
-            return
+        while self._runtime.sleep_ms(self.tend()):
+            pass
+
+    def tend(self) -> float:
+        """Poll the store if it is this daemon's turn; return when to look again."""
+        if not self._mirror.loaded:
+            return LOADING_MS
+        pause_ms = self._next_ms - self._clock.now_ms()
+        if pause_ms > 0:
+            return pause_ms
         turn = self._find_turn()
-        if self._mirror.store_age_ms() >= self.find_limit_ms(turn):
+        if self._find_left_ms(turn) <= 0:
             self._poll(turn)
+        return max(LOOK_MS, self._find_left_ms(turn))
+
+    def _find_left_ms(self, turn: Turn) -> float:
+        """Return for how long nothing is due, whatever is heard until then."""
+        return self.find_limit_ms(turn) - self._mirror.store_age_ms()
 
     def find_limit_ms(self, turn: Turn) -> float:
         """Return how old what is known may be before this daemon asks."""
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -316,7 +316,7 @@
     Mutation(
         "the store is polled when what is known of it gets old",
         POOLER + "freshness.py",
-        "if self._mirror.store_age_ms() >= self.find_limit_ms(turn):",
+        "if self._find_left_ms(turn) <= 0:",
         "if False:",
         PATH + "TestLostWatches",
     ),
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -97,6 +97,23 @@
         assert parts.store.polls == 10
         assert parts.mirror.store_age_ms() <= FIRST_MS
 
+    @pytest.mark.parametrize("turn", [FIRST, Turn(3, 700.0)])
+    def test_few_looks_are_needed(self, turn):
+        # Guards against a loop whose wake-ups take most of what control may cost.
+        parts = Parts(turn)
+        parts.looks = 0
+        end_ms = parts.clock.now_ms() + 30_000
+
+        def look():
+            parts.looks += 1
+            if turn.place:
+                parts.mirror.note_known(7, parts.clock.now_ms() - FIRST_MS)
+
+        parts.on_sleep = look
+        while parts.clock.now_ms() < end_ms:
+            parts.sleep_ms(parts.poller.tend())
+        assert parts.looks <= 30_000 / FIRST_MS + 1
+
 
 class TestNews:
     def test_watch_that_misses_news_is_sent_anew(self):
