--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -193,7 +193,7 @@
         """Return the members that are alive; always itself unless it is stopping.
 
         It is the same list until that changes; nobody may edit it. Each request asks
-        for it, and judging all members anew took 6 ms of each request at 3,100.
+        for it, and judging all members anew is slow in a large fleet.
         """
         with self._lock:
             now_ms = self._runtime.clock.now_ms()
--- a/bronzerelay/pooler/contacts.py
+++ b/bronzerelay/pooler/contacts.py
@@ -13,8 +13,8 @@
 from bronzerelay.rendezvous import rank
 from bronzerelay.runtime import Address
 
-# Members up to which everybody exchanges heartbeats with everybody. Eight daemons send
-# 2 KB a second each that way, and relays would only make news later.
+# Members up to which everybody exchanges heartbeats with everybody: relays would only
+# make news later.
 FULL_MESH = 12
 # Relays of each failure domain: when one goes, the other one has heard all.
 RELAYS = 2
--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -18,7 +18,7 @@
 from bronzerelay.runtime import Address, Datagrams, Runtime
 
 # Time between two heartbeats, in milliseconds. A daemon counts as silent after three
-# lost ones; at eight daemons they cost each about 2 KB a second.
+# lost ones.
 BEAT_MS = 300
 # The least time between two heartbeats, in milliseconds.
 HURRY_MS = 15
@@ -230,8 +230,8 @@
         """Send one heartbeat to all contacts, or to the next ones in turn.
 
         One that holds news goes to those, too, who address this daemon. Each gets what
-        has changed since the last one that it has got: a report in full takes 12 bytes
-        a workspace, and a heartbeat without one 55.
+        has changed since the last one that it has got, as a report in full grows with
+        the workspaces.
         """
         if echoes is None:
             echoes = self._list_echoes()
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -231,8 +231,7 @@
     def complete(self, beat: Beat, view: PeerView, since_ms: float | None) -> Beat:
         """Add to a heartbeat what is for the peer that gets it.
 
-        What it is known to know already is left out: with changes of primary in full a
-        heartbeat is twice as large.
+        What it is known to know already is left out, so that heartbeats stay small.
         """
         missing = [
             record
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -35,7 +35,7 @@
 # How long a daemon goes by the store itself after a relay gave it nothing, in
 # milliseconds: a relay may be heard of and its link be too narrow for a mirror.
 DISTRUST_MS = 5_000
-# How hard a mirror is compressed for a peer, of 9: configurations shrink to a tenth.
+# The compression level of a mirror for a peer, 1 (fastest) to 9.
 COMPRESSION = 1
 # The largest mirror that is taken from a peer, in bytes.
 MAX_MIRROR_BYTES = 64 * 1024 * 1024
