Go by the store at once when a relay turns out to know less

Its trace: the two daemons behind the relays, which reach the store, had the version 2.5 s after it was written, of which up to 0.3 s were the wait for news of the relay that goes on after a poll has found it behind; the two relays had it after 3.55 s, from a peer.

A daemon now ends that wait when it stops following.

--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -299,7 +299,9 @@
         """Wait for news from a relay, and fetch them."""
         with self._condition:
             self._runtime.wait_for(
-                self._condition, lambda: self._told.at > self.at, FOLLOW_WAIT_MS
+                self._condition,
+                lambda: self._told.at > self.at or not self._should_follow(),
+                FOLLOW_WAIT_MS,
             )
             told = self._told
         if told.address is None or told.at <= self.at:
@@ -311,7 +313,9 @@
 
     def renew(self) -> None:
         """Ask the store anew for what the watch, or a relay, should have brought."""
-        self._distrust_until_ms = self._clock.now_ms() + DISTRUST_MS
+        with self._condition:
+            self._distrust_until_ms = self._clock.now_ms() + DISTRUST_MS
+            self._condition.notify()
         self._hurried = True
         self._store.interrupt()
 
