--- a/tests/builders_pooler.py
+++ b/tests/builders_pooler.py
@@ -1,5 +1,8 @@
 """Builders of the pooler's test data: daemons on stand-ins, entries, routes, clocks."""
 
+import zlib
+
+import msgspec
 from failover_call import FailoverCall
 from line_codec import CODEC
 from records import PlatformRecords
@@ -16,6 +19,7 @@
     Service,
     Workspace,
 )
+from bronzerelay.pooler.mirror import PeerMirror
 from bronzerelay.runtime import Address, Clock, Runtime
 from standins.kvstore import KvStore
 from standins.linedemo import find_address
@@ -51,6 +55,11 @@
     return EventLog(runtime, "test")
 
 
+def pack_mirror(mirror: PeerMirror) -> bytes:
+    """Return a mirror as a peer sends it."""
+    return zlib.compress(msgspec.msgpack.encode(mirror))
+
+
 def make_directory(runtime: Runtime) -> Directory:
     return Directory(runtime, make_log(runtime), 4900.0)
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -11,8 +11,7 @@
     Turn,
 )
 from bronzerelay.pooler.mirror import BEHIND_MS, Item, Mirror, PeerMirror, StoreError
-from tests.builders_pooler import SetClock, make_log, make_runtime
-from tests.test_mirror import pack_mirror
+from tests.builders_pooler import SetClock, make_log, make_runtime, pack_mirror
 
 APPLY_WITHIN_MS = 3_000
 FIRST_MS = APPLY_WITHIN_MS * POLL_PART
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -13,7 +13,7 @@
     PeerMirror,
     StoreError,
 )
-from tests.builders_pooler import SetClock, make_log, make_runtime
+from tests.builders_pooler import SetClock, make_log, make_runtime, pack_mirror
 
 
 class ScriptedStore:
@@ -53,10 +53,6 @@
     return mirror, store, taken
 
 
-def pack_mirror(mirror):
-    return zlib.compress(msgspec.msgpack.encode(mirror))
-
-
 A1, A2 = Item("a", b"1", 1), Item("a", b"2", 2)
 B1 = Item("b", b"1", 1)
 
