--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -365,11 +365,7 @@
         for daemon in behind:
             daemon._plugins.store.watch = None
         version = fleet.platform.configure()
-        fleet.wait(
-            lambda: all(one.directory.version == version for one in behind),
-            "the new version behind relays",
-            2000,
-        )
+        wait_for_version(fleet, behind, version, 2000)
 
     def test_daemons_go_by_the_store_when_their_relays_are_gone(self, fleet):
         relays, behind = self.start(fleet)
@@ -377,11 +373,7 @@
             relay.gossip.close()
         fleet.runtime.clock.sleep_ms(1500)
         version = fleet.platform.configure()
-        fleet.wait(
-            lambda: all(one.directory.version == version for one in behind),
-            "the new version without relays",
-            2500,
-        )
+        wait_for_version(fleet, behind, version, 2500)
 
     def test_change_comes_though_the_relays_are_cut_off_from_the_store(self, fleet):
         # Guards against going by relays that are heard of and know nothing new.
