Log what makes an endpoint or a peer count as silent, and who serves a group

The open faults of the own interface look alike in its log: a late heartbeat, a refused connection and a dead process all say "A peer is silent.", a lost status connection leaves no line at all, and nothing says when a daemon takes a group over.

- "An endpoint is silent." holds what was lost and how long it was silent; "An endpoint answers again." is its end, and endpoint_silent counts it.
- "A peer is silent." holds the age of the last news, why it couldn't be reached and how many calls were cut.
- "A promotion was tried." holds why.
- "The groups that this daemon serves changed." names them, with the live daemons.

A watch that isn't wanted any more ends without counting its endpoint as silent: the links of a new address were closed for it.

--- a/bronzerelay/failover.py
+++ b/bronzerelay/failover.py
@@ -166,7 +166,8 @@
     """Keeps one group served: promotes when needed, and points strays to the primary.
 
     Any daemon may do this for any group at any time; the terms keep it safe, and
-    only the daemon that serves the group does, to keep it calm.
+    only the daemon that serves the group does, to keep it calm. `note_outcome` is told
+    each outcome, and why the change was tried.
     """
 
     def __init__(
@@ -175,7 +176,7 @@
         watch: GroupWatch,
         opener: Opener,
         is_serving: Callable[[], bool],
-        note_outcome: Callable[[Outcome], None],
+        note_outcome: Callable[[Outcome, str], None],
     ):
         self._runtime = runtime
         self._watch = watch
@@ -220,7 +221,8 @@
         others = [one for one in self._list_reachable(spec) if one.name != primary]
         if len(others) >= self._watch.majority():
             self._stall.restart()
-            self._promote(self._watch.highest_term() + 1, others)
+            term = self._watch.highest_term() + 1
+            self._promote(term, others, f"{primary} is cut from its replicas")
 
     def _replace_primary(self) -> None:
         if not self._watch.has_majority():
@@ -233,7 +235,11 @@
         moved_on = self._watch.highest_term() != known_term
         if moved_on or self._watch.primary() is not None:
             return
-        self._promote(known_term + 1, self._list_reachable(self._watch.spec))
+        self._promote(
+            known_term + 1,
+            self._list_reachable(self._watch.spec),
+            "no primary answers",
+        )
 
     def _rival_is_at_work(self) -> bool:
         """Return whether the instances stand at a term that has no primary yet."""
@@ -250,10 +256,10 @@
             spread = self._runtime.random.uniform(0.5, 1.5)
             self._runtime.sleep_ms(RETRY_PAUSE_MS[step] * spread)
 
-    def _promote(self, term: int, endpoints: list[EndpointSpec]) -> None:
+    def _promote(self, term: int, endpoints: list[EndpointSpec], why: str) -> None:
         outcome = self._promoter.promote(self._watch.spec, term, endpoints)
         self._failures = 0 if outcome.primary else self._failures + 1
-        self._note_outcome(outcome)
+        self._note_outcome(outcome, why)
         if outcome.primary:
             self._watch.wait_primary(CALL_TIMEOUT_MS)
 
@@ -314,7 +320,7 @@
         try:
             if self._wait_until_caught_up(primary, leaving):
                 term = self._watch.highest_term() + 1
-                self._promote(term, self._list_reachable(spec))
+                self._promote(term, self._list_reachable(spec), f"{primary} is leaving")
         finally:
             self.holds_writes = False
 
--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -14,13 +14,15 @@
 from bronzerelay.runtime import Runtime
 from bronzerelay.slots import SlotQueue
 from bronzerelay.types import Configuration, EndpointSpec, GroupSpec
-from bronzerelay.watch import GroupWatch
+from bronzerelay.watch import GroupWatch, Silence
 
 # A daemon that got a group's statement as a stand-in keeps the group this long.
 KEEP_MS = 10_000
 # For this long after such a statement it also promotes, as the serving daemon does.
 SERVE_MS = 2_000
 TEND_MS = 200
+# How many groups a line of the log names at most.
+LOGGED_GROUPS = 8
 # How many daemons are kept for a group; a request tries fewer. All of 3,100 for each
 # of 23,000 groups would take 570 MB.
 RANKED_KEPT = 4
@@ -117,12 +119,25 @@
 
     def tend(self) -> None:
         """Make the groups that this daemon is to serve, and drop unused ones."""
+        served: set[str] = set()
         while self._runtime.sleep_ms(TEND_MS):
-            for group in list(self._specs):
-                if self._is_first(group):
-                    self.find(group)
+            first = {group for group in list(self._specs) if self._is_first(group)}
+            for group in first:
+                self.find(group)
+            if first != served:
+                self._log_served(first, served)
+            served = first
             self._drop_unused()
 
+    def _log_served(self, first: set[str], before: set[str]) -> None:
+        extra = {
+            "served": len(first),
+            "began": sorted(first - before)[:LOGGED_GROUPS],
+            "ended": sorted(before - first)[:LOGGED_GROUPS],
+            "live_daemons": len(self._membership.alive_names()),
+        }
+        self._log.info("The groups that this daemon serves changed.", extra=extra)
+
     def _drop_unused(self) -> None:
         oldest_ms = self._runtime.clock.now_ms() - KEEP_MS
         with self._lock:
@@ -152,8 +167,8 @@
         def is_serving() -> bool:
             return self._is_serving(spec.name)
 
-        def note_outcome(outcome: Outcome) -> None:
-            self._note_outcome(spec.name, outcome)
+        def note_outcome(outcome: Outcome, why: str) -> None:
+            self._note_outcome(spec.name, outcome, why)
 
         keeper = GroupKeeper(
             self._runtime, watch, self._open_watched, is_serving, note_outcome
@@ -164,7 +179,8 @@
         parts = GroupParts(watch, keeper, slots, {}, budget, policy)
         self._apply_spec(parts, spec)
         watch.call_on_change(slots.wake)
-        watch.call_on_silence(lambda name: _drop_links(parts, name))
+        watch.call_on_silence(lambda silence: self._note_silence(parts, silence))
+        watch.call_on_return(lambda name: self._note_return(spec.name, name))
         self._runtime.start(keeper.run)
         return GroupServer(
             self._runtime, parts, self._metrics, self._settings.statement_timeout_ms
@@ -190,12 +206,24 @@
                     self._runtime, endpoint, open_link, limit
                 )
 
-    def _note_outcome(self, group: str, outcome: Outcome) -> None:
+    def _note_silence(self, parts: GroupParts, silence: Silence) -> None:
+        self._metrics.count_event("endpoint_silent")
+        group = parts.watch.spec.name
+        extra = {"group": group, **silence._asdict()}
+        self._log.warning("An endpoint is silent.", extra=extra)
+        pool = parts.pools.get(silence.endpoint)
+        if pool is not None:
+            pool.drop()
+
+    def _note_return(self, group: str, endpoint: str) -> None:
+        extra = {"group": group, "endpoint": endpoint}
+        self._log.info("An endpoint answers again.", extra=extra)
+
+    def _note_outcome(self, group: str, outcome: Outcome, why: str) -> None:
         event = "promotion_done" if outcome.primary else "promotion_failed"
         self._metrics.count_event(event)
-        self._log.warning(
-            "A promotion was tried.", extra=outcome._asdict() | {"group": group}
-        )
+        extra = {**outcome._asdict(), "group": group, "why": why}
+        self._log.warning("A promotion was tried.", extra=extra)
 
     def show(self) -> dict[str, Any]:
         """Return what is known of each served group, for the status page."""
@@ -204,12 +232,6 @@
         return {name: _show_group(one.server) for name, one in served.items()}
 
 
-def _drop_links(parts: GroupParts, name: str) -> None:
-    pool = parts.pools.get(name)
-    if pool is not None:
-        pool.drop()
-
-
 def _fits(known: EndpointSpec, wanted: EndpointSpec) -> bool:
     """Return whether a pool made for `known` serves `wanted` as well."""
     same_place = known.address == wanted.address
--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -42,7 +42,8 @@
         self._settings = settings
         self._lock = runtime.make_lock()
         self._views: dict[str, View] = {}
-        self._unreachable: dict[str, float] = {}
+        # Why each member that couldn't be reached counts as dead.
+        self._unreachable: dict[str, str] = {}
         self._roster: Roster = {"epoch": 0, "members": []}
         self._addresses: dict[str, Address] = {}
         self._own = View(beat=0)
@@ -121,12 +122,16 @@
             if self._unreachable.pop(name, None) is not None:
                 self._forget_alive()
 
-    def mark_unreachable(self, name: str) -> None:
+    def mark_unreachable(self, name: str, reason: str = "") -> None:
         """Distrust `name` at once, since it refused a connection."""
         with self._lock:
-            self._unreachable[name] = self._runtime.clock.now_ms()
+            self._unreachable[name] = reason
             self._forget_alive()
 
+    def why_unreachable(self, name: str) -> str:
+        """Return why `name` was marked; empty when it is silent or alive."""
+        return self._unreachable.get(name, "")
+
     # The roster
 
     @property
--- a/bronzerelay/peers.py
+++ b/bronzerelay/peers.py
@@ -273,8 +273,8 @@
         with self._lock:
             self._used.setdefault(address, set()).add(link.connection)
 
-    def drop(self, address: Address) -> None:
-        """Close all links to a peer that is suspected, also those in a call.
+    def drop(self, address: Address) -> int:
+        """Close all links to a suspected peer; return how many were in a call.
 
         A frozen peer keeps its connections open. Its callers would wait until their
         deadlines, where the next daemon could have settled the matter long ago.
@@ -284,6 +284,7 @@
             kept = self._kept.pop(address, [])
         for connection in connections + [link.connection for link in kept]:
             connection.close()
+        return len(connections)
 
     def _take(self, address: Address, timeout_ms: float) -> PeerLink:
         while True:
--- a/bronzerelay/routing.py
+++ b/bronzerelay/routing.py
@@ -168,7 +168,7 @@
             return unpack_reply(reply.ok)
         error = reply.error
         if not error.sent:
-            self._membership.mark_unreachable(daemon)
+            self._membership.mark_unreachable(daemon, error.message)
         ran = UNKNOWN if error.sent else NOT_RUN
         return refuse(Code.PEER_UNREACHABLE, f"{error.message}.", STOP_RETRY_MS, ran)
 
--- a/bronzerelay/spread.py
+++ b/bronzerelay/spread.py
@@ -92,7 +92,7 @@
         result = self._links.call(address, "beat", self.make_beat(), timeout_ms)
         if not result.is_ok():
             if not result.error.sent:
-                self._membership.mark_unreachable(name)
+                self._membership.mark_unreachable(name, result.error.message)
             return False
         self._membership.clear_unreachable(name)
         self._fetch_news(address, result.ok)
@@ -148,14 +148,22 @@
             now_alive = set(self._membership.alive_names())
             for name in alive - now_alive:
                 self._part_from(name)
+            for name in now_alive - alive:
+                self._log.info("A peer is heard of.", extra={"peer": name})
             alive = now_alive
 
     def _part_from(self, name: str) -> None:
         address = self._membership.address_of(name)
-        if address is None or self._membership.view_of(name).stopping:
+        view = self._membership.view_of(name)
+        if address is None or view.stopping:
             return
-        self._log.warning("A peer is silent.", extra={"peer": name})
-        self._links.drop(address)
+        extra = {
+            "peer": name,
+            "heard_age_ms": round(self._runtime.clock.now_ms() - view.heard_at_ms),
+            "unreachable": self._membership.why_unreachable(name),
+            "calls_cut": self._links.drop(address),
+        }
+        self._log.warning("A peer is silent.", extra=extra)
 
     # The other side of a fetch
 
--- a/bronzerelay/watch.py
+++ b/bronzerelay/watch.py
@@ -38,6 +38,11 @@
     sent_at_ms: float = float("-inf")
     reachable: bool = False
 
+    @property
+    def was_heard(self) -> bool:
+        """Return whether the instance has ever answered."""
+        return bool(self.role)
+
     def holds(self, need: Position) -> bool:
         """Return whether the instance's log reaches `need`."""
         return Position(self.log_term, self.position) >= need
@@ -51,6 +56,14 @@
     position: int
 
 
+class Silence(NamedTuple):
+    """An instance stopped answering: what was lost, and since when it was silent."""
+
+    endpoint: str
+    reason: str
+    silent_ms: float
+
+
 class GroupWatch:
     """Long polls each instance of one group, one task for each."""
 
@@ -68,7 +81,8 @@
         self._samples: tuple[Sample, ...] = ()
         self._stopped = False
         self._on_change: list[Callable[[], None]] = []
-        self._on_silence: list[Callable[[str], None]] = []
+        self._on_silence: list[Callable[[Silence], None]] = []
+        self._on_return: list[Callable[[str], None]] = []
         self._watched: dict[str, EndpointSpec] = {}
         self.set_spec(spec)
 
@@ -76,10 +90,14 @@
         """Call `function` after each change of an instance's state."""
         self._on_change.append(function)
 
-    def call_on_silence(self, function: Callable[[str], None]) -> None:
-        """Call `function` with the name of each instance that stops answering."""
+    def call_on_silence(self, function: Callable[[Silence], None]) -> None:
+        """Call `function` for each instance that stops answering."""
         self._on_silence.append(function)
 
+    def call_on_return(self, function: Callable[[str], None]) -> None:
+        """Call `function` with the name of each instance that answers again."""
+        self._on_return.append(function)
+
     def set_spec(self, spec: GroupSpec) -> None:
         """Take over a new list of instances."""
         with self.condition:
@@ -108,9 +126,12 @@
         while self._wants(endpoint):
             opened = self._opener(endpoint, "monitor", CONNECT_TIMEOUT_MS)
             if opened.is_ok():
-                self._poll(endpoint, opened.ok)
+                error = self._poll(endpoint, opened.ok)
                 opened.ok.close()
-            self._note_failure(endpoint)
+            else:
+                error = opened.error
+            if error is not None:
+                self._note_failure(endpoint, error)
             if not self._runtime.sleep_ms(REDIAL_MS):
                 return
 
@@ -119,7 +140,8 @@
             current = self._watched.get(endpoint.name)
             return not self._stopped and _is_same_target(current, endpoint)
 
-    def _poll(self, endpoint: EndpointSpec, link: EndpointLink) -> None:
+    def _poll(self, endpoint: EndpointSpec, link: EndpointLink) -> EndpointError | None:
+        """Poll until an answer is missing, and return why; None when nobody asks."""
         state = InstanceState()
         wait_ms = 0
         while self._wants(endpoint):
@@ -127,9 +149,10 @@
             timeout_ms = wait_ms + ANSWER_MARGIN_MS
             result = link.status(state.term, state.position, wait_ms, timeout_ms)
             if not result.is_ok():
-                return
+                return result.error
             state = self._note_answer(endpoint, result.ok, sent_at_ms)
             wait_ms = self._status_wait_ms
+        return None
 
     def _note_answer(
         self, endpoint: EndpointSpec, answer: StatusAnswer, sent_at_ms: float
@@ -143,11 +166,15 @@
             reachable=True,
         )
         with self.condition:
-            if endpoint.name in self.states:
+            known = self.states.get(endpoint.name)
+            if known is not None:
                 self.states = {**self.states, endpoint.name: state}
             if state.role == PRIMARY:
                 self._add_sample(Sample(sent_at_ms, state.term, state.position))
             self.condition.notify_all()
+        if known is not None and known.was_heard and not known.reachable:
+            for function in self._on_return:
+                function(endpoint.name)
         self._tell_change()
         return state
 
@@ -158,7 +185,7 @@
             kept = kept[:-1]
         self._samples = (*kept[1 - SAMPLES :], sample)
 
-    def _note_failure(self, endpoint: EndpointSpec) -> None:
+    def _note_failure(self, endpoint: EndpointSpec, error: EndpointError) -> None:
         with self.condition:
             state = self.states.get(endpoint.name)
             fell_silent = state is not None and state.reachable
@@ -167,8 +194,10 @@
                 self.states = {**self.states, endpoint.name: failed}
             self.condition.notify_all()
         if fell_silent:
+            silent_ms = self._runtime.clock.now_ms() - state.sent_at_ms
+            silence = Silence(endpoint.name, error.message, round(silent_ms))
             for function in self._on_silence:
-                function(endpoint.name)
+                function(silence)
         self._tell_change()
 
     def _tell_change(self) -> None:
--- a/tests/endpoints.py
+++ b/tests/endpoints.py
@@ -73,6 +73,10 @@
         spec = make_spec(self.servers[name].address, name)
         return dialect.open_link(self.runtime, spec, "vm-1", kind, timeout_ms)
 
+    def open_endpoint(self, spec: EndpointSpec, kind: str, timeout_ms: float):
+        """Return a link as a daemon opens it; the opener of a GroupWatch."""
+        return self.try_link(spec.name, kind, timeout_ms)
+
     def link(self, name: str, kind: str = "work") -> dialect.EndpointLink:
         return self.try_link(name, kind).ok
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -1,12 +1,17 @@
 """What a daemon learns from heartbeats, and in which order."""
 
+import io
+import json
+
 import pytest
 from expression import Error, Ok
 
+from bronzerelay.logs import open_log
+from bronzerelay.membership import View
 from bronzerelay.peerlink.ttypes import Beat, Record
 from bronzerelay.runtime import Address
 from bronzerelay.spread import Spreader, SpreadSettings
-from tests.endpoints import open_runtime
+from tests.endpoints import open_runtime, wait_until
 
 PEER = Address("127.0.0.1", 1)
 
@@ -72,3 +77,44 @@
         spreader = Spreader(runtime, settings, membership, store, links, None)
         assert spreader.beat("vm-2", PEER)
     assert membership.merged_at == merged_at
+
+
+class SilentMembership:
+    """A member that was alive and has fallen silent."""
+
+    name = "vm-1"
+
+    def __init__(self):
+        self.alive = [["vm-1", "vm-2"], ["vm-1"]]
+
+    def alive_names(self):
+        return self.alive.pop(0) if len(self.alive) > 1 else self.alive[0]
+
+    def address_of(self, name):
+        return PEER
+
+    def view_of(self, name):
+        return View(heard_at_ms=0.0)
+
+    def why_unreachable(self, name):
+        return "refused"
+
+
+def test_the_line_of_a_silent_peer_tells_its_inputs():
+    """Guards against a log that hides how old the news was and what was cut."""
+    stream = io.StringIO()
+    with open_runtime(10) as runtime:
+        links = FakeLinks(gives=True)
+        links.drop = lambda address: 7
+        log = open_log("spread", stream)
+        settings = SpreadSettings()
+        spreader = Spreader(runtime, settings, SilentMembership(), None, links, log)
+        spreader.start()
+        wait_until(runtime, lambda: "silent" in stream.getvalue())
+    line = json.loads(stream.getvalue().splitlines()[-1])
+    assert (line["peer"], line["unreachable"], line["calls_cut"]) == (
+        "vm-2",
+        "refused",
+        7,
+    )
+    assert line["heard_age_ms"] > 0
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -5,8 +5,9 @@
 from bronzerelay.runtime import Address, Runtime
 from bronzerelay.types import EndpointSpec, GroupSpec, Position
 from bronzerelay.watch import GroupWatch, InstanceState, Sample
+from tests.builders_group import STATUS_WAIT_MS, make_group_spec
+from tests.endpoints import NAMES, open_group, wait_until
 
-NAMES = ("orders-1", "orders-2", "orders-3")
 NOW_MS = 10_000.0
 
 
@@ -80,3 +81,23 @@
     watch._samples = (Sample(NOW_MS - 300, 1, 8), Sample(NOW_MS - 20, 1, 9))
     assert watch.proven_age_ms("orders-2") == 300
     assert watch.proven_age_ms("orders-3") == 20
+
+
+def test_a_silence_says_what_was_lost_and_since_when():
+    """Guards against a log that can't tell a lost connection from no answer."""
+    with open_group() as group:
+        runtime = group.runtime
+        spec = make_group_spec(group)
+        watch = GroupWatch(runtime, spec, group.open_endpoint, STATUS_WAIT_MS)
+        silences, returned = [], []
+        watch.call_on_silence(silences.append)
+        watch.call_on_return(returned.append)
+        wait_until(runtime, lambda: watch.count_reachable() == len(NAMES))
+        group.admin("orders-2", "freeze")
+        wait_until(runtime, lambda: silences)
+        group.admin("orders-2", "thaw")
+        wait_until(runtime, lambda: returned)
+        watch.stop()
+    assert (silences[0].endpoint, returned[0]) == ("orders-2", "orders-2")
+    assert "timed out" in silences[0].reason
+    assert silences[0].silent_ms >= STATUS_WAIT_MS
