Show a group at the daemon that serves it, not at its stand-ins

What callers saw: nothing. Operators and our own tests saw two daemons for one group: /status listed every group that a daemon keeps, and one that stood in for another for a moment keeps it for 10 s. test_killed_daemon_commits_nothing kills the daemon that it finds that way; when that was a stand-in, the holder of the transaction lived on and the commit was answered "ran", as it had to be.

/status shows under `groups` what this daemon serves now, and the others under `standby_groups`. The new test of the status failed before with all three daemons shown. test_commit_after_a_kill_tells_what_became_of_it kills the holder and a bystander by name, and holds for both what the caller was told against the stock.

--- a/bronzerelay/daemon.py
+++ b/bronzerelay/daemon.py
@@ -207,6 +207,7 @@
                 for name in parts.membership.member_names()
             },
             "groups": parts.groups.show(),
+            "standby_groups": parts.groups.list_standby(),
             "transactions": parts.transactions.count(),
             "isolated": parts.membership.is_isolated(),
             "stopping": parts.kernel.stopping,
--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -29,6 +29,8 @@
 # The part of an instance's connections that one serving daemon opens. Two daemons may
 # take themselves for the serving one while they see the fleet differently.
 CONNECTION_PART = 0.5
+# What the status page shows of a group that this daemon is just about to serve.
+NOTHING_SEEN: dict[str, Any] = {"primary": None, "term": 0, "endpoints": {}}
 
 
 class GroupSettings(NamedTuple):
@@ -226,10 +228,24 @@
         self._log.warning("A promotion was tried.", extra=extra)
 
     def show(self) -> dict[str, Any]:
-        """Return what is known of each served group, for the status page."""
+        """Return what is known of each group that this daemon serves now.
+
+        One that it keeps from when it stood in for another daemon isn't among them:
+        whoever looks for the daemon that serves a group would find two.
+        """
+        with self._lock:
+            kept = dict(self._served)
+        return {
+            name: _show_group(kept[name].server) if name in kept else NOTHING_SEEN
+            for name in list(self._specs)
+            if self._is_first(name)
+        }
+
+    def list_standby(self) -> list[str]:
+        """Return the groups that are kept here and served by another daemon."""
         with self._lock:
-            served = dict(self._served)
-        return {name: _show_group(one.server) for name, one in served.items()}
+            kept = list(self._served)
+        return sorted(name for name in kept if not self._is_first(name))
 
 
 def _fits(known: EndpointSpec, wanted: EndpointSpec) -> bool:
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -4,6 +4,7 @@
 from bronzerelay.retries import MAX_ATTEMPTS
 from tests.builders_group import make_server, make_work
 from tests.endpoints import add, open_group, put, wait_until
+from tests.nodes import open_deployment
 
 SERVICE_MS = 900
 
@@ -28,3 +29,14 @@
         assert (result.error.code, result.error.ran) == (Code.NO_PRIMARY, NOT_RUN)
         assert pauses == list(range(1, MAX_ATTEMPTS))
         assert other.result().is_ok()
+
+
+def test_a_group_is_shown_by_the_daemon_that_serves_it_and_by_no_stand_in():
+    """Guards against taking a daemon that stood in for the one that serves a group."""
+    with open_deployment(3) as deployment:
+        # Each daemon makes the group, as one does that stands in for another.
+        deployment.warm_up()
+        serving, *others = deployment.ranked
+        shown = {node.name: list(node.groups.show()) for node in deployment.nodes}
+        assert shown == {serving.name: ["orders"], **{one.name: [] for one in others}}
+        assert [one.groups.list_standby() for one in others] == [["orders"]] * 2
--- a/tests/test_promise_transactions.py
+++ b/tests/test_promise_transactions.py
@@ -4,6 +4,7 @@
 
 from bronzerelay import transactions
 from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN, Code
+from bronzerelay.transactions import daemon_of
 from standins.caller import Caller, CallerSettings
 from standins.checks import run_checks
 from standins.cluster import Cluster
@@ -444,6 +445,42 @@
         links.close()
 
 
+def open_transaction(cluster: Cluster, caller: Caller, daemon: str) -> str:
+    """Sell a piece in a transaction opened through `daemon`; return its token."""
+    begin = {"group": "orders", "action": "begin"}
+    token = caller.send(begin, daemon).transaction
+    sold = caller.run("orders", add("stock", -1), daemon, transaction=token)
+    assert sold.value == -1
+    return token
+
+
+@pytest.mark.parametrize("victim", ["holder", "bystander"])
+def test_commit_after_a_kill_tells_what_became_of_it(victim):
+    """Guards against a wrong answer to a commit, whichever daemon was killed."""
+    with open_runtime(task_limit=800) as runtime, Cluster(runtime, LAYOUT) as cluster:
+        cluster.put_bundle()
+        cluster.wait_ready(1)
+        links = LinkPool(runtime, cluster.daemon_addresses)
+        settings = CallerSettings("till", "caterer", cluster.keys["caterer"])
+        caller = Caller(runtime, settings, links)
+        through = cluster.daemon_names[0]
+        token = open_transaction(cluster, caller, through)
+        holder = daemon_of(token)
+        bystanders = set(cluster.daemon_names) - {holder}
+        killed = holder if victim == "holder" else max(bystanders - {through})
+        asked = through if through != killed else max(bystanders)
+        cluster.kill(killed)
+        ends = {"group": "orders", "action": "commit", "transaction": token}
+        entry = caller.send({**ends, "idempotency_key": "sale-1"}, asked)
+        told = (entry.ran, entry.code)
+        stock = caller.run("orders", get("stock"), asked).value
+        assert run_checks(caller.record, cluster.collect_evidence()) == []
+        links.close()
+    lost = (NOT_RUN, Code.TRANSACTION_LOST)
+    expected = {"holder": (lost, None), "bystander": ((RAN, Code.OK), -1)}
+    assert (told, stock) == expected[victim]
+
+
 def test_transactions_while_everything_fails():
     """Transactions run while daemons die and freeze and the primary is replaced.
 
