Refuse at once what would get its slot too late, by the pace of its line

What callers saw: beside a flood most of its requests waited out their deadline, 935 ms in the median, and were refused then. Their waiting cost the others: in a daemon with 250 of them at a time, and when peers took it for silent 94 and 59 forwarded calls were cut at once, each of which had its outcome found out at the primary.

Cause: the queue refused early only by the best case, all slots of all endpoints and one slot a round for each workspace, times two. A write can use the primary's slots alone, so that the estimate was a sixth of the wait.

A lane (the waiters of a workspace that the same endpoints suit) knows its pace, the time from one grant to the next, as lately seen. A newcomer whose turn would come after its deadline by that is refused at once with that time to come back, and without the lock. Whoever finds out what became of a write waits in line as before.

Ruled out: refusing by the time that earlier waiters had waited; one stall of the primary made that estimate useless for as long as the line lasted.

--- a/bronzerelay/group.py
+++ b/bronzerelay/group.py
@@ -129,9 +129,11 @@
         self.parts.budget.pause(tries, self.left_ms(work))
         return None
 
-    def acquire_primary(self, work: Work) -> Result[tuple[str, int], Refusal]:
-        """Return the primary and its term, with one of its slots taken."""
-        return self._instances.acquire_primary(work)
+    def acquire_primary(
+        self, work: Work, foresee: bool = True
+    ) -> Result[tuple[str, int], Refusal]:
+        """Return what `Instances.acquire_primary` returns."""
+        return self._instances.acquire_primary(work, foresee)
 
     def _finish_write(
         self, work: Work, attempt: int, written: Written
@@ -181,7 +183,8 @@
         return refuse(Code.OUTCOME_UNKNOWN, message, NO_PRIMARY_RETRY_MS, UNKNOWN)
 
     def _try_settle(self, work: Work, attempt: int) -> Settled | None:
-        found = self.acquire_primary(work)
+        # A refusal would only be followed by the next try.
+        found = self.acquire_primary(work, foresee=False)
         if not found.is_ok():
             return None
         name, term = found.ok
--- a/bronzerelay/instances.py
+++ b/bronzerelay/instances.py
@@ -63,8 +63,13 @@
         """Return how long one call for `work` may take."""
         return min(self._timeout_ms, max(1.0, self.left_ms(work)))
 
-    def acquire_primary(self, work: Work) -> Result[tuple[str, int], Refusal]:
-        """Return the primary and its term, with one of its slots taken."""
+    def acquire_primary(
+        self, work: Work, foresee: bool = True
+    ) -> Result[tuple[str, int], Refusal]:
+        """Return the primary and its term, with one of its slots taken.
+
+        With `foresee` work that would get a slot too late is refused at once.
+        """
         while self.left_ms(work) > 0:
             if self._parts.keeper.holds_writes:
                 self._runtime.sleep_ms(2)
@@ -74,7 +79,7 @@
                 break
             name, term = found
             slot = self._parts.slots.acquire(
-                work.workspace, (name,), self.latest_start_ms(work)
+                work.workspace, (name,), self.latest_start_ms(work), foresee
             )
             if not slot.is_ok():
                 return slot
--- a/bronzerelay/slots.py
+++ b/bronzerelay/slots.py
@@ -30,8 +30,10 @@
 # A measured time counts as at most this many times the estimate. The few timeouts
 # of one frozen endpoint would otherwise make all waits look lost for a while, and
 # requests that the other endpoints could serve would be turned away.
-HOLD_GROWTH = 4
-HOLD_FLOOR_MS = 0.1
+TIME_GROWTH = 4
+TIME_FLOOR_MS = 0.1
+# The weight of a new sample of a lane's pace.
+PACE_WEIGHT = 0.2
 # A deadline is plainly lost when the best case alone is this many times too long.
 SURE_FACTOR = 2
 
@@ -67,50 +69,81 @@
     return endpoint if endpoint in free else None
 
 
+def limit_growth(estimate_ms: float) -> float:
+    """Return how much a measured time may count at most beside its estimate."""
+    return TIME_GROWTH * max(estimate_ms, TIME_FLOOR_MS)
+
+
 # Waiters in their order; a dict lets one leave from the middle.
 Waiters = dict[Waiter, None]
 
 
+class Lane:
+    """Waiters of a line that the same fixed endpoints suit, and their pace."""
+
+    def __init__(self):
+        self.waiters: Waiters = {}
+        # From one grant to the next, as lately seen; 0 while that isn't known.
+        self.pace_ms = 0.0
+        self._granted_ms: float | None = None
+
+    def foresee_wait(self) -> float:
+        """Return how long a newcomer would wait."""
+        return (len(self.waiters) + 1) * self.pace_ms
+
+    def note_grant(self, now_ms: float, hold_ms: float) -> None:
+        """Learn the pace from a grant; `hold_ms` is how long a slot is held."""
+        if self._granted_ms is not None:
+            limit_ms = limit_growth(self.pace_ms) if self.pace_ms else hold_ms
+            passed_ms = min(now_ms - self._granted_ms, limit_ms)
+            weight = PACE_WEIGHT if self.pace_ms else 1
+            self.pace_ms += weight * (passed_ms - self.pace_ms)
+        self._granted_ms = now_ms
+
+
 class Line:
     """A workspace's waiters, first come first, and its credit.
 
-    Those that the same fixed endpoints suit wait behind each other, so that only the
-    first of them is looked at when a slot comes free. A flood of writes is as quick to
-    look at as a single one.
+    Of those that the same fixed endpoints suit only the first is looked at when a slot
+    comes free. A flood of writes is as quick to look at as a single one.
     """
 
     def __init__(self):
         self.count = 0
         self.credit = 0
-        self.fixed: dict[tuple[str, ...], Waiters] = {}
+        self.lanes: dict[tuple[str, ...], Lane] = {}
         self.choosing: Waiters = {}
 
     def join(self, waiter: Waiter) -> None:
         """Add a waiter at the end."""
-        self._find_waiters(waiter)[waiter] = None
         self.count += 1
+        if callable(waiter.suits):
+            self.choosing[waiter] = None
+            return
+        self.lanes.setdefault(waiter.suits, Lane()).waiters[waiter] = None
 
     def leave(self, waiter: Waiter) -> bool:
         """Take a waiter out; return whether it was in line still."""
-        waiters = self._find_waiters(waiter)
-        was_in_line = waiter in waiters
-        if was_in_line:
-            del waiters[waiter]
-            self.count -= 1
-        if not waiters and not callable(waiter.suits):
-            del self.fixed[waiter.suits]
-        return was_in_line
-
-    def _find_waiters(self, waiter: Waiter) -> Waiters:
-        if callable(waiter.suits):
-            return self.choosing
-        return self.fixed.setdefault(waiter.suits, {})
+        lane = None if callable(waiter.suits) else self.lanes.get(waiter.suits)
+        waiters = self.choosing if lane is None else lane.waiters
+        if waiter not in waiters:
+            return False
+        del waiters[waiter]
+        self.count -= 1
+        if lane is not None and not waiters:
+            del self.lanes[waiter.suits]
+        return True
+
+    def note_grant(self, waiter: Waiter, now_ms: float, hold_ms: float) -> None:
+        """Note that a waiter gets a slot, just before it leaves."""
+        if not callable(waiter.suits):
+            self.lanes[waiter.suits].note_grant(now_ms, hold_ms)
 
     def find_fixed(self, free: list[str]) -> Waiter | None:
         """Return the first waiter with a fixed list that has a free endpoint."""
         firsts = [
-            next(iter(waiters))
-            for suits, waiters in self.fixed.items()
+            next(iter(lane.waiters))
+            for suits, lane in self.lanes.items()
             if pick(suits, free) is not None
         ]
         return min(firsts, key=lambda waiter: waiter.number, default=None)
@@ -150,21 +183,28 @@
             self._hand_out()
 
     def acquire(
-        self, workspace: str, suits: Suits, deadline_ms: float
+        self, workspace: str, suits: Suits, deadline_ms: float, foresee: bool = True
     ) -> Result[str, Refusal]:
         """Return what `take` returns, as a result."""
         from expression import Error, Ok
 
-        taken = self.take(workspace, suits, deadline_ms)
+        taken = self.take(workspace, suits, deadline_ms, foresee)
         return Error(taken) if isinstance(taken, Refusal) else Ok(taken)
 
-    def take(self, workspace: str, suits: Suits, deadline_ms: float) -> str | Refusal:
+    def take(
+        self, workspace: str, suits: Suits, deadline_ms: float, foresee: bool = True
+    ) -> str | Refusal:
         """Return the endpoint on which a slot was taken; the caller releases it.
 
         A function that chooses is called under the queue's lock. `deadline_ms` is a
-        point on the clock.
+        point on the clock. With `foresee` a task is refused at once when by the pace
+        of those before it its turn would come too late; without it waits all the same.
         """
         workspace = self._name_line(workspace)
+        if foresee:
+            refused = self._foresee(workspace, suits, deadline_ms)
+            if refused is not None:
+                return refused
         with self._lock:
             self._choosing += callable(suits)
             entered = self._enter(workspace, suits, deadline_ms)
@@ -173,6 +213,25 @@
                 return entered
         return self._wait(workspace, entered, deadline_ms)
 
+    def _foresee(
+        self, workspace: str, suits: Suits, deadline_ms: float
+    ) -> Refusal | None:
+        """Return a refusal when those in the same lane leave no time.
+
+        It goes without the lock, so that a flood is refused without holding anybody
+        up. While somebody is in the lane no endpoint that suits is free.
+        """
+        line = self._lines.get(workspace)
+        lane = None if line is None or callable(suits) else line.lanes.get(suits)
+        if lane is None:
+            return None
+        wait_ms = lane.foresee_wait()
+        if line.count >= self._workspace_limit:
+            return _refuse_full(line.count, wait_ms)
+        if wait_ms > deadline_ms - self._clock.now_ms():
+            return _refuse_late("no slot can come free in time", wait_ms)
+        return None
+
     def _wait(
         self, workspace: str, waiter: Waiter, deadline_ms: float
     ) -> str | Refusal:
@@ -196,7 +255,7 @@
         """Give a slot back and hand it to the next waiter that it suits."""
         with self._lock:
             held_ms = self._clock.now_ms() - self._granted_ms[endpoint].popleft()
-            held_ms = min(held_ms, HOLD_GROWTH * max(self._hold_ms, HOLD_FLOOR_MS))
+            held_ms = min(held_ms, limit_growth(self._hold_ms))
             self._hold_ms += HOLD_WEIGHT * (held_ms - self._hold_ms)
             self._hand_out()
 
@@ -254,8 +313,7 @@
         wait_ms = self._estimate_wait(workspace)
         line = self._lines.get(workspace)
         if line is not None and line.count >= self._workspace_limit:
-            message = f"{line.count} requests of the workspace wait already"
-            return Refusal(Code.QUEUE_FULL, message, NOT_RUN, math.ceil(wait_ms))
+            return _refuse_full(line.count, wait_ms)
         left_ms = deadline_ms - self._clock.now_ms()
         if left_ms <= 0 or wait_ms > SURE_FACTOR * left_ms:
             return _refuse_late("no slot can come free in time", wait_ms)
@@ -340,6 +398,7 @@
     def _grant(self, workspace: str, line: Line, waiter: Waiter) -> None:
         if waiter.endpoint is not None:
             self._occupy(waiter.endpoint)
+            line.note_grant(waiter, self._clock.now_ms(), self._hold_ms)
             line.credit -= SLOT_COST
         if line.credit < SLOT_COST:
             self._end_turn()
@@ -386,5 +445,10 @@
         waiter.refused_ms = self._clock.now_ms()
 
 
+def _refuse_full(waiting: int, wait_ms: float) -> Refusal:
+    message = f"{waiting} requests of the workspace wait already"
+    return Refusal(Code.QUEUE_FULL, message, NOT_RUN, math.ceil(wait_ms))
+
+
 def _refuse_late(message: str, wait_ms: float) -> Refusal:
     return Refusal(Code.DEADLINE_PASSED, message, NOT_RUN, math.ceil(wait_ms))
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -10,6 +10,7 @@
 
 LONG_MS = 5000
 SHORT_MS = 50
+HOLD_MS = 10
 
 
 def take_any(free):
@@ -216,6 +217,47 @@
         trial.serve()
 
 
+def test_a_flood_that_gets_its_turn_too_late_is_refused_at_once(runtime):
+    """Guards against callers that wait until their deadline for a certain refusal."""
+    trial = Trial(runtime, {"x": 1})
+    refusals = []
+
+    def send():
+        taken = trial.acquire("flood", ("x",), timeout_ms=10 * HOLD_MS)
+        if taken.is_ok():
+            runtime.sleep_ms(HOLD_MS)
+            trial.queue.release("x")
+        else:
+            refusals.append(taken.error)
+
+    senders = []
+    for _ in range(80):
+        senders.append(runtime.start(send))
+        runtime.sleep_ms(HOLD_MS / 4)
+    for sender in senders:
+        sender.result()
+    late = [one for one in refusals if one.message == "no slot came free in time"]
+    assert len(refusals) > 20
+    assert len(late) < 0.5 * len(refusals)
+    assert min(one.retry_after_ms for one in refusals) > 0
+
+
+def test_a_lane_with_a_pace_still_lets_in_what_can_be_served(runtime):
+    """Guards against a pace that turns callers away beside idle slots."""
+    trial = Trial(runtime, {"x": 1})
+    futures = []
+    for _ in range(3):
+        trial.acquire("a", ("x",))
+        futures += [trial.join("a", ("x",)) for _ in range(4)]
+        for _ in range(4):
+            runtime.sleep_ms(HOLD_MS)
+            trial.serve("x")
+        trial.queue.release("x")
+        assert trial.acquire("a", ("x",), timeout_ms=HOLD_MS).ok == "x"
+        trial.queue.release("x")
+    assert all(future.result().is_ok() for future in futures)
+
+
 def test_a_choice_that_raises_hits_its_own_request_only(runtime):
     """A fault in the choice for one request shows up while another releases its
     slot. The other must not fail, nor anybody else in line.
