Run nothing for a peer that has hung up

What callers saw: after the serving daemon had fallen silent for a moment, the small workspaces were refused with "all slots are taken" (401) beside a flood.

Cause: a daemon that is taken for silent has its links cut, and its peers find out at the primary what became of each call. The daemon itself went on with all it had in its queue. Each such write took a slot to be told that it was cancelled, while another daemon handed out the same slots.

A task looks whether its peer still waits when it gets its slot, and leaves the slot to the next one if not. Nobody finds out about a write for a peer that is gone, either.

Evidence: in the new test the primary was asked to run 3 writes where the 2 of the warm-up are right.

--- a/bronzerelay/group.py
+++ b/bronzerelay/group.py
@@ -165,7 +165,7 @@
         """
         self._metrics.count_retry("settle")
         first = attempt
-        while self.left_ms(work) > 0:
+        while self.left_ms(work) > 0 and work.is_wanted():
             settled = self._try_settle(work, attempt)
             if settled is None:
                 self._runtime.sleep_ms(min(SETTLE_PAUSE_MS, self.left_ms(work)))
--- a/bronzerelay/instances.py
+++ b/bronzerelay/instances.py
@@ -25,6 +25,15 @@
 START_MARGIN = 3
 
 
+def refuse_unwanted() -> Result:
+    """Return the refusal of work whose asker has hung up while it waited.
+
+    The asker lets another daemon find out what became of it. Run all the same, what a
+    daemon had in hand when its peers took it for silent would use up the slots.
+    """
+    return refuse(Code.PEER_UNREACHABLE, "The daemon that asked has hung up.")
+
+
 class GroupParts(NamedTuple):
     """What a group is served with."""
 
@@ -83,6 +92,9 @@
             )
             if not slot.is_ok():
                 return slot
+            if not work.is_wanted():
+                self._parts.slots.release(name)
+                return refuse_unwanted()
             if (
                 self._parts.watch.primary() == name
                 and not self._parts.keeper.holds_writes
--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -19,7 +19,7 @@
     StatementCall,
     StatementReply,
 )
-from bronzerelay.peers import PeerLinks
+from bronzerelay.peers import PeerLinks, make_wanted_check
 from bronzerelay.policies import make_policy
 from bronzerelay.replies import pack_reply
 from bronzerelay.routing import Router, is_write
@@ -201,6 +201,7 @@
             session,
             deadline_ms,
             call.trace_id or "",
+            make_wanted_check(),
         )
         result = self.run_here(work, bool(call.settle))
         message = "A forwarded request ended."
--- a/bronzerelay/peers.py
+++ b/bronzerelay/peers.py
@@ -1,8 +1,10 @@
 """The links between daemons: authenticated thrift calls over TCP."""
 
+import contextlib
 import hashlib
 import hmac
 from collections.abc import Callable
+from contextvars import ContextVar
 from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
@@ -28,6 +30,29 @@
 LAST_NUMBER = 2**31
 
 
+# The link of the call that this task runs; each task has its own value.
+_calling: ContextVar[Connection | None] = ContextVar("calling", default=None)
+
+
+def make_wanted_check() -> Callable[[], bool]:
+    """Return a function that tells whether this task's caller still waits.
+
+    It is for the peer whose call the task runs, and says yes outside of a call. A peer
+    sends nothing while it waits, and hangs up when it has given up.
+    """
+    connection = _calling.get()
+    if connection is None:
+        return lambda: True
+
+    def is_wanted() -> bool:
+        still_waits = connection.is_quiet()
+        with contextlib.suppress(OSError):
+            connection.set_timeout(None)
+        return still_waits
+
+    return is_wanted
+
+
 class PeerError(NamedTuple):
     """Why a call to a peer gave no reply.
 
@@ -192,9 +217,11 @@
         connection.set_timeout(None)
         protocol = make_protocol(connection)
         while self._wait_for_call(connection, protocol):
+            token = _calling.set(connection)
             try:
                 self._processor.process(protocol, protocol)
             finally:
+                _calling.reset(token)
                 with self._lock:
                     self._active -= 1
 
--- a/bronzerelay/reads.py
+++ b/bronzerelay/reads.py
@@ -6,7 +6,7 @@
 
 from bronzerelay.codes import Code, Refusal, refuse
 from bronzerelay.dialect import EndpointError
-from bronzerelay.instances import GroupParts, Instances
+from bronzerelay.instances import GroupParts, Instances, refuse_unwanted
 from bronzerelay.runtime import Runtime
 from bronzerelay.sessions import advance_session
 from bronzerelay.types import Position, StatementAnswer
@@ -56,6 +56,9 @@
         if not chosen.is_ok():
             return chosen
         name = chosen.ok
+        if not work.is_wanted():
+            self._parts.slots.release(name)
+            return refuse_unwanted()
         started_ms = self._runtime.clock.now_ms()
         timeout_ms = self._instances.timeout_ms(work)
         result = self._instances.run_at(
--- a/bronzerelay/work.py
+++ b/bronzerelay/work.py
@@ -1,5 +1,6 @@
 """A request as the daemon that serves its group holds it."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from bronzerelay.sessions import Session
@@ -13,7 +14,8 @@
     """One request at the serving daemon; `deadline_ms` is of the own clock.
 
     `request_id` names the change at the endpoints and never repeats. `trace_id` is the
-    id that the caller knows, for the logs of each daemon on the way.
+    id that the caller knows, for the logs of each daemon on the way. `is_wanted` tells
+    whether anybody still waits for the answer.
     """
 
     request_id: str
@@ -22,6 +24,7 @@
     session: Session
     deadline_ms: float
     trace_id: str = ""
+    is_wanted: Callable[[], bool] = lambda: True
 
     @property
     def group(self) -> str:
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -17,6 +17,7 @@
 from tests.breakages import LAYOUT, run_and_break
 from tests.endpoints import NAMES, add, get, open_runtime, wait_until
 from tests.nodes import (
+    WORKSPACE,
     Node,
     check_told,
     make_work,
@@ -125,6 +126,30 @@
         check_told(deployment, tell(result), "row")
 
 
+def test_queued_work_of_a_peer_that_hung_up_takes_no_slot():
+    """Guards against slots spent on writes that others find out about already."""
+    with open_deployment(2, service_ms=100) as deployment:
+        deployment.warm_up()
+        serving, other = deployment.ranked
+        server = serving.groups.find("orders")
+        slots = server.parts.slots
+        primary = deployment.find_primary()
+        held = [server.acquire_primary(make_work(serving, add("row", 1))).ok]
+        while len(held) < 3:
+            held.append(server.acquire_primary(make_work(serving, add("row", 1))).ok)
+        sent = deployment.runtime.start(send_add, other, "row")
+        wait_until(deployment.runtime, lambda: slots.count_waiting() == {WORKSPACE: 1})
+        other.links.drop(serving.cutter.address)
+        told = tell(sent.result())
+        for _ in held:
+            slots.release(primary)
+        settle_down(deployment)
+        check_told(deployment, told, "row")
+        tried = [one.op for one in deployment.list_executions("write", "settle")]
+        assert tried.count("write") == len(deployment.nodes)
+        assert tried.count("settle") == 1
+
+
 @pytest.mark.parametrize("key", ["", "order-7"])
 @pytest.mark.parametrize("repeatable", [False, True])
 def test_thawed_daemon_runs_nothing_given_up(key, repeatable):
