--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -1,7 +1,7 @@
 """Builders of daemons inside the test's process, before endpoint stand-ins."""
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 from expression import Ok, Result
@@ -220,6 +220,22 @@
     return Work(name, WORKSPACE, request, {}, deadline_ms)
 
 
+def hold_all_slots(node: Node) -> Callable[[], None]:
+    """Take every slot of the primary at a daemon; return what frees them."""
+    server = node.groups.find("orders")
+    primary = server.parts.watch.primary()
+    count = server.spec.endpoints[0].slots
+    for _ in range(count):
+        work = make_work(node, {"verb": "put", "row": "held", "value": 1})
+        assert server.acquire_primary(work).is_ok()
+
+    def release() -> None:
+        for _ in range(count):
+            server.parts.slots.release(primary)
+
+    return release
+
+
 def settle_down(deployment: Deployment) -> None:
     """Wait until no daemon runs a request of a peer."""
     servers = [node.server for node in deployment.nodes]
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -20,6 +20,7 @@
     WORKSPACE,
     Node,
     check_told,
+    hold_all_slots,
     make_work,
     open_deployment,
     settle_down,
@@ -131,18 +132,13 @@
     with open_deployment(2, service_ms=100) as deployment:
         deployment.warm_up()
         serving, other = deployment.ranked
-        server = serving.groups.find("orders")
-        slots = server.parts.slots
-        primary = deployment.find_primary()
-        held = [server.acquire_primary(make_work(serving, add("row", 1))).ok]
-        while len(held) < 3:
-            held.append(server.acquire_primary(make_work(serving, add("row", 1))).ok)
+        slots = serving.groups.find("orders").parts.slots
+        release = hold_all_slots(serving)
         sent = deployment.runtime.start(send_add, other, "row")
         wait_until(deployment.runtime, lambda: slots.count_waiting() == {WORKSPACE: 1})
         other.links.drop(serving.cutter.address)
         told = tell(sent.result())
-        for _ in held:
-            slots.release(primary)
+        release()
         settle_down(deployment)
         check_told(deployment, told, "row")
         tried = [one.op for one in deployment.list_executions("write", "settle")]
