Pass over an answer that comes again while the next request is under way

One of two causes: a repeated answer that arrives after the link was looked at was read as that of the next request. Its id didn't match, the request counted as one that may have run, and finding out cancelled it though it was on its way. This was found by reading and is shown by the new test with a scripted endpoint: on the code before both cases end as lost.

An answer to an earlier request of the link is passed over, and the link is closed once the awaited answer is there, as the protocol asks for. Two answers to the same request, an answer to none, and an answer after the awaited one still end in doubt. A task that was paused until its deadline looks once more for an answer that is there already.

--- a/bronzerelay/dialect.py
+++ b/bronzerelay/dialect.py
@@ -150,6 +150,8 @@
         self._clock = runtime.clock
         self._connection = connection
         self._last_id = 0
+        # An answer to an earlier request came once more.
+        self._in_doubt = False
 
     def close(self) -> None:
         """Close the connection; the endpoint ends its transaction."""
@@ -300,6 +302,8 @@
         except (OSError, BrokenLinkError, msgspec.MsgspecError) as error:
             self.close()
             return _lose(f"no sound answer to {fields['op']}: {error}")
+        if self._in_doubt:
+            self.close()
         if answer["ok"]:
             return answer
         return EndpointError(
@@ -310,26 +314,48 @@
         end_ms = self._clock.now_ms() + timeout_ms
         self._connection.set_timeout(max(timeout_ms, 1))
         self._connection.send(question)
-        # Decoding fails when two answers came at once: some other request was
-        # answered as well, and which line is the right one can't be known.
-        line = self._receive_line(end_ms)
+        while True:
+            *earlier, line = self._receive_lines(end_ms).splitlines(keepends=True)
+            # Which of two answers to this request is the right one can't be known.
+            if any(self._read_answer(one)["id"] == self._last_id for one in earlier):
+                raise BrokenLinkError("two answers came at once")
+            answer = self._read_answer(line)
+            if answer["id"] == self._last_id:
+                return answer
+
+    def _read_answer(self, line: bytes) -> WireAnswer:
+        """Return the answer to this request, or to an earlier one of this link.
+
+        An answer may come again when the next request is under way already. Taken for
+        the next one's it would leave that in doubt; the link is closed afterwards.
+        """
         if not check_nesting(line, ANSWER_NESTING):
             raise BrokenLinkError("its answer nests too deep")
         answer = _decoder.decode(line)
-        if answer["id"] != self._last_id:
+        if answer["id"] > self._last_id:
             raise BrokenLinkError("it answers another request")
+        if answer["id"] < self._last_id:
+            self._in_doubt = True
         if not answer["ok"] and "error" not in answer:
             raise BrokenLinkError("it refuses without an error word")
         return answer
 
-    def _receive_line(self, end_ms: float) -> bytes:
+    def _receive(self) -> bytes:
+        try:
+            return self._connection.receive()
+        except BlockingIOError:
+            raise TimeoutError("timed out") from None
+
+    def _receive_lines(self, end_ms: float) -> bytes:
+        """Return what was received once it ends a line."""
         line = b""
         while not line.endswith(b"\n"):
             left_ms = end_ms - self._clock.now_ms()
-            if left_ms <= 0:
+            # A process that was paused looks once: its answer may be there.
+            if left_ms <= 0 and line:
                 raise TimeoutError("timed out")
-            self._connection.set_timeout(left_ms)
-            part = self._connection.receive()
+            self._connection.set_timeout(max(left_ms, 0))
+            part = self._receive()
             if not part:
                 raise BrokenLinkError("the endpoint closed the connection")
             line += part
--- a/tests/test_dialect.py
+++ b/tests/test_dialect.py
@@ -131,6 +131,26 @@
         assert len(asked) == 1
 
 
+@pytest.mark.parametrize("pause_ms", [0, SHORT_MS])
+def test_an_answer_that_comes_again_leaves_the_next_request_in_no_doubt(pause_ms):
+    """Guards against taking a repeated answer for that of the request under way."""
+    asked = []
+
+    def reply(connection, line):
+        asked.append(line)
+        if len(asked) == 2:
+            connection.send(SOUND)
+            runtime.sleep_ms(pause_ms)
+        answer_id = b'"id":%d' % (len(asked) + 1)
+        connection.send(SOUND.replace(b'"id":2', answer_id))
+
+    with open_script(reply) as (runtime, link):
+        assert read(link).ok.value == 7
+        assert read(link).ok.value == 7
+        assert len(asked) == 2
+        assert not link.is_usable()
+
+
 @pytest.mark.parametrize(
     "answer",
     [
