Don't take a peer for dead because it was slow to accept a connection

What callers saw: when a daemon had no time for a moment, a group moved to another one and back, and all calls to the first were cut.

Cause: a peer that couldn't be dialled counted as dead at once, whether it had refused the connection or merely not answered a handshake in time. In a flood on an idle machine the log of a daemon says "A peer is silent." of one that it had heard 231 ms before ("can't be reached: timed out", 7 calls cut), and again 382 ms before (22 calls cut); silence counts from 700 ms on.

Only a refused connection, or one that can't be routed, marks a peer. One that gives no answer is judged by the age of its last news like any other silence. The new tests failed before: a heartbeat that timed out marked its peer.

--- a/bronzerelay/peers.py
+++ b/bronzerelay/peers.py
@@ -56,11 +56,14 @@
 class PeerError(NamedTuple):
     """Why a call to a peer gave no reply.
 
-    `sent` says whether the call may have reached the peer, and so may have run.
+    `sent` says whether the call may have reached the peer, and so may have run;
+    `is_away` that the peer can't have been there, as it refused the connection. One
+    that was merely slow to accept it may be there.
     """
 
     message: str
     sent: bool
+    is_away: bool = False
 
 
 class ConnectionTransport(TTransportBase):
@@ -282,7 +285,9 @@
         try:
             link = self._take(address, timeout_ms)
         except (OSError, EOFError) as error:
-            return Error(PeerError(f"{address} can't be reached: {error}", sent=False))
+            message = f"{address} can't be reached: {error}"
+            is_away = not isinstance(error, TimeoutError)
+            return Error(PeerError(message, sent=False, is_away=is_away))
         self._note_used(address, link)
         try:
             link.connection.set_timeout(max(1.0, timeout_ms))
--- a/bronzerelay/routing.py
+++ b/bronzerelay/routing.py
@@ -167,7 +167,7 @@
         if reply.is_ok():
             return unpack_reply(reply.ok)
         error = reply.error
-        if not error.sent:
+        if error.is_away:
             self._membership.mark_unreachable(daemon, error.message)
         ran = UNKNOWN if error.sent else NOT_RUN
         return refuse(Code.PEER_UNREACHABLE, f"{error.message}.", STOP_RETRY_MS, ran)
--- a/bronzerelay/spread.py
+++ b/bronzerelay/spread.py
@@ -91,7 +91,7 @@
         timeout_ms = self._settings.beat_timeout_ms
         result = self._links.call(address, "beat", self.make_beat(), timeout_ms)
         if not result.is_ok():
-            if not result.error.sent:
+            if result.error.is_away:
                 self._membership.mark_unreachable(name, result.error.message)
             return False
         self._membership.clear_unreachable(name)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -133,6 +133,18 @@
     assert not result.error.sent
 
 
+def test_a_peer_that_is_slow_to_answer_isnt_away():
+    """Guards against taking a peer for dead that has no time for a handshake."""
+    with open_runtime() as runtime:
+        listener = runtime.listen(ANY_PORT)
+        links = PeerLinks(runtime, SECRET)
+        slow = links.call(listener.address, "lend", CALL, 50).error
+        listener.close()
+        gone = links.call(listener.address, "lend", CALL, 50).error
+    assert (slow.sent, slow.is_away) == (False, False)
+    assert (gone.sent, gone.is_away) == (False, True)
+
+
 def test_a_call_to_a_dropped_peer_ends_at_once(peer):
     """A peer freezes in the middle of a call, and is suspected a moment later.
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -9,6 +9,7 @@
 from bronzerelay.logs import open_log
 from bronzerelay.membership import View
 from bronzerelay.peerlink.ttypes import Beat, Record
+from bronzerelay.peers import PeerError
 from bronzerelay.runtime import Address
 from bronzerelay.spread import Spreader, SpreadSettings
 from tests.endpoints import open_runtime, wait_until
@@ -79,6 +80,31 @@
     assert membership.merged_at == merged_at
 
 
+class MarkingMembership(FakeMembership):
+    """Notes who is marked as unreachable."""
+
+    def __init__(self):
+        super().__init__(FakeStore())
+        self.marked = []
+
+    def mark_unreachable(self, name, reason=""):
+        self.marked.append(name)
+
+
+@pytest.mark.parametrize(("is_away", "marked"), [(False, []), (True, ["vm-2"])])
+def test_a_heartbeat_that_times_out_marks_nobody(is_away, marked):
+    """Guards against a peer that counts as dead for one slow handshake."""
+    membership = MarkingMembership()
+    with open_runtime(10) as runtime:
+        links = FakeLinks(gives=False)
+        error = PeerError("vm-2 can't be reached", sent=False, is_away=is_away)
+        links.call = lambda *_: Error(error)
+        settings = SpreadSettings()
+        spreader = Spreader(runtime, settings, membership, FakeStore(), links, None)
+        assert not spreader.beat("vm-2", PEER)
+    assert membership.marked == marked
+
+
 class SilentMembership:
     """A member that was alive and has fallen silent."""
 
