Hold a daemon's own pause against none of its peers

It cut each of its calls to them, whose callers waited until the outcomes were found out, and served every group itself for a moment.

Cause: the age of the last news counts the time in which the daemon couldn't have heard any. In a trial with the serving daemon paused for 900 ms its log has "A peer is silent." for both others with news of 724 to 1,045 ms before, all of it its own pause.

The task that judges the peers notices when it comes late. Whether a daemon may be cut off, and may honour keys, still goes by the real age of its news. A member that refuses a connection is dead at once, as before.

The new test failed before; the list of live members is checked against a new judgement with random pauses, too.

--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -21,6 +21,13 @@
     stopping: bool = False
 
 
+class Pause(NamedTuple):
+    """A time during which this daemon didn't run, by the own clock."""
+
+    began_ms: float = -NEVER_MS
+    ended_ms: float = -NEVER_MS
+
+
 class MembershipSettings(NamedTuple):
     """How fast silence is taken for death, and for being cut off."""
 
@@ -47,6 +54,7 @@
         self._roster: Roster = {"epoch": 0, "members": []}
         self._addresses: dict[str, Address] = {}
         self._own = View(beat=0)
+        self._pause = Pause()
         self._platform_at_ms: float = -NEVER_MS
         # The live members, for as long as nothing but time can change them.
         self._alive: list[str] = []
@@ -132,6 +140,16 @@
         """Return why `name` was marked; empty when it is silent or alive."""
         return self._unreachable.get(name, "")
 
+    def note_pause(self, began_ms: float, ended_ms: float) -> None:
+        """Note that this daemon didn't run and can't tell who was silent meanwhile.
+
+        Whoever was alive before counts as alive until it could have answered. All the
+        others would look dead otherwise, and every call on its way would be cut.
+        """
+        with self._lock:
+            self._pause = Pause(began_ms, ended_ms)
+            self._forget_alive()
+
     # The roster
 
     @property
@@ -191,8 +209,17 @@
         view = self.view_of(name)
         if view.stopping or name in self._unreachable:
             return False
-        age_ms = self._runtime.clock.now_ms() - view.heard_at_ms
-        return age_ms <= self._settings.suspect_ms
+        return self._is_heard(view, self._runtime.clock.now_ms())
+
+    def _is_heard(self, view: View, now_ms: float) -> bool:
+        return now_ms <= self._trusted_until_ms(view)
+
+    def _trusted_until_ms(self, view: View) -> float:
+        """Return until when a member counts as alive that isn't heard of again."""
+        until_ms = view.heard_at_ms + self._settings.suspect_ms
+        if view.heard_at_ms <= self._pause.began_ms <= until_ms:
+            return self._pause.ended_ms + self._settings.suspect_ms
+        return until_ms
 
     def alive_names(self) -> list[str]:
         """Return the members that are alive; always itself unless it is stopping.
@@ -218,9 +245,9 @@
             view = self._views.get(name)
             if view is None or view.stopping or name in self._unreachable:
                 continue
-            if name != self.name and now_ms - view.heard_at_ms <= suspect_ms:
+            if name != self.name and self._is_heard(view, now_ms):
                 names.add(name)
-                until_ms = min(until_ms, view.heard_at_ms + suspect_ms)
+                until_ms = min(until_ms, self._trusted_until_ms(view))
         alive = sorted(names)
         if alive != self._alive:
             self._alive = alive
--- a/bronzerelay/spread.py
+++ b/bronzerelay/spread.py
@@ -15,6 +15,8 @@
 FETCH_TIMEOUT_MS = 2000
 # How often the liveness of peers is judged, to drop links to a silent one.
 JUDGE_MS = 50
+# A look that comes this much after the last one tells that the daemon didn't run.
+PAUSE_MS = 250
 
 _roster_decoder = msgspec.json.Decoder(Roster)
 
@@ -144,7 +146,9 @@
 
     def _judge_peers(self) -> None:
         alive: set[str] = set()
+        looked_ms = self._runtime.clock.now_ms()
         while self._runtime.sleep_ms(JUDGE_MS):
+            looked_ms = self._note_pause(looked_ms)
             now_alive = set(self._membership.alive_names())
             for name in alive - now_alive:
                 self._part_from(name)
@@ -152,6 +156,15 @@
                 self._log.info("A peer is heard of.", extra={"peer": name})
             alive = now_alive
 
+    def _note_pause(self, looked_ms: float) -> float:
+        """Note a pause of this daemon since the last look; return the time of this."""
+        now_ms = self._runtime.clock.now_ms()
+        if now_ms - looked_ms > PAUSE_MS:
+            self._membership.note_pause(looked_ms, now_ms)
+            extra = {"paused_ms": round(now_ms - looked_ms)}
+            self._log.warning("This daemon was paused.", extra=extra)
+        return now_ms
+
     def _part_from(self, name: str) -> None:
         address = self._membership.address_of(name)
         view = self._membership.view_of(name)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -53,6 +53,19 @@
     assert trio.members["vm-1"].alive_names() == ["vm-1", "vm-2"]
 
 
+def test_a_daemon_that_was_paused_takes_nobody_for_silent_by_that(trio):
+    """Guards against a pause of one daemon that cuts its calls to all others."""
+    member = trio.members["vm-1"]
+    trio.wait(SUSPECT_MS + 1)
+    trio.hear("vm-1", "vm-2")
+    began_ms = trio.runtime.clock.now_ms()
+    trio.wait(3 * SUSPECT_MS)
+    member.note_pause(began_ms, trio.runtime.clock.now_ms())
+    assert member.alive_names() == ["vm-1", "vm-2"]
+    trio.wait(SUSPECT_MS + 1)
+    assert member.alive_names() == ["vm-1"]
+
+
 def test_a_frozen_daemon_that_reads_an_old_reply_does_not_take_it_for_new(trio):
     """A daemon is frozen between its heartbeat and the reply. Taken as of its arrival,
     the reply would show a dead peer alive and an old contact with the platform fresh.
--- a/tests/test_membership_alive.py
+++ b/tests/test_membership_alive.py
@@ -17,6 +17,7 @@
     st.tuples(st.just("unreachable"), name),
     st.tuples(st.just("clear"), name),
     st.tuples(st.just("roster"), st.sets(name)),
+    st.tuples(st.just("pause"), st.integers(0, 2 * SUSPECT_MS)),
     st.tuples(st.just("stop")),
 )
 
@@ -38,6 +39,10 @@
         beat = int(clock.time_ms)
         view = MemberView(rest[0], beat, 0, 0, age_ms, age_ms, stopping)
         membership.merge_reply([view], clock.time_ms)
+    elif kind == "pause":
+        began_ms = clock.time_ms
+        clock.time_ms += rest[0]
+        membership.note_pause(began_ms, clock.time_ms)
     elif kind == "unreachable":
         membership.mark_unreachable(rest[0])
     elif kind == "clear":
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -7,11 +7,11 @@
 from expression import Error, Ok
 
 from bronzerelay.logs import open_log
-from bronzerelay.membership import View
+from bronzerelay.membership import Membership, MembershipSettings, View
 from bronzerelay.peerlink.ttypes import Beat, Record
 from bronzerelay.peers import PeerError
 from bronzerelay.runtime import Address
-from bronzerelay.spread import Spreader, SpreadSettings
+from bronzerelay.spread import PAUSE_MS, Spreader, SpreadSettings
 from tests.endpoints import open_runtime, wait_until
 
 PEER = Address("127.0.0.1", 1)
@@ -122,10 +122,28 @@
     def view_of(self, name):
         return View(heard_at_ms=0.0)
 
+    def note_pause(self, began_ms, ended_ms):
+        pass
+
     def why_unreachable(self, name):
         return "refused"
 
 
+def test_a_late_look_at_the_peers_is_a_pause_of_this_daemon():
+    """Guards against a daemon that holds its own pause against its peers."""
+    stream = io.StringIO()
+    with open_runtime(10) as runtime:
+        membership = Membership(runtime, MembershipSettings("vm-1"))
+        log = open_log("spread", stream)
+        settings = SpreadSettings()
+        spreader = Spreader(runtime, settings, membership, None, None, log)
+        now_ms = runtime.clock.now_ms()
+        spreader._note_pause(now_ms)
+        assert not stream.getvalue()
+        spreader._note_pause(now_ms - 2 * PAUSE_MS)
+    assert json.loads(stream.getvalue())["paused_ms"] >= 2 * PAUSE_MS
+
+
 def test_the_line_of_a_silent_peer_tells_its_inputs():
     """Guards against a log that hides how old the news was and what was cut."""
     stream = io.StringIO()
