Refuse connections until a daemon answers them

The front and the server of the peers listened from the moment at which their parts were made, and looked at connections only once all parts had been started. A caller that came between waited for a process that was starting, where a balancer would have taken the next daemon, and a peer's handshake ran into its timeout.

It doesn't explain a /status that takes 2 s.

A port is bound at once, so that its number is known, and opened when its task starts. The new test failed before: both ports let a connection in. A daemon whose port another process has opened meanwhile says so and ends with code 1, as before.

--- a/bronzerelay/daemon.py
+++ b/bronzerelay/daemon.py
@@ -291,10 +291,11 @@
     end_wanted = catch_end_signals(runtime)
     try:
         daemon = Daemon(runtime, settings)
+        daemon.start()
     except OSError as error:
         log.error("The daemon can't start: %s.", error)
+        runtime.close(END_MS)
         return 1
-    daemon.start()
     end_wanted.wait()
     ended = daemon.stop()
     runtime.close(END_MS)
--- a/bronzerelay/front.py
+++ b/bronzerelay/front.py
@@ -96,13 +96,14 @@
         self._tls = None
         if settings.tls_certificate:
             self._tls = open_tls(settings.tls_certificate, settings.tls_key, log)
-        self._listener = runtime.listen(settings.listen, self._tls)
+        self._listener = runtime.bind(settings.listen, self._tls)
         self.address = self._listener.address
 
     # The life of the front
 
     def start(self) -> None:
         """Begin to accept connections."""
+        self._listener.open()
         self._accepting = True
         self._runtime.start(self._close_refused)
         self._runtime.start(self._accept)
--- a/bronzerelay/peers.py
+++ b/bronzerelay/peers.py
@@ -173,7 +173,7 @@
         self._secret = secret
         self._processor = Peer.Processor(handler)
         self._count_event = count_event
-        self._listener: Listener = runtime.listen(address)
+        self._listener: Listener = runtime.bind(address)
         self._active = 0
         self._idle: set[Connection] = set()
         self._lock = runtime.make_lock()
@@ -186,6 +186,7 @@
 
     def start(self) -> None:
         """Start accepting links."""
+        self._listener.open()
         self._runtime.start(self._accept)
 
     def _accept(self) -> None:
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -257,7 +257,7 @@
 
 
 class Listener:
-    """A listening TCP port."""
+    """A TCP port; until it is opened it refuses connections."""
 
     def __init__(
         self,
@@ -270,6 +270,10 @@
         self._tls = tls
         self.address = Address(*sock.getsockname()[:2])
 
+    def open(self) -> None:
+        """Let connections come in; raise OSError when another process has the port."""
+        self._sock.listen(BACKLOG)
+
     def accept(self) -> Connection:
         """Return the next connection; raise OSError once the listener is closed.
 
@@ -444,11 +448,30 @@
     def listen(
         self, address: Address, tls: Callable[[], ssl.SSLContext] | None = None
     ) -> Listener:
-        """Return a listener on `address`; port 0 takes a free one."""
+        """Return an open listener on `address`; port 0 takes a free one."""
+        listener = self.bind(address, tls)
+        try:
+            listener.open()
+        except OSError:
+            listener.close()
+            raise
+        return listener
+
+    def bind(
+        self, address: Address, tls: Callable[[], ssl.SSLContext] | None = None
+    ) -> Listener:
+        """Return a listener that refuses connections until it is opened.
+
+        The kernel accepts connections for an open one that nobody looks at yet. Their
+        callers would wait for a process that starts, where another would serve them.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address)
-        sock.listen(BACKLOG)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+        except OSError:
+            sock.close()
+            raise
         listener = Listener(sock, self._adopt, tls)
         with self._lock:
             self._listeners.add(listener)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -5,8 +5,10 @@
 
 import pytest
 
-from bronzerelay.daemon import catch_end_signals
-from bronzerelay.runtime import Runtime
+from bronzerelay.daemon import Daemon, catch_end_signals
+from bronzerelay.runtime import Address, Runtime
+from bronzerelay.settings import DaemonSettings
+from tests.endpoints import open_runtime
 
 STEPS = 60
 LATE_S = 0.1
@@ -49,3 +51,21 @@
     finally:
         sys.settrace(None)
         signal.setitimer(signal.ITIMER_REAL, 0)
+
+
+def test_a_daemon_that_is_starting_refuses_callers_and_peers():
+    """Guards against connections that hang in a process that doesn't answer yet."""
+    here = Address("127.0.0.1", 0)
+    settings = DaemonSettings(
+        name="vm-1",
+        failure_domain="a",
+        listen=here,
+        peer_listen=here,
+        platform=(here,),
+        peer_secret="secret",
+    )
+    with open_runtime() as runtime:
+        parts = Daemon(runtime, settings).parts
+        for address in (parts.front.address, parts.server.address):
+            with pytest.raises(ConnectionRefusedError):
+                runtime.dial(address, 1000)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -73,3 +73,22 @@
         ended.set()
         thread.join()
         assert took_s < LATE_S / 2
+
+
+class TestListener:
+    def test_a_port_refuses_connections_until_it_is_opened(self, runtime):
+        """Guards against callers that wait for a process that is starting."""
+        listener = runtime.bind(Address(LOCAL, 0))
+        with pytest.raises(ConnectionRefusedError):
+            runtime.dial(listener.address, 1000)
+        listener.open()
+        runtime.dial(listener.address, 1000).close()
+        listener.close()
+
+    def test_a_port_that_another_process_has_opened_cant_be_opened(self, runtime):
+        listener = runtime.bind(Address(LOCAL, 0))
+        taken = runtime.listen(listener.address)
+        with pytest.raises(OSError):
+            listener.open()
+        taken.close()
+        listener.close()
