Hold the ports of a deployment of the stand-ins while its processes restart

Cause, as far as a run can show: ports were looked for once and let go, and those of a daemon that restarts are free for about two seconds. Another test run's process takes one; the daemon ends with "Address already in use", and whatever listens there is asked in its place. A stand-in of the platform that is down accepts the connection and gives no answer. Trial: with such a one started on the port between stop and start, the test's own call ends with "Read timed out. (read timeout=2.0)", and the daemon isn't running.

Ruled out: 66 runs of the test at loads 5 and 13 without a failure; in 144 restarts beside 9 clusters and 12 busy processes the first /status came within 86 ms of the port's opening, so that a slow start alone doesn't take 2 s; the runtime starts a task for each connection. That the failure of that run was this one isn't proved: its processes left no logs.

The ports are held by the deployment until its processes have ended for good. A held port can be opened by others of this project's processes, and reserved by no other run. The new test reserves the port of a stopped daemon: before, another run got it.

--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -274,6 +274,10 @@
         """Let connections come in; raise OSError when another process has the port."""
         self._sock.listen(BACKLOG)
 
+    def share(self) -> None:
+        """Let other processes bind the port, too, as long as it isn't open."""
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+
     def accept(self) -> Connection:
         """Return the next connection; raise OSError once the listener is closed.
 
@@ -465,9 +469,26 @@
         The kernel accepts connections for an open one that nobody looks at yet. Their
         callers would wait for a process that starts, where another would serve them.
         """
+        return self._bind(address, tls, shared=True)
+
+    def reserve(self, address: Address) -> Listener:
+        """Return a listener, never to be opened, on a port that nobody has bound.
+
+        Other processes may open the port while it is held, but can't reserve it.
+        """
+        listener = self._bind(address, None, shared=False)
+        listener.share()
+        return listener
+
+    def _bind(
+        self,
+        address: Address,
+        tls: Callable[[], ssl.SSLContext] | None,
+        shared: bool,
+    ) -> Listener:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, shared)
             sock.bind(address)
         except OSError:
             sock.close()
--- a/lab/slopes.py
+++ b/lab/slopes.py
@@ -21,7 +21,7 @@
 from lab.deployments import measure_fleet, measure_paths
 from lab.measure import fit_line
 from lab.tables import rewrite_page
-from standins.processes import Process, find_free_addresses, wait_until_listening
+from standins.processes import Process, reserve_addresses, wait_until_listening
 
 ROOT = Path(__file__).resolve().parent.parent
 RESULTS = ROOT / "docs/measurements/capacity.json"
@@ -65,7 +65,7 @@
 def run_instances() -> Iterator[list[Address]]:
     """Give the addresses of three instances of a group, each a process."""
     runtime = Runtime(task_limit=4)
-    addresses = find_free_addresses(runtime, 3)
+    addresses = [held.address for held in reserve_addresses(runtime, 3)]
     with tempfile.TemporaryDirectory() as folder:
         processes = []
         role = ["--primary-term", "1"]
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -36,7 +36,7 @@
     POLL_MS,
     ClusterError,
     Process,
-    find_free_addresses,
+    reserve_addresses,
     wait_until_listening,
 )
 from standins.rates import RateLimit
@@ -91,7 +91,8 @@
         self._processes: dict[str, Process] = {}
         names = [PLATFORM, *self.endpoint_names, *self.daemon_names]
         peers = [_name_peer(name) for name in self.daemon_names]
-        free = find_free_addresses(runtime, len(names) + len(peers))
+        self._reserved = reserve_addresses(runtime, len(names) + len(peers))
+        free = [listener.address for listener in self._reserved]
         self.addresses = dict(zip(names + peers, free, strict=True))
         self.platform = PlatformAdmin(runtime, self.addresses[PLATFORM])
         self._add_processes()
@@ -127,6 +128,8 @@
         atexit.unregister(self.close)
         for process in self._processes.values():
             process.kill()
+        for listener in self._reserved:
+            listener.close()
         if not self._keep_logs:
             self.remove_logs()
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -8,7 +8,7 @@
 import sys
 from pathlib import Path
 
-from bronzerelay.runtime import Address, Runtime
+from bronzerelay.runtime import Address, Listener, Runtime
 
 HOST = "127.0.0.1"
 ROOT = Path(__file__).resolve().parent.parent
@@ -109,18 +109,19 @@
         return "\n".join(f"    {self.name}: {line}" for line in lines)
 
 
-def find_free_addresses(runtime: Runtime, count: int) -> list[Address]:
-    """Return `count` loopback addresses whose ports are free at this moment."""
-    listeners = []
-    try:
-        while len(listeners) < count:
-            port = FIRST_PORT + next(_ports) % (LAST_PORT - FIRST_PORT)
-            with contextlib.suppress(OSError):
-                listeners.append(runtime.listen(Address(HOST, port)))
-        return [listener.address for listener in listeners]
-    finally:
-        for listener in listeners:
-            listener.close()
+def reserve_addresses(runtime: Runtime, count: int) -> list[Listener]:
+    """Return `count` loopback ports, held for processes that are started on them.
+
+    Whoever starts a process closes its listener after that has ended for good. The port
+    of a process that is restarted would go to another test run meanwhile, whose process
+    would be taken for the restarted one.
+    """
+    held: list[Listener] = []
+    while len(held) < count:
+        port = FIRST_PORT + next(_ports) % (LAST_PORT - FIRST_PORT)
+        with contextlib.suppress(OSError):
+            held.append(runtime.reserve(Address(HOST, port)))
+    return held
 
 
 def wait_until_listening(
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -1,12 +1,15 @@
 """Tests of the deployment on stand-ins: that it starts, obeys, and ends."""
 
+import itertools
 import os
 
 import pytest
 
 from bronzerelay.bundle import check_bundle
 from bronzerelay.runtime import Runtime
+from standins import processes
 from standins.cluster import DEMO, RETURNS, VIANDA, Cluster, ClusterError
+from standins.processes import FIRST_PORT, reserve_addresses
 
 TINY = DEMO._replace(groups=("orders",), instances=1, daemons=1, connect_ms=0)
 NAMES = ["platform", "orders-1", "vm-1"]
@@ -103,3 +106,18 @@
         cluster.__enter__()
     assert list_pids(cluster) == []
     cluster.remove_logs()
+
+
+def test_the_port_of_a_stopped_daemon_goes_to_no_other_run(runtime, monkeypatch):
+    """Guards against taking a process of another run for a daemon that came back."""
+    with Cluster(runtime, TINY) as cluster:
+        cluster.stop("vm-1")
+        port = cluster.addresses["vm-1"].port
+        monkeypatch.setattr(processes, "_ports", itertools.count(port - FIRST_PORT))
+        (taken,) = reserve_addresses(runtime, 1)
+        taken.close()
+        assert taken.address.port != port
+        cluster.start("vm-1")
+        assert cluster.fetch("vm-1", "/health")[0] == 200
+    (taken,) = reserve_addresses(runtime, 1)
+    taken.close()
