--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -261,8 +261,8 @@
     Mutation(
         "a crossed answer reaches nobody",
         "bronzerelay/dialect.py",
-        'if answer["id"] != self._last_id:',
-        "if False:",
+        'if answer["id"] == self._last_id:',
+        "if True:",
         "tests/test_promise_transactions.py::test_answers_reach_their_own_callers",
     ),
     Mutation(
@@ -476,6 +476,77 @@
         "True",
         "tests/test_promise_stopping.py::test_a_daemon_that_stops_ends_what_others_forwarded_to_it",
     ),
+    Mutation(
+        "a group is shown by the daemon that serves it",
+        "bronzerelay/groups.py",
+        "            for name in list(self._specs)\n"
+        "            if self._is_first(name)\n",
+        "            for name in kept\n",
+        "tests/test_group.py::test_a_group_is_shown_by_the_daemon_that_serves_it_and_by_no_stand_in",
+    ),
+    Mutation(
+        "waking the queue takes no lock while no choice can change",
+        "bronzerelay/slots.py",
+        "        if not self._choosing:\n            return\n",
+        "",
+        "tests/test_slots.py::test_writes_pass_the_lock_twice_however_often_replicas_report",
+    ),
+    Mutation(
+        "what would get its slot too late is refused at once",
+        "bronzerelay/slots.py",
+        "if wait_ms > deadline_ms - self._clock.now_ms():",
+        "if False:",
+        "tests/test_slots.py::test_a_flood_that_gets_its_turn_too_late_is_refused_at_once",
+    ),
+    Mutation(
+        "nothing runs for a peer that has hung up",
+        "bronzerelay/instances.py",
+        "if not work.is_wanted():",
+        "if False:",
+        "tests/test_promise_once.py::test_queued_work_of_a_peer_that_hung_up_takes_no_slot",
+    ),
+    Mutation(
+        "a peer that is slow to accept a connection isn't dead",
+        "bronzerelay/peers.py",
+        "is_away = not isinstance(error, TimeoutError)",
+        "is_away = True",
+        "tests/test_peers.py::test_a_peer_that_is_slow_to_answer_isnt_away",
+    ),
+    Mutation(
+        "a daemon's own pause is held against no peer",
+        "bronzerelay/membership.py",
+        "if view.heard_at_ms <= self._pause.began_ms <= until_ms:",
+        "if False:",
+        "tests/test_membership.py::test_a_daemon_that_was_paused_takes_nobody_for_silent_by_that",
+    ),
+    Mutation(
+        "a lost status connection is renewed",
+        "bronzerelay/watch.py",
+        "renewed = self._renew(endpoint, lost.left_ms)",
+        "renewed = None",
+        "tests/test_promise_once.py::test_lost_connection_replaces_no_primary",
+    ),
+    Mutation(
+        "an answer that comes again is passed over",
+        "bronzerelay/dialect.py",
+        "            self._in_doubt = True\n",
+        '            raise BrokenLinkError("it answers an earlier request")\n',
+        "tests/test_dialect.py::test_an_answer_that_comes_again_leaves_the_next_request_in_no_doubt",
+    ),
+    Mutation(
+        "a signal that interrupts no wait wakes the main task",
+        "bronzerelay/runtime.py",
+        "before = signal.set_wakeup_fd(writer, warn_on_full_buffer=False)",
+        "before = -1",
+        "tests/test_runtime.py::TestSignal",
+    ),
+    Mutation(
+        "a daemon that is starting refuses connections",
+        "bronzerelay/front.py",
+        "runtime.bind(settings.listen, self._tls)",
+        "runtime.listen(settings.listen, self._tls)",
+        "tests/test_daemon.py::test_a_daemon_that_is_starting_refuses_callers_and_peers",
+    ),
 )
 
 
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -383,4 +383,13 @@
         "",
         "tests/test_heartbeats.py::TestAcknowledging",
     ),
+    Mutation(
+        "a line that is there is read after its deadline",
+        POOLER + "lines.py",
+        "left_ms = max(0, deadline_ms - self._clock.now_ms())",
+        "left_ms = deadline_ms - self._clock.now_ms()\n"
+        "        if left_ms <= 0:\n"
+        '            raise TimeoutError("no whole line in time")',
+        "tests/test_lines.py",
+    ),
 )
