Let a watch that brings nothing prove nothing by itself

One of the two suspicions that the postmortem of the silent store left open: while the store is about to drop its history its watches hear of no change for a second. A watch that ended empty in it counted as a proof of the moment at which it was sent, so that a daemon that hears of few others could go on using a primary that had been replaced.

With a store that holds changes back from watches the new test got a proof from the first empty watch.

While a proof is wanted, an empty watch is followed by a read of the revision, which alone counts. If the store has more, the next watch may bring it; if that is empty too, all is loaded anew. A long watch that ends empty was sent too long ago to prove anything and counts as a sign of life only.

--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -169,6 +169,8 @@
         self.note_change: Callable[[], None] = lambda: None
         self._hurried = False
         self._waits_long = False
+        # Whether the last watch brought nothing though the store had more.
+        self._held_back = False
 
     def get(self, key: str) -> Item | None:
         """Return a key as it is known, or None."""
@@ -259,6 +261,7 @@
                     continue
                 else:
                     self._watch()
+                    continue
             except HistoryLostError as error:
                 self._log.write("store", "The history is lost.", error=str(error))
                 loaded = False
@@ -269,16 +272,43 @@
             self._note_answer(sent_at_ms)
 
     def _watch(self) -> None:
-        self._waits_long = not self.wants_proof()
-        wait_ms = WATCH_WAIT_MS if self._waits_long else PROOF_WAIT_MS
+        sent_at_ms = self._clock.now_ms()
+        wants_proof = self.wants_proof()
+        self._waits_long = not wants_proof
+        wait_ms = PROOF_WAIT_MS if wants_proof else WATCH_WAIT_MS
         try:
             changes = self._store.watch("", self.at, wait_ms)
             self._apply(changes)
         finally:
             self._waits_long = False
-        if changes.items and not self.wants_proof():
+        if not changes.items:
+            self._note_life()
+            if wants_proof:
+                self._confirm()
+            return
+        self._held_back = False
+        self._note_answer(sent_at_ms)
+        if not wants_proof:
             self._runtime.sleep_ms(GATHER_MS)
 
+    def _confirm(self) -> None:
+        """Ask the store whether a watch that brought nothing had nothing to bring.
+
+        Before the store drops its history its watches may hear of no change for a
+        while. Taken for a proof, such a watch would let a primary be used that has been
+        replaced.
+        """
+        sent_at_ms = self._clock.now_ms()
+        at = self._store.read_revision(CALL_TIMEOUT_MS)
+        if self.note_known(at, sent_at_ms):
+            self._held_back = False
+            return
+        # What changed just now comes with the next watch.
+        if self._held_back:
+            self._held_back = False
+            raise HistoryLostError("a watch brings nothing of what the store has")
+        self._held_back = True
+
     # Following a relay
 
     def note_told(self, at: int, address: Address) -> None:
@@ -326,6 +356,10 @@
             self._store.interrupt()
 
     def _note_answer(self, sent_at_ms: float) -> None:
+        self._note_life()
+        self.note_known(self.at, sent_at_ms)
+
+    def _note_life(self) -> None:
         if self._failures:
             self._log.write(
                 "store",
@@ -334,7 +368,6 @@
                 age_ms=round(self.store_age_ms()),
                 at=self.at,
             )
-        self.note_known(self.at, sent_at_ms)
         self._failures = 0
 
     def _note_failure(self, error: StoreError, sent_at_ms: float) -> None:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -40,6 +40,9 @@
         self.waits.append((after, wait_ms))
         return self._next()
 
+    def read_revision(self, timeout_ms):
+        return self.waits[-1][0]
+
     def interrupt(self):
         pass
 
@@ -108,6 +111,59 @@
         assert mirror.store_age_ms() == 1000
 
 
+class HoldingStore:
+    """Holds back from its watches what a read shows; the script ends after some."""
+
+    def __init__(self, runtime, item, watches=3):
+        self._runtime = runtime
+        self._item = item
+        self._watches = watches
+        self.calls = []
+
+    def load(self, prefix, timeout_ms):
+        self.calls.append("load")
+        at = self._item.revision if len(self.calls) > 1 else 1
+        return Changes([self._item] if len(self.calls) > 1 else [], at)
+
+    def watch(self, prefix, after, wait_ms):
+        self.calls.append("watch")
+        self._runtime.clock.sleep_ms(wait_ms)
+        if self.calls.count("watch") == self._watches:
+            self._runtime._stopping.set()
+        return Changes([], after)
+
+    def read_revision(self, timeout_ms):
+        self.calls.append("poll")
+        return self._item.revision
+
+    def interrupt(self):
+        pass
+
+
+class TestHeldBack:
+    def make(self, item):
+        runtime = make_runtime(SetClock())
+        store = HoldingStore(runtime, item)
+        mirror = Mirror(runtime, store, lambda item: None, make_log(runtime))
+        mirror.wants_proof = lambda: True
+        proven = []
+        mirror.note_proof = lambda ms: proven.append((ms, mirror.get("lead")))
+        mirror.run()
+        return store, proven
+
+    def test_an_empty_watch_proves_nothing_while_the_store_has_more(self):
+        """Guards against a proof for a primary whose change is held back."""
+        change = Item("lead", b"next", 9)
+        store, proven = self.make(change)
+        assert store.calls[:6] == ["load", "watch", "poll", "watch", "poll", "load"]
+        assert [known for _, known in proven[1:]] == [change] * (len(proven) - 1)
+
+    def test_an_empty_watch_proves_what_a_read_behind_it_confirms(self):
+        store, proven = self.make(Item("lead", b"same", 1))
+        assert store.calls == ["load", *["watch", "poll"] * 3]
+        assert len(proven) == 4
+
+
 class TestPeers:
     def make(self):
         mirror, _, taken = run_script(Changes([A1], 4))
