Count members behind relays for a removal only if they know the list

The other suspicion that the postmortem of the silent store left open: a silent member is removed by a daemon that hears of most of the list, those who know it as it is. A member that is heard of through relays counted without that, since heartbeats didn't tell what it knows of the store. Removals one after another could have gone past a majority that knows a longer list, and goes on using a primary that the others replace.

Relays tell in one number a revision that all the members know of which they tell. A member counts by what it knew when it was last heard of, by itself or through a relay.

--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -38,11 +38,13 @@
     """What a relay has heard of the members that it exchanges heartbeats with.
 
     `heard` says for how many milliseconds all that a member had told is known to the
-    relay. `acknowledged` holds for a service whose primary is being changed the epoch
-    and the members that can't use the old primary any more.
+    relay, and `known_at` a revision of the store that all of these know. `acknowledged`
+    holds for a service whose primary is being changed the epoch and the members that
+    can't use the old primary any more.
     """
 
     heard: dict[str, float]
+    known_at: int
     acknowledged: dict[str, tuple[int, list[str]]]
 
 
@@ -111,6 +113,8 @@
         self.mirror_at = 0
         # All that it had told anybody up to then is known here, by itself or a relay.
         self.told_at_ms = NEVER_MS
+        # The revision of the store that it knew when it told that, or a later time.
+        self.knew_at = 0
         # For each service the epoch of the change that the peer has acknowledged.
         self.acknowledged: dict[str, int] = {}
         # For each service the epoch of the change that it doesn't know the end of.
@@ -342,6 +346,7 @@
             # Who knows nothing of the store yet may not know of a change either.
             if beat.mirror_at > 0 and beat.all_told:
                 view.told_at_ms = max(view.told_at_ms, proven_ms)
+                view.knew_at = beat.mirror_at
         take(beat, view, proven_ms)
 
     def _find_sent(self, wanted: int) -> float | None:
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -271,11 +271,13 @@
         now_ms = self._clock.now_ms()
         near = self.contacts.list_domain(self._domain)
         views = {name: self._gossip.views.get(name) for name in near}
-        heard = {
-            name: round(now_ms - one.told_at_ms)
+        fresh = {
+            name: one
             for name, one in views.items()
             if one is not None and one.told_at_ms >= now_ms - LEASE_MS
         }
+        heard = {name: round(now_ms - one.told_at_ms) for name, one in fresh.items()}
+        known_at = min((one.knew_at for one in fresh.values()), default=0)
         acknowledged = {}
         for record in unsettled:
             names = [
@@ -285,7 +287,7 @@
                 and one.acknowledged.get(record.service, 0) >= record.epoch
             ]
             acknowledged[record.service] = (record.epoch, names)
-        return Relayed(heard, acknowledged)
+        return Relayed(heard, known_at, acknowledged)
 
     # Learning
 
@@ -315,9 +317,10 @@
     def _take_relayed(self, relayed: Relayed, proven_ms: float) -> None:
         views = self._gossip.views
         for name, age_ms in relayed.heard.items():
-            if name in views:
-                told_at_ms = views[name].told_at_ms
-                views[name].told_at_ms = max(told_at_ms, proven_ms - age_ms)
+            view = views.get(name)
+            if view is not None and view.told_at_ms < proven_ms - age_ms:
+                view.told_at_ms = proven_ms - age_ms
+                view.knew_at = relayed.known_at
         for service, (epoch, names) in relayed.acknowledged.items():
             for name in names:
                 if name in views:
--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -6,7 +6,7 @@
 
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.events import EventLog
-from bronzerelay.pooler.gossip import Gossip, PeerView
+from bronzerelay.pooler.gossip import Gossip
 from bronzerelay.pooler.leadership import LEASE_MS
 from bronzerelay.pooler.mirror import Item, Mirror, StoreError
 from bronzerelay.runtime import Runtime, parse_address
@@ -144,15 +144,10 @@
         heard = [
             view
             for view in self._gossip.views.values()
-            if view.told_at_ms >= oldest_ms and self._knows_list(view, oldest_ms)
+            if view.told_at_ms >= oldest_ms and view.knew_at >= self._changed_at
         ]
         return (1 + len(heard)) * 2 > len(self.list_names())
 
-    def _knows_list(self, view: PeerView, oldest_ms: float) -> bool:
-        # Who is heard of through relays doesn't tell what it knows.
-        told_itself = view.received_at_ms >= oldest_ms
-        return not told_itself or view.mirror_at >= self._changed_at
-
     def remove_gone(self) -> None:
         """Take one member off the list that is addressed and silent for very long."""
         oldest_ms = self._clock.now_ms() - GONE_MEMBER_MS
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -372,8 +372,8 @@
     Mutation(
         "who doesn't know the list doesn't count for the next removal",
         POOLER + "members.py",
-        "return not told_itself or view.mirror_at >= self._changed_at",
-        "return True",
+        "view.told_at_ms >= oldest_ms and view.knew_at >= self._changed_at",
+        "view.told_at_ms >= oldest_ms",
         "tests/test_members.py::TestRemoving",
     ),
     Mutation(
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -275,6 +275,35 @@
         assert known == set(fleet.daemons)
 
 
+class TestListsBehindRelays:
+    def list_behind(self, fleet, at):
+        """Return who knows less than `at`, as relays of other domains hear."""
+        return {
+            name
+            for relay in fleet.list_relays()
+            for name, view in relay.gossip.views.items()
+            if fleet.daemons[name].peer.domain != relay.peer.domain
+            and view.told_at_ms >= fleet.clock.now_ms() - LEASE_MS
+            and view.knew_at < at
+        }
+
+    def test_relays_tell_what_the_members_behind_them_know_of_the_store(self):
+        """Guards against removals by a list that far members have not heard of."""
+        fleet = HeartbeatFleet(LARGE)
+        fleet.run(CALM_MS)
+        assert self.list_behind(fleet, 7) == set()
+        late = next(
+            one for one in fleet.daemons.values() if one not in fleet.list_relays()
+        )
+        for daemon in fleet.daemons.values():
+            daemon.mirror.at = 7 if daemon is late else 9
+        fleet.run(CALM_MS)
+        assert late.name in self.list_behind(fleet, 9)
+        late.mirror.at = 9
+        fleet.run(CALM_MS)
+        assert self.list_behind(fleet, 9) == set()
+
+
 class TestRelayedRates:
     RATE = 100.0
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -52,6 +52,7 @@
         for name, revision in mirror_at.items():
             self.views[name] = PeerView(name, PEER, 0.0)
             self.views[name].mirror_at = revision
+            self.views[name].knew_at = revision
 
 
 def make_members(revisions, mirror_at):
@@ -105,19 +106,23 @@
         assert not members.outvotes({"d1"})
 
 
+OTHERS = ("d2", "d3", "d4", "d5", "d6")
+
+
 class TestRemoving:
     """Five others are addressed, of which some have been silent."""
 
-    def make(self, silent_ms, addressed=("d2", "d3", "d4", "d5", "d6"), behind=()):
+    def make(self, silent_ms, addressed=OTHERS, behind=(), relayed=()):
         clock = SetClock()
         runtime = make_runtime(clock)
-        names = ["d2", "d3", "d4", "d5", "d6"]
-        gossip = FakeGossip({name: 2 if name in behind else 3 for name in names})
+        gossip = FakeGossip({name: 2 if name in behind else 3 for name in OTHERS})
         for name, view in gossip.views.items():
-            view.received_at_ms = clock.now_ms() - silent_ms.get(name, 100)
-            view.told_at_ms = view.received_at_ms
+            view.told_at_ms = clock.now_ms() - silent_ms.get(name, 100)
+            if name in relayed:
+                continue
+            view.received_at_ms = view.told_at_ms
             view.addressed_since_ms = 0.0 if name in addressed else None
-        mirror = FakeMirror(dict.fromkeys(["d1", *names], 3))
+        mirror = FakeMirror(dict.fromkeys(["d1", *OTHERS], 3))
         members = Members(runtime, "d1", PEER, mirror, gossip, make_log(runtime))
         members.update()
         members.remove_gone()
@@ -146,6 +151,12 @@
         assert self.make({"d2": 6000}, behind=("d3", "d4", "d5")) == []
         assert self.make({"d2": 6000}, behind=("d3",)) != []
 
+    def test_members_behind_relays_count_only_if_they_know_the_list(self):
+        # Guards against removals that the members behind relays know nothing of.
+        far = ("d3", "d4", "d5", "d6")
+        assert self.make({"d2": 6000}, relayed=far, behind=far) == []
+        assert self.make({"d2": 6000}, relayed=far) == [MEMBER_PREFIX + "d2"]
+
     def test_member_that_isnt_addressed_isnt_judged(self):
         # Behind relays a daemon hears of most others through these alone.
         assert self.make({"d3": 6000}, addressed=("d2", "d4")) == []
