Pause before a renewed connection is polled; spell out who counts as choosing

An endpoint whose connections are lost one after the other, each just after its first answer, was dialled without a pause.

--- a/bronzerelay/slots.py
+++ b/bronzerelay/slots.py
@@ -197,8 +197,8 @@
         """Return the endpoint on which a slot was taken; the caller releases it.
 
         A function that chooses is called under the queue's lock. `deadline_ms` is a
-        point on the clock. With `foresee` a task is refused at once when by the pace
-        of those before it its turn would come too late; without it waits all the same.
+        point on the clock. With `foresee` a task is refused at once if its turn would
+        come too late by the pace of those before it; without, it waits all the same.
         """
         workspace = self._name_line(workspace)
         if foresee:
@@ -206,10 +206,12 @@
             if refused is not None:
                 return refused
         with self._lock:
-            self._choosing += callable(suits)
+            # Before the choice: who wakes the queue from then on asks again.
+            if callable(suits):
+                self._choosing += 1
             entered = self._enter(workspace, suits, deadline_ms)
             if not isinstance(entered, Waiter):
-                self._choosing -= callable(suits)
+                self._forget_choice(suits)
                 return entered
         return self._wait(workspace, entered, deadline_ms)
 
@@ -341,12 +343,16 @@
         line.join(waiter)
         self._note_refusal(waiter, frozenset(self._list_free()))
 
+    def _forget_choice(self, suits: Suits) -> None:
+        if callable(suits):
+            self._choosing -= 1
+
     def _leave(self, workspace: str, waiter: Waiter) -> None:
         line = self._lines.get(workspace)
         if line is None:
             return
         if line.leave(waiter):
-            self._choosing -= callable(waiter.suits)
+            self._forget_choice(waiter.suits)
         if not line.count:
             # Credit ends with the line: saved up while idle, it would let the
             # workspace pass the others later.
--- a/bronzerelay/watch.py
+++ b/bronzerelay/watch.py
@@ -10,7 +10,7 @@
 from bronzerelay.types import EndpointSpec, GroupSpec, Position
 
 PRIMARY = "primary"
-# An instance that refuses a connection is asked again after this pause.
+# The pause after a refused or a lost connection before the instance is asked again.
 REDIAL_MS = 40
 CONNECT_TIMEOUT_MS = 300
 # How much later than asked for an answer may come before its connection counts as lost,
@@ -182,6 +182,9 @@
             link = renewed
             for function in self._on_loss:
                 function(silence)
+            if not self._runtime.sleep_ms(REDIAL_MS):
+                link.close()
+                return None
 
     def _renew(self, endpoint: EndpointSpec, left_ms: float) -> EndpointLink | None:
         """Return a new link over which the instance has answered within a time."""
