--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -383,6 +383,20 @@
         "",
         "tests/test_heartbeats.py::TestAcknowledging",
     ),
+    Mutation(
+        "an empty watch is confirmed by a read before it proves anything",
+        POOLER + "mirror.py",
+        "                self._confirm()\n",
+        "                self.note_known(self.at, sent_at_ms)\n",
+        "tests/test_mirror.py::TestHeldBack",
+    ),
+    Mutation(
+        "relays tell what the members behind them know of the store",
+        POOLER + "heartbeats.py",
+        "view.knew_at = relayed.known_at",
+        "view.knew_at = self._mirror.at",
+        "tests/test_heartbeats.py::TestListsBehindRelays",
+    ),
     Mutation(
         "a line that is there is read after its deadline",
         POOLER + "lines.py",
