Judge the kept list of live members like a new one

Callers: on the own interface a group's statements could go to the second daemon in rank for up to 700 ms, as a live member was missing from the kept list.

Cause: a new view renews the kept list when its member was silent and isn't any more. That was judged by the time of silence alone, while the list is built with this daemon's own pause in mind. Every failure of the known one shrinks to a pause of 1 ms and a view of 701 ms of age. Beside it, a view from within a pause counted for less than one from before it; the second explicit example plays that. Both failed before.

--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -125,9 +125,10 @@
 
     def _note_merged(self, name: str, known: View, view: View) -> None:
         self._platform_at_ms = max(self._platform_at_ms, view.platform_at_ms)
-        since_ms = self._runtime.clock.now_ms() - self._settings.suspect_ms
-        was_silent = known.heard_at_ms < since_ms <= view.heard_at_ms
-        if was_silent or known.stopping != view.stopping:
+        now_ms = self._runtime.clock.now_ms()
+        was_silent = not self._is_recent(known, now_ms)
+        returned = was_silent and self._is_recent(view, now_ms)
+        if returned or known.stopping != view.stopping:
             self._invalidate_alive()
 
     def clear_unreachable(self, name: str) -> None:
@@ -222,10 +223,14 @@
         return now_ms <= self._trusted_until_ms(view)
 
     def _trusted_until_ms(self, view: View) -> float:
-        """Return until when a member counts as alive without any newer view."""
+        """Return until when a member counts as alive without any newer view.
+
+        A newer view never shortens it, so a cached list stays valid until then.
+        """
+        pause = self._pause
         until_ms = view.heard_at_ms + self._settings.suspect_ms
-        if view.heard_at_ms <= self._pause.began_ms <= until_ms:
-            return self._pause.ended_ms + self._settings.suspect_ms
+        if pause.began_ms <= until_ms and view.heard_at_ms <= pause.ended_ms:
+            return pause.ended_ms + self._settings.suspect_ms
         return until_ms
 
     def alive_names(self) -> list[str]:
--- a/tests/test_membership_alive.py
+++ b/tests/test_membership_alive.py
@@ -1,6 +1,6 @@
 """The cached list of live members equals a newly computed one."""
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from bronzerelay.membership import Membership, MembershipSettings
@@ -66,6 +66,14 @@
 
 
 @given(st.lists(steps, max_size=40))
+@example([("pause", 1), ("merge", "vm-2", 701, False)])
+@example(
+    [
+        ("merge", "vm-2", 10, False),
+        ("pause", 1400),
+        ("merge", "vm-2", 1399, False),
+    ]
+)
 def test_the_kept_list_is_what_a_new_judgement_gives(sequence):
     """
     Members fall silent, come back, refuse connections, stop, and join or leave.
