Draw the same examples of each property in each run

Whether main was green depended on the examples that a run drew. An example that fails becomes an explicit one of its test.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,22 @@
 """Fixtures that several test modules use: a runtime and a group of endpoints."""
 
+import os
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
 
 from tests.endpoints import Group, open_runtime
 
+# The number of fresh examples of each property; without it the examples are fixed, so
+# that two runs on the same code give the same verdict.
+FRESH_EXAMPLES = "BRONZERELAY_FRESH_EXAMPLES"
+
+settings.register_profile("fixed", derandomize=True)
+if FRESH_EXAMPLES in os.environ:
+    settings.register_profile("fresh", max_examples=int(os.environ[FRESH_EXAMPLES]))
+settings.load_profile("fresh" if FRESH_EXAMPLES in os.environ else "fixed")
+
 
 @pytest.fixture
 def runtime():
