Keep a transaction whose last answer arrives a second time

Cause: a second copy of an answer that came before the next request was sent counted as unexpected bytes and closed the connection; one that came during a statement closed it after that statement. Ruled out: that the commit had run; it had never been sent.

The new test plays both moments and failed in both before.

--- a/bronzerelay/dialect.py
+++ b/bronzerelay/dialect.py
@@ -12,6 +12,8 @@
 from bronzerelay.types import EndpointSpec, Statement
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# How long to wait for the rest of a repeated answer, in milliseconds.
+REPEATED_ANSWER_MS = 100
 
 # Kinds of errors detected by this client; all other kinds are sent by the endpoint.
 UNREACHABLE = "unreachable"  # nothing was sent
@@ -160,7 +162,8 @@
 
     def is_usable(self) -> bool:
         """Return whether the link is open and no unexpected bytes have arrived."""
-        if not self.closed and not self._connection.is_quiet():
+        ends = self._got_repeated_answer and not self.in_transaction
+        if not self.closed and (ends or not self._connection.is_quiet()):
             self.close()
         return not self.closed
 
@@ -291,6 +294,8 @@
         """Send a request and return the answer that has the request's id."""
         # Bytes received before the request is sent are an answer to an earlier request,
         # or the end of the connection. Detected here, the request certainly hasn't run.
+        if self.in_transaction:
+            self._discard_repeated_answers()
         if not self.is_usable():
             return EndpointError(UNREACHABLE, "the link was closed before the request")
         self._last_id += 1
@@ -300,7 +305,7 @@
         except (OSError, BrokenLinkError, msgspec.MsgspecError) as error:
             self.close()
             return _make_lost_error(f"no sound answer to {fields['op']}: {error}")
-        if self._got_repeated_answer:
+        if self._got_repeated_answer and not self.in_transaction:
             self.close()
         if answer["ok"]:
             return answer
@@ -308,6 +313,21 @@
             answer["error"], answer.get("message", ""), answer.get("term", 0)
         )
 
+    def _discard_repeated_answers(self) -> None:
+        """Read the answers to earlier requests that have arrived a second time.
+
+        Closing the link for one would lose an open transaction, although its statements
+        ran and the ids of the answers tell the repeated one apart.
+        """
+        try:
+            while not self.closed and not self._connection.is_quiet():
+                end_ms = self._clock.now_ms() + REPEATED_ANSWER_MS
+                for line in self._receive_lines(end_ms).splitlines(keepends=True):
+                    self._read_answer(line)
+                self._got_repeated_answer = True
+        except (OSError, BrokenLinkError, msgspec.MsgspecError):
+            self.close()
+
     def _exchange(self, request: bytes, timeout_ms: float) -> WireAnswer:
         end_ms = self._clock.now_ms() + timeout_ms
         self._connection.set_timeout(max(timeout_ms, 1))
@@ -325,7 +345,8 @@
         """Return the answer to this request, or to an earlier one of this link.
 
         An earlier answer may be repeated while this request is under way. That must not
-        make the outcome of this request unknown; the link is closed afterwards.
+        make the outcome of this request unknown; the link is closed afterwards, or when
+        its transaction has ended.
         """
         if not check_nesting(line, ANSWER_NESTING):
             raise BrokenLinkError("its answer nests too deep")
--- a/tests/test_dialect.py
+++ b/tests/test_dialect.py
@@ -151,6 +151,34 @@
         assert not link.is_usable()
 
 
+@pytest.mark.parametrize("is_idle", [True, False])
+def test_a_repeated_answer_leaves_its_transaction_open(is_idle):
+    """Guards against losing a transaction whose last answer arrives a second time."""
+    requests, repeated = [], []
+
+    def reply(connection, line):
+        requests.append(line)
+        answer = VALID_ANSWER.replace(b'"id":2', b'"id":%d' % (len(requests) + 1))
+        if len(requests) == 3 and not is_idle:
+            connection.send(repeated[0])
+        connection.send(answer)
+        if len(requests) == 2 and is_idle:
+            runtime.sleep_ms(SHORT_MS)
+            connection.send(answer)
+        if len(requests) == 2:
+            repeated.append(answer)
+
+    with open_scripted_endpoint(reply) as (runtime, link):
+        assert link.begin("kitchens", 1, T).is_ok()
+        assert read(link).ok.value == 7
+        wait_until(runtime, lambda: repeated)
+        assert read(link).ok.value == 7
+        assert read(link).ok.value == 7
+        assert link.rollback(T).is_ok()
+        assert len(requests) == 5
+        assert not link.is_usable()
+
+
 @pytest.mark.parametrize(
     "answer",
     [
