Hold the ports of the pooler's fleet until it is closed

A test of relays failed once with "Address already in use": ports were tried, let go, and bound later, so that another test run could take them in between. The line demo, the pooler's fleet and the adapter's process reserve them now as the own interface's clusters do.

--- a/standins/linedemo.py
+++ b/standins/linedemo.py
@@ -11,28 +11,14 @@
 from bronzerelay.runtime import Address, Runtime
 from standins.demo import DemoError, report, require
 from standins.linecaller import LineCaller, LineReply
-from standins.linegroup import LOCAL
 from standins.lineplatform import AGED, NORTH, OWN, STRICT, LinePlatform
+from standins.processes import reserve_addresses
 
 PROGRAM = Path(__file__).resolve().parent.parent / "platform" / "main.py"
 TASKS = 300
 WAIT_MS = 10_000
 STOP_S = 10
 NAMES = ("vm-1", "vm-2")
-# Below the ephemeral ports, which outgoing connections take.
-PORTS = range(15_000, 32_000)
-
-
-def find_free_address(runtime: Runtime) -> Address:
-    """Return a free address for a daemon."""
-    while True:
-        address = Address(LOCAL, runtime.random.choice(PORTS))
-        try:
-            runtime.listen(address).close()
-            runtime.open_datagram_socket(address).close()
-        except OSError:
-            continue
-        return address
 
 
 class Deployment:
@@ -47,7 +33,7 @@
             self._start(name, folder)
 
     def _start(self, name: str, folder: Path) -> None:
-        ports = [find_free_address(self.runtime) for _ in range(3)]
+        ports = [listener.address for listener in reserve_addresses(self.runtime, 3)]
         self.addresses[name] = ports[0]
         settings = folder / f"{name}.toml"
         self.platform.write_settings(settings, name, ports)
--- a/tests/builders_pooler.py
+++ b/tests/builders_pooler.py
@@ -22,9 +22,9 @@
 from bronzerelay.pooler.mirror import PeerMirror
 from bronzerelay.runtime import Address, Clock, Runtime
 from standins.kvstore import KvStore
-from standins.linedemo import find_free_address
 from standins.linegroup import LOCAL
 from standins.lineplatform import SERVICE, LinePlatform
+from standins.processes import reserve_addresses
 
 TASKS = 400
 WAIT_MS = 8000
@@ -114,12 +114,15 @@
         runtime = make_runtime()
         self._runtimes.append(runtime)
         store = self.store.address
-        free = Runtime(task_limit=1)
+        # Held until the fleet is closed, so that no other test run takes them.
+        frontend, ready, peer = (
+            listener.address for listener in reserve_addresses(self.runtime, 3)
+        )
         settings = PoolerSettings(
             name,
-            find_free_address(free),
-            find_free_address(free),
-            find_free_address(free),
+            frontend,
+            ready,
+            peer,
             None,
             (),
             None,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -16,9 +16,9 @@
 from bronzerelay.runtime import Address
 from standins.kvstore import PAGE_ITEMS, KvStore
 from standins.linecaller import LineCaller
-from standins.linedemo import find_free_address
 from standins.linegroup import LOCAL
 from standins.lineplatform import OWN, SERVICE, read_events
+from standins.processes import reserve_addresses
 from tests.builders_pooler import PoolerFleet, make_runtime
 
 ROOT = Path(__file__).parent.parent
@@ -119,8 +119,9 @@
 
 class TestHttpClient:
     def test_call_to_a_closed_port_has_not_run(self, runtime):
+        (closed,) = reserve_addresses(runtime, 1)
         with pytest.raises(HttpCallError) as caught:
-            HttpClient(runtime, find_free_address(runtime)).call("GET", "/", b"", 500)
+            HttpClient(runtime, closed.address).call("GET", "/", b"", 500)
         assert not caught.value.may_have_run
 
 
@@ -140,8 +141,8 @@
 
 class TestProcess:
     def start(self, fleet, path):
-        port_runtime = make_runtime()
-        ports = [find_free_address(port_runtime) for _ in range(3)]
+        listeners = reserve_addresses(fleet.runtime, 3)
+        ports = [listener.address for listener in listeners]
         fleet.platform.write_settings(path, "d1", ports)
         process = subprocess.Popen(
             [sys.executable, str(ROOT / "platform" / "main.py")],
