Count a workspace's operations once when relays change

Callers: after a split of the fleet up to half of what a workspace asked for was refused as over its rate, for ten seconds and with all daemons heard of.

Cause: reports carry totals, and what is new is the difference to the same daemon's last report of that kind. When a daemon begins to relay, or stops, that last report may be many seconds old; all operations since then were taken out at once, though another relay had reported them, and the relay that did so passed the sum on to all others.

Ruled out: a domain's sum that holds a peer's that is counted directly, too.

Beside it: a relay that took over skipped what had happened since the other one's last report; it goes on from there now.

--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -118,9 +118,7 @@
                 source = self._sources.get(key)
                 if source is None or source.group.scope is not group.scope:
                     source = Source(group, now_ms)
-                source.group = group
-                if source.current not in group.names:
-                    source.current = None
+                source.set_group(group)
                 updated[key] = source
             self._sources = updated
             is_relayed = any(group.scope is not Scope.OWN for group in groups.values())
@@ -193,25 +191,30 @@
         """Take what a peer reports as admitted out of the buckets.
 
         Operations that it admitted while it was silent aren't taken out: its share was
-        set aside already.
+        set aside already. Nor are those from before it began to report in this scope
+        again: another reporter covered them.
         """
         now_ms = self._clock.now_ms()
         with self._lock:
             reports = self._find_reports(peer, incarnation, report.scope)
-            source = self._find_source(peer, report.scope, now_ms)
-            is_current = source is not None and not source.is_silent(now_ms)
-            for name, tally in report.tallies.items():
-                base = reports.tallies.get(name)
-                if base is None and reports.complete:
-                    base = ZERO_TALLY
-                reports.tallies[name] = tally
-                if base is not None and is_current:
-                    self._apply_tally(
-                        reports, report.scope, name, tally.minus(base), now_ms
-                    )
-            reports.complete = reports.complete or report.full
+            source = self._find_source(peer, report.scope)
+            was_silent = reports.is_silent(now_ms)
+            reports.add_report(report, as_of_ms)
+            if source is None or was_silent or source.is_silent(now_ms):
+                reports.cover()
+            elif source.accepts(peer, now_ms):
+                for name, added in reports.take_uncovered().items():
+                    self._apply_tally(reports, report.scope, name, added, now_ms)
+                self._cover_others(source, peer)
             if source is not None:
-                source.add_report(report, as_of_ms)
+                source.add_report(peer, report, as_of_ms)
+
+    def _cover_others(self, source: Source, peer: str) -> None:
+        """Count what the other reporters of a group have reported as covered."""
+        for name in source.group.names:
+            reports = self._reports.get((name, source.group.scope))
+            if reports is not None and name != peer:
+                reports.cover()
 
     def _find_reports(self, peer: str, incarnation: int, scope: Scope) -> PeerReports:
         """Return what the peer's process has reported so far.
@@ -222,16 +225,15 @@
         """
         reports = self._reports.get((peer, scope))
         if reports is None or reports.incarnation != incarnation:
-            reports = PeerReports(incarnation, reports is not None)
+            reports = PeerReports(incarnation, reports)
             self._reports[peer, scope] = reports
         return reports
 
-    def _find_source(self, peer: str, scope: Scope, now_ms: float) -> Source | None:
-        """Return the group whose current reporter is this peer, or None."""
+    def _find_source(self, peer: str, scope: Scope) -> Source | None:
+        """Return the group that this peer may report for, or None."""
         for source in self._sources.values():
-            group = source.group
-            if group.scope is scope and peer in group.names:
-                return source if source.accepts(peer, now_ms) else None
+            if source.group.scope is scope and peer in source.group.names:
+                return source
         return None
 
     def _apply_tally(
--- a/bronzerelay/pooler/sources.py
+++ b/bronzerelay/pooler/sources.py
@@ -6,12 +6,17 @@
 """
 
 import enum
+import math
 from typing import NamedTuple
 
 # How long without a report until a source counts as silent, in milliseconds. It may be
 # behind a network partition and admit operations that aren't reported here. Up to three
 # reports may be lost before.
 SILENT_MS = 1_000
+# How long without a report until another reporter of the same group replaces the
+# current one, in milliseconds. It is longer than two lost reports take, and shorter
+# than SILENT_MS, so that a group doesn't count as silent because one relay died.
+REPORTER_SILENT_MS = 700
 
 
 class Tally(NamedTuple):
@@ -69,45 +74,102 @@
 
     def __init__(self, group: SourceGroup, now_ms: float):
         self.group = group
-        # A new source counts as not silent: its daemons start with next to no tokens.
-        self.last_report_ms = now_ms
         self.current: str | None = None
         self.reachable = group.members
         self.members = group.members
+        # A new source counts as not silent: its daemons start with next to no tokens.
+        self._last_report_ms = now_ms
+        # By reporter, the time up to which its reports are known here.
+        self._reported_ms: dict[str, float] = {}
+
+    def set_group(self, group: SourceGroup) -> None:
+        """Update the daemons that may report; one that may not isn't current."""
+        self.group = group
+        if self.current not in group.names:
+            self.current = None
 
     def is_silent(self, now_ms: float) -> bool:
         """Return whether it may admit operations that aren't reported here."""
-        return now_ms - self.last_report_ms > SILENT_MS
+        return now_ms - self._last_report_ms > SILENT_MS
 
     def accepts(self, peer: str, now_ms: float) -> bool:
         """Return whether a peer's reports are applied.
 
         Two relays report the same operations, which must not be counted twice. So only
-        the first peer that reports is accepted until the group is silent.
+        one reporter is current, and another one replaces it when it has been silent.
         """
-        if self.current is None or (self.current != peer and self.is_silent(now_ms)):
+        reported_ms = self._reported_ms.get(self.current or "", -math.inf)
+        if self.current is None or now_ms - reported_ms > REPORTER_SILENT_MS:
             self.current = peer
         return self.current == peer
 
-    def add_report(self, report: Report, as_of_ms: float) -> None:
-        """Record a report that was made at `as_of_ms` or later."""
-        self.last_report_ms = max(self.last_report_ms, as_of_ms)
-        if self.group.scope is not Scope.OWN:
+    def add_report(self, peer: str, report: Report, as_of_ms: float) -> None:
+        """Record a report that was made at `as_of_ms` or later.
+
+        Only the current reporter tells how many members are reachable. In a network
+        partition two relays reach different ones, and each change to a smaller number
+        takes tokens from the bucket.
+        """
+        self._last_report_ms = max(self._last_report_ms, as_of_ms)
+        self._reported_ms[peer] = max(self._reported_ms.get(peer, -math.inf), as_of_ms)
+        if self.group.scope is not Scope.OWN and peer == self.current:
             self.reachable = report.reachable
             self.members = report.members
 
 
 class PeerReports:
-    """What one peer's process has reported in one scope."""
+    """What one peer's process has reported in one scope.
 
-    def __init__(self, incarnation: int, complete: bool):
+    A tally is covered when the operations in it have been taken out of the buckets, or
+    needn't be: another reporter has reported them too, or they were admitted while the
+    peer was silent.
+    """
+
+    def __init__(self, incarnation: int, previous: "PeerReports | None"):
         self.incarnation = incarnation
         # Whether a workspace that wasn't reported yet counts as unused so far.
-        self.complete = complete
-        self.tallies: dict[str, Tally] = {}
+        self._complete = previous is not None
+        # The time up to which the peer's reports are known here.
+        self._reported_ms = -math.inf if previous is None else previous._reported_ms
+        self._tallies: dict[str, Tally] = {}
+        self._covered: dict[str, Tally] = {}
+        # The workspaces whose tally isn't covered.
+        self._uncovered: set[str] = set()
         # The part of the tallies that was applied here.
         self.applied: dict[str, Tally] = {}
 
+    def is_silent(self, now_ms: float) -> bool:
+        """Return whether the peer's last report in this scope is too old to go on from.
+
+        The operations since then were reported by others or set aside.
+        """
+        return now_ms - self._reported_ms > SILENT_MS
+
+    def add_report(self, report: Report, as_of_ms: float) -> None:
+        """Record a report that was made at `as_of_ms` or later."""
+        for name, tally in report.tallies.items():
+            self._tallies[name] = tally
+            if name in self._covered or self._complete:
+                self._uncovered.add(name)
+            else:
+                self._covered[name] = tally
+        self._complete = self._complete or report.full
+        self._reported_ms = max(self._reported_ms, as_of_ms)
+
+    def cover(self) -> None:
+        """Count all tallies as covered."""
+        self.take_uncovered()
+
+    def take_uncovered(self) -> dict[str, Tally]:
+        """Return by workspace what isn't covered yet, and count it as covered."""
+        added = {}
+        for name in self._uncovered:
+            covered = self._covered.get(name, ZERO_TALLY)
+            added[name] = self._tallies[name].minus(covered)
+            self._covered[name] = self._tallies[name]
+        self._uncovered.clear()
+        return added
+
 
 class TallySum(NamedTuple):
     """The sum of the applied tallies of several peers, and when it last changed."""
--- a/tests/builders_heartbeats.py
+++ b/tests/builders_heartbeats.py
@@ -155,12 +155,22 @@
             name = f"d{number}"
             domain = f"z{number % domains}"
             self.daemons[name] = Daemon(self, name, domain, number + 1)
-        peers = {name: daemon.peer for name, daemon in self.daemons.items()}
+        self._peers = {name: daemon.peer for name, daemon in self.daemons.items()}
+        self._workspace = make_workspace(**workspace)
         for daemon in self.daemons.values():
-            daemon.set_peers(peers)
-            daemon.rates.set_workspaces([make_workspace(**workspace)])
+            self._prepare(daemon)
         self._steps = 0
 
+    def _prepare(self, daemon: Daemon) -> None:
+        daemon.set_peers(self._peers)
+        daemon.rates.set_workspaces([self._workspace])
+
+    def restart(self, name: str) -> None:
+        """Replace a daemon by a new process at its address."""
+        peer = self.daemons[name].peer
+        self.daemons[name] = Daemon(self, name, peer.domain, peer.address.port)
+        self._prepare(self.daemons[name])
+
     def list_alive(self) -> list[Daemon]:
         return [daemon for daemon in self.daemons.values() if daemon.is_alive]
 
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -2,16 +2,30 @@
 
 import pytest
 
+from bronzerelay.pooler.fleetrates import DEMAND_WINDOW_MS, FleetRates
 from bronzerelay.pooler.heartbeats import MESH_LAG_MS, RELAY_LAG_MS
 from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
-from bronzerelay.pooler.sources import SILENT_MS
+from bronzerelay.pooler.sources import (
+    SILENT_MS,
+    Report,
+    Scope,
+    SourceGroup,
+    Tally,
+)
 from bronzerelay.runtime import Random
-from tests.builders_heartbeats import HeartbeatFleet
-from tests.builders_pooler import make_primary_record
+from tests.builders_heartbeats import STEP_MS, HeartbeatFleet
+from tests.builders_pooler import (
+    ManualClock,
+    make_primary_record,
+    make_runtime,
+    make_workspace,
+)
 from tests.test_fleetrates import count_most
 
 LARGE = 30
 SETTLING_MS = 3000
+# How long an operation waits for its token at most, as in the daemon.
+MAX_WAIT_MS = 100.0
 
 
 class TestAcknowledging:
@@ -394,6 +408,154 @@
         assert refused <= 0.02 * len(admitted)
 
 
+class TestRatesAfterFailures:
+    """A workspace that asks for half of its rate, in a fleet that fails and recovers.
+
+    A bucket of its rate and burst at one place would admit every operation.
+    """
+
+    RATE = 26.0
+    ASKED = 13.0
+    # How long after a failure a workspace may pay for what unheard daemons could have
+    # spent: until its rate has earned its burst once.
+    RECOVERY_MS = 1000.0 + SETTLING_MS
+
+    def play(self, fleet, duration_ms):
+        """Return how many operations were asked for, and how many refused."""
+        asked, refused = [], []
+
+        def ask():
+            if fleet.chance.random() < self.ASKED * STEP_MS / 1000:
+                daemon = fleet.chance.choice(fleet.list_alive())
+                asked.append(daemon.name)
+                if not daemon.rates.spend("north", MAX_WAIT_MS).admitted:
+                    refused.append(daemon.name)
+
+        fleet.run(duration_ms, ask)
+        return len(asked), len(refused)
+
+    def start(self, count, domains, seed):
+        fleet = HeartbeatFleet(count, domains, seed, rate=self.RATE, burst=self.RATE)
+        self.play(fleet, SETTLING_MS + SILENT_MS)
+        return fleet
+
+    def split(self, fleet, share):
+        """Separate a random share of the daemons from the others."""
+        side = {name for name in fleet.daemons if fleet.chance.random() < share}
+        fleet.network.is_cut = lambda sender, receiver: (
+            (sender in side) != (receiver in side)
+        )
+
+    def heal(self, fleet):
+        fleet.network.is_cut = lambda sender, receiver: False
+
+    def find_greatest_demand(self, fleet):
+        """Return the greatest demand that any daemon believes in, a second."""
+        return max(
+            daemon.rates._buckets["north"].demand * 1000 / DEMAND_WINDOW_MS
+            for daemon in fleet.list_alive()
+        )
+
+    @pytest.mark.parametrize("seed", range(1, 5))
+    @pytest.mark.parametrize("count, domains", [(18, 5), (40, 3)])
+    def test_operations_during_a_split_are_counted_once(self, count, domains, seed):
+        # Guards against daemons that begin to relay, or stop, and count once more what
+        # another relay has reported to them meanwhile.
+        fleet = self.start(count, domains, seed)
+        self.split(fleet, 0.65)
+        self.play(fleet, 7000)
+        self.heal(fleet)
+        demands = []
+        for _ in range(20):
+            self.play(fleet, 100)
+            demands.append(self.find_greatest_demand(fleet))
+        assert max(demands) <= 3 * self.ASKED
+
+    @pytest.mark.parametrize("seed", [1, 2, 3, 12])
+    def test_nobody_inside_the_rate_is_refused_after_failures(self, seed):
+        # Guards against paying off operations that were never admitted: refusals for
+        # as long as ten seconds after a split was over.
+        fleet = self.start(24, 4, seed)
+        for _ in range(2):
+            self.split(fleet, 0.65)
+            self.play(fleet, 3000)
+            for daemon in fleet.list_relays()[:2]:
+                fleet.restart(daemon.name)
+            self.play(fleet, 2000)
+            self.heal(fleet)
+            stopped = fleet.chance.choice(fleet.list_relays())
+            stopped.is_alive = False
+            self.play(fleet, 2000)
+            stopped.is_alive = True
+            self.play(fleet, self.RECOVERY_MS)
+            asked, refused = self.play(fleet, 4000)
+            assert asked > 30
+            assert refused == 0
+
+
+class TestReporters:
+    """Two relays that report the same operations to the daemons of their domain."""
+
+    NAMES = ("r1", "r2")
+
+    def make(self):
+        clock = ManualClock()
+        rates = FleetRates(make_runtime(clock), "d1")
+        rates.set_workspaces([make_workspace(rate=100.0, burst=100.0)])
+        group = SourceGroup(Scope.FLEET, self.NAMES, 10)
+        rates.set_sources({"fleet": group})
+        clock.sleep_ms(SILENT_MS)
+        return clock, rates
+
+    def report(self, clock, rates, name, total, reachable=10):
+        tallies = {"north": Tally(total, total)}
+        report = Report(False, tallies, Scope.FLEET, reachable, 10)
+        rates.apply_report(name, 1, clock.now_ms(), report)
+
+    def demand(self, rates):
+        return rates._buckets["north"].demand
+
+    def test_a_relay_that_takes_over_goes_on_where_the_other_one_ended(self):
+        # Guards against operations that are lost or counted twice when the relay that
+        # reports changes.
+        clock, rates = self.make()
+        for total in (0, 5, 10):
+            self.report(clock, rates, "r1", total)
+            self.report(clock, rates, "r2", total)
+            clock.sleep_ms(300)
+        before = self.demand(rates)
+        # r1 is silent from now on, and what r2 alone has reported counts.
+        for total in (20, 30, 40):
+            self.report(clock, rates, "r2", total)
+            clock.sleep_ms(300)
+        assert 28 <= self.demand(rates) - before <= 30
+
+    def test_only_the_current_relay_tells_how_many_members_it_reaches(self):
+        # Guards against tokens that are taken each time when the relay that reaches
+        # fewer members reports, though the other one reaches all.
+        clock, rates = self.make()
+        for total in (0, 1):
+            self.report(clock, rates, "r1", total)
+            self.report(clock, rates, "r2", total, reachable=2)
+            clock.sleep_ms(300)
+        rates.spend("north")
+        assert rates._buckets["north"].fraction == 1.0
+
+    def test_a_relay_that_was_silent_goes_on_from_its_next_report(self):
+        # Guards against counting, all at once, what another relay has reported while
+        # this one didn't report to this daemon.
+        clock, rates = self.make()
+        self.report(clock, rates, "r1", 0)
+        self.report(clock, rates, "r2", 0)
+        for total in range(10, 100, 10):
+            clock.sleep_ms(300)
+            self.report(clock, rates, "r1", total)
+        rates.set_sources({"fleet": SourceGroup(Scope.FLEET, ("r2",), 10)})
+        before = self.demand(rates)
+        self.report(clock, rates, "r2", 90)
+        assert self.demand(rates) <= before
+
+
 class TestSize:
     def test_relays_need_a_fifth_of_the_bytes_between_domains(self):
         # In a full mesh of 81 daemons each sends 80 heartbeats a round, most of them to
