Ask the platform's store seldom in large fleets

Callers: none are served better by it; it is what the store's calls cost, most of all when hundreds of daemons start at once.

- Two relays of the fleet watch the store, by rank; the other relays follow these as plain daemons follow theirs.
A watcher that is cut off from the store is noticed as before, by the polls in turn.
- A proof from the store comes from a poll that is due before the lease ends, not from short watches with a poll after each.
An empty watch proves nothing, as before.
- For two seconds after a load a watch waits 500 ms for what other daemons write, or until a relay announces it; the first heartbeat goes out as soon as the peers are known.
- What a poll finds missing is loaded: another watch could miss the same.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -169,6 +169,7 @@
             self.mirror,
             settings.apply_within_ms,
             self.heartbeats.find_turn,
+            self.guard.store_proof_due_ms,
             self.counters,
             self.log,
         )
@@ -200,7 +201,6 @@
             self.counters,
             self.log,
         )
-        self.mirror.wants_proof = self.guard.needs_store_proof
         self.mirror.on_proof = self.guard.add_store_proof
         self.mirror.follows_relay = self.heartbeats.has_relay
         self.mirror.on_change = self.heartbeats.announce_store_change
@@ -255,6 +255,7 @@
             "sessions": len(self._sessions),
             "store_revision": self.mirror.revision,
             "store_age_ms": round(self.mirror.store_age_ms()),
+            "watching": self.mirror.is_watching,
             "links_opened": self.pool.opened,
             "heartbeat_bytes": self.gossip.bytes_sent,
             "relaying": self.heartbeats.is_relaying(),
@@ -314,6 +315,8 @@
         self.gossip.set_members(members)
         self.heartbeats.contacts.set_peers(members)
         self.runner.set_daemon_count(len(members) + 1)
+        # Until the relays are known, this daemon has to watch the store itself.
+        self.gossip.send_now()
 
     def _run_upkeep_loop(self) -> None:
         while self._runtime.sleep_ms(UPKEEP_MS):
@@ -336,7 +339,6 @@
         self.rates.set_sources(self.heartbeats.list_sources(serving))
         self.catch_up.check_peers()
         self._reload()
-        self.mirror.interrupt_long_watch()
         if not self.is_stopping:
             if self.heartbeats.may_remove_members():
                 self.members.remove_silent()
--- a/bronzerelay/pooler/freshness.py
+++ b/bronzerelay/pooler/freshness.py
@@ -48,6 +48,7 @@
         mirror: Mirror,
         apply_within_ms: float,
         find_turn: Callable[[], Turn],
+        proof_due_ms: Callable[[], float],
         counters: Counters,
         log: EventLog,
     ):
@@ -57,6 +58,8 @@
         self._mirror = mirror
         self._apply_within_ms = apply_within_ms
         self._find_turn = find_turn
+        # In how long this daemon needs a primary proof from the store.
+        self._proof_due_ms = proof_due_ms
         self._counters = counters
         self._log = log
         self._next_ms = runtime.clock.now_ms()
@@ -81,7 +84,8 @@
 
     def _time_to_poll_ms(self, turn: Turn) -> float:
         """Return the time until a poll is due if no other daemon's is heard of."""
-        return self.poll_age_ms(turn) - self._mirror.store_age_ms()
+        turn_due_ms = self.poll_age_ms(turn) - self._mirror.store_age_ms()
+        return min(turn_due_ms, self._proof_due_ms())
 
     def poll_age_ms(self, turn: Turn) -> float:
         """Return the age of the mirror from which on this daemon polls."""
@@ -100,10 +104,11 @@
             self._counters.count("store_polls", outcome="known")
             return
         self._counters.count("store_polls", outcome="behind")
-        self._wait_for_watch(revision, self._clock.now_ms() - sent_at_ms)
+        self._wait_for_update(revision, self._clock.now_ms() - sent_at_ms)
+        self._mirror.confirm_current(revision, sent_at_ms)
 
-    def _wait_for_watch(self, revision: int, took_ms: float) -> None:
-        """Give the watch time to reach a revision, and restart it if it doesn't.
+    def _wait_for_update(self, revision: int, took_ms: float) -> None:
+        """Give the mirror time to reach a revision, and load it if it doesn't.
 
         An update may take as long as the poll did, and the watch may not have been sent
         yet.
@@ -121,7 +126,7 @@
             before=self._mirror.revision,
             age_ms=round(self._mirror.store_age_ms()),
         )
-        self._mirror.restart_watch()
+        self._mirror.load_again()
         self._pause(1)
 
     def _note_answer(self) -> None:
@@ -146,7 +151,9 @@
                 age_ms=round(self._mirror.store_age_ms()),
                 place=turn.place,
             )
-        self._pause(1 + turn.place)
+        # What others learn from the store helps nobody who lacks a proof.
+        is_for_proof = self._proof_due_ms() <= 0
+        self._pause(1 if is_for_proof else 1 + turn.place)
 
     def _pause(self, times: int) -> None:
         jitter = self._runtime.random.uniform(0.7, 1.3)
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -37,8 +37,12 @@
 # information counts from the heartbeat before the last one; relays answer at once.
 MESH_LAG_MS = 2 * BEAT_MS + 100
 RELAY_LAG_MS = BEAT_MS + 100
-# The ranking key of the order in which daemons poll the store.
+# The ranking key of the order in which daemons poll the store, and by which relays are
+# chosen to watch it.
 STORE = "store"
+# How many relays of the whole fleet watch the store. The others follow these, since an
+# update costs one call for each watch.
+STORE_WATCHERS = 2
 
 
 class Heartbeats:
@@ -69,6 +73,8 @@
         self._apply_record = apply_record
         self.contacts = Contacts(name, domain)
         self._plan = Plan(frozenset())
+        # The relays that this daemon gets store updates from, none if it watches.
+        self._upstream: tuple[str, ...] = ()
         self.is_stopping = False
 
     # Contacts and relays
@@ -81,6 +87,31 @@
         )
         self._plan = self.contacts.plan(self._is_silent, holds_lock)
         self._gossip.set_contacts(self._plan.contacts)
+        self._upstream = self._choose_upstream()
+
+    def _choose_upstream(self) -> tuple[str, ...]:
+        if self.contacts.is_mesh():
+            return ()
+        if not self._plan.relaying:
+            return self._plan.relays.get(self._domain, ())
+        watchers = rank(STORE, [*self._list_informed(), self._name])
+        watchers = watchers[:STORE_WATCHERS]
+        return () if self._name in watchers else tuple(watchers)
+
+    def _list_informed(self) -> list[str]:
+        """Return the other relays that know the store and aren't silent.
+
+        In a full mesh there are no relays, and all daemons count.
+        """
+        views = self._gossip.views
+        names = {name for names in self._plan.relays.values() for name in names}
+        return [
+            name
+            for name in (views if self.contacts.is_mesh() else names)
+            if name in views
+            and views[name].store_revision > 0
+            and not self._is_silent(name)
+        ]
 
     def _is_silent(self, name: str) -> bool:
         view = self._gossip.views.get(name)
@@ -99,34 +130,20 @@
 
     def has_relay(self) -> bool:
         """Return whether a relay informs this daemon of store updates."""
-        if self.contacts.is_mesh() or self._plan.relaying:
-            return False
         views = self._gossip.views
         return any(
             name in views
             and views[name].store_revision > 0
             and not self._is_silent(name)
-            for name in self._plan.relays.get(self._domain, ())
+            for name in self._upstream
         )
 
     def find_turn(self) -> Turn:
         """Return this daemon's turn to poll the store if no other daemon has."""
         if not (self.contacts.is_mesh() or self._plan.relaying):
             return Turn(self.contacts.find_place(), 2 * RELAY_LAG_MS)
-        lag_ms = RELAY_LAG_MS
-        names = {name for names in self._plan.relays.values() for name in names}
-        if self.contacts.is_mesh():
-            lag_ms = MESH_LAG_MS
-            names = set(self._gossip.views)
-        views = self._gossip.views
-        pollers = [
-            name
-            for name in names
-            if name in views
-            and views[name].store_revision > 0
-            and not self._is_silent(name)
-        ]
-        place = rank(STORE, [*pollers, self._name]).index(self._name)
+        lag_ms = MESH_LAG_MS if self.contacts.is_mesh() else RELAY_LAG_MS
+        place = rank(STORE, [*self._list_informed(), self._name]).index(self._name)
         return Turn(place, lag_ms if place else 0.0)
 
     def announce_store_change(self) -> None:
@@ -310,7 +327,7 @@
         self._rates.apply_report(beat.sender, beat.incarnation, proven_ms, beat.report)
         for record in beat.primary_records:
             self._apply_record(record)
-        if view.relaying and not self._plan.relaying:
+        if view.relaying and view.name in self._upstream:
             self._mirror.update_relay_revision(beat.store_revision, view.address)
         if beat.store_revision > 0:
             self._mirror.confirm_current(
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -18,12 +18,14 @@
 # How long a watch may wait at the store, in milliseconds. Updates that a lost watch
 # misses are found by polls, so the wait may be long, which saves calls.
 WATCH_WAIT_MS = 14_000
-# How long it waits, in milliseconds, while primary proofs must come from the store.
-PROOF_WAIT_MS = 350
 # The pause after a watch that brought updates, in milliseconds. Daemons join and
 # instances change in bursts, and each separate update would cost each daemon a call.
 # Urgent updates travel in heartbeats.
 BATCH_PAUSE_MS = 120
+# The same pause during the first START_MS after a load, in milliseconds. Daemons often
+# start together, and until each knows its relays all of them watch what all write.
+START_PAUSE_MS = 500
+START_MS = 2_000
 # The timeout of any other call, in milliseconds.
 CALL_TIMEOUT_MS = 1_500
 # How long the store or a peer may be ahead of this mirror before the watch is given up,
@@ -159,8 +161,8 @@
         self._current_as_of_ms = NEVER_MS
         self.revision = 0
         self.loaded = False
-        # Whether primary proofs must come from the store.
-        self.wants_proof: Callable[[], bool] = lambda: False
+        # Whether a watch waits at the store.
+        self.is_watching = False
         # Called with the time up to which all updates are known.
         self.on_proof: Callable[[float], None] = lambda _: None
         # Whether this daemon follows a relay instead of watching the store.
@@ -171,9 +173,8 @@
         self.on_change: Callable[[], None] = lambda: None
         # Whether the watch was interrupted on purpose, so that its end is no failure.
         self._interrupted = False
-        self._waits_long = False
-        # Whether the last watch was empty although the store had an update.
-        self._missed_update = False
+        self._must_load = True
+        self._loaded_at_ms = NEVER_MS
 
     def get(self, key: str) -> Item | None:
         """Return the item of a key, or None if it isn't known."""
@@ -252,70 +253,65 @@
 
     def run(self) -> None:
         """Load and then watch the store until the runtime stops."""
-        loaded = False
         while not self._runtime.stopping:
             sent_at_ms = self._clock.now_ms()
             try:
-                if not loaded:
-                    snapshot = self._store.load("", CALL_TIMEOUT_MS)
-                    self._replace(snapshot.items, snapshot.revision)
-                    loaded = True
+                if self._must_load:
+                    self._load(sent_at_ms)
                 elif self._should_follow():
                     self._follow()
-                    continue
                 else:
-                    self._watch()
-                    continue
+                    self._watch(sent_at_ms)
             except HistoryLostError as error:
                 self._log.write(
                     "store",
                     "The store's history is lost; loading again.",
                     error=str(error),
                 )
-                loaded = False
-                continue
+                self._must_load = True
             except StoreError as error:
                 self._note_failure(error, sent_at_ms)
-                continue
-            self._note_answer(sent_at_ms)
-
-    def _watch(self) -> None:
-        sent_at_ms = self._clock.now_ms()
-        wants_proof = self.wants_proof()
-        self._waits_long = not wants_proof
-        wait_ms = PROOF_WAIT_MS if wants_proof else WATCH_WAIT_MS
+
+    def _load(self, sent_at_ms: float) -> None:
+        # Reset first: what a poll finds missing during the load needs another one.
+        self._must_load = False
+        try:
+            snapshot = self._store.load("", CALL_TIMEOUT_MS)
+        except StoreError:
+            self._must_load = True
+            raise
+        self._replace(snapshot.items, snapshot.revision)
+        self._loaded_at_ms = self._clock.now_ms()
+        self._note_answer(sent_at_ms)
+        self._pause_for_batch()
+
+    def _watch(self, sent_at_ms: float) -> None:
+        self.is_watching = True
         try:
-            update = self._store.watch("", self.revision, wait_ms)
-            self._apply(update)
+            update = self._store.watch("", self.revision, WATCH_WAIT_MS)
         finally:
-            self._waits_long = False
+            self.is_watching = False
+        self._apply(update)
         if not update.items:
+            # Before the store drops its history, its watches may miss updates for a
+            # while, so an empty watch doesn't show that this mirror is current.
             self._note_success()
-            if wants_proof:
-                self._confirm_empty_watch()
             return
-        self._missed_update = False
         self._note_answer(sent_at_ms)
-        if not wants_proof:
-            self._runtime.sleep_ms(BATCH_PAUSE_MS)
-
-    def _confirm_empty_watch(self) -> None:
-        """Check by a poll that the store has no updates after an empty watch.
+        self._pause_for_batch()
 
-        Before the store drops its history, its watches may miss updates for a while. If
-        such an empty watch counted as a proof, a primary could be used that has been
-        replaced.
-        """
-        sent_at_ms = self._clock.now_ms()
-        revision = self._store.read_revision(CALL_TIMEOUT_MS)
-        if self.confirm_current(revision, sent_at_ms):
-            self._missed_update = False
+    def _pause_for_batch(self) -> None:
+        """Wait so that further updates come with one call, or through a relay."""
+        is_starting = self._clock.now_ms() - self._loaded_at_ms < START_MS
+        if not is_starting:
+            self._runtime.sleep_ms(BATCH_PAUSE_MS)
             return
-        # An update that was made just now comes with the next watch.
-        if self._missed_update:
-            self._missed_update = False
-            raise HistoryLostError("watches miss updates that the store has")
-        self._missed_update = True
+        with self._condition:
+            self._runtime.wait_for(
+                self._condition,
+                lambda: self._must_load or self._is_behind_relay(),
+                START_PAUSE_MS,
+            )
 
     # Following a relay
 
@@ -328,18 +324,21 @@
 
     def _should_follow(self) -> bool:
         return (
-            self._clock.now_ms() >= self._avoid_relay_until_ms
-            and self.follows_relay()
-            and not self.wants_proof()
+            self._clock.now_ms() >= self._avoid_relay_until_ms and self.follows_relay()
         )
 
+    def _is_behind_relay(self) -> bool:
+        return self._relay.revision > self.revision and self._should_follow()
+
     def _follow(self) -> None:
         """Wait until a relay announces updates, and fetch them."""
         with self._condition:
             self._runtime.wait_for(
                 self._condition,
                 lambda: (
-                    self._relay.revision > self.revision or not self._should_follow()
+                    self._must_load
+                    or self._relay.revision > self.revision
+                    or not self._should_follow()
                 ),
                 FOLLOW_WAIT_MS,
             )
@@ -351,20 +350,18 @@
             with self._condition:
                 self._relay = RelayRevision(self.revision, None)
 
-    def restart_watch(self) -> None:
-        """Watch the store anew for updates that the watch or a relay missed."""
+    def load_again(self) -> None:
+        """Load the store anew, for updates that the watch or a relay has missed.
+
+        Another watch could miss them as well, and a relay may not have them.
+        """
         with self._condition:
+            self._must_load = True
             self._avoid_relay_until_ms = self._clock.now_ms() + AVOID_RELAY_MS
             self._condition.notify()
         self._interrupted = True
         self._store.interrupt()
 
-    def interrupt_long_watch(self) -> None:
-        """Interrupt a long watch once primary proofs must come from the store."""
-        if self._waits_long and self.wants_proof():
-            self._interrupted = True
-            self._store.interrupt()
-
     def _note_answer(self, sent_at_ms: float) -> None:
         self._note_success()
         self.confirm_current(self.revision, sent_at_ms)
--- a/bronzerelay/pooler/primaryguard.py
+++ b/bronzerelay/pooler/primaryguard.py
@@ -29,6 +29,9 @@
 # asked only after the lease expired, a daemon that hears few others would be without a
 # proof for a third of the time.
 STORE_PROOF_AFTER_MS = 700
+# How old the newest proof is before the store is asked for another one, in
+# milliseconds: the answer comes before the lease expires, also from a slow store.
+STORE_PROOF_INTERVAL_MS = 500
 # A daemon without a primary proof for this long counts as isolated, in milliseconds: a
 # few heartbeats more than it takes to lose the proof.
 ISOLATED_AFTER_MS = 2_500
@@ -79,9 +82,16 @@
         with self._lock:
             self._proof_ms = max(self._proof_ms, read_at_ms)
 
-    def needs_store_proof(self) -> bool:
-        """Return whether proofs have to come from the store, for lack of members."""
-        return self._clock.now_ms() - self._member_proof_ms > STORE_PROOF_AFTER_MS
+    def store_proof_due_ms(self) -> float:
+        """Return in how long a proof from the store is due; negative if overdue.
+
+        It is due when neither enough members nor the store have given one lately.
+        """
+        due_at_ms = max(
+            self._member_proof_ms + STORE_PROOF_AFTER_MS,
+            self._proof_ms + STORE_PROOF_INTERVAL_MS,
+        )
+        return due_at_ms - self._clock.now_ms()
 
     def has_proof(self) -> bool:
         """Return whether no primary change can have completed unknown here."""
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -3,7 +3,11 @@
 import pytest
 
 from bronzerelay.pooler.fleetrates import DEMAND_WINDOW_MS, FleetRates
-from bronzerelay.pooler.heartbeats import MESH_LAG_MS, RELAY_LAG_MS
+from bronzerelay.pooler.heartbeats import (
+    MESH_LAG_MS,
+    RELAY_LAG_MS,
+    STORE_WATCHERS,
+)
 from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
 from bronzerelay.pooler.sources import (
     SILENT_MS,
@@ -341,6 +345,55 @@
         assert self.list_behind(fleet, 9) == set()
 
 
+class TestStoreWatchers:
+    """Which daemons of a large fleet watch the store, and whom the others follow."""
+
+    def list_watchers(self, fleet):
+        return {
+            daemon.name
+            for daemon in fleet.list_alive()
+            if not daemon.heartbeats.has_relay()
+        }
+
+    def test_two_relays_watch_and_all_others_follow(self):
+        # Guards against a call of each relay for each update: with five failure domains
+        # ten calls instead of two.
+        fleet = HeartbeatFleet(LARGE, domains=5)
+        fleet.run(SETTLING_MS)
+        watchers = self.list_watchers(fleet)
+        assert len(watchers) == STORE_WATCHERS
+        assert watchers <= {daemon.name for daemon in fleet.list_relays()}
+        for daemon in fleet.list_alive():
+            for upstream in daemon.heartbeats._upstream:
+                assert daemon.name not in fleet.daemons[upstream].heartbeats._upstream
+
+    def test_others_watch_when_the_watchers_are_killed(self):
+        fleet = HeartbeatFleet(LARGE, domains=5)
+        fleet.run(SETTLING_MS)
+        killed = self.list_watchers(fleet)
+        for name in killed:
+            fleet.daemons[name].is_alive = False
+        fleet.run(SETTLING_MS)
+        watchers = self.list_watchers(fleet)
+        assert len(watchers) == STORE_WATCHERS
+        assert not watchers & killed
+
+    def test_updates_reach_all_daemons_through_the_watchers(self):
+        fleet = HeartbeatFleet(LARGE, domains=5)
+        fleet.run(SETTLING_MS)
+        for name in self.list_watchers(fleet):
+            fleet.daemons[name].mirror.revision = 9
+            fleet.daemons[name].heartbeats.announce_store_change()
+        for _ in range(3):
+            # Each daemon that hears of the update fetches it, and a relay announces it.
+            fleet.run(SETTLING_MS / 3)
+            for daemon in fleet.list_alive():
+                if 9 in daemon.mirror.relay_revisions:
+                    daemon.mirror.revision = 9
+                    daemon.heartbeats.announce_store_change()
+        assert {daemon.mirror.revision for daemon in fleet.list_alive()} == {9}
+
+
 class TestRelayedRates:
     RATE = 100.0
 
