Send less between failure domains for control

- Each relay exchanges heartbeats with one relay of each other domain, the one at its own place, instead of with both.
When that one is silent it contacts the next as well.
- Heartbeats of 150 bytes or more are compressed for other domains.

A relay hears only one relay of another domain now, so that those which watch the store are ranked by what relays pass on of each other, and an update takes up to two more hops. The test that a relay contacts all others is replaced by three: one contact a domain and from both ends, each relay contacted from each domain, and a second contact when the first is silent.

--- a/bronzerelay/pooler/contacts.py
+++ b/bronzerelay/pooler/contacts.py
@@ -2,9 +2,11 @@
 
 The traffic of a full mesh grows with the square of the fleet. So in a large fleet the
 first few daemons of each failure domain, by a ranking that all daemons compute alike,
-are its relays. The others exchange heartbeats only with the relays of their own domain,
-and the relays with each other. There is no election: a daemon that finds a relay silent
-also contacts the next one in the ranking, and any daemon replies when contacted.
+are its relays. The others exchange heartbeats only with the relays of their own domain.
+The relays of a domain exchange them with each other, and each with one relay of each
+other domain, the one at the same place. There is no election: a daemon that finds a
+relay silent also contacts the next one in the ranking, and any daemon replies when
+contacted.
 """
 
 from collections.abc import Callable, Iterable
@@ -71,7 +73,7 @@
         """Return the contacts, given which members are silent.
 
         The lock holder of a primary change needs acknowledgements of all members, so it
-        contacts the relays of all domains.
+        contacts all relays of all domains.
         """
         if self.is_mesh():
             return Plan(frozenset(self._peers))
@@ -83,11 +85,34 @@
         contacts = set(relays[self._domain])
         if relaying:
             contacts.update(self._orders[self._domain])
-        if relaying or holds_lock:
+            contacts.update(self._choose_partners(relays, is_silent))
+        if holds_lock:
             contacts.update(name for names in relays.values() for name in names)
         contacts.discard(self._name)
         return Plan(frozenset(contacts), relaying, relays)
 
+    def _choose_partners(
+        self, relays: dict[str, tuple[str, ...]], is_silent: Callable[[str], bool]
+    ) -> set[str]:
+        """Return the relays of the other domains that this relay contacts.
+
+        What crosses domains costs most. If each relay contacted all others, each would
+        hear twice what the daemons of another domain report.
+        """
+
+        def list_heard(domain: str) -> list[str]:
+            names = relays[domain]
+            return [one for one in names if one == self._name or not is_silent(one)]
+
+        place = list_heard(self._domain).index(self._name)
+        partners = set()
+        for domain in relays.keys() - {self._domain}:
+            heard = list_heard(domain)
+            if heard:
+                partners.add(heard[place % len(heard)])
+            partners.update(set(relays[domain]) - set(heard))
+        return partners
+
     def _choose_relays(
         self, order: Iterable[str], is_silent: Callable[[str], bool]
     ) -> tuple[str, ...]:
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -132,11 +132,12 @@
         self.pool = LinkPool(runtime, plugins.codec)
         self.rates = FleetRates(runtime, settings.name)
         self.mirror = Mirror(runtime, plugins.store, self._apply_item, self.log)
-        self.gossip = Gossip(runtime, settings.name, settings.peer, self.log)
+        own = Peer(settings.peer, settings.domain)
+        self.gossip = Gossip(runtime, settings.name, own, self.log)
         self.members = Members(
             runtime,
             settings.name,
-            Peer(settings.peer, settings.domain),
+            own,
             self.mirror,
             self.gossip,
             self.log,
--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -6,6 +6,7 @@
 which the receiver sent that one, by the receiver's own clock.
 """
 
+import zlib
 from collections.abc import Callable, Container
 from typing import NamedTuple
 
@@ -31,6 +32,13 @@
 # long as a primary proof is valid.
 RECENT_PEER_MS = 1_000
 MAX_DATAGRAM_BYTES = 8192
+# Heartbeats of this size or more are compressed for other failure domains: names of
+# members and workspaces make up most of them.
+MIN_COMPRESSED_BYTES = 150
+COMPRESSION = 1
+# The first byte of compressed data, with which no encoded heartbeat begins.
+ZLIB_MARK = 0x78
+MAX_BEAT_BYTES = 256 * 1024
 NEVER_MS = -1e15
 
 
@@ -149,13 +157,14 @@
 class Gossip:
     """Exchanges heartbeats with other members and keeps a view of each."""
 
-    def __init__(self, runtime: Runtime, name: str, address: Address, log: EventLog):
+    def __init__(self, runtime: Runtime, name: str, own: Peer, log: EventLog):
         self._runtime = runtime
         self._clock = runtime.clock
         self._name = name
+        self._domain = own.domain
         self._log = log
         self._lock = runtime.make_lock()
-        self._sock: DatagramSocket = runtime.open_datagram_socket(address)
+        self._sock: DatagramSocket = runtime.open_datagram_socket(own.address)
         self.incarnation = runtime.random.getrandbits(48)
         # By number, when each heartbeat of the last seconds was sent.
         self._sent: dict[int, float] = {}
@@ -287,6 +296,8 @@
                 number=number, echo=echo.number, echo_incarnation=echo.incarnation
             )
         )
+        if view.peer.domain != self._domain and len(packed) >= MIN_COMPRESSED_BYTES:
+            packed = zlib.compress(packed, COMPRESSION)
         self.bytes_sent += len(packed)
         try:
             self._sock.send_to(packed, view.address)
@@ -316,8 +327,8 @@
 
     def _handle(self, data: bytes, handle: HandleBeat) -> None:
         try:
-            beat = self._decoder.decode(data)
-        except msgspec.DecodeError as error:
+            beat = self._decoder.decode(_decompress(data))
+        except (zlib.error, msgspec.DecodeError) as error:
             self._log.write_request(
                 "gossip", "A heartbeat couldn't be decoded.", error=str(error)
             )
@@ -361,3 +372,10 @@
     def close(self) -> None:
         """Close the socket."""
         self._sock.close()
+
+
+def _decompress(data: bytes) -> bytes:
+    """Return an encoded heartbeat; raise zlib.error if its compression is invalid."""
+    if data[:1] != bytes([ZLIB_MARK]):
+        return data
+    return zlib.decompressobj().decompress(data, MAX_BEAT_BYTES)
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -92,25 +92,32 @@
     def _choose_upstream(self) -> tuple[str, ...]:
         if self.contacts.is_mesh():
             return ()
-        if not self._plan.relaying:
-            return self._plan.relays.get(self._domain, ())
-        watchers = rank(STORE, [*self._list_informed(), self._name])
-        watchers = watchers[:STORE_WATCHERS]
-        return () if self._name in watchers else tuple(watchers)
+        plan = self._plan
+        if not plan.relaying:
+            return plan.relays.get(self._domain, ())
+        watchers = rank(STORE, [*self._list_informed(), self._name])[:STORE_WATCHERS]
+        if self._name in watchers:
+            return ()
+        # A relay doesn't contact all others, and each passes on what it learns.
+        return tuple(name for name in self._list_relays() if name in plan.contacts)
+
+    def _list_relays(self) -> list[str]:
+        return [name for names in self._plan.relays.values() for name in names]
 
     def _list_informed(self) -> list[str]:
-        """Return the other relays that know the store and aren't silent.
+        """Return the other relays that know the store and are heard of lately.
 
         In a full mesh there are no relays, and all daemons count.
         """
         views = self._gossip.views
-        names = {name for names in self._plan.relays.values() for name in names}
+        oldest_ms = self._clock.now_ms() - SILENT_PEER_MS
+        names = views if self.contacts.is_mesh() else self._list_relays()
         return [
             name
-            for name in (views if self.contacts.is_mesh() else names)
+            for name in names
             if name in views
-            and views[name].store_revision > 0
-            and not self._is_silent(name)
+            and views[name].known_revision > 0
+            and max(views[name].received_at_ms, views[name].heard_up_to_ms) >= oldest_ms
         ]
 
     def _is_silent(self, name: str) -> bool:
@@ -131,10 +138,11 @@
     def has_relay(self) -> bool:
         """Return whether a relay informs this daemon of store updates."""
         views = self._gossip.views
+        oldest_ms = self._clock.now_ms() - SILENT_PEER_MS
         return any(
             name in views
             and views[name].store_revision > 0
-            and not self._is_silent(name)
+            and views[name].received_at_ms >= oldest_ms
             for name in self._upstream
         )
 
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -380,6 +380,20 @@
         "return ()",
         "tests/test_heartbeats.py::TestStoreWatchers",
     ),
+    Mutation(
+        "a relay contacts one relay of each other failure domain",
+        POOLER + "contacts.py",
+        "partners.add(heard[place % len(heard)])",
+        "partners.update(heard)",
+        "tests/test_contacts.py::TestLargeFleet",
+    ),
+    Mutation(
+        "heartbeats to other failure domains are compressed",
+        POOLER + "gossip.py",
+        "len(packed) >= MIN_COMPRESSED_BYTES:",
+        "False:",
+        "tests/test_gossip.py::TestCompression",
+    ),
     Mutation(
         "daemons that start together batch the updates that they watch",
         POOLER + "mirror.py",
