--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -376,8 +376,8 @@
     Mutation(
         "a few relays watch the store for the whole fleet",
         POOLER + "heartbeats.py",
-        "return () if self._name in watchers else tuple(watchers)",
-        "return ()",
+        "        if self._name in watchers:\n            return ()\n",
+        "        if True:\n            return ()\n",
         "tests/test_heartbeats.py::TestStoreWatchers",
     ),
     Mutation(
