--- a/bronzerelay/gossip.py
+++ b/bronzerelay/gossip.py
@@ -152,7 +152,7 @@
             now_alive = set(self._membership.alive_names())
             for name in alive - now_alive:
                 self._drop_silent(name)
-            for name in now_alive - alive:
+            for name in now_alive - alive - {self._membership.name}:
                 self._log.info("A peer is alive.", extra={"peer": name})
             alive = now_alive
 
--- a/tests/test_daemon_gossip.py
+++ b/tests/test_daemon_gossip.py
@@ -146,6 +146,30 @@
     assert json.loads(stream.getvalue())["paused_ms"] >= 2 * PAUSE_MS
 
 
+class LiveMembership(SilentMembership):
+    """A membership in which this daemon and its peer are alive."""
+
+    name = "vm-1"
+
+    def alive_names(self):
+        return ["vm-1", "vm-2"]
+
+
+def test_a_daemon_is_no_peer_of_its_own_in_the_log():
+    """Guards against a log that reports the daemon itself as a peer that came back."""
+    stream = io.StringIO()
+    with open_runtime(10) as runtime:
+        log = open_log("spread", stream)
+        membership, settings = LiveMembership(), GossipSettings()
+        gossip = Gossip(runtime, settings, membership, None, FakeLinks(True), log)
+        gossip.start()
+        wait_until(runtime, lambda: "vm-2" in stream.getvalue())
+        runtime.sleep_ms(100)
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    alive = [line["peer"] for line in lines if "alive" in line["message"]]
+    assert alive == ["vm-2"]
+
+
 def test_the_log_line_of_a_silent_peer_has_its_inputs():
     """Guards against a log without the age of the view and the calls that were cut."""
     stream = io.StringIO()
