--- a/bronzerelay/dialect.py
+++ b/bronzerelay/dialect.py
@@ -161,9 +161,12 @@
         self._connection.close()
 
     def is_usable(self) -> bool:
-        """Return whether the link is open and no unexpected bytes have arrived."""
-        ends = self._got_repeated_answer and not self.in_transaction
-        if not self.closed and (ends or not self._connection.is_quiet()):
+        """Return whether the link is open and no unexpected bytes have arrived.
+
+        After a repeated answer it is used only until its transaction has ended.
+        """
+        must_close = self._got_repeated_answer and not self.in_transaction
+        if not self.closed and (must_close or not self._connection.is_quiet()):
             self.close()
         return not self.closed
 
--- a/bronzerelay/pooler/contacts.py
+++ b/bronzerelay/pooler/contacts.py
@@ -96,8 +96,9 @@
     ) -> set[str]:
         """Return the relays of the other domains that this relay contacts.
 
-        What crosses domains costs most. If each relay contacted all others, each would
-        hear twice what the daemons of another domain report.
+        One of each domain is enough: if each relay contacted all others, each would
+        hear twice what the daemons of a domain report. Silent ones are contacted as
+        well, or their return wouldn't be noticed.
         """
 
         def list_heard(domain: str) -> list[str]:
--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -35,9 +35,11 @@
 # Heartbeats of this size or more are compressed for other failure domains: names of
 # members and workspaces make up most of them.
 MIN_COMPRESSED_BYTES = 150
+# The zlib level, 1 (fastest) to 9.
 COMPRESSION = 1
 # The first byte of compressed data, with which no encoded heartbeat begins.
-ZLIB_MARK = 0x78
+ZLIB_MARK = b"\x78"
+# The largest heartbeat that is accepted, in bytes after decompression.
 MAX_BEAT_BYTES = 256 * 1024
 NEVER_MS = -1e15
 
@@ -376,6 +378,6 @@
 
 def _decompress(data: bytes) -> bytes:
     """Return an encoded heartbeat; raise zlib.error if its compression is invalid."""
-    if data[:1] != bytes([ZLIB_MARK]):
+    if not data.startswith(ZLIB_MARK):
         return data
     return zlib.decompressobj().decompress(data, MAX_BEAT_BYTES)
--- a/bronzerelay/pooler/sources.py
+++ b/bronzerelay/pooler/sources.py
@@ -157,7 +157,7 @@
         self._reported_ms = max(self._reported_ms, as_of_ms)
 
     def cover(self) -> None:
-        """Count all tallies as covered."""
+        """Count all tallies as covered, without taking them from the buckets."""
         self.take_uncovered()
 
     def take_uncovered(self) -> dict[str, Tally]:
