Ask the store for a proof only when the heartbeats' one is about to expire

Cause: a trial of the first seconds at 195 daemons shows 654 calls at the start, all loads, joins and watches, and then 46 to 92 polls a second for proofs, most of them from the largest failure domain. A proof that comes through relays is up to 670 ms old with all relays in contact (195 daemons in one process), 760 with pairs, and older where a relay has 47 daemons behind it; from 700 ms on each daemon polled for itself.

850 ms leaves a poll 150 ms before the lease ends. The small twin has three to five daemons in a domain and couldn't show it.

--- a/bronzerelay/pooler/primaryguard.py
+++ b/bronzerelay/pooler/primaryguard.py
@@ -25,10 +25,10 @@
 # a daemon sent just before its proof expired.
 LEASE_MARGIN_MS = 150
 # Proofs are requested from the store once the last one from most members is this old,
-# in milliseconds. While heartbeats work its age stays around 450. If the store were
-# asked only after the lease expired, a daemon that hears few others would be without a
-# proof for a third of the time.
-STORE_PROOF_AFTER_MS = 700
+# in milliseconds. While heartbeats work its age stays below 800, also behind relays. If
+# the store were asked only after the lease expired, a daemon that hears few others
+# would be without a proof for a third of the time.
+STORE_PROOF_AFTER_MS = 850
 # How old the newest proof is before the store is asked for another one, in
 # milliseconds: the answer comes before the lease expires, also from a slow store.
 STORE_PROOF_INTERVAL_MS = 500
