--- a/bronzerelay/pooler/primaryguard.py
+++ b/bronzerelay/pooler/primaryguard.py
@@ -25,7 +25,7 @@
 # a daemon sent just before its proof expired.
 LEASE_MARGIN_MS = 150
 # Proofs are requested from the store once the last one from most members is this old,
-# in milliseconds. While heartbeats work its age stays below 800, also behind relays. If
+# in milliseconds. While heartbeats work it is seldom that old, also behind relays. If
 # the store were asked only after the lease expired, a daemon that hears few others
 # would be without a proof for a third of the time.
 STORE_PROOF_AFTER_MS = 850
