Use no primary but the recorded one once a change is recorded

Cause: while the recorded primary wasn't listed (its entry lapsed for longer than KEEP_UNLISTED_MS), `Directory.find_primary` answered with any instance that claims to be primary, save the one that the record names as replaced. An instance that was replaced two changes ago claims it too, until it reaches the new primary. And a change for "no primary" recorded the primary before the last one as replaced, so that the last one was as good as any once it was listed again. A daemon that had lost the entry of the new primary alone used the old one, with a valid proof: the proof says that no change is unknown, not that the instance is the one of the record.

Weighed: a list of all replaced instances in the record. It grows with each change, and a bounded one forgets. Claims count only while there is no record at all.

test_claim_counts_if_the_recorded_primary_is_gone is gone: it demanded that a claiming instance is used while the recorded one isn't listed, and nothing there told that instance from a replaced one. Its place take the first test, that it isn't used, and the last, that it leads again as soon as a change has recorded it.

--- a/bronzerelay/pooler/directory.py
+++ b/bronzerelay/pooler/directory.py
@@ -188,17 +188,23 @@
         return True
 
     def find_primary(self, service: str) -> InstanceEntry | None:
-        """Return the primary of a service, or None while there is no usable one."""
+        """Return the primary of a service, or None while there is no usable one.
+
+        Once a change is recorded, only its instance is the primary, even while it isn't
+        listed. Any other instance that claims to be primary may be one that was
+        replaced by this change or by an earlier one.
+        """
         record = self.primary_records.get(service)
-        if record is not None:
-            if not record.settled:
-                return None
-            recorded = self.instances.get(record.instance)
-            if recorded is not None and recorded.service == service:
-                return None if self.has_left(recorded) else recorded
+        if record is None:
+            return self._find_claiming(service)
+        recorded = self.instances.get(record.instance)
+        if not record.settled or recorded is None or recorded.service != service:
+            return None
+        return None if self.has_left(recorded) else recorded
+
+    def _find_claiming(self, service: str) -> InstanceEntry | None:
         for entry in self.list_instances(service):
-            deposed = record is not None and entry.id == record.deposed
-            if entry.claims_primary and not deposed and not self.has_left(entry):
+            if entry.claims_primary and not self.has_left(entry):
                 return entry
         return None
 
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -277,6 +277,13 @@
         return max(candidates, key=lambda pair: pair[1].received, default=None)
 
 
+def _find_replaced(record: PrimaryRecord | None) -> str:
+    """Return the instance that a change after this record replaces, or ""."""
+    if record is None:
+        return ""
+    return record.instance if record.settled else record.deposed
+
+
 class _ChangeAbandonedError(Exception):
     """The change can't be completed, or another daemon may hold the lock."""
 
@@ -296,7 +303,7 @@
         self._lock_verified_ms = 0.0
         primary = coordinator._directory.find_primary(service)
         known = coordinator._directory.primary_records.get(service)
-        self._old_id = primary.id if primary else (known.deposed if known else "")
+        self._old_id = primary.id if primary else _find_replaced(known)
         # Kept here because the directory drops the entry when the old primary is
         # partitioned from the store for long.
         self._old_entry = primary
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -86,10 +86,18 @@
     Mutation(
         "a replaced primary that is still running doesn't become primary again",
         POOLER + "directory.py",
-        "deposed = record is not None and entry.id == record.deposed",
-        "deposed = False",
+        "if record is None:\n            return self._find_claiming(service)",
+        "if record is None or record.instance not in self.instances:\n"
+        "            return self._find_claiming(service)",
         "tests/test_directory.py::TestPrimaries",
     ),
+    Mutation(
+        "a change records the primary that it replaces though it isn't listed",
+        POOLER + "primarychanges.py",
+        "return record.instance if record.settled else record.deposed",
+        "return record.deposed",
+        "tests/test_primarychanges.py::TestWhen",
+    ),
     Mutation(
         "each operation is admitted by the key's current state",
         POOLER + "session.py",
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -81,10 +81,21 @@
         directory.set_primary_record(make_primary_record(3))
         assert primary_id(directory) is None
 
-    def test_claim_counts_if_the_recorded_primary_is_gone(self, directory):
-        directory.set_instance(make_instance("orders-7", claims_primary=True))
+    def test_claim_doesnt_count_while_the_recorded_primary_isnt_listed(
+        self, directory, clock
+    ):
+        # Guards against using an instance again that an earlier change replaced.
+        directory.set_instance(make_instance("orders-0", claims_primary=True))
+        directory.set_instance(make_instance("orders-1", claims_primary=True))
+        directory.set_instance(make_instance("orders-2", claims_primary=True))
         directory.set_primary_record(make_primary_record(3))
-        assert primary_id(directory) == "orders-7"
+        record = make_primary_record(4, instance="orders-2", deposed="orders-1")
+        directory.set_primary_record(record)
+        directory.unlist_instance("orders-2")
+        assert primary_id(directory) == "orders-2"
+        clock.sleep_ms(KEEP_UNLISTED_MS + 1)
+        directory.forget_unlisted()
+        assert primary_id(directory) is None
 
     def test_older_record_is_ignored(self, directory):
         assert directory.set_primary_record(make_primary_record(3))
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -4,7 +4,7 @@
 import pytest
 
 from bronzerelay.pooler.counters import Counters
-from bronzerelay.pooler.directory import PrimaryRecord
+from bronzerelay.pooler.directory import KEEP_UNLISTED_MS, PrimaryRecord
 from bronzerelay.pooler.messages import InstanceStatus, Position
 from bronzerelay.pooler.mirror import ConflictError, Item, StoreError
 from bronzerelay.pooler.placement import Placement
@@ -209,6 +209,32 @@
         harness.run_for(NO_PRIMARY_MS + 2000)
         assert harness.promotions == [(SECOND, 1)]
 
+    def test_unlisted_primary_is_recorded_as_the_replaced_one(self, harness):
+        # Guards against a record that names the primary before the last one as
+        # replaced, so that the last one seems usable again.
+        harness.directory.set_primary_record(
+            make_primary_record(3, instance=FIRST, deposed=PRIMARY)
+        )
+        harness.mirror.items[KEY] = Item(KEY, b"[]", 3)
+        harness.clock.sleep_ms(KEEP_UNLISTED_MS)
+        harness.directory.unlist_instance(FIRST)
+        harness.clock.sleep_ms(KEEP_UNLISTED_MS + 1)
+        harness.directory.forget_unlisted()
+        harness.run_for(NO_PRIMARY_MS + 2000)
+        record = harness.directory.primary_records[SERVICE]
+        assert (record.instance, record.deposed) == (SECOND, FIRST)
+
+    def test_claiming_instance_leads_again_once_a_change_has_recorded_it(self, harness):
+        # Guards against a service without a primary when the recorded one is gone and
+        # another one has its log and leads.
+        harness.directory.set_primary_record(make_primary_record(3, instance="gone"))
+        harness.mirror.items[KEY] = Item(KEY, b"[]", 3)
+        harness.directory.set_instance(make_instance(SECOND, claims_primary=True))
+        harness.primaries.add(SECOND)
+        harness.run_for(NO_PRIMARY_MS + 2000)
+        assert harness.promotions == [(SECOND, 4)]
+        assert harness.directory.find_primary(SERVICE).id == SECOND
+
     def test_change_of_an_active_lock_holder_isnt_taken_over(self, harness):
         harness.directory.set_primary_record(
             make_primary_record(4, settled=False, holder="d2")
