Let a primary change wait for daemons that aren't on the member list

Cause: the lock holder promoted at once when all listed members had acknowledged the change. A daemon that isn't listed could have a valid proof all the same: one that was removed as silent, behind a partition, and runs on gets proofs from the store, and from members that don't know of the removal yet; one that has just started, or is back after the partition, gets them from the store before it is a member, or as a member unknown to the holder, whose list may be older than its own change.

Now the holder promotes at once only if its list is as of the change's record (who joins later has read the record) and all members have known of the last removal for a lease; otherwise it waits for the lease as it does for a member that doesn't answer. The store gives a proof to members only. A new list is in force, and removed members get no more heartbeats, as soon as the mirror has it, not with the next round of upkeep.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -194,6 +194,8 @@
                 self.members.list_names,
                 self.heartbeats.list_acknowledged,
                 self.members.is_quorum,
+                self.members.is_current,
+                self.members.may_have_outsiders,
                 self.heartbeats.list_silent_since,
             ),
             self.runner.ask_status,
@@ -202,9 +204,9 @@
             self.counters,
             self.log,
         )
-        self.mirror.on_proof = self.guard.add_store_proof
+        self.mirror.on_proof = self._add_store_proof
         self.mirror.follows_relay = self.heartbeats.has_relay
-        self.mirror.on_change = self.heartbeats.announce_store_change
+        self.mirror.on_change = self._handle_store_change
         self.mirror.fetch = self.catch_up.fetch
         self.guard.on_idle = self.heartbeats.announce_idle
         self.reload_requested = False
@@ -213,6 +215,7 @@
         self._ended: Signal = runtime.make_signal()
         self._sessions: set[CallerSession] = set()
         self._lock = runtime.make_lock()
+        self._members_lock = runtime.make_lock()
         self._listener: Listener = runtime.listen(settings.frontend)
         self._servers = self._open_pages()
 
@@ -312,6 +315,23 @@
 
     # The other daemons
 
+    def _add_store_proof(self, read_at_ms: float) -> None:
+        # A primary change doesn't wait for a daemon that isn't on the member list.
+        if self.members.is_listed():
+            self.guard.add_store_proof(read_at_ms)
+
+    def _handle_store_change(self) -> None:
+        # Before others hear that this daemon has the new revision: a removed member
+        # must get no more heartbeats from here by then.
+        self._update_members()
+        self.heartbeats.announce_store_change()
+
+    def _update_members(self) -> None:
+        with self._members_lock:
+            members = self.members.update()
+            if members is not None:
+                self._apply_members(members)
+
     def _apply_members(self, members: dict[str, Peer]) -> None:
         self.gossip.set_members(members)
         self.heartbeats.contacts.set_peers(members)
@@ -331,9 +351,7 @@
                 )
 
     def _run_upkeep(self) -> None:
-        members = self.members.update()
-        if members is not None:
-            self._apply_members(members)
+        self._update_members()
         # Once a member that announced its stop is silent it admits nothing, so no part
         # of the rates is set aside for it.
         serving = self.members.list_serving()
--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -8,7 +8,7 @@
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.gossip import Gossip
 from bronzerelay.pooler.mirror import Item, Mirror, StoreError
-from bronzerelay.pooler.primaryguard import LEASE_MS
+from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
 from bronzerelay.runtime import Runtime, parse_address
 
 MEMBER_PREFIX = "bronzerelay/members/"
@@ -44,13 +44,21 @@
     ):
         self._runtime = runtime
         self._clock = runtime.clock
-        self._own = Member(name, str(own.address), own.domain)
+        own_member = Member(name, str(own.address), own.domain)
+        self._own = own_member
+        self._own_data = msgspec.json.encode(own_member)
         self._mirror = mirror
         self._gossip = gossip
         self._log = log
         self._others: dict[str, Peer] = {}
-        # The store revision at which the list last changed here.
+        # The store revision as of which the list was last read, and the one at which it
+        # last changed here.
+        self._read_revision = 0
         self._changed_revision = 0
+        # The store revision at which the list last lost a member here, and since when
+        # all others have known it. Removals from before the first reading aren't known.
+        self._removal_revision = 0
+        self._removal_known_since_ms: float | None = None
         self.is_stopping = False
 
     def list_names(self) -> list[str]:
@@ -76,7 +84,8 @@
         names = self.list_names()
         if len(members) * 2 != len(names):
             return len(members) * 2 > len(names)
-        joined_revision = max(item.revision for item in self._list_items())
+        items = self._mirror.list_prefix(MEMBER_PREFIX)
+        joined_revision = max(item.revision for item in items)
         changed_revision = max(joined_revision, self._changed_revision)
         views = self._gossip.views
         others = [views.get(name) for name in names if name not in members]
@@ -85,17 +94,44 @@
             for view in others
         )
 
+    def is_current(self, revision: int) -> bool:
+        """Return whether the list here is as of a store revision or a later one."""
+        return self._read_revision >= revision
+
+    def may_have_outsiders(self) -> bool:
+        """Return whether a daemon that isn't listed may have a primary proof.
+
+        A removed daemon that still runs may get proofs from members that don't know of
+        the removal, and each proof is valid for a lease.
+        """
+        since_ms = self._removal_known_since_ms
+        if since_ms is None:
+            return True
+        return self._clock.now_ms() - since_ms <= LEASE_MS + LEASE_MARGIN_MS
+
     # This daemon's entry
 
+    def is_listed(self) -> bool:
+        """Return whether this daemon is on the list, by all that is known of it.
+
+        An item that is newer than the mirror's revision comes from a load whose pages
+        are no snapshot, and other updates may be missing.
+        """
+        known = self._mirror.get(MEMBER_PREFIX + self._own.name)
+        return (
+            known is not None
+            and known.data == self._own_data
+            and known.revision <= self._mirror.revision
+        )
+
     def join(self) -> None:
         """Add this daemon to the list, and add it again if removed, until the stop."""
         key = MEMBER_PREFIX + self._own.name
-        data = msgspec.json.encode(self._own)
         while not self._runtime.stopping:
             if self._mirror.loaded and not self.is_stopping:
                 known = self._mirror.get(key)
-                if known is None or known.data != data:
-                    self._put(key, data, known)
+                if known is None or known.data != self._own_data:
+                    self._put(key, self._own_data, known)
             self._runtime.sleep_ms(JOIN_CHECK_MS)
 
     def _put(self, key: str, data: bytes, known: Item | None) -> None:
@@ -115,17 +151,35 @@
 
     def update(self) -> dict[str, Peer] | None:
         """Read the list; return the other members if they changed, else None."""
-        others = self._read()
-        if others == self._others:
-            return None
-        self._changed_revision = self._mirror.revision
-        self._log.write("members", "The member list changed.", members=sorted(others))
-        self._others = others
-        return others
-
-    def _read(self) -> dict[str, Peer]:
+        listed = self._mirror.snapshot(MEMBER_PREFIX)
+        others = self._decode(listed.items)
+        self._note_removals(others, listed.revision)
+        changed = others != self._others
+        if changed:
+            self._log.write(
+                "members", "The member list changed.", members=sorted(others)
+            )
+            self._changed_revision = listed.revision
+            self._others = others
+        self._read_revision = listed.revision
+        return others if changed else None
+
+    def _note_removals(self, others: dict[str, Peer], revision: int) -> None:
+        if self._removal_revision == 0 or self._others.keys() - others.keys():
+            self._removal_revision = revision
+            self._removal_known_since_ms = None
+        views = self._gossip.views
+        if not all(
+            name in views and views[name].known_revision >= self._removal_revision
+            for name in others
+        ):
+            self._removal_known_since_ms = None
+        elif self._removal_known_since_ms is None:
+            self._removal_known_since_ms = self._clock.now_ms()
+
+    def _decode(self, items: list[Item]) -> dict[str, Peer]:
         others = {}
-        for item in self._list_items():
+        for item in items:
             try:
                 member = msgspec.json.decode(item.data or b"", type=Member)
                 address = parse_address(member.address)
@@ -140,9 +194,6 @@
         others.pop(self._own.name, None)
         return others
 
-    def _list_items(self) -> list[Item]:
-        return self._mirror.list_prefix(MEMBER_PREFIX)
-
     def _hears_majority(self) -> bool:
         """Return whether most members were heard lately and know the current list.
 
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -197,7 +197,15 @@
 
     def list_prefix(self, prefix: str) -> list[Item]:
         """Return the known items whose keys start with `prefix`."""
-        return [item for key, item in self._items.items() if key.startswith(prefix)]
+        return self.snapshot(prefix).items
+
+    def snapshot(self, prefix: str) -> StoreItems:
+        """Return the known items whose keys start with `prefix`, and their revision."""
+        with self._lock:
+            items = [
+                item for key, item in self._items.items() if key.startswith(prefix)
+            ]
+            return StoreItems(items, self.revision)
 
     # Applying updates
 
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -95,6 +95,10 @@
     acknowledged: Callable[[str, int], set[str]]
     # Whether the members outside this set can't give each other a valid primary proof.
     is_quorum: Callable[[set[str]], bool]
+    # Whether the member list is as of a store revision or a later one.
+    is_current: Callable[[int], bool]
+    # Whether a daemon that isn't a member may have a valid primary proof.
+    may_have_outsiders: Callable[[], bool]
     # For each peer that an instance doesn't answer, since when.
     silent_since_ms: Callable[[str], list[float]]
 
@@ -383,31 +387,40 @@
     # The other daemons
 
     def _wait_for_daemons(self) -> float:
-        """Wait until no daemon can use the old primary; return how long that took."""
+        """Wait until no daemon can use the old primary; return how long that took.
+
+        Only a member list that is as of the change's record counts: a daemon that joins
+        later has read the record.
+        """
         started_ms = self._clock.now_ms()
+        recorded_at = self._revision
+        fleet = self._coordinator._fleet
         quorum_since_ms = None
         while True:
-            names = set(self._coordinator._fleet.names())
-            known = self._coordinator._fleet.acknowledged(
-                self._service, self._record.epoch
-            )
+            is_current = fleet.is_current(recorded_at)
+            names = set(fleet.names())
+            known = fleet.acknowledged(self._service, self._record.epoch)
+            has_outsiders = fleet.may_have_outsiders()
             now_ms = self._clock.now_ms()
-            if names <= known:
+            if is_current and names <= known and not has_outsiders:
                 waited_ms = now_ms - started_ms
                 self._log(
                     "All daemons have acknowledged the change.",
                     waited_ms=round(waited_ms),
                 )
                 return waited_ms
-            if not self._coordinator._fleet.is_quorum(known):
+            if not (is_current and fleet.is_quorum(known)):
                 # A daemon that restarted has forgotten the change, and may have helped
                 # another one to a new proof, whose lease starts only now.
                 quorum_since_ms = None
             elif quorum_since_ms is None:
                 quorum_since_ms = now_ms
             elif now_ms - quorum_since_ms > LEASE_MS + LEASE_MARGIN_MS:
-                missing = sorted(names - known)
-                self._log("Not all daemons acknowledged the change.", missing=missing)
+                self._log(
+                    "Not all daemons acknowledged the change.",
+                    missing=sorted(names - known),
+                    has_outsiders=has_outsiders,
+                )
                 return now_ms - started_ms
             if now_ms - started_ms > 2 * TAKEOVER_MS:
                 raise _ChangeAbandonedError(
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,7 +6,8 @@
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.gossip import PeerView
 from bronzerelay.pooler.members import MEMBER_PREFIX, Member, Members
-from bronzerelay.pooler.mirror import Item
+from bronzerelay.pooler.mirror import Item, StoreItems
+from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
 from bronzerelay.runtime import Address
 from standins.linegroup import LOCAL
 from tests.builders_pooler import ManualClock, make_log, make_runtime
@@ -24,7 +25,7 @@
         self.removed = []
 
     def get(self, key):
-        return next(item for item in self.list_prefix(key) if item.key == key)
+        return next((item for item in self.list_prefix(key) if item.key == key), None)
 
     def compare_and_swap(self, expected, puts, removed):
         self.removed += removed
@@ -33,6 +34,9 @@
         del self._revisions[name]
         self.revision = revision
 
+    def snapshot(self, prefix):
+        return StoreItems(self.list_prefix(prefix), self.revision)
+
     def list_prefix(self, prefix):
         return [
             Item(
@@ -55,8 +59,8 @@
             self.views[name].known_revision = revision
 
 
-def make_members(revisions, store_revisions):
-    runtime = make_runtime()
+def make_members(revisions, store_revisions, clock=None):
+    runtime = make_runtime(clock)
     members = Members(
         runtime,
         "d1",
@@ -106,6 +110,77 @@
         assert not members.is_quorum({"d1"})
 
 
+class TestOutsiders:
+    """Guards against promoting an instance at once, since all members know of the
+    change, while a daemon that isn't a member still uses the old primary.
+    """
+
+    @pytest.fixture
+    def clock(self):
+        return ManualClock()
+
+    @pytest.fixture
+    def members(self, clock):
+        names = ["d1", "d2", "d3", "d4"]
+        members = make_members(
+            dict.fromkeys(names, 1), dict.fromkeys(names[1:], 5), clock
+        )
+        clock.sleep_ms(LEASE_MS + LEASE_MARGIN_MS + 1)
+        members.update()
+        return members
+
+    def test_list_without_removals_has_none(self, members):
+        assert not members.may_have_outsiders()
+
+    def test_removals_before_the_first_reading_count(self, clock):
+        members = make_members({"d1": 1, "d2": 1}, {"d2": 5}, clock)
+        assert members.may_have_outsiders()
+
+    def test_removed_member_may_have_a_proof_until_a_lease_after_all_know(
+        self, members, clock
+    ):
+        members._mirror.remove("d4", 8)
+        members.update()
+        views = members._gossip.views
+        for name, wait_ms in (("d2", 3000), ("d3", LEASE_MS)):
+            clock.sleep_ms(wait_ms)
+            members.update()
+            assert members.may_have_outsiders()
+            views[name].known_revision = 8
+            members.update()
+        clock.sleep_ms(LEASE_MS)
+        assert members.may_have_outsiders()
+        clock.sleep_ms(LEASE_MARGIN_MS + 1)
+        assert not members.may_have_outsiders()
+
+    def test_restarted_member_may_not_know_of_the_removal(self, members, clock):
+        members._mirror.remove("d4", 8)
+        for revision in (8, 5, 8):
+            for name in ("d2", "d3"):
+                members._gossip.views[name].known_revision = revision
+            members.update()
+            assert members.may_have_outsiders()
+            clock.sleep_ms(LEASE_MS)
+
+    def test_list_is_current_once_it_has_been_read_again(self, members):
+        members._mirror.revision = 9
+        assert not members.is_current(9)
+        members.update()
+        assert members.is_current(9)
+
+    def test_daemon_is_listed_by_its_own_entry(self, members):
+        assert members.is_listed()
+        members._mirror.remove("d1", 8)
+        assert not members.is_listed()
+
+    def test_entry_newer_than_the_mirror_doesnt_count(self):
+        # Guards against a proof from a load whose pages are no snapshot: a change that
+        # is older than the entry may be missing.
+        members = make_members({"d1": 9, "d2": 1}, {"d2": 5})
+        members._mirror.revision = 7
+        assert not members.is_listed()
+
+
 OTHERS = ("d2", "d3", "d4", "d5", "d6")
 
 
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -4,9 +4,11 @@
 
 from bronzerelay.pooler import contacts, session
 from bronzerelay.pooler.httpcalls import HttpCallError
+from bronzerelay.pooler.members import MEMBER_PREFIX
 from bronzerelay.pooler.mirror import BATCH_PAUSE_MS
 from bronzerelay.pooler.placement import POSITION_VALID_MS
 from bronzerelay.pooler.primarychanges import MAX_LAG_ENTRIES
+from bronzerelay.pooler.primaryguard import LEASE_MS
 from bronzerelay.pooler.runner import limit_statements
 from bronzerelay.runtime import Address
 from standins.linecaller import LineCaller
@@ -420,6 +422,48 @@
         assert rows == [[str(number)] for number in range(6)]
         assert len(fleet.platform.group.promotions) == 1
 
+    def test_removed_daemon_that_still_runs_uses_no_replaced_primary(self, fleet):
+        # Guards against a commit at a replaced primary by a daemon that was removed
+        # from the member list and knows neither of that nor of the change.
+        *members, outsider = fleet.start_ready("d1", "d2", "d3")
+        outsider.mirror._apply = lambda update: None
+        entry = members[0].mirror.get(MEMBER_PREFIX + "d3")
+        members[0].mirror.compare_and_swap({entry.key: entry.revision}, {}, [entry.key])
+        fleet.wait(
+            lambda: all("d3" not in one.members.list_names() for one in members),
+            "the removal",
+        )
+        refusals = []
+        for daemon in members:
+            daemon.changes._promote = self.check_before(
+                daemon.changes._promote,
+                lambda: refusals.append(outsider.guard.check_use(SERVICE, "orders-0")),
+            )
+        assert outsider.guard.check_use(SERVICE, "orders-0") is None
+        primary = fleet.platform.group.instances["orders-0"]
+        primary.leaving = True
+        fleet.platform.register(primary)
+        fleet.wait(lambda: self.change_to(fleet), "a promotion")
+        assert None not in refusals
+
+    def test_store_gives_no_proof_to_a_daemon_that_isnt_a_member(self, fleet):
+        # Guards against a primary change that doesn't wait for a daemon, as it isn't a
+        # member yet or any more, while that daemon has a proof from the store.
+        (daemon,) = fleet.start_ready("d1")
+        daemon.members.is_stopping = True
+        entry = daemon.mirror.get(MEMBER_PREFIX + "d1")
+        daemon.mirror.compare_and_swap({entry.key: entry.revision}, {}, [entry.key])
+        fleet.wait(lambda: not daemon.members.is_listed(), "the removal")
+        fleet.runtime.clock.sleep_ms(2 * LEASE_MS)
+        assert not daemon.guard.has_proof()
+
+    def check_before(self, promote, check):
+        def check_and_promote(*args):
+            check()
+            return promote(*args)
+
+        return check_and_promote
+
     def test_leaving_primary_stays_until_a_replica_has_its_log(self, fleet):
         # A primary is to leave while its replicas receive nothing. If a replica were
         # promoted anyway, it would lack commits that were acknowledged meanwhile, and
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -72,6 +72,9 @@
         self.mirror = FakeMirror()
         self.names = ["d1", "d2", "d3"]
         self.acknowledged = {"d1", "d2", "d3"}
+        # The store revision as of which `names` is known.
+        self.list_revision = 100
+        self.has_outsiders = False
         self.received = {FIRST: Position(1, 5), SECOND: Position(1, 9)}
         self.primaries: set[str] = set()
         # By instance, since when it hasn't answered each peer.
@@ -94,6 +97,8 @@
                 lambda: self.names,
                 lambda service, epoch: self.acknowledged,
                 lambda known: len(known) * 2 > len(self.names),
+                lambda revision: self.list_revision >= revision,
+                lambda: self.has_outsiders,
                 lambda instance_id: self.silent_since_ms.get(instance_id, []),
             ),
             self.ask_status,
@@ -264,6 +269,30 @@
         assert harness.promotions
         assert waited[-1] - waited[0] >= LEASE_MS
 
+    def test_daemon_that_isnt_listed_delays_by_the_lease(self, harness):
+        # Guards against promoting at once while a removed daemon that still runs has a
+        # proof and uses the old primary.
+        harness.has_outsiders = True
+        waited = []
+        harness.on_sleep = lambda: waited.append(harness.clock.now_ms())
+        self.start(harness)
+        assert harness.promotions
+        assert waited[-1] - waited[0] >= LEASE_MS
+
+    @pytest.mark.parametrize("acknowledged", [{"d1", "d2", "d3"}, {"d1", "d2"}])
+    def test_member_list_from_before_the_change_doesnt_count(
+        self, harness, acknowledged
+    ):
+        # Guards against promoting while a daemon that joined before the change, unknown
+        # to the lock holder, has a proof and uses the old primary.
+        harness.list_revision = 0
+        harness.acknowledged = acknowledged
+        self.start(harness)
+        assert harness.promotions == []
+        harness.list_revision = 100
+        harness.run_for(3 * TAKEOVER_MS)
+        assert harness.promotions
+
     def test_lease_starts_anew_when_the_quorum_is_lost_in_between(self, harness):
         # A daemon that knew of the change restarts and has forgotten it for a moment.
         # A partitioned daemon that hears it then gets a new proof for the old primary.
