Take the lock of a primary change only if nobody wrote since the decision

Cause: the epoch was taken from the record known when the change began, the expected revision of the compare-and-swap from the mirror later, and the mirror shows an item before its record is applied. A record that arrived in between passed for the one that the change follows: two daemons with the same epoch, both of whose changes all others seem to have acknowledged. In the same way a change that had stalled was taken over though its holder had just written that it goes on.

Evidence: test_record_written_since_the_decision_is_respected puts the record of another holder, and a repeated one, between decision and lock; both cases failed before.

Record and revision are now read together, the revision first and under the mirror's lock, when the decision is made; the compare-and-swap fails if anything was written since.

--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -177,8 +177,9 @@
         self._loaded_at_ms = NEVER_MS
 
     def get(self, key: str) -> Item | None:
-        """Return the item of a key, or None if it isn't known."""
-        return self._items.get(key)
+        """Return the item of a key once it has been handled, or None."""
+        with self._lock:
+            return self._items.get(key)
 
     def store_age_ms(self) -> float:
         """Return the time since this mirror was last known to be current."""
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -106,6 +106,17 @@
 AskStatus = Callable[[InstanceEntry, float], InstanceStatus | None]
 
 
+class Basis(NamedTuple):
+    """The record of a service that a decision rests on, and its store revision.
+
+    The lock is taken by a compare-and-swap on this revision, so that it fails if
+    another daemon has written since, be it to begin a change or to go on with one.
+    """
+
+    record: PrimaryRecord | None
+    revision: int
+
+
 class PrimaryChangeCoordinator:
     """Detects when a service needs another primary, and starts the change."""
 
@@ -148,17 +159,23 @@
         """Check all services and start the changes that are due at this daemon."""
         services = {entry.service for entry in self._directory.instances.values()}
         for service in services:
-            reason = self._find_reason(service)
+            basis = self._read_basis(service)
+            reason = self._find_reason(service, basis)
             if reason is None:
                 self._due.pop(service, None)
             elif self._is_turn(service, reason):
-                self._start(service, reason)
+                self._start(service, reason, basis)
 
-    def _find_reason(self, service: str) -> str | None:
-        now_ms = self._clock.now_ms()
+    def _read_basis(self, service: str) -> Basis:
+        # The revision first: a record that is newer than it makes the lock fail.
+        item = self._mirror.get(PRIMARY_RECORD_PREFIX + service)
         record = self._directory.primary_records.get(service)
-        if record is not None and not record.settled:
-            return self._find_takeover_reason(record, now_ms)
+        return Basis(record, item.revision if item else 0)
+
+    def _find_reason(self, service: str, basis: Basis) -> str | None:
+        now_ms = self._clock.now_ms()
+        if basis.record is not None and not basis.record.settled:
+            return self._find_takeover_reason(basis.record, basis.revision, now_ms)
         primary = self._directory.find_primary(service)
         if primary is None:
             return "no primary"
@@ -166,15 +183,15 @@
             return "planned"
         return "dead" if self._looks_dead(primary, now_ms) else None
 
-    def _find_takeover_reason(self, record: PrimaryRecord, now_ms: float) -> str | None:
+    def _find_takeover_reason(
+        self, record: PrimaryRecord, revision: int, now_ms: float
+    ) -> str | None:
         # An earlier process of this daemon started the change. It is gone, since this
         # process has its name, so there is no need to wait for it.
         if record.holder == self._name and record.service not in self._busy:
             return "restarted"
         # A lock holder that waits for long writes the same record again, which raises
         # its store revision, so that no other daemon takes the change over.
-        item = self._mirror.get(PRIMARY_RECORD_PREFIX + record.service)
-        revision = item.revision if item else 0
         seen = self._seen.get(record.service)
         if seen is None or seen[:2] != (record, revision):
             self._seen[record.service] = (record, revision, now_ms)
@@ -203,13 +220,13 @@
         first_ms = NO_PRIMARY_MS if reason == "no primary" else 0
         return now_ms - since_ms >= first_ms + place * STAGGER_MS
 
-    def _start(self, service: str, reason: str) -> None:
+    def _start(self, service: str, reason: str, basis: Basis) -> None:
         with self._lock:
             if service in self._busy:
                 return
             self._busy.add(service)
         try:
-            self._runtime.start(self._run, service, reason)
+            self._runtime.start(self._run, service, reason, basis)
         except TaskLimitError as error:
             # If it stayed in `_busy`, the service would never be checked again.
             with self._lock:
@@ -218,10 +235,10 @@
                 "changes", "No task is free for a primary change.", error=str(error)
             )
 
-    def _run(self, service: str, reason: str) -> None:
+    def _run(self, service: str, reason: str, basis: Basis) -> None:
         try:
             if self._is_safe_now(service, reason):
-                _PrimaryChange(self, service, reason).run()
+                _PrimaryChange(self, service, reason, basis).run()
         finally:
             with self._lock:
                 self._busy.discard(service)
@@ -296,17 +313,21 @@
     """One change of one service's primary, carried out by this daemon."""
 
     def __init__(
-        self, coordinator: PrimaryChangeCoordinator, service: str, reason: str
+        self,
+        coordinator: PrimaryChangeCoordinator,
+        service: str,
+        reason: str,
+        basis: Basis,
     ):
         self._coordinator = coordinator
         self._clock = coordinator._clock
         self._service = service
         self._reason = reason
         self._key = PRIMARY_RECORD_PREFIX + service
-        self._revision = 0
+        self._revision = basis.revision
         self._lock_verified_ms = 0.0
         primary = coordinator._directory.find_primary(service)
-        known = coordinator._directory.primary_records.get(service)
+        known = basis.record
         self._old_id = primary.id if primary else _find_replaced(known)
         # Kept here because the directory drops the entry when the old primary is
         # partitioned from the store for long.
@@ -328,7 +349,7 @@
         started_ms = self._clock.now_ms()
         self._log("A primary change starts.", reason=self._reason, old=self._old_id)
         try:
-            self._acquire_lock()
+            self._write()
             waited_ms = self._wait_for_daemons()
             survivor = self._find_surviving_primary(waited_ms)
             chosen, term = survivor or self._promote_replica()
@@ -351,11 +372,6 @@
 
     # The lock
 
-    def _acquire_lock(self) -> None:
-        item = self._coordinator._mirror.get(self._key)
-        self._revision = item.revision if item else 0
-        self._write()
-
     def _write(self) -> None:
         """Write the record if no other daemon has since; raise when that is unknown."""
         sent_at_ms = self._clock.now_ms()
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -372,6 +372,29 @@
         self.start(harness)
         assert harness.promotions == []
 
+    @pytest.mark.parametrize("holder_is_new", [True, False])
+    def test_record_written_since_the_decision_is_respected(
+        self, harness, holder_is_new
+    ):
+        # Guards against taking the lock over from a daemon that has begun a change, or
+        # has gone on with its own, between the decision and the compare-and-swap.
+        record = make_primary_record(4, settled=False, holder="d2")
+        if not holder_is_new:
+            harness.directory.set_primary_record(record)
+            harness.mirror.items[KEY] = Item(KEY, b"[]", 3)
+            harness.run_for(TAKEOVER_MS - 200)
+
+        def write_first(function, *args):
+            harness.mirror.items[KEY] = Item(KEY, b"other", 9)
+            harness.directory.set_primary_record(record)
+            function(*args)
+
+        harness.runtime.start = write_first
+        harness.kill_primary()
+        harness.run_for(DEAD_AFTER_MS + 1500)
+        assert harness.mirror.items[KEY].data == b"other"
+        assert harness.promotions == []
+
     def test_lock_holder_that_was_frozen_checks_its_lock_before_it_promotes(
         self, harness
     ):
