Keep the sessions of callers at a daemon that isn't a member yet

Such a daemon knows the store, so it isn't isolated: it serves reads at replicas, refuses writes as without a usable primary, and isn't ready for new callers until it is listed.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -235,8 +235,10 @@
         return (
             not self.is_stopping
             and self.directory.config is not None
-            # An isolated daemon could serve little; others can serve its callers.
+            # An isolated daemon could serve little, and one that isn't a member no
+            # writes; others can serve their callers.
             and self.guard.refuse_if_isolated() is None
+            and self.members.is_listed()
             and bool(self.directory.instances)
         )
 
@@ -316,9 +318,7 @@
     # The other daemons
 
     def _add_store_proof(self, read_at_ms: float) -> None:
-        # A primary change doesn't wait for a daemon that isn't on the member list.
-        if self.members.is_listed():
-            self.guard.add_store_proof(read_at_ms)
+        self.guard.add_store_proof(read_at_ms, self.members.is_listed())
 
     def _handle_store_change(self) -> None:
         # Before others hear that this daemon has the new revision: a removed member
--- a/bronzerelay/pooler/primaryguard.py
+++ b/bronzerelay/pooler/primaryguard.py
@@ -54,6 +54,8 @@
         # proof from either members or the store.
         self._member_proof_ms = NEVER_MS
         self._proof_ms = NEVER_MS
+        # The newest time as of which the store is known here, also without a proof.
+        self._store_known_ms = NEVER_MS
 
     # The proof
 
@@ -77,10 +79,15 @@
             self._member_proof_ms = max(self._member_proof_ms, proven_ms)
             self._proof_ms = max(self._proof_ms, proven_ms)
 
-    def add_store_proof(self, read_at_ms: float) -> None:
-        """Renew the proof: all store updates up to `read_at_ms` are known here."""
+    def add_store_proof(self, read_at_ms: float, is_member: bool = True) -> None:
+        """Note that all store updates up to `read_at_ms` are known here.
+
+        For a member that is a proof. A primary change doesn't wait for other daemons.
+        """
         with self._lock:
-            self._proof_ms = max(self._proof_ms, read_at_ms)
+            self._store_known_ms = max(self._store_known_ms, read_at_ms)
+            if is_member:
+                self._proof_ms = max(self._proof_ms, read_at_ms)
 
     def store_proof_due_ms(self) -> float:
         """Return in how long a proof from the store is due; negative if overdue.
@@ -89,7 +96,7 @@
         """
         due_at_ms = max(
             self._member_proof_ms + STORE_PROOF_AFTER_MS,
-            self._proof_ms + STORE_PROOF_INTERVAL_MS,
+            max(self._proof_ms, self._store_known_ms) + STORE_PROOF_INTERVAL_MS,
         )
         return due_at_ms - self._clock.now_ms()
 
@@ -108,7 +115,8 @@
         share of each rate. Callers that went on reading old data from replicas here
         would spend that share a second time.
         """
-        if self.proof_age_ms() <= ISOLATED_AFTER_MS:
+        known_ms = max(self._proof_ms, self._store_known_ms)
+        if self._clock.now_ms() - known_ms <= ISOLATED_AFTER_MS:
             return None
         message = "This daemon hears of no other and not of the platform's store."
         return Refusal(Code.ISOLATED, message, NOT_RUN, NO_PROOF_RETRY_MS)
@@ -150,7 +158,10 @@
             return Refusal(
                 Code.PRIMARY_REPLACED, message, NOT_RUN, PRIMARY_CHANGE_RETRY_MS
             )
-        if not self.has_proof():
-            message = "This daemon can't tell whether the primary still leads."
-            return Refusal(Code.ISOLATED, message, NOT_RUN, NO_PROOF_RETRY_MS)
-        return None
+        if self.has_proof():
+            return None
+        if self._clock.now_ms() - self._store_known_ms <= LEASE_MS:
+            message = "This daemon isn't on the member list."
+            return Refusal(Code.NO_PRIMARY, message, NOT_RUN, NO_PROOF_RETRY_MS)
+        message = "This daemon can't tell whether the primary still leads."
+        return Refusal(Code.ISOLATED, message, NOT_RUN, NO_PROOF_RETRY_MS)
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -78,8 +78,8 @@
     ),
     Mutation(
         "the store gives a proof to members only",
-        POOLER + "daemon.py",
-        "if self.members.is_listed():",
+        POOLER + "primaryguard.py",
+        "if is_member:",
         "if True:",
         PATH + "TestPrimaryChanges",
     ),
--- a/tests/test_primaryguard.py
+++ b/tests/test_primaryguard.py
@@ -109,6 +109,23 @@
         assert guard.has_proof()
         assert guard.store_proof_due_ms() <= 0
 
+    def test_store_gives_no_proof_to_a_daemon_that_isnt_a_member(self, guard, clock):
+        # Guards against callers that lose their sessions at a daemon that has just
+        # started, and against a replaced primary that it uses meanwhile.
+        clock.sleep_ms(5000)
+        assert guard.check_use(SERVICE, "orders-0").code is Code.ISOLATED
+        guard.add_store_proof(clock.now_ms(), is_member=False)
+        assert guard.check_use(SERVICE, "orders-0").code is Code.NO_PRIMARY
+        assert guard.refuse_if_isolated() is None
+        assert guard.store_proof_due_ms() == STORE_PROOF_INTERVAL_MS
+
+    def test_proof_of_a_member_outlasts_its_removal_by_a_lease(self, guard, clock):
+        guard.add_store_proof(clock.now_ms(), is_member=False)
+        assert guard.has_proof()
+        clock.sleep_ms(LEASE_MS + 1)
+        guard.add_store_proof(clock.now_ms(), is_member=False)
+        assert not guard.has_proof()
+
 
 class TestIdle:
     def test_end_of_the_last_use_is_announced(self, guard):
