Request a promotion only while the lock is sure to be held

Cause: the lock was verified before the request, and the time from then on wasn't looked at: a freeze while the answer of the verifying write was on its way, or while the connection to the platform was opened, ended with the request being sent all the same, seconds after another daemon might have taken the change over.

The request is sent only within the time by which it has ended before the lock can be taken over, counted from before the write that verified it, and after the connection is open.

--- a/bronzerelay/pooler/httpcalls.py
+++ b/bronzerelay/pooler/httpcalls.py
@@ -4,6 +4,7 @@
 MB to the resident size of a process (measured on Linux with Python 3.11).
 """
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -80,14 +81,22 @@
         body: bytes,
         timeout_ms: float,
         headers: dict[str, str] | None = None,
+        send_by_ms: float = math.inf,
     ) -> HttpResponse:
-        """Return the response, or raise HttpCallError within `timeout_ms`."""
+        """Return the response, or raise HttpCallError within `timeout_ms`.
+
+        The request isn't sent after `timeout_ms`, or after `send_by_ms` of the clock,
+        for instance because the process was frozen while it connected.
+        """
         deadline_ms = self._clock.now_ms() + timeout_ms
         with self._lock:
             connection = self._connect(timeout_ms)
+            request = self._encode(method, path, body, headers or {})
+            if self._clock.now_ms() > min(deadline_ms, send_by_ms):
+                raise HttpCallError(f"{self._address}: too late to send", False)
             try:
                 connection.set_timeout(timeout_ms)
-                connection.send(self._encode(method, path, body, headers or {}))
+                connection.send(request)
                 answer, keep_alive = self._receive(connection, deadline_ms)
             except (OSError, ValueError, httptools.HttpParserError) as error:
                 # A late response would be taken for the response to the next call.
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -64,6 +64,9 @@
 STATUS_TIMEOUT_MS = 400
 POLL_MS = 40
 PROMOTE_TIMEOUT_MS = 900
+# How long after its lock was verified a lock holder may request a promotion, in
+# milliseconds: the request has ended before another daemon may take the change over.
+PROMOTE_WITHIN_MS = TAKEOVER_MS - PROMOTE_TIMEOUT_MS
 MAX_TRIES = 8
 RETRY_MS = 250
 
@@ -73,6 +76,8 @@
 
     DONE = enum.auto()
     NOT_RUNNING = enum.auto()
+    # The request wasn't sent: the platform couldn't be reached, or it was too late.
+    NOT_SENT = enum.auto()
     UNKNOWN = enum.auto()
 
 
@@ -80,9 +85,18 @@
     """The platform's call that promotes an instance."""
 
     def __call__(
-        self, service: str, instance: str, holder: str, epoch: int, timeout_ms: float
+        self,
+        service: str,
+        instance: str,
+        holder: str,
+        epoch: int,
+        timeout_ms: float,
+        send_by_ms: float,
     ) -> Promotion:
-        """Request the promotion, fenced by the lock holder's name and the epoch."""
+        """Request the promotion, fenced by the lock holder's name and the epoch.
+
+        After `send_by_ms` of the clock the request isn't sent any more.
+        """
 
 
 class FleetView(NamedTuple):
@@ -499,6 +513,7 @@
                 self._coordinator._name,
                 self._record.epoch,
                 PROMOTE_TIMEOUT_MS,
+                self._lock_verified_ms + PROMOTE_WITHIN_MS,
             )
             self._log(
                 "A promotion was requested.",
@@ -506,6 +521,9 @@
                 received=status.received,
                 outcome=outcome.name.lower(),
             )
+            if outcome is Promotion.NOT_SENT:
+                self._coordinator._runtime.sleep_ms(RETRY_MS)
+                continue
             if outcome is Promotion.NOT_RUNNING:
                 refused.add(entry.id)
                 continue
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -90,6 +90,20 @@
         "if False:",
         "tests/test_primarychanges.py::TestSafety",
     ),
+    Mutation(
+        "a promotion isn't requested once the lock may have been taken over",
+        POOLER + "httpcalls.py",
+        "if self._clock.now_ms() > min(deadline_ms, send_by_ms):",
+        "if False:",
+        "tests/test_platform_adapter.py::TestFailoverCall",
+    ),
+    Mutation(
+        "the time to request a promotion counts from before the lock was verified",
+        POOLER + "primarychanges.py",
+        "self._lock_verified_ms + PROMOTE_WITHIN_MS",
+        "self._clock.now_ms() + PROMOTE_WITHIN_MS",
+        "tests/test_primarychanges.py::TestSafety",
+    ),
     Mutation(
         "the replica that has received most of the log is promoted",
         POOLER + "primarychanges.py",
