Withdraw a promotion that got no answer, and ask for no other instance meanwhile

Cause: a request that gets no answer in time may be on its way still. The connection was closed with a FIN, so that the kernel went on sending the request, and a request held up by a partition arrived when it healed. And after an unanswered request the choice was made anew, so that another instance could be promoted and recorded before the first request arrived.

Evidence: test_request_without_an_answer_is_withdrawn and test_unanswered_promotion_isnt_followed_by_one_of_another_instance failed before. A shutdown before the reset sends the FIN all the same (tried; the first test fails).

An HTTP call that is given up now resets its connection, and the request is repeated for the same instance until the platform answers: that it leads, or that it isn't running.

Left: a lock holder that takes the change over after an unanswered request may choose another instance, as the record doesn't name the one that was asked.

--- a/bronzerelay/pooler/httpcalls.py
+++ b/bronzerelay/pooler/httpcalls.py
@@ -99,8 +99,10 @@
                 connection.send(request)
                 answer, keep_alive = self._receive(connection, deadline_ms)
             except (OSError, ValueError, httptools.HttpParserError) as error:
-                # A late response would be taken for the response to the next call.
-                self._close_connection()
+                # A late response would be taken for the response to the next call, and
+                # a request that is held up would be executed when nobody expects it.
+                connection.abort()
+                self._connection = None
                 raise HttpCallError(f"{self._address}: {error}", True) from None
             if not keep_alive:
                 self._close_connection()
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -498,8 +498,11 @@
 
     def _promote_replica(self) -> tuple[InstanceEntry, int]:
         refused: set[str] = set()
+        # The choice whose request got no answer. The platform may still carry it out,
+        # so another instance could be replaced without any daemon knowing.
+        unanswered = None
         for _ in range(MAX_TRIES):
-            chosen = self._choose(refused)
+            chosen = unanswered or self._choose(refused)
             if chosen is None:
                 refused.clear()
                 self._coordinator._runtime.sleep_ms(RETRY_MS)
@@ -524,6 +527,7 @@
             if outcome is Promotion.NOT_SENT:
                 self._coordinator._runtime.sleep_ms(RETRY_MS)
                 continue
+            unanswered = chosen if outcome is Promotion.UNKNOWN else None
             if outcome is Promotion.NOT_RUNNING:
                 refused.add(entry.id)
                 continue
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -12,6 +12,7 @@
 import select
 import signal
 import socket
+import struct
 import sys
 import threading
 import time
@@ -37,6 +38,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# The value of SO_LINGER with which closing a socket resets its connection.
+LINGER_NONE = struct.pack("ii", 1, 0)
 # The type of a random number generator, for annotations in other modules.
 Random = random.Random
 # The stack size of a task, kept small so that thousands of idle tasks fit in memory.
@@ -257,6 +260,16 @@
         self._sock.close()
         self._on_close(self)
 
+    def abort(self) -> None:
+        """Reset the connection: sent bytes that haven't arrived are discarded.
+
+        After a normal close they would still arrive when a network partition heals.
+        """
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        self._sock.close()
+        self._on_close(self)
+
 
 class Listener:
     """A bound TCP port; it refuses connections until it is opened."""
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -104,6 +104,20 @@
         "self._clock.now_ms() + PROMOTE_WITHIN_MS",
         "tests/test_primarychanges.py::TestSafety",
     ),
+    Mutation(
+        "a request that is given up is withdrawn by a reset",
+        POOLER + "httpcalls.py",
+        "connection.abort()",
+        "connection.close()",
+        "tests/test_platform_adapter.py::TestFailoverCall",
+    ),
+    Mutation(
+        "an unanswered promotion is repeated for the same instance",
+        POOLER + "primarychanges.py",
+        "unanswered = chosen if outcome is Promotion.UNKNOWN else None",
+        "unanswered = None",
+        "tests/test_primarychanges.py::TestSafety",
+    ),
     Mutation(
         "the replica that has received most of the log is promoted",
         POOLER + "primarychanges.py",
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -142,6 +142,19 @@
         finally:
             fleet.close()
 
+    def test_request_without_an_answer_is_withdrawn(self, runtime):
+        # The request is held up by a partition. Unless the connection is reset, it
+        # arrives when the partition heals, and replaces a primary that is in use.
+        listener = runtime.listen(Address(LOCAL, 0))
+        call = FailoverCall(runtime, listener.address)
+        outcome = call(SERVICE, "orders-1", "d1", 3, 100, math.inf)
+        assert outcome is Promotion.UNKNOWN
+        accepted = listener.accept()
+        assert accepted.receive().startswith(b"POST /failover")
+        with pytest.raises(ConnectionResetError):
+            accepted.receive()
+        listener.close()
+
     @pytest.mark.parametrize(
         ("timeout_ms", "send_by_ms"), [(900, math.inf), (6000, 1700)]
     )
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -494,3 +494,23 @@
         harness.run_for(DEAD_AFTER_MS + 1000)
         assert harness.promotions == []
         assert harness.mirror.writes == []
+
+    def test_unanswered_promotion_isnt_followed_by_one_of_another_instance(
+        self, harness
+    ):
+        # The request is held up on the way and arrives seconds later. If another
+        # instance leads by then, it is replaced without any daemon knowing.
+        harness.outcome = Promotion.UNKNOWN
+        harness.on_promote = lambda: harness.received.update({FIRST: Position(1, 20)})
+        real = harness.changes._promote
+
+        def lose_first(service, instance, *args):
+            outcome = real(service, instance, *args)
+            if len(harness.promotions) == 1:
+                harness.primaries.discard(instance)
+            return outcome
+
+        harness.changes._promote = lose_first
+        self.start(harness)
+        assert len(harness.promotions) > 1
+        assert {instance for instance, _ in harness.promotions} == {SECOND}
