Keep the lock while a promoted instance takes long to become primary

Cause: the lock holder waited up to 2 s for an instance to become primary without writing its record. With a promotion that takes its whole timeout 2.9 s passed between two writes, and after 2.6 s another daemon takes a change over.

Evidence: test_lock_isnt_taken_over_from_a_holder_whose_promotion_is_slow failed before (2,900 ms).

--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -569,6 +569,8 @@
         """Return the instance's term once it is primary, or None after a timeout."""
         end_ms = self._clock.now_ms() + BECOME_PRIMARY_MS
         while self._clock.now_ms() < end_ms:
+            # Otherwise another daemon would take the change over meanwhile.
+            self._verify_lock()
             self._pause()
             status = self._ask(entry)
             if status is not None and status.is_primary:
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -118,6 +118,14 @@
         "unanswered = None",
         "tests/test_primarychanges.py::TestSafety",
     ),
+    Mutation(
+        "a lock holder that waits for a promotion keeps its lock",
+        POOLER + "primarychanges.py",
+        "            # Otherwise another daemon would take the change over meanwhile.\n"
+        "            self._verify_lock()\n",
+        "",
+        "tests/test_primarychanges.py::TestSafety",
+    ),
     Mutation(
         "the replica that has received most of the log is promoted",
         POOLER + "primarychanges.py",
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -1,5 +1,7 @@
 """Primary changes: when one is due, and what the lock holder waits for."""
 
+from itertools import pairwise
+
 import msgspec
 import pytest
 
@@ -13,6 +15,7 @@
     LOCK_RECHECK_MS,
     NO_PRIMARY_MS,
     PRIMARY_RECORD_PREFIX,
+    PROMOTE_TIMEOUT_MS,
     TAKEOVER_MS,
     FleetView,
     PrimaryChangeCoordinator,
@@ -514,3 +517,24 @@
         self.start(harness)
         assert len(harness.promotions) > 1
         assert {instance for instance, _ in harness.promotions} == {SECOND}
+
+    def test_lock_isnt_taken_over_from_a_holder_whose_promotion_is_slow(self, harness):
+        # The platform gives no answer and the instance takes long to become primary. If
+        # the change were taken over meanwhile, two daemons would promote in turns.
+        written_ms = []
+        real = harness.mirror.compare_and_swap
+
+        def write(expected, puts, removed):
+            written_ms.append(harness.clock.now_ms())
+            return real(expected, puts, removed)
+
+        harness.mirror.compare_and_swap = write
+        harness.on_promote = lambda: harness.clock.sleep_ms(PROMOTE_TIMEOUT_MS)
+        harness.outcome = Promotion.UNKNOWN
+        harness.changes._ask_status = lambda entry, timeout_ms: InstanceStatus(
+            False, 1, Position(1, 5)
+        )
+        self.start(harness)
+        assert len(harness.promotions) > 1
+        gaps_ms = [after - before for before, after in pairwise(written_ms)]
+        assert max(gaps_ms) < TAKEOVER_MS
