Record an instance as primary only in the recorded term or a later one

What callers saw: nothing that a run of ours shows; a replaced primary could be used again, while the platform takes another instance for the primary.

Cause: after a promotion was requested, an instance that says it is primary counted as promoted. One that was replaced behind a partition says so until it reaches the new one, whether the request arrived or not.

Evidence: test_instance_that_led_before_has_to_reach_a_new_term failed before: the only instance that answers is the replaced one, and the request is lost.

--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -573,7 +573,12 @@
             self._verify_lock()
             self._pause()
             status = self._ask(entry)
-            if status is not None and status.is_primary:
+            # An instance of an earlier term was replaced and doesn't know it yet.
+            if (
+                status is not None
+                and status.is_primary
+                and status.term >= self._record.term
+            ):
                 return status.term
         self._log("The promoted instance isn't primary yet.", instance=entry.id)
         return None
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -126,6 +126,13 @@
         "",
         "tests/test_primarychanges.py::TestSafety",
     ),
+    Mutation(
+        "an instance that leads an earlier term doesn't count as promoted",
+        POOLER + "primarychanges.py",
+        "and status.term >= self._record.term",
+        "and True",
+        "tests/test_primarychanges.py::TestSafety",
+    ),
     Mutation(
         "the replica that has received most of the log is promoted",
         POOLER + "primarychanges.py",
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -538,3 +538,23 @@
         assert len(harness.promotions) > 1
         gaps_ms = [after - before for before, after in pairwise(written_ms)]
         assert max(gaps_ms) < TAKEOVER_MS
+
+    def test_instance_that_led_before_has_to_reach_a_new_term(self, harness):
+        # The last instance that answers is one that was replaced behind a partition and
+        # still calls itself primary. The request to promote it is lost. If its old term
+        # counted, it would be used while the platform takes another for the primary.
+        harness.directory.set_instance(make_instance(SECOND))
+        harness.directory.set_primary_record(
+            make_primary_record(1, instance=SECOND, term=2, deposed=PRIMARY)
+        )
+        harness.directory.unlist_instance(SECOND)
+        harness.clock.sleep_ms(KEEP_UNLISTED_MS + 1)
+        harness.directory.forget_unlisted()
+        harness.outcome = Promotion.UNKNOWN
+        harness.received = {PRIMARY: Position(1, 9)}
+        harness.changes._ask_status = lambda entry, timeout_ms: (
+            InstanceStatus(True, 1, Position(1, 9)) if entry.id == PRIMARY else None
+        )
+        harness.run_for(NO_PRIMARY_MS + 2000)
+        assert harness.promotions
+        assert harness.directory.find_primary(SERVICE) is None
