Judge a new primary only by what was missed of it since it leads

What callers saw: no primary of a service for some hundred milliseconds, and commits that no replica had received rolled back, as a healthy primary was replaced.

Cause: a daemon that a partition had kept from a replica counted what that replica had failed to answer, from one second after it became primary on, until it had sent it something or heard from those who had; a daemon that has to join again first hears from nobody. The failures that others report were counted in the same way.

Evidence: test_primary_that_nobody_has_tried_since_it_leads_stays failed before.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -308,7 +308,7 @@
         if not self.directory.set_primary_record(record):
             return
         if record.settled:
-            self.placement.positions_of(record.service).reset()
+            self.placement.begin_primary(record.service, record.instance)
         elif not record.planned:
             # A dead primary doesn't answer, and the failover would wait until all
             # statements sent to it time out.
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -113,14 +113,24 @@
         view.failures = 0
 
     def record_failure(self, entry: InstanceEntry, sent_at_ms: float) -> None:
-        """Record that an instance didn't answer a request sent at `sent_at_ms`."""
+        """Record that an instance didn't answer a request sent at `sent_at_ms`.
+
+        A request from before the last primary change says nothing of the primary.
+        """
         view = self.view_of(entry.id)
         now_ms = self._clock.now_ms()
         view.avoid_until_ms = now_ms + AVOID_MS
+        if sent_at_ms < self.positions_of(entry.service).reset_at_ms:
+            return
         if view.failures == 0:
             view.failing_since_ms = sent_at_ms
         view.failures += 1
 
+    def begin_primary(self, service: str, instance_id: str) -> None:
+        """Drop what was recorded before an instance became the primary."""
+        self.positions_of(service).reset()
+        self.view_of(instance_id).failures = 0
+
     def record_position(
         self, entry: InstanceEntry, position: Position | None, sent_at_ms: float
     ) -> None:
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -215,13 +215,14 @@
     def _looks_dead(self, primary: InstanceEntry, now_ms: float) -> bool:
         """Return whether the primary has answered neither this daemon nor any peer."""
         view = self._placement.view_of(primary.id)
-        since_ms = self._fleet.silent_since_ms(primary.id)
-        since_ms += [view.failing_since_ms] * min(view.failures, DEAD_FAILURES)
+        positions = self._placement.positions_of(primary.service)
+        reported_ms = self._fleet.silent_since_ms(primary.id)
+        reported_ms += [view.failing_since_ms] * min(view.failures, DEAD_FAILURES)
+        # Answers that it failed to give before it became primary don't count.
+        since_ms = [one for one in reported_ms if one >= positions.reset_at_ms]
         if len(since_ms) < DEAD_FAILURES or now_ms - min(since_ms) < DEAD_AFTER_MS:
             return False
-        # Answers that it failed to give before it became primary don't count.
-        last_ms = self._placement.positions_of(primary.service).last_seen_ms()
-        return now_ms - last_ms > DEAD_AFTER_MS
+        return now_ms - positions.last_seen_ms() > DEAD_AFTER_MS
 
     def _is_turn(self, service: str, reason: str) -> bool:
         now_ms = self._clock.now_ms()
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -259,8 +259,15 @@
     Mutation(
         "peers' reports count in deciding that a primary is dead",
         POOLER + "primarychanges.py",
-        "since_ms = self._fleet.silent_since_ms(primary.id)",
-        "since_ms = []",
+        "reported_ms = self._fleet.silent_since_ms(primary.id)",
+        "reported_ms = []",
+        "tests/test_primarychanges.py::TestWhen",
+    ),
+    Mutation(
+        "what was missed of a replica isn't held against the primary that it becomes",
+        POOLER + "primarychanges.py",
+        "since_ms = [one for one in reported_ms if one >= positions.reset_at_ms]",
+        "since_ms = reported_ms",
         "tests/test_primarychanges.py::TestWhen",
     ),
     Mutation(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -90,6 +90,23 @@
         assert positions.find_floor(2000 + AGE_MARGIN_MS) == Position(1, 3)
 
 
+class TestFailures:
+    def test_failures_from_before_an_instance_was_primary_are_dropped(
+        self, placement, clock
+    ):
+        # Guards against replacing a primary for what was missed of it as a replica.
+        entry = placement._directory.instances["orders-1"]
+        before_ms = clock.now_ms()
+        placement.record_failure(entry, before_ms)
+        assert placement.list_silent() == {"orders-1": before_ms}
+        clock.sleep_ms(10)
+        placement.begin_primary(SERVICE, "orders-1")
+        placement.record_failure(entry, before_ms)
+        assert placement.list_silent() == {}
+        placement.record_failure(entry, clock.now_ms())
+        assert placement.list_silent() == {"orders-1": clock.now_ms()}
+
+
 class TestCandidates:
     requirement = ReadRequirement(Position(1, 5), False)
 
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -207,6 +207,20 @@
         harness.run_for(DEAD_AFTER_MS - 100)
         assert harness.promotions == []
 
+    def test_primary_that_nobody_has_tried_since_it_leads_stays(self, harness):
+        # A partition kept this daemon and its peer from a replica. Others promote it,
+        # and the partition heals. Nobody here has sent it anything since, and those who
+        # use it don't report to this daemon yet, because it has to join again.
+        entry = harness.directory.instances[SECOND]
+        for _ in range(3):
+            harness.placement.record_failure(entry, harness.clock.now_ms())
+        harness.silent_since_ms[SECOND] = [harness.clock.now_ms()]
+        harness.clock.sleep_ms(5000)
+        harness.directory.set_primary_record(make_primary_record(1, instance=SECOND))
+        harness.placement.positions_of(SERVICE).reset()
+        harness.run_for(DEAD_AFTER_MS + 1500)
+        assert harness.promotions == []
+
     def test_change_whose_record_is_written_again_isnt_taken_over(self, harness):
         # The lock holder waits for daemons behind a partition. A second daemon that
         # took the change over couldn't know whether the first requested a promotion.
