Count a use of a primary before it is allowed

Cause: the primary was looked up before the use was counted. A change that became known in between was acknowledged at once, since nothing was in progress, and the lock holder didn't wait for the statement.

Now the use is checked again once it is counted, and given up if it is refused then, which is announced as the end of any use. Uses refused by the first check aren't counted: during a change each of them would send urgent heartbeats to all.

Evidence: test_use_that_begins_as_a_change_is_acknowledged_is_refused lets the change come between look-up and count; it failed before. A second test guards the announcement.

--- a/bronzerelay/pooler/primaryguard.py
+++ b/bronzerelay/pooler/primaryguard.py
@@ -128,11 +128,18 @@
 
         When this returns None, the caller must call `end_use` afterwards.
         """
-        with self._lock:
-            refusal = self.check_use(service, instance_id)
-            if refusal is None:
-                self._in_progress[service] = self._in_progress.get(service, 0) + 1
+        # Most refusals come here, without a count whose end would be announced.
+        refusal = self.check_use(service, instance_id)
+        if refusal is not None:
             return refusal
+        with self._lock:
+            self._in_progress[service] = self._in_progress.get(service, 0) + 1
+        # Checked again once counted: a change that became known before may have been
+        # acknowledged as nothing was in progress.
+        refusal = self.check_use(service, instance_id)
+        if refusal is not None:
+            self.end_use(service)
+        return refusal
 
     def end_use(self, service: str) -> None:
         """End a use of the primary."""
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -496,4 +496,12 @@
         '            raise TimeoutError("no whole line in time")',
         "tests/test_lines.py",
     ),
+    Mutation(
+        "a use of a primary is counted before it is allowed",
+        POOLER + "primaryguard.py",
+        "        refusal = self.check_use(service, instance_id)\n"
+        "        if refusal is not None:\n            self.end_use(service)\n",
+        "",
+        "tests/test_primaryguard.py::TestChanges",
+    ),
 )
--- a/tests/test_primaryguard.py
+++ b/tests/test_primaryguard.py
@@ -92,6 +92,25 @@
         assert guard.begin_use(SERVICE, "orders-0").code is Code.PRIMARY_REPLACED
         assert guard.begin_use(SERVICE, "orders-1") is None
 
+    def test_use_that_begins_as_a_change_is_acknowledged_is_refused(
+        self, guard, directory
+    ):
+        # A change becomes known, and is acknowledged as nothing is in progress, between
+        # the look-up of the primary and the count of the use. The lock holder doesn't
+        # wait for the statement, and a read from the old primary is old.
+        real = directory.find_primary
+        acknowledged = []
+
+        def find_primary(service):
+            primary = real(service)
+            directory.set_primary_record(make_primary_record(1, settled=False))
+            acknowledged.append(guard.is_idle(service))
+            return primary
+
+        directory.find_primary = find_primary
+        refusal = guard.begin_use(SERVICE, "orders-0")
+        assert refusal is not None or acknowledged == [False]
+
 
 class TestStoreProofs:
     def test_store_is_asked_before_the_lease_runs_out(self, guard, clock):
@@ -140,3 +159,27 @@
         assert (guard.is_idle(SERVICE), announced) == (False, [])
         guard.end_use(SERVICE)
         assert (guard.is_idle(SERVICE), announced) == (True, [SERVICE])
+
+    def test_end_of_a_use_that_is_refused_once_counted_is_announced(
+        self, guard, directory
+    ):
+        # A change becomes known as a use is counted, and isn't acknowledged meanwhile.
+        # If nobody announced that the primary is idle again, the change would wait for
+        # the next heartbeat.
+        announced = []
+        guard.on_idle = announced.append
+        real = directory.find_primary
+        counted = []
+
+        def find_primary(service):
+            counted.append(not guard.is_idle(service))
+            if counted[-1]:
+                directory.set_primary_record(make_primary_record(1, settled=False))
+            return real(service)
+
+        directory.find_primary = find_primary
+        assert guard.begin_use(SERVICE, "orders-0").code is Code.PRIMARY_REPLACED
+        assert (guard.is_idle(SERVICE), announced) == (True, [SERVICE])
+        # A refusal before the count announces nothing.
+        guard.begin_use(SERVICE, "orders-0")
+        assert announced == [SERVICE]
