Count a restarted daemon in no majority until it knows the store again

Cause: a daemon that restarts while it can't reach the store gets its mirror from a peer, and that may be older than a change that the daemon acknowledged before. The lock holder still counts the acknowledgement, while the new process helps others to a proof, and itself, although it doesn't know of the change.

Now a heartbeat tells whether its sender has recovered: knows the store as of a time after its start, by an answer or by a heartbeat that passes one on. Until then it counts in no majority, not in its own either; it hears others, uses the proofs they give it, and passes these on. One byte a heartbeat.

With half of the daemons or more restarted during an outage of the store, no primary is used until it is back. Daemons of versions before and after this can't read each other's heartbeats.

--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -72,7 +72,8 @@
     holds, by service, the epoch of each change that isn't settled as far as the sender
     knows. `acknowledged` holds, by service, the epoch of each change that the sender
     knows while it has no statement in progress at the old primary. `proof_age_ms` is
-    the age of the sender's primary proof, None without one.
+    the age of the sender's primary proof, None without one. `recovered` is false while
+    the sender may lack changes that it acknowledged before a restart.
     """
 
     sender: str
@@ -93,6 +94,7 @@
     proof_age_ms: float | None
     relaying: bool
     relayed: Relayed | None
+    recovered: bool
     # Whether the receiver should reply at once and not with its next round.
     wants_reply: bool = False
 
@@ -361,8 +363,10 @@
                 view.echoed_number = beat.echo
             sent_at_ms = self._find_sent(view.echoed_number)
             proven_ms = NEVER_MS if sent_at_ms is None else sent_at_ms
-            # A peer that hasn't loaded the store yet may not know of a primary change.
-            if beat.store_revision > 0 and beat.has_all_records:
+            # A peer that hasn't loaded the store yet may not know of a primary change,
+            # and one that has restarted may not know of one that it acknowledged.
+            knows_changes = beat.store_revision > 0 and beat.recovered
+            if knows_changes and beat.has_all_records:
                 view.heard_up_to_ms = max(view.heard_up_to_ms, proven_ms)
                 view.known_revision = beat.store_revision
         handle(beat, view, proven_ms)
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -3,6 +3,9 @@
 Primary proofs are passed on: a heartbeat from a daemon that has a proof, and that has
 sent all primary changes it knows, is a proof to the receiver too. So only relays have
 to hear most members, and every other daemon one relay.
+
+A daemon that has restarted while the store is out may have forgotten a change that it
+acknowledged. Until it has recovered it passes proofs on, but counts in no majority.
 """
 
 from collections.abc import Callable
@@ -76,6 +79,7 @@
         # The relays that this daemon gets store updates from, none if it watches.
         self._upstream: tuple[str, ...] = ()
         self.is_stopping = False
+        self._started_ms = runtime.clock.now_ms()
 
     # Contacts and relays
 
@@ -220,8 +224,18 @@
             proof_age_ms if proof_age_ms <= LEASE_MS else None,
             relaying,
             None,
+            self.has_recovered(),
         )
 
+    def has_recovered(self) -> bool:
+        """Return whether the changes acknowledged before a restart are known here.
+
+        They are once the store is known as of a time after the start, as a change is
+        recorded before anyone acknowledges it. A mirror from a peer may be older.
+        """
+        now_ms = self._clock.now_ms()
+        return now_ms - self._mirror.store_age_ms() >= self._started_ms
+
     def _list_unsettled(self) -> dict[str, int]:
         return {
             record.service: record.epoch
@@ -373,9 +387,8 @@
             return
         if beat.proof_age_ms is not None:
             self._guard.add_peer_proof(proven_ms - beat.proof_age_ms)
-        self._guard.add_member_proof(
-            view.heard_up_to_ms for view in self._gossip.views.values()
-        )
+        heard_ms = [view.heard_up_to_ms for view in self._gossip.views.values()]
+        self._guard.add_member_proof(heard_ms, self.has_recovered())
 
     def _apply_silent(self, beat: Beat) -> None:
         now_ms = self._clock.now_ms()
--- a/bronzerelay/pooler/primaryguard.py
+++ b/bronzerelay/pooler/primaryguard.py
@@ -59,12 +59,19 @@
 
     # The proof
 
-    def add_member_proof(self, heard_ms: Iterable[float]) -> None:
-        """Renew the proof by the times at which the other members were last heard."""
+    def add_member_proof(
+        self, heard_ms: Iterable[float], counts_itself: bool = True
+    ) -> None:
+        """Renew the proof by the times at which the other members were last heard.
+
+        This daemon is one of the majority that is needed if it `counts_itself`.
+        """
         times = sorted(heard_ms, reverse=True)
         needed = (len(times) + 1) // 2
+        if not counts_itself:
+            needed += 1
         with self._lock:
-            if needed == 0:
+            if not 0 < needed <= len(times):
                 return
             self._member_proof_ms = max(self._member_proof_ms, times[needed - 1])
             self._proof_ms = max(self._proof_ms, self._member_proof_ms)
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -504,4 +504,18 @@
         "",
         "tests/test_primaryguard.py::TestChanges",
     ),
+    Mutation(
+        "a restarted daemon's heartbeats count once it has recovered",
+        POOLER + "gossip.py",
+        "knows_changes = beat.store_revision > 0 and beat.recovered",
+        "knows_changes = beat.store_revision > 0",
+        "tests/test_heartbeats.py::TestProof",
+    ),
+    Mutation(
+        "a restarted daemon counts itself in a majority once it has recovered",
+        POOLER + "heartbeats.py",
+        "self._guard.add_member_proof(heard_ms, self.has_recovered())",
+        "self._guard.add_member_proof(heard_ms)",
+        "tests/test_heartbeats.py::TestProof",
+    ),
 )
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -30,6 +30,7 @@
         None,
         False,
         None,
+        True,
     )
     return beat._replace(**fields)
 
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -28,6 +28,8 @@
 
 LARGE = 30
 SETTLING_MS = 3000
+# The age of a mirror that a daemon has got from a peer after its start.
+OLD_MIRROR_MS = 60_000.0
 # How long an operation waits for its token at most, as in the daemon.
 MAX_WAIT_MS = 100.0
 
@@ -313,6 +315,95 @@
         known = holder.heartbeats.list_acknowledged(record.service, 4)
         assert known == set(fleet.daemons)
 
+    def lose_store(self, fleet):
+        """Let all daemons know the store as of now, and no more from here on."""
+        for daemon in fleet.daemons.values():
+            daemon.mirror.confirm_current(7, fleet.clock.now_ms())
+            daemon.mirror.age_ms = OLD_MIRROR_MS
+
+    def restart(self, fleet, names):
+        """Restart daemons, which get an old mirror from a peer."""
+        for name in names:
+            fleet.restart(name)
+            fleet.daemons[name].mirror.age_ms = OLD_MIRROR_MS
+
+    @pytest.mark.parametrize("restarted", ["relays", "others"])
+    def test_restarted_daemons_get_proofs_while_the_store_is_out(self, restarted):
+        # Guards against an outage of the store during which a restarted daemon has no
+        # proof, or none of the daemons behind a restarted relay.
+        fleet = HeartbeatFleet(LARGE)
+        fleet.run(SETTLING_MS)
+        self.lose_store(fleet)
+        relays = {daemon.name for daemon in fleet.list_relays()}
+        others = set(fleet.daemons) - relays
+        names = sorted(relays if restarted == "relays" else others)
+        for name in names[: LARGE // 2 - 1]:
+            self.restart(fleet, [name])
+            fleet.run(200)
+        for _ in range(3):
+            fleet.run(SETTLING_MS)
+            lacking = [
+                name
+                for name, daemon in fleet.daemons.items()
+                if not daemon.guard.has_proof()
+            ]
+            assert not lacking
+
+    def test_daemons_that_all_restarted_get_proofs_from_the_store_only(self):
+        # All machines lose power while the store is out. Nobody knows any more which
+        # changes were acknowledged, until one daemon has had an answer of the store.
+        fleet = HeartbeatFleet(5)
+        fleet.run(SETTLING_MS)
+        self.lose_store(fleet)
+        self.restart(fleet, list(fleet.daemons))
+        fleet.run(SETTLING_MS)
+        assert not any(daemon.guard.has_proof() for daemon in fleet.list_alive())
+        mirror = fleet.daemons["d0"].mirror
+        mirror.confirm_current(7, fleet.clock.now_ms())
+        fleet.run(SETTLING_MS)
+        assert all(daemon.guard.has_proof() for daemon in fleet.list_alive())
+
+    def test_restarted_daemon_counts_in_no_majority(self):
+        # One of two daemons that acknowledged a change restarts, and hears only the one
+        # that doesn't know of it: neither may have a proof.
+        fleet = HeartbeatFleet(3)
+        fleet.run(SETTLING_MS)
+        self.lose_store(fleet)
+        fleet.network.is_cut = lambda sender, receiver: "d0" in (sender, receiver)
+        self.restart(fleet, ["d1"])
+        fleet.run(SETTLING_MS)
+        assert not fleet.daemons["d1"].guard.has_proof()
+        assert not fleet.daemons["d2"].guard.has_proof()
+
+    def test_restarted_daemons_give_each_other_no_proof(self):
+        # Two of three daemons have acknowledged a change and restart with a mirror from
+        # a peer, from before the change. The lock holder counts their acknowledgements;
+        # they are a majority, and none of them knows of the change any more.
+        fleet = HeartbeatFleet(3)
+        fleet.run(SETTLING_MS)
+        holder = fleet.daemons["d0"]
+        record = make_primary_record(4, settled=False, holder="d0")
+        holder.apply_record(record)
+        fleet.run(SETTLING_MS)
+        fleet.network.is_cut = lambda sender, receiver: "d0" in (sender, receiver)
+        for name in ("d1", "d2"):
+            fleet.restart(name)
+            fleet.daemons[name].mirror.age_ms = OLD_MIRROR_MS
+        wrong = []
+
+        def look():
+            known = holder.heartbeats.list_acknowledged(record.service, 4)
+            wrong.extend(
+                daemon.name
+                for daemon in fleet.daemons.values()
+                if record.service not in daemon.directory.primary_records
+                and daemon.guard.has_proof()
+                and len(known) == len(fleet.daemons)
+            )
+
+        fleet.run(SETTLING_MS, look)
+        assert not wrong
+
 
 class TestRevisionsBehindRelays:
     def list_behind(self, fleet, revision):
