List a relay's records after the members that it has heard

Cause: a relay listed the records that the receiver lacks, and then which members it has heard, and up to when. A member's heartbeat handled in between counted as heard, while the change that it told was missing: a proof for a receiver that doesn't know of the change.

Evidence: test_relay_that_has_heard_a_member_sends_the_change_it_told lets a member be heard at that point; it failed before.

--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -280,6 +280,9 @@
 
         What the receiver already has is left out to keep heartbeats small.
         """
+        # Read before the records: a change that a member tells meanwhile is among these
+        # or the member wasn't heard.
+        relayed = self._build_relayed(view) if self._plan.relaying else None
         missing_records = [
             record
             for record in list(self._directory.primary_records.values())
@@ -293,7 +296,7 @@
             silent=self._list_silent(scope, self._clock.now_ms()),
             primary_records=missing_records[:MAX_RECORDS_PER_BEAT],
             has_all_records=len(missing_records) <= MAX_RECORDS_PER_BEAT,
-            relayed=self._build_relayed(view) if self._plan.relaying else None,
+            relayed=relayed,
             # Otherwise updates through a relay would wait for a timer at each hop.
             wants_reply=not self.contacts.is_mesh()
             and view.name in self._plan.contacts,
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -518,4 +518,12 @@
         "self._guard.add_member_proof(heard_ms)",
         "tests/test_heartbeats.py::TestProof",
     ),
+    Mutation(
+        "a relay sends the changes that the members it has heard have told",
+        POOLER + "heartbeats.py",
+        "            relayed=relayed,\n",
+        "            relayed=self._build_relayed(view)\n"
+        "            if self._plan.relaying else None,\n",
+        "tests/test_heartbeats.py::TestProof",
+    ),
 )
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -404,6 +404,32 @@
         fleet.run(SETTLING_MS, look)
         assert not wrong
 
+    def test_relay_that_has_heard_a_member_sends_the_change_it_told(self):
+        # A member's heartbeat is handled while one to another relay is built. If that
+        # one said that the member was heard, and lacked the change that the member
+        # told, it would be a proof to a daemon that doesn't know of the change.
+        fleet = HeartbeatFleet(LARGE)
+        fleet.run(SETTLING_MS)
+        relay = fleet.list_relays()[0]
+        view = next(view for view in relay.gossip.views.values() if view.relaying)
+        relays = {daemon.name for daemon in fleet.list_relays()}
+        same_domain = relay.heartbeats.contacts.list_domain(relay.peer.domain)
+        name = next(name for name in same_domain if name not in relays)
+        record = make_primary_record(4, settled=False)
+        now_ms = fleet.clock.now_ms()
+        real = relay.heartbeats.contacts.list_domain
+
+        def hear_member(domain):
+            relay.gossip.views[name].heard_up_to_ms = now_ms
+            relay.apply_record(record)
+            return real(domain)
+
+        beat = relay.heartbeats.build_beat()
+        relay.heartbeats.contacts.list_domain = hear_member
+        completed = relay.heartbeats.complete_beat(beat, view, now_ms)
+        is_told = record in completed.primary_records
+        assert is_told or completed.relayed.heard[name] > 0
+
 
 class TestRevisionsBehindRelays:
     def list_behind(self, fleet, revision):
