Count members heard by a relay only with all of its records

Cause: a heartbeat holds at most eight records. From a relay that knew of more changes the receiver took nothing as heard of the relay itself, but all that it had heard of the members behind it, and the next heartbeat of anyone made a proof of that.

Evidence: test_members_heard_by_a_relay_are_no_proof_without_its_records failed before.

--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -359,7 +359,9 @@
                 beat.store_revision, proven_ms - beat.store_age_ms
             )
         if beat.relayed is not None:
-            self._apply_relayed(beat.relayed, proven_ms)
+            if beat.has_all_records:
+                self._apply_heard(beat.relayed, proven_ms)
+            self._apply_relayed_acknowledgements(beat.relayed)
         self._apply_proof(beat, proven_ms)
         self._apply_silent(beat)
         for service, (term, number, age_ms) in beat.positions.items():
@@ -372,13 +374,20 @@
         if beat.wants_reply:
             self._gossip.reply(self.build_beat(), view, self.complete_beat)
 
-    def _apply_relayed(self, relayed: Relayed, proven_ms: float) -> None:
+    def _apply_heard(self, relayed: Relayed, proven_ms: float) -> None:
+        """Note up to when all that a relay's members announced is known here.
+
+        That holds only if the relay's heartbeat has all records that it knows.
+        """
         views = self._gossip.views
         for name, age_ms in relayed.heard.items():
             view = views.get(name)
             if view is not None and view.heard_up_to_ms < proven_ms - age_ms:
                 view.heard_up_to_ms = proven_ms - age_ms
                 view.known_revision = relayed.known_revision
+
+    def _apply_relayed_acknowledgements(self, relayed: Relayed) -> None:
+        views = self._gossip.views
         for service, (epoch, names) in relayed.acknowledged.items():
             for name in names:
                 if name in views:
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -526,4 +526,11 @@
         "            if self._plan.relaying else None,\n",
         "tests/test_heartbeats.py::TestProof",
     ),
+    Mutation(
+        "members heard by a relay count only with all of its records",
+        POOLER + "heartbeats.py",
+        "            if beat.has_all_records:\n                self._apply_heard(",
+        "            if True:\n                self._apply_heard(",
+        "tests/test_heartbeats.py::TestProof",
+    ),
 )
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bronzerelay.pooler.fleetrates import DEMAND_WINDOW_MS, FleetRates
+from bronzerelay.pooler.gossip import Relayed
 from bronzerelay.pooler.heartbeats import (
     MESH_LAG_MS,
     RELAY_LAG_MS,
@@ -430,6 +431,26 @@
         is_told = record in completed.primary_records
         assert is_told or completed.relayed.heard[name] > 0
 
+    def test_members_heard_by_a_relay_are_no_proof_without_its_records(self):
+        # A relay knows of more changes than fit into a heartbeat. Who hears it doesn't
+        # know all that the members behind it have announced.
+        fleet = HeartbeatFleet(5)
+        fleet.network.is_cut = lambda sender, receiver: True
+        receiver, relay, member = list(fleet.daemons.values())[:3]
+        now_ms = fleet.clock.now_ms()
+        heard = Relayed({"d2": 0.0, "d3": 0.0, "d4": 0.0}, 7, {})
+        beat = relay.heartbeats.build_beat()
+        receiver.heartbeats.handle_beat(
+            beat._replace(has_all_records=False, relayed=heard),
+            receiver.gossip.views["d1"],
+            now_ms,
+        )
+        assert not receiver.guard.has_proof()
+        receiver.heartbeats.handle_beat(
+            member.heartbeats.build_beat(), receiver.gossip.views["d2"], now_ms
+        )
+        assert not receiver.guard.has_proof()
+
 
 class TestRevisionsBehindRelays:
     def list_behind(self, fleet, revision):
