Let relayed acknowledgements count only for the process that made them

Cause: a relay that hadn't heard of a member's restart went on telling that the member has acknowledged a change. A relay that had heard the new process believed it, left the change out of its heartbeats to the member, and these were a proof for it.

Now relays tell the process with each acknowledgement, by 32 bits of its incarnation (five bytes a member, while a change is under way). Who has heard another process of the member within a lease ignores it. Later than that it can't: a member that restarted may be heard through relays only. Then it does no harm, as a heartbeat to the member that echoes one older than a lease is no proof.

Evidence: test_relay_tells_nothing_of_a_process_before_a_restart failed before.

--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -41,6 +41,9 @@
 ZLIB_MARK = b"\x78"
 # The largest heartbeat that is accepted, in bytes after decompression.
 MAX_BEAT_BYTES = 256 * 1024
+# The bits of an incarnation by which relays name a process. All 48 would take four more
+# bytes for each member.
+SHORT_INCARNATION = 0xFFFF_FFFF
 NEVER_MS = -1e15
 
 
@@ -50,12 +53,13 @@
     `heard` holds, by member, how long ago in milliseconds the announcement was sent up
     to which the relay knows all of the member's. `known_revision` is a store revision
     that all of these members have. `acknowledged` holds, by service whose primary is
-    being changed, the epoch and the members that can't use the old primary any more.
+    being changed, the epoch and the members that can't use the old primary any more,
+    each with the shortened incarnation of the process that said so.
     """
 
     heard: dict[str, float]
     known_revision: int
-    acknowledged: dict[str, tuple[int, list[str]]]
+    acknowledged: dict[str, tuple[int, dict[str, int]]]
 
 
 class Beat(NamedTuple):
@@ -131,6 +135,8 @@
         self.known_revision = 0
         # By service, the epoch of the primary change that the peer has acknowledged.
         self.acknowledged: dict[str, int] = {}
+        # The shortened incarnation of the process that has acknowledged them.
+        self.acknowledged_by = 0
         # By service, the epoch of a change that isn't settled as far as the peer knows.
         self.unsettled: dict[str, int] = {}
         # The value of `acknowledged` when it was last checked for updates.
@@ -358,6 +364,7 @@
             view.store_revision = beat.store_revision
             view.unsettled = beat.unsettled
             view.acknowledged = dict(beat.acknowledged)
+            view.acknowledged_by = beat.incarnation & SHORT_INCARNATION
             view.echoed_number = -1
             if beat.echo_incarnation == self.incarnation:
                 view.echoed_number = beat.echo
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -334,15 +334,21 @@
         known_revision = min(
             (member.known_revision for member in fresh.values()), default=0
         )
+        # Read before what they have acknowledged: a process that is heard for the first
+        # time meanwhile must not pass for the one that has.
+        processes = {
+            name: member.acknowledged_by
+            for name, member in views.items()
+            if member is not None
+        }
         acknowledged = {}
         for record in unsettled:
-            names = [
-                name
-                for name, member in views.items()
-                if member is not None
-                and member.acknowledged.get(record.service, 0) >= record.epoch
-            ]
-            acknowledged[record.service] = (record.epoch, names)
+            known = {
+                name: process
+                for name, process in processes.items()
+                if views[name].acknowledged.get(record.service, 0) >= record.epoch
+            }
+            acknowledged[record.service] = (record.epoch, known)
         return Relayed(heard, known_revision, acknowledged)
 
     # Receiving
@@ -387,12 +393,25 @@
                 view.known_revision = relayed.known_revision
 
     def _apply_relayed_acknowledgements(self, relayed: Relayed) -> None:
+        """Note what members have told a relay, unless they have restarted since.
+
+        A restarted member may have forgotten a change. If it passed for known there,
+        it would be left out of heartbeats to the member that are a proof.
+        """
         views = self._gossip.views
-        for service, (epoch, names) in relayed.acknowledged.items():
-            for name in names:
-                if name in views:
-                    known = views[name].acknowledged.get(service, 0)
-                    views[name].acknowledged[service] = max(known, epoch)
+        oldest_ms = self._clock.now_ms() - LEASE_MS
+        for service, (epoch, processes) in relayed.acknowledged.items():
+            for name, process in processes.items():
+                view = views.get(name)
+                if view is None:
+                    continue
+                if process != view.acknowledged_by:
+                    if view.received_at_ms >= oldest_ms:
+                        continue
+                    view.acknowledged = {}
+                    view.acknowledged_by = process
+                known = view.acknowledged.get(service, 0)
+                view.acknowledged[service] = max(known, epoch)
 
     def _apply_proof(self, beat: Beat, proven_ms: float) -> None:
         if beat.store_revision <= 0 or not beat.has_all_records:
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -533,4 +533,11 @@
         "            if True:\n                self._apply_heard(",
         "tests/test_heartbeats.py::TestProof",
     ),
+    Mutation(
+        "relayed acknowledgements count only for the process that made them",
+        POOLER + "heartbeats.py",
+        "if view.received_at_ms >= oldest_ms:",
+        "if False:",
+        "tests/test_heartbeats.py::TestProof",
+    ),
 )
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -451,6 +451,41 @@
         )
         assert not receiver.guard.has_proof()
 
+    def test_relay_tells_nothing_of_a_process_before_a_restart(self):
+        # A member that has acknowledged a change restarts, and one of two relays hasn't
+        # heard that yet. If the other one believed it, it would leave the change out of
+        # its heartbeats, and the member would have a proof without knowing of it.
+        fleet = HeartbeatFleet(LARGE)
+        fleet.run(SETTLING_MS)
+        first = fleet.list_relays()[0]
+        second = next(
+            daemon
+            for daemon in fleet.list_relays()
+            if daemon.peer.domain == first.peer.domain and daemon is not first
+        )
+        name = next(
+            name
+            for name in first.heartbeats.contacts.list_domain(first.peer.domain)
+            if name != second.name
+        )
+        record = make_primary_record(4, settled=False, holder=first.name)
+        first.apply_record(record)
+        fleet.run(SETTLING_MS)
+        fleet.network.is_cut = lambda sender, receiver: (
+            name in (sender, receiver) and first.name not in (sender, receiver)
+        )
+        fleet.restart(name)
+        fleet.daemons[name].mirror.age_ms = OLD_MIRROR_MS
+        unaware = []
+
+        def look():
+            daemon = fleet.daemons[name]
+            if record.service not in daemon.directory.primary_records:
+                unaware.append(daemon.guard.has_proof())
+
+        fleet.run(SETTLING_MS, look)
+        assert not any(unaware)
+
 
 class TestRevisionsBehindRelays:
     def list_behind(self, fleet, revision):
