Replace no primary while others may be a majority of an older list

Cause: more than half of the members passed for a quorum, whatever list the others know. Of three daemons two are partitioned from the third, on whose side three more join: four of six replace the primary, while the two are a majority of the three that they know. That the lock holder's list is as of its change doesn't help, the others' list is the older one.

Now members are no quorum while those outside are a majority of the list as of the revision that a contact among them last told, or as of a later one. A member that is gone for good prevents nothing alone; two do that could be a majority of a list from before some joins, until one of them is taken off the list.

Not covered: a lock holder that never heard those outside, as one that has just joined, doesn't know which list they have; nor one that has no heartbeats with them, behind relays; and members that were removed since they told their list count no more.

Evidence: test_majority_is_too_few_if_members_joined_unknown_to_the_others failed before, as did a second one, in which the others' list has grown since they told it; the peers are contacts in both, as they are in fleets without relays. A third guards that a member that is gone for good prevents no change.

--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -79,9 +79,13 @@
 
         Exactly half of all members are enough while the others have the same list: no
         majority of it is without one of `members`. With a list from before a member
-        joined or was removed, the others could still be a majority of that list.
+        joined or was removed, the others could still be a majority of that list. More
+        than half aren't enough either if others know a list from before several joins,
+        of which they are a majority.
         """
         names = self.list_names()
+        if self._are_majority_of_earlier_list(members):
+            return False
         if len(members) * 2 != len(names):
             return len(members) * 2 > len(names)
         items = self._mirror.list_prefix(MEMBER_PREFIX)
@@ -94,6 +98,35 @@
             for view in others
         )
 
+    def _are_majority_of_earlier_list(self, members: set[str]) -> bool:
+        """Return whether daemons outside `members` may be a majority that they know of.
+
+        A contact may know the list as of the revision that it last told, or a later
+        one. What other daemons know isn't told here, nor are members removed since.
+        """
+        joined = {
+            item.key.removeprefix(MEMBER_PREFIX): item.revision
+            for item in self._mirror.list_prefix(MEMBER_PREFIX)
+        }
+        views = self._gossip.views
+        outside = [views[name] for name in joined if name in views.keys() - members]
+        told = [
+            view.store_revision
+            for view in outside
+            if view.contact_since_ms is not None and view.store_revision > 0
+        ]
+        if not told:
+            return False
+        oldest = min(told)
+        for revision in {oldest, *joined.values()}:
+            listed = {name for name, at in joined.items() if at <= revision}
+            # A daemon that knows no other gets no proof from members.
+            if revision < oldest or len(listed) < 2:
+                continue
+            if len(listed - members) * 2 > len(listed):
+                return True
+        return False
+
     def is_current(self, revision: int) -> bool:
         """Return whether the list here is as of a store revision or a later one."""
         return self._read_revision >= revision
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -540,4 +540,18 @@
         "if False:",
         "tests/test_heartbeats.py::TestProof",
     ),
+    Mutation(
+        "a quorum leaves others no majority of the list that they know",
+        POOLER + "members.py",
+        "if self._are_majority_of_earlier_list(members):",
+        "if False:",
+        "tests/test_members.py::TestQuorum",
+    ),
+    Mutation(
+        "a quorum leaves others no majority of a list that they may know by now",
+        POOLER + "members.py",
+        "for revision in {oldest, *joined.values()}:",
+        "for revision in [oldest]:",
+        "tests/test_members.py::TestQuorum",
+    ),
 )
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -73,6 +73,12 @@
     return members
 
 
+def make_contacts(members):
+    """Let all peers be contacts, as in a fleet without relays."""
+    for view in members._gossip.views.values():
+        view.contact_since_ms = 0.0
+
+
 class TestQuorum:
     @pytest.mark.parametrize(("known", "enough"), [(2, False), (3, True)])
     def test_majority_of_an_odd_number_is_a_quorum(self, known, enough):
@@ -109,6 +115,33 @@
         members = make_members({"d1": 1, "d2": 2}, {})
         assert not members.is_quorum({"d1"})
 
+    def test_majority_is_too_few_if_members_joined_unknown_to_the_others(self):
+        # Of three daemons two are partitioned from the third, on whose side three more
+        # join. The two are still a majority of the three that they know, so they go on
+        # using the primary, also after its replacement.
+        joined = dict.fromkeys(["d4", "d5", "d6"], 8)
+        members = make_members(
+            {"d1": 1, "d2": 2, "d3": 3, **joined}, {"d2": 3, "d3": 3, **joined}
+        )
+        make_contacts(members)
+        assert not members.is_quorum({"d1", "d4", "d5", "d6"})
+
+    def test_majority_of_a_list_on_the_way_is_too_few(self):
+        # The daemons outside last told of a list of two, and may know a later one by
+        # now, of which they are a majority.
+        members = make_members(
+            {"d1": 1, "d2": 2, "d3": 3, "d4": 8, "d5": 9}, {"d2": 2, "d3": 2}
+        )
+        make_contacts(members)
+        assert not members.is_quorum({"d1", "d4", "d5"})
+
+    def test_member_that_is_gone_for_good_prevents_no_change(self):
+        # A daemon last told of a list of two and hasn't been heard since.
+        joined = dict.fromkeys(["d3", "d4", "d5"], 8)
+        members = make_members({"d1": 1, "d2": 2, **joined}, {"d2": 2, **joined})
+        make_contacts(members)
+        assert members.is_quorum({"d1", "d3", "d4", "d5"})
+
 
 class TestOutsiders:
     """Guards against promoting an instance at once, since all members know of the
