--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -3,6 +3,9 @@
 Primary proofs are passed on: a heartbeat from a daemon that has a proof, and that has
 sent all primary changes it knows, is a proof to the receiver too. So only relays have
 to hear most members, and every other daemon one relay.
+
+A daemon that has restarted while the store is out may have forgotten a change that it
+acknowledged. Until it has recovered it passes proofs on, but counts in no majority.
 """
 
 from collections.abc import Callable
@@ -76,6 +79,7 @@
         # The relays that this daemon gets store updates from, none if it watches.
         self._upstream: tuple[str, ...] = ()
         self.is_stopping = False
+        self._started_ms = runtime.clock.now_ms()
 
     # Contacts and relays
 
@@ -220,8 +224,18 @@
             proof_age_ms if proof_age_ms <= LEASE_MS else None,
             relaying,
             None,
+            self.has_recovered(),
         )
 
+    def has_recovered(self) -> bool:
+        """Return whether the changes acknowledged before a restart are known here.
+
+        They are once the store is known as of a time after the start, as a change is
+        recorded before anyone acknowledges it. A mirror from a peer may be older.
+        """
+        now_ms = self._clock.now_ms()
+        return now_ms - self._mirror.store_age_ms() >= self._started_ms
+
     def _list_unsettled(self) -> dict[str, int]:
         return {
             record.service: record.epoch
@@ -266,6 +280,9 @@
 
         What the receiver already has is left out to keep heartbeats small.
         """
+        # Read before the records: a change that a member tells meanwhile is among these
+        # or the member wasn't heard.
+        relayed = self._build_relayed(view) if self._plan.relaying else None
         missing_records = [
             record
             for record in list(self._directory.primary_records.values())
@@ -279,7 +296,7 @@
             silent=self._list_silent(scope, self._clock.now_ms()),
             primary_records=missing_records[:MAX_RECORDS_PER_BEAT],
             has_all_records=len(missing_records) <= MAX_RECORDS_PER_BEAT,
-            relayed=self._build_relayed(view) if self._plan.relaying else None,
+            relayed=relayed,
             # Otherwise updates through a relay would wait for a timer at each hop.
             wants_reply=not self.contacts.is_mesh()
             and view.name in self._plan.contacts,
@@ -317,15 +334,21 @@
         known_revision = min(
             (member.known_revision for member in fresh.values()), default=0
         )
+        # Read before what they have acknowledged: a process that is heard for the first
+        # time meanwhile must not pass for the one that has.
+        processes = {
+            name: member.acknowledged_by
+            for name, member in views.items()
+            if member is not None
+        }
         acknowledged = {}
         for record in unsettled:
-            names = [
-                name
-                for name, member in views.items()
-                if member is not None
-                and member.acknowledged.get(record.service, 0) >= record.epoch
-            ]
-            acknowledged[record.service] = (record.epoch, names)
+            known = {
+                name: process
+                for name, process in processes.items()
+                if views[name].acknowledged.get(record.service, 0) >= record.epoch
+            }
+            acknowledged[record.service] = (record.epoch, known)
         return Relayed(heard, known_revision, acknowledged)
 
     # Receiving
@@ -342,7 +365,9 @@
                 beat.store_revision, proven_ms - beat.store_age_ms
             )
         if beat.relayed is not None:
-            self._apply_relayed(beat.relayed, proven_ms)
+            if beat.has_all_records:
+                self._apply_heard(beat.relayed, proven_ms)
+            self._apply_relayed_acknowledgements(beat.relayed)
         self._apply_proof(beat, proven_ms)
         self._apply_silent(beat)
         for service, (term, number, age_ms) in beat.positions.items():
@@ -355,27 +380,46 @@
         if beat.wants_reply:
             self._gossip.reply(self.build_beat(), view, self.complete_beat)
 
-    def _apply_relayed(self, relayed: Relayed, proven_ms: float) -> None:
+    def _apply_heard(self, relayed: Relayed, proven_ms: float) -> None:
+        """Note up to when all that a relay's members announced is known here.
+
+        That holds only if the relay's heartbeat has all records that it knows.
+        """
         views = self._gossip.views
         for name, age_ms in relayed.heard.items():
             view = views.get(name)
             if view is not None and view.heard_up_to_ms < proven_ms - age_ms:
                 view.heard_up_to_ms = proven_ms - age_ms
                 view.known_revision = relayed.known_revision
-        for service, (epoch, names) in relayed.acknowledged.items():
-            for name in names:
-                if name in views:
-                    known = views[name].acknowledged.get(service, 0)
-                    views[name].acknowledged[service] = max(known, epoch)
+
+    def _apply_relayed_acknowledgements(self, relayed: Relayed) -> None:
+        """Note what members have told a relay, unless they have restarted since.
+
+        A restarted member may have forgotten a change. If it passed for known there,
+        it would be left out of heartbeats to the member that are a proof.
+        """
+        views = self._gossip.views
+        oldest_ms = self._clock.now_ms() - LEASE_MS
+        for service, (epoch, processes) in relayed.acknowledged.items():
+            for name, process in processes.items():
+                view = views.get(name)
+                if view is None:
+                    continue
+                if process != view.acknowledged_by:
+                    if view.received_at_ms >= oldest_ms:
+                        continue
+                    view.acknowledged = {}
+                    view.acknowledged_by = process
+                known = view.acknowledged.get(service, 0)
+                view.acknowledged[service] = max(known, epoch)
 
     def _apply_proof(self, beat: Beat, proven_ms: float) -> None:
         if beat.store_revision <= 0 or not beat.has_all_records:
             return
         if beat.proof_age_ms is not None:
             self._guard.add_peer_proof(proven_ms - beat.proof_age_ms)
-        self._guard.add_member_proof(
-            view.heard_up_to_ms for view in self._gossip.views.values()
-        )
+        heard_ms = [view.heard_up_to_ms for view in self._gossip.views.values()]
+        self._guard.add_member_proof(heard_ms, self.has_recovered())
 
     def _apply_silent(self, beat: Beat) -> None:
         now_ms = self._clock.now_ms()
--- a/bronzerelay/pooler/primaryguard.py
+++ b/bronzerelay/pooler/primaryguard.py
@@ -59,12 +59,19 @@
 
     # The proof
 
-    def add_member_proof(self, heard_ms: Iterable[float]) -> None:
-        """Renew the proof by the times at which the other members were last heard."""
+    def add_member_proof(
+        self, heard_ms: Iterable[float], counts_itself: bool = True
+    ) -> None:
+        """Renew the proof by the times at which the other members were last heard.
+
+        This daemon is one of the majority that is needed if it `counts_itself`.
+        """
         times = sorted(heard_ms, reverse=True)
         needed = (len(times) + 1) // 2
+        if not counts_itself:
+            needed += 1
         with self._lock:
-            if needed == 0:
+            if not 0 < needed <= len(times):
                 return
             self._member_proof_ms = max(self._member_proof_ms, times[needed - 1])
             self._proof_ms = max(self._proof_ms, self._member_proof_ms)
@@ -128,11 +135,18 @@
 
         When this returns None, the caller must call `end_use` afterwards.
         """
-        with self._lock:
-            refusal = self.check_use(service, instance_id)
-            if refusal is None:
-                self._in_progress[service] = self._in_progress.get(service, 0) + 1
+        # Most refusals come here, without a count whose end would be announced.
+        refusal = self.check_use(service, instance_id)
+        if refusal is not None:
             return refusal
+        with self._lock:
+            self._in_progress[service] = self._in_progress.get(service, 0) + 1
+        # Checked again once counted: a change that became known before may have been
+        # acknowledged as nothing was in progress.
+        refusal = self.check_use(service, instance_id)
+        if refusal is not None:
+            self.end_use(service)
+        return refusal
 
     def end_use(self, service: str) -> None:
         """End a use of the primary."""
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -546,4 +546,62 @@
         '            raise TimeoutError("no whole line in time")',
         "tests/test_lines.py",
     ),
+    Mutation(
+        "a use of a primary is counted before it is allowed",
+        POOLER + "primaryguard.py",
+        "        refusal = self.check_use(service, instance_id)\n"
+        "        if refusal is not None:\n            self.end_use(service)\n",
+        "",
+        "tests/test_primaryguard.py::TestChanges",
+    ),
+    Mutation(
+        "a restarted daemon's heartbeats count once it has recovered",
+        POOLER + "gossip.py",
+        "knows_changes = beat.store_revision > 0 and beat.recovered",
+        "knows_changes = beat.store_revision > 0",
+        "tests/test_heartbeats.py::TestProof",
+    ),
+    Mutation(
+        "a restarted daemon counts itself in a majority once it has recovered",
+        POOLER + "heartbeats.py",
+        "self._guard.add_member_proof(heard_ms, self.has_recovered())",
+        "self._guard.add_member_proof(heard_ms)",
+        "tests/test_heartbeats.py::TestProof",
+    ),
+    Mutation(
+        "a relay sends the changes that the members it has heard have told",
+        POOLER + "heartbeats.py",
+        "            relayed=relayed,\n",
+        "            relayed=self._build_relayed(view)\n"
+        "            if self._plan.relaying else None,\n",
+        "tests/test_heartbeats.py::TestProof",
+    ),
+    Mutation(
+        "members heard by a relay count only with all of its records",
+        POOLER + "heartbeats.py",
+        "            if beat.has_all_records:\n                self._apply_heard(",
+        "            if True:\n                self._apply_heard(",
+        "tests/test_heartbeats.py::TestProof",
+    ),
+    Mutation(
+        "relayed acknowledgements count only for the process that made them",
+        POOLER + "heartbeats.py",
+        "if view.received_at_ms >= oldest_ms:",
+        "if False:",
+        "tests/test_heartbeats.py::TestProof",
+    ),
+    Mutation(
+        "a quorum leaves others no majority of the list that they know",
+        POOLER + "members.py",
+        "if self._are_majority_of_earlier_list(members):",
+        "if False:",
+        "tests/test_members.py::TestQuorum",
+    ),
+    Mutation(
+        "a quorum leaves others no majority of a list that they may know by now",
+        POOLER + "members.py",
+        "for revision in {oldest, *joined.values()}:",
+        "for revision in [oldest]:",
+        "tests/test_members.py::TestQuorum",
+    ),
 )
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bronzerelay.pooler.fleetrates import DEMAND_WINDOW_MS, FleetRates
+from bronzerelay.pooler.gossip import Relayed
 from bronzerelay.pooler.heartbeats import (
     MESH_LAG_MS,
     RELAY_LAG_MS,
@@ -28,6 +29,8 @@
 
 LARGE = 30
 SETTLING_MS = 3000
+# The age of a mirror that a daemon has got from a peer after its start.
+OLD_MIRROR_MS = 60_000.0
 # How long an operation waits for its token at most, as in the daemon.
 MAX_WAIT_MS = 100.0
 
@@ -313,6 +316,176 @@
         known = holder.heartbeats.list_acknowledged(record.service, 4)
         assert known == set(fleet.daemons)
 
+    def lose_store(self, fleet):
+        """Let all daemons know the store as of now, and no more from here on."""
+        for daemon in fleet.daemons.values():
+            daemon.mirror.confirm_current(7, fleet.clock.now_ms())
+            daemon.mirror.age_ms = OLD_MIRROR_MS
+
+    def restart(self, fleet, names):
+        """Restart daemons, which get an old mirror from a peer."""
+        for name in names:
+            fleet.restart(name)
+            fleet.daemons[name].mirror.age_ms = OLD_MIRROR_MS
+
+    @pytest.mark.parametrize("restarted", ["relays", "others"])
+    def test_restarted_daemons_get_proofs_while_the_store_is_out(self, restarted):
+        # Guards against an outage of the store during which a restarted daemon has no
+        # proof, or none of the daemons behind a restarted relay.
+        fleet = HeartbeatFleet(LARGE)
+        fleet.run(SETTLING_MS)
+        self.lose_store(fleet)
+        relays = {daemon.name for daemon in fleet.list_relays()}
+        others = set(fleet.daemons) - relays
+        names = sorted(relays if restarted == "relays" else others)
+        for name in names[: LARGE // 2 - 1]:
+            self.restart(fleet, [name])
+            fleet.run(200)
+        for _ in range(3):
+            fleet.run(SETTLING_MS)
+            lacking = [
+                name
+                for name, daemon in fleet.daemons.items()
+                if not daemon.guard.has_proof()
+            ]
+            assert not lacking
+
+    def test_daemons_that_all_restarted_get_proofs_from_the_store_only(self):
+        # All machines lose power while the store is out. Nobody knows any more which
+        # changes were acknowledged, until one daemon has had an answer of the store.
+        fleet = HeartbeatFleet(5)
+        fleet.run(SETTLING_MS)
+        self.lose_store(fleet)
+        self.restart(fleet, list(fleet.daemons))
+        fleet.run(SETTLING_MS)
+        assert not any(daemon.guard.has_proof() for daemon in fleet.list_alive())
+        mirror = fleet.daemons["d0"].mirror
+        mirror.confirm_current(7, fleet.clock.now_ms())
+        fleet.run(SETTLING_MS)
+        assert all(daemon.guard.has_proof() for daemon in fleet.list_alive())
+
+    def test_restarted_daemon_counts_in_no_majority(self):
+        # One of two daemons that acknowledged a change restarts, and hears only the one
+        # that doesn't know of it: neither may have a proof.
+        fleet = HeartbeatFleet(3)
+        fleet.run(SETTLING_MS)
+        self.lose_store(fleet)
+        fleet.network.is_cut = lambda sender, receiver: "d0" in (sender, receiver)
+        self.restart(fleet, ["d1"])
+        fleet.run(SETTLING_MS)
+        assert not fleet.daemons["d1"].guard.has_proof()
+        assert not fleet.daemons["d2"].guard.has_proof()
+
+    def test_restarted_daemons_give_each_other_no_proof(self):
+        # Two of three daemons have acknowledged a change and restart with a mirror from
+        # a peer, from before the change. The lock holder counts their acknowledgements;
+        # they are a majority, and none of them knows of the change any more.
+        fleet = HeartbeatFleet(3)
+        fleet.run(SETTLING_MS)
+        holder = fleet.daemons["d0"]
+        record = make_primary_record(4, settled=False, holder="d0")
+        holder.apply_record(record)
+        fleet.run(SETTLING_MS)
+        fleet.network.is_cut = lambda sender, receiver: "d0" in (sender, receiver)
+        for name in ("d1", "d2"):
+            fleet.restart(name)
+            fleet.daemons[name].mirror.age_ms = OLD_MIRROR_MS
+        wrong = []
+
+        def look():
+            known = holder.heartbeats.list_acknowledged(record.service, 4)
+            wrong.extend(
+                daemon.name
+                for daemon in fleet.daemons.values()
+                if record.service not in daemon.directory.primary_records
+                and daemon.guard.has_proof()
+                and len(known) == len(fleet.daemons)
+            )
+
+        fleet.run(SETTLING_MS, look)
+        assert not wrong
+
+    def test_relay_that_has_heard_a_member_sends_the_change_it_told(self):
+        # A member's heartbeat is handled while one to another relay is built. If that
+        # one said that the member was heard, and lacked the change that the member
+        # told, it would be a proof to a daemon that doesn't know of the change.
+        fleet = HeartbeatFleet(LARGE)
+        fleet.run(SETTLING_MS)
+        relay = fleet.list_relays()[0]
+        view = next(view for view in relay.gossip.views.values() if view.relaying)
+        relays = {daemon.name for daemon in fleet.list_relays()}
+        same_domain = relay.heartbeats.contacts.list_domain(relay.peer.domain)
+        name = next(name for name in same_domain if name not in relays)
+        record = make_primary_record(4, settled=False)
+        now_ms = fleet.clock.now_ms()
+        real = relay.heartbeats.contacts.list_domain
+
+        def hear_member(domain):
+            relay.gossip.views[name].heard_up_to_ms = now_ms
+            relay.apply_record(record)
+            return real(domain)
+
+        beat = relay.heartbeats.build_beat()
+        relay.heartbeats.contacts.list_domain = hear_member
+        completed = relay.heartbeats.complete_beat(beat, view, now_ms)
+        is_told = record in completed.primary_records
+        assert is_told or completed.relayed.heard[name] > 0
+
+    def test_members_heard_by_a_relay_are_no_proof_without_its_records(self):
+        # A relay knows of more changes than fit into a heartbeat. Who hears it doesn't
+        # know all that the members behind it have announced.
+        fleet = HeartbeatFleet(5)
+        fleet.network.is_cut = lambda sender, receiver: True
+        receiver, relay, member = list(fleet.daemons.values())[:3]
+        now_ms = fleet.clock.now_ms()
+        heard = Relayed({"d2": 0.0, "d3": 0.0, "d4": 0.0}, 7, {})
+        beat = relay.heartbeats.build_beat()
+        receiver.heartbeats.handle_beat(
+            beat._replace(has_all_records=False, relayed=heard),
+            receiver.gossip.views["d1"],
+            now_ms,
+        )
+        assert not receiver.guard.has_proof()
+        receiver.heartbeats.handle_beat(
+            member.heartbeats.build_beat(), receiver.gossip.views["d2"], now_ms
+        )
+        assert not receiver.guard.has_proof()
+
+    def test_relay_tells_nothing_of_a_process_before_a_restart(self):
+        # A member that has acknowledged a change restarts, and one of two relays hasn't
+        # heard that yet. If the other one believed it, it would leave the change out of
+        # its heartbeats, and the member would have a proof without knowing of it.
+        fleet = HeartbeatFleet(LARGE)
+        fleet.run(SETTLING_MS)
+        first = fleet.list_relays()[0]
+        second = next(
+            daemon
+            for daemon in fleet.list_relays()
+            if daemon.peer.domain == first.peer.domain and daemon is not first
+        )
+        name = next(
+            name
+            for name in first.heartbeats.contacts.list_domain(first.peer.domain)
+            if name != second.name
+        )
+        record = make_primary_record(4, settled=False, holder=first.name)
+        first.apply_record(record)
+        fleet.run(SETTLING_MS)
+        fleet.network.is_cut = lambda sender, receiver: (
+            name in (sender, receiver) and first.name not in (sender, receiver)
+        )
+        fleet.restart(name)
+        fleet.daemons[name].mirror.age_ms = OLD_MIRROR_MS
+        unaware = []
+
+        def look():
+            daemon = fleet.daemons[name]
+            if record.service not in daemon.directory.primary_records:
+                unaware.append(daemon.guard.has_proof())
+
+        fleet.run(SETTLING_MS, look)
+        assert not any(unaware)
+
 
 class TestRevisionsBehindRelays:
     def list_behind(self, fleet, revision):
