Cut calls that still open their link when a peer falls silent

Callers whose requests were forwarded to a frozen serving daemon were refused (PEER_UNREACHABLE, "can't be reached: timed out") up to 1,000 ms later, though its peers had taken it for silent 300 ms before and another daemon served the group.

Cause: a link counted as active only once its handshake had ended. The kernel accepts connections for a frozen process, so that calls beyond the idle links waited in the handshake, which `drop` didn't reach. Class: a cut that reaches one state of a call and not the one before it. The existing test of a dropped peer closed the held connection itself and so passed.

A call cut there hasn't run, and its peer isn't marked as unreachable for it: it goes to the next daemon.

Ruled out: requests sent after the silence was noted, which go elsewhere. The new test failed before; a mutation holds it.

--- a/bronzerelay/peers.py
+++ b/bronzerelay/peers.py
@@ -53,12 +53,17 @@
     return is_wanted
 
 
+class LinkDroppedError(OSError):
+    """A link was dropped while it was being opened."""
+
+
 class PeerError(NamedTuple):
     """Why a call to a peer gave no reply.
 
     `may_have_run` says whether the call may have reached the peer and run there.
     `is_unreachable` says that the peer can't be up, because the connection was refused
-    or failed; a peer that was merely slow to accept it may be up.
+    or failed; a peer that was merely slow to accept it, or from which all links were
+    dropped meanwhile, may be up.
     """
 
     message: str
@@ -287,11 +292,11 @@
             link = self._acquire(address, timeout_ms)
         except (OSError, EOFError) as error:
             message = f"{address} can't be reached: {error}"
-            is_unreachable = not isinstance(error, TimeoutError)
+            is_unreachable = not isinstance(error, TimeoutError | LinkDroppedError)
             return Error(
                 PeerError(message, may_have_run=False, is_unreachable=is_unreachable)
             )
-        self._mark_active(address, link)
+        self._mark_active(address, link.connection)
         try:
             link.connection.set_timeout(max(1.0, timeout_ms))
             reply = getattr(link.client, method)(argument)
@@ -301,23 +306,31 @@
                 PeerError(f"{address} gave no reply: {error}", may_have_run=True)
             )
         finally:
-            with self._lock:
-                self._active[address].discard(link.connection)
+            self._mark_inactive(address, link.connection)
         self._release(address, link)
         return Ok(reply)
 
-    def _mark_active(self, address: Address, link: PeerLink) -> None:
+    def _mark_active(self, address: Address, connection: Connection) -> None:
+        with self._lock:
+            self._active.setdefault(address, set()).add(connection)
+
+    def _mark_inactive(self, address: Address, connection: Connection) -> bool:
+        """Return whether the connection was still active, and not dropped."""
         with self._lock:
-            self._active.setdefault(address, set()).add(link.connection)
+            active = self._active.get(address, set())
+            was_active = connection in active
+            active.discard(connection)
+        return was_active
 
     def drop(self, address: Address) -> int:
         """Close all links to a peer that is suspected dead; return how many had a call.
 
-        A frozen peer keeps its connections open. Calls to it would wait until their
+        A frozen peer keeps its connections open, and the kernel accepts new ones for
+        it. Calls to it, also those that still open their link, would wait until their
         deadlines, though another daemon could settle their outcome earlier.
         """
         with self._lock:
-            connections = list(self._active.get(address, ()))
+            connections = list(self._active.pop(address, ()))
             idle = self._idle_links.pop(address, [])
         for connection in connections + [link.connection for link in idle]:
             connection.close()
@@ -339,11 +352,14 @@
     def _open(self, address: Address, timeout_ms: float) -> PeerLink:
         wait_ms = min(timeout_ms, HANDSHAKE_TIMEOUT_MS)
         connection = self._runtime.dial(address, max(1.0, wait_ms))
+        self._mark_active(address, connection)
         try:
             connection.set_timeout(wait_ms)
             greet_server(self._runtime, connection, self._secret)
-        except OSError:
+        except OSError as error:
             connection.close()
+            if not self._mark_inactive(address, connection):
+                raise LinkDroppedError("the peer is silent") from error
             raise
         transport = TFramedTransport(ConnectionTransport(connection))
         return PeerLink(connection, Peer.Client(NumberedProtocol(transport)))
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -508,10 +508,17 @@
     Mutation(
         "a peer that is slow to accept a connection isn't taken for dead",
         "bronzerelay/peers.py",
-        "is_unreachable = not isinstance(error, TimeoutError)",
+        "is_unreachable = not isinstance(error, TimeoutError | LinkDroppedError)",
         "is_unreachable = True",
         "tests/test_peers.py::test_a_slow_peer_isnt_unreachable",
     ),
+    Mutation(
+        "a call that still opens its link to a silent peer is cut, too",
+        "bronzerelay/peers.py",
+        "        self._mark_active(address, connection)\n        try:",
+        "        try:",
+        "tests/test_peers.py::test_a_call_that_still_opens_its_link_is_dropped_too",
+    ),
     Mutation(
         "a daemon doesn't suspect its peers because of its own pause",
         "bronzerelay/membership.py",
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,7 +5,12 @@
 from hypothesis import strategies as st
 
 from bronzerelay.peerlink.ttypes import LoanCall, LoanReply
-from bronzerelay.peers import PeerLinks, PeerServer, greet_server
+from bronzerelay.peers import (
+    HANDSHAKE_TIMEOUT_MS,
+    PeerLinks,
+    PeerServer,
+    greet_server,
+)
 from bronzerelay.runtime import Address, Connection
 from standins.faultrelay import REPEAT_REPLY, FaultRelay
 from tests.endpoints import open_runtime, wait_until
@@ -162,6 +167,24 @@
     assert not call.result().is_ok()
 
 
+def test_a_call_that_still_opens_its_link_is_dropped_too(peer):
+    """Guards against calls that wait out a handshake with a peer known to be silent."""
+    listener = peer.runtime.listen(ANY_PORT)
+    held = []
+    peer.runtime.start(lambda: held.append(listener.accept()))
+    links = PeerLinks(peer.runtime, SECRET)
+    call = peer.runtime.start(
+        links.call, listener.address, "lend", CALL, HANDSHAKE_TIMEOUT_MS
+    )
+    wait_until(peer.runtime, lambda: held)
+    begun_ms = peer.runtime.clock.now_ms()
+    wait_until(peer.runtime, lambda: links.drop(listener.address) or call.done())
+    assert peer.runtime.clock.now_ms() - begun_ms < HANDSHAKE_TIMEOUT_MS / 2
+    error = call.result().error
+    held[0].close()
+    assert (error.may_have_run, error.is_unreachable) == (False, False)
+
+
 @settings(
     derandomize=True,
     max_examples=40,
