Keep the slot of a request that is refused as busy

A request that the endpoint refused as busy gave its slot back at once, the next waiter got it and was refused, too, so that the whole queue went through the slots that the other daemon held: 17 to 40 refusals in 100 ms, where 8 to 10 requests ran. The refusals weren't necessary, as slots came free before the deadlines.

The request keeps its slot and asks again for twice the usual hold, and the daemon grants one slot fewer, twice as many after each 100 ms.

--- a/bronzerelay/dialect.py
+++ b/bronzerelay/dialect.py
@@ -17,6 +17,7 @@
 
 # Kinds of errors detected by this client; all other kinds are sent by the endpoint.
 UNREACHABLE = "unreachable"  # nothing was sent
+BUSY = "busy"  # the endpoint has no slot free; nothing ran
 LOST = "lost"  # the request may have run; the link is closed
 
 # Kinds of errors of a commit after which no transaction is open on the link.
--- a/bronzerelay/instances.py
+++ b/bronzerelay/instances.py
@@ -1,11 +1,12 @@
 """Calls to a group's instances, each with a slot and a pooled link."""
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
 
 from bronzerelay.codes import Code, Refusal, refuse
-from bronzerelay.dialect import EndpointError, EndpointLink
+from bronzerelay.dialect import BUSY, EndpointError, EndpointLink
 from bronzerelay.failover import FailoverManager
 from bronzerelay.policies import Policy
 from bronzerelay.pool import ConnectionPool
@@ -23,6 +24,12 @@
 # The time reserved for a write to run and be acknowledged, as a multiple of the average
 # time for which a slot is held.
 START_MARGIN = 3
+# After the endpoint refused a request as busy, it is asked again for a while, each time
+# after a pause. Both are multiples of the average time for which a slot is held; with a
+# longer pause the others that hold the slots would always come first.
+BUSY_PATIENCE = 2
+BUSY_PAUSE = (0.15, 0.45)
+BUSY_PAUSE_FLOOR_MS = 3.0
 
 
 def refuse_abandoned() -> Result:
@@ -34,6 +41,33 @@
     return refuse(Code.PEER_UNREACHABLE, "The daemon that asked has hung up.")
 
 
+def run_in_slot(
+    runtime: Runtime, slots: SlotQueue, name: str, call: Callable[[], Result]
+) -> Result:
+    """Return what `call` returns, and release the slot of `name` that it ran in.
+
+    If the endpoint has no slot free, because others use it too, it is asked again for a
+    short time. The slot stays taken meanwhile, so that the other waiters aren't refused
+    one after another.
+    """
+    was_busy = False
+    try:
+        end_ms = runtime.clock.now_ms() + BUSY_PATIENCE * slots.hold_ms
+        while True:
+            result = call()
+            if result.is_ok() or result.error.kind != BUSY:
+                return result
+            if not was_busy:
+                was_busy = True
+                slots.note_busy(name)
+            factor = runtime.random.uniform(*BUSY_PAUSE)
+            runtime.sleep_ms(max(BUSY_PAUSE_FLOOR_MS, factor * slots.hold_ms))
+            if runtime.clock.now_ms() >= end_ms:
+                return result
+    finally:
+        slots.release(name, was_busy)
+
+
 class GroupComponents(NamedTuple):
     """The components that serve one group."""
 
@@ -112,17 +146,20 @@
 
         The caller has acquired the slot.
         """
-        try:
-            pool = self._components.pools.get(name)
-            if pool is None:
-                error = EndpointError("unreachable", f"{name} is no longer listed")
-                return Error(error)
-            lent = pool.lend(LEND_TIMEOUT_MS)
-            if not lent.is_ok():
-                return lent
-            return self._call_link(pool, lent.ok, call)
-        finally:
-            self._components.slots.release(name)
+        slots = self._components.slots
+        return run_in_slot(
+            self._runtime, slots, name, lambda: self._call_pooled(name, call)
+        )
+
+    def _call_pooled(self, name: str, call: Any) -> Result:
+        pool = self._components.pools.get(name)
+        if pool is None:
+            error = EndpointError("unreachable", f"{name} is no longer listed")
+            return Error(error)
+        lent = pool.lend(LEND_TIMEOUT_MS)
+        if not lent.is_ok():
+            return lent
+        return self._call_link(pool, lent.ok, call)
 
     def _call_link(self, pool: ConnectionPool, link: EndpointLink, call: Any) -> Result:
         try:
--- a/bronzerelay/slots.py
+++ b/bronzerelay/slots.py
@@ -8,7 +8,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from bronzerelay.codes import NOT_RUN, Code, Refusal
 from bronzerelay.runtime import Runtime
@@ -37,6 +37,11 @@
 ESTIMATE_FLOOR_MS = 0.1
 # The weight of a new sample in the average interval between two grants.
 INTERVAL_WEIGHT = 0.2
+# After an endpoint has answered that it is busy, others hold some of its slots. This
+# daemon then grants fewer; their number doubles each time this period has passed.
+BUSY_PERIOD_MS = 100
+# After so many doublings the limit counts as grown beyond any endpoint's slots.
+MAX_DOUBLINGS = 20
 # Waiting is hopeless when even the best-case wait is this many times the time left.
 HOPELESS_FACTOR = 2
 
@@ -84,6 +89,18 @@
 Waiters = dict[Waiter, None]
 
 
+class BusyLimit(NamedTuple):
+    """How many slots of an endpoint are granted at most, from `since_ms` on."""
+
+    slots: int
+    since_ms: float
+
+    def at(self, now_ms: float) -> float:
+        """Return the limit at a later time; it grows until it limits nothing."""
+        doublings = (now_ms - self.since_ms) // BUSY_PERIOD_MS
+        return self.slots * 2.0 ** min(doublings, MAX_DOUBLINGS)
+
+
 class EndpointQueue:
     """The waiters of one workspace for one fixed list of endpoints."""
 
@@ -179,6 +196,9 @@
         self._lock = runtime.make_lock()
         self._slots: dict[str, int] = {}
         self._grant_times_ms: dict[str, deque[float]] = {}
+        self._busy_limits: dict[str, BusyLimit] = {}
+        # The slots held by requests that were refused as busy and are sent again.
+        self._refused_counts: dict[str, int] = {}
         self._queues: dict[str, WorkspaceQueue] = {}
         self._ring: deque[str] = deque()
         # The workspace whose turn it is; it has got its quantum for this turn.
@@ -195,6 +215,8 @@
         """Replace the endpoints; slots held on a removed endpoint stay held."""
         with self._lock:
             self._slots = dict(slots)
+            for endpoint in set(self._busy_limits) - set(slots):
+                del self._busy_limits[endpoint]
             self._version += 1
             self._grant_slots()
 
@@ -284,14 +306,35 @@
         """Return how long a slot is held, as a moving average."""
         return self._hold_ms
 
-    def release(self, endpoint: str) -> None:
-        """Release a slot and grant it to the next waiter that can use it."""
+    def release(self, endpoint: str, was_busy: bool = False) -> None:
+        """Release a slot and grant it to the next waiter that can use it.
+
+        With `was_busy` the endpoint had none free at first: the time that it was held
+        tells nothing about how long a request takes.
+        """
         with self._lock:
             held_ms = self._clock.now_ms() - self._grant_times_ms[endpoint].popleft()
-            held_ms = min(held_ms, limit_sample(self._hold_ms))
-            self._hold_ms += HOLD_WEIGHT * (held_ms - self._hold_ms)
+            if was_busy:
+                self._refused_counts[endpoint] -= 1
+            else:
+                held_ms = min(held_ms, limit_sample(self._hold_ms))
+                self._hold_ms += HOLD_WEIGHT * (held_ms - self._hold_ms)
             self._grant_slots()
 
+    def note_busy(self, endpoint: str) -> None:
+        """Grant fewer slots of an endpoint that refused a request in a slot as busy.
+
+        Otherwise all waiters would get the slot in turn, and be refused one by one,
+        while others hold it. The caller still holds the slot of the refused request. It
+        calls this once, and releases the slot with `was_busy`.
+        """
+        with self._lock:
+            refused = self._refused_counts.get(endpoint, 0) + 1
+            self._refused_counts[endpoint] = refused
+            running = len(self._grant_times_ms.get(endpoint, ())) - refused
+            limit = BusyLimit(max(1, running), self._clock.now_ms())
+            self._busy_limits[endpoint] = limit
+
     def wake(self) -> None:
         """Call the selectors again, as their results may have changed."""
         # Called for each answer of an instance, so the lock is avoided if possible.
@@ -315,11 +358,20 @@
 
     def _list_free(self) -> list[str]:
         return [
-            name
-            for name, slots in self._slots.items()
-            if len(self._grant_times_ms.get(name, ())) < slots
+            name for name, slots in self._slots.items() if self._is_free(name, slots)
         ]
 
+    def _is_free(self, endpoint: str, slots: int) -> bool:
+        """Return whether a slot of the endpoint may be granted now."""
+        used = len(self._grant_times_ms.get(endpoint, ()))
+        busy_limit = self._busy_limits.get(endpoint)
+        if used >= slots or busy_limit is None:
+            return used < slots
+        limit = busy_limit.at(self._clock.now_ms())
+        if limit >= slots:
+            del self._busy_limits[endpoint]
+        return used - self._refused_counts.get(endpoint, 0) < limit
+
     def _occupy(self, endpoint: str) -> None:
         times = self._grant_times_ms.setdefault(endpoint, deque())
         times.append(self._clock.now_ms())
--- a/bronzerelay/transactions.py
+++ b/bronzerelay/transactions.py
@@ -1,6 +1,7 @@
 """Transactions: each runs on one connection to one instance, within one term."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
@@ -8,7 +9,7 @@
 from bronzerelay.codes import NOT_RUN, Code, Refusal, refuse
 from bronzerelay.dialect import CommitAnswer, EndpointError, EndpointLink
 from bronzerelay.group import GroupServer
-from bronzerelay.instances import LEND_TIMEOUT_MS
+from bronzerelay.instances import LEND_TIMEOUT_MS, run_in_slot
 from bronzerelay.pool import ConnectionPool
 from bronzerelay.runtime import Runtime
 from bronzerelay.sessions import advance_session, encode_session
@@ -211,17 +212,18 @@
         acquired = self._acquire_slot(transaction, work)
         if not acquired.is_ok():
             return acquired
-        try:
-            if statement["verb"] == "get":
-                result = transaction.link.read(
-                    work.workspace, statement, self._timeout_ms
-                )
-            else:
-                result = transaction.link.write(
-                    work.workspace, transaction.term, statement, "", self._timeout_ms
-                )
-        finally:
-            transaction.group.components.slots.release(transaction.endpoint)
+        link, workspace = transaction.link, work.workspace
+        if statement["verb"] == "get":
+            result = self._run_in_slot(
+                transaction, lambda: link.read(workspace, statement, self._timeout_ms)
+            )
+        else:
+            result = self._run_in_slot(
+                transaction,
+                lambda: link.write(
+                    workspace, transaction.term, statement, "", self._timeout_ms
+                ),
+            )
         if not result.is_ok():
             return self._handle_failure(transaction, result.error)
         seen = Position(result.ok.log_term, result.ok.position)
@@ -244,6 +246,12 @@
         slots = transaction.group.components.slots
         return slots.acquire(work.workspace, (transaction.endpoint,), work.deadline_ms)
 
+    def _run_in_slot(
+        self, transaction: Transaction, call: Callable[[], Result]
+    ) -> Result:
+        slots = transaction.group.components.slots
+        return run_in_slot(self._runtime, slots, transaction.endpoint, call)
+
     def _handle_failure(self, transaction: Transaction, error: EndpointError) -> Result:
         if error.kind == "invalid_statement":
             return refuse(Code.STATEMENT_FAILED, error.message)
@@ -261,12 +269,12 @@
         acquired = self._acquire_slot(transaction, work)
         if not acquired.is_ok():
             return acquired
-        try:
-            result = transaction.link.commit(
+        result = self._run_in_slot(
+            transaction,
+            lambda: transaction.link.commit(
                 transaction.term, work.write_id(1), self._timeout_ms
-            )
-        finally:
-            transaction.group.components.slots.release(transaction.endpoint)
+            ),
+        )
         if not result.is_ok() and result.error.kind == "busy":
             return refuse(Code.QUEUE_FULL, "The endpoint has no slot free.", 50)
         self._end(transaction)
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -505,6 +505,20 @@
         "if False:",
         "tests/test_promise_once.py::test_queued_work_of_a_closed_peer_link_takes_no_slot",
     ),
+    Mutation(
+        "a request refused as busy keeps its slot and is asked again",
+        "bronzerelay/instances.py",
+        "if result.is_ok() or result.error.kind != BUSY:",
+        "if True:",
+        "tests/test_group.py::test_two_daemons_that_serve_a_group_refuse_no_write_as_busy",
+    ),
+    Mutation(
+        "a busy endpoint gets fewer requests for a while",
+        "bronzerelay/slots.py",
+        "return self.slots * 2.0 ** min(doublings, MAX_DOUBLINGS)",
+        "return math.inf",
+        "tests/test_slots.py::test_a_busy_endpoint_gets_fewer_requests_for_a_while",
+    ),
     Mutation(
         "a peer that is slow to accept a connection isn't taken for dead",
         "bronzerelay/peers.py",
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -7,6 +7,9 @@
 from tests.nodes import open_deployment
 
 SERVICE_MS = 900
+# The writes that wait at each of two daemons, and how long one of them holds a slot.
+QUEUED_WRITES = 25
+SHARED_SERVICE_MS = 20
 
 
 def test_a_write_to_a_busy_primary_is_retried_a_few_times_only():
@@ -31,6 +34,21 @@
         assert other.result().is_ok()
 
 
+def test_two_daemons_that_serve_a_group_refuse_no_write_as_busy():
+    """Guards against queues that are refused while another daemon uses the slots."""
+    with open_group(slots=2, service_ms=SHARED_SERVICE_MS) as group:
+        servers = [make_server(group.runtime, group, name) for name in ("vm-1", "vm-2")]
+        writes = [
+            group.runtime.start(server.write, make_work(group.runtime, add("count", 1)))
+            for _ in range(QUEUED_WRITES)
+            for server in servers
+        ]
+        refused = [
+            write.result().error for write in writes if write.result().is_error()
+        ]
+        assert refused == []
+
+
 def test_a_group_is_listed_by_its_serving_daemon_and_by_no_standby():
     """Guards against a status in which a standby looks like the serving daemon."""
     with open_deployment(3) as deployment:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from bronzerelay.codes import NOT_RUN, Code
-from bronzerelay.slots import CREDIT_LIMIT, SlotQueue
+from bronzerelay.slots import BUSY_PERIOD_MS, CREDIT_LIMIT, SlotQueue
 from tests.endpoints import open_runtime, wait_until
 
 LONG_MS = 5000
@@ -313,6 +313,35 @@
     assert lock.acquisitions == 2 * (1 + waiting)
 
 
+def test_a_busy_endpoint_gets_fewer_requests_for_a_while(runtime):
+    """Guards against waiters that are granted slots which others hold."""
+    trial = Trial(runtime, {"x": 2})
+    for _ in range(2):
+        assert trial.acquire().is_ok()
+    waiters = [trial.start_waiter("b", ("x",)) for _ in range(2)]
+    trial.queue.note_busy("x")
+    trial.queue.release("x", was_busy=True)
+    assert trial.count() == 2
+    trial.serve()
+    assert trial.queue.count_used() == {"x": 1}
+    runtime.sleep_ms(BUSY_PERIOD_MS)
+    trial.queue.wake()
+    assert trial.acquire("c").is_ok()
+    trial.serve()
+    assert all(waiter.result().is_ok() for waiter in waiters)
+
+
+def test_the_wait_for_a_busy_endpoint_is_no_hold_time(runtime):
+    """Guards against waits that grow with the estimate that they are derived from."""
+    trial = Trial(runtime, {"x": 1})
+    before_ms = trial.queue.hold_ms
+    assert trial.acquire().is_ok()
+    runtime.sleep_ms(HOLD_MS)
+    trial.queue.note_busy("x")
+    trial.queue.release("x", was_busy=True)
+    assert trial.queue.hold_ms == before_ms
+
+
 @settings(derandomize=True, max_examples=10, deadline=None)
 @given(
     slots=st.dictionaries(
