Close a descriptor only when no task waits on it any more

Callers got "gave no reply: timed out" (504) or "unknown" (402) 100 ms after their deadline for requests that had been forwarded to a frozen daemon, though its peers had taken it for silent 1.3 s before and had cut their calls to it.

Cause: the cut shut the socket down and closed it from another task. The kernel wakes the task that polls and looks the descriptor's number up again; if a new connection has it by then, the task waits on that one until its timeout. Cut calls open new connections at once, and a busy machine wakes the task late.

A connection counts the calls that use its descriptor, and the last one to return closes it. Lent links to endpoints, draining fronts and the pooler's links go through the same class.

Ruled out: calls begun after the cut or tried again at the same daemon, by the time of the refusal. The new test failed before.

--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -175,12 +175,33 @@
 
 
 class Connection:
-    """A TCP connection with a timeout for each call."""
+    """A TCP connection with a timeout for each call.
+
+    Any task may close it. Its descriptor stays open until the calls of other tasks have
+    returned: the kernel looks descriptors up again when it wakes a waiting task, and if
+    the number stood for a newer connection by then, the task would go on waiting.
+    """
 
     def __init__(self, sock: socket.socket, on_close: Callable[[Connection], None]):
         self._sock = sock
         self._on_close = on_close
         self._timeout_ms: float | None = -1
+        self._lock = threading.Lock()
+        self._calls = 0
+        self._closing = False
+
+    def _call(self, function: Callable[..., Any], *args: Any) -> Any:
+        """Call `function`, which uses the descriptor, and return its result."""
+        with self._lock:
+            self._calls += 1
+        try:
+            return function(*args)
+        finally:
+            with self._lock:
+                self._calls -= 1
+                is_last = self._closing and not self._calls
+            if is_last:
+                self._sock.close()
 
     def set_timeout(self, timeout_ms: float | None) -> None:
         """Let each later call wait `timeout_ms` at most; None waits forever."""
@@ -191,17 +212,17 @@
 
     def send(self, data: bytes) -> None:
         """Send all of `data`, or raise OSError."""
-        self._sock.sendall(data)
+        self._call(self._sock.sendall, data)
 
     def receive(self, limit: int = RECEIVE_BYTES) -> bytes:
         """Return the next bytes; b"" means that the other side has closed."""
-        return self._sock.recv(limit)
+        return self._call(self._sock.recv, limit)
 
     def receive_exactly(self, count: int) -> bytes:
         """Return exactly `count` bytes, or raise ConnectionLostError."""
         chunks = []
         while count:
-            chunk = self._sock.recv(count)
+            chunk = self._call(self._sock.recv, count)
             if not chunk:
                 raise ConnectionLostError("the other side closed the connection")
             chunks.append(chunk)
@@ -216,7 +237,7 @@
         """
         try:
             self.set_timeout(0)
-            self._sock.recv(1, socket.MSG_PEEK)
+            self._call(self._sock.recv, 1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
@@ -232,12 +253,12 @@
         """
         if is_encrypted(self._sock) and self._sock.pending():
             return True
-        return _wait_readable(self._sock, timeout_ms, signal)
+        return self._call(_wait_readable, self._sock, timeout_ms, signal)
 
     def complete_handshake(self) -> None:
         """Complete the TLS handshake, if TLS is used, within the set timeout."""
         if is_encrypted(self._sock):
-            self._sock.do_handshake()
+            self._call(self._sock.do_handshake)
 
     def finish_sending(self) -> None:
         """Shut down the sending side; receiving still works."""
@@ -254,7 +275,11 @@
         # couldn't exit, since interpreter exit joins the executor's threads.
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
-        self._sock.close()
+        with self._lock:
+            self._closing = True
+            is_unused = not self._calls
+        if is_unused:
+            self._sock.close()
         self._on_close(self)
 
 
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -505,6 +505,13 @@
         "if False:",
         "tests/test_promise_once.py::test_queued_work_of_a_closed_peer_link_takes_no_slot",
     ),
+    Mutation(
+        "a descriptor stays open while a task waits on it",
+        "bronzerelay/runtime.py",
+        "is_unused = not self._calls",
+        "is_unused = True",
+        "tests/test_runtime.py::TestClosing::test_the_descriptor_of_a_waiting_task_isnt_reused",
+    ),
     Mutation(
         "a request refused as busy keeps its slot and is asked again",
         "bronzerelay/instances.py",
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -12,6 +12,7 @@
     KEEPALIVE_INTERVAL_S,
     KEEPALIVE_PROBES,
     Address,
+    Connection,
 )
 from standins.linegroup import LOCAL
 
@@ -37,6 +38,46 @@
         listener.close()
 
 
+class WaitingSocket:
+    """A socket on which a task waits until `woken` is set."""
+
+    def __init__(self):
+        self.entered = threading.Event()
+        self.woken = threading.Event()
+        self.closed = False
+
+    def recv(self, *args):
+        self.entered.set()
+        assert self.woken.wait(WAIT_S)
+        return b""
+
+    def shutdown(self, how):
+        pass
+
+    def close(self):
+        self.closed = True
+
+
+class TestClosing:
+    def test_the_descriptor_of_a_waiting_task_isnt_reused(self, runtime):
+        """Guards against a task that waits on a newer connection with its number."""
+        sock = WaitingSocket()
+        connection = Connection(sock, lambda closed: None)
+        task = runtime.start(connection.receive)
+        assert sock.entered.wait(WAIT_S)
+        connection.close()
+        assert not sock.closed
+        sock.woken.set()
+        assert task.result() == b""
+        assert sock.closed
+
+    def test_an_unused_connection_is_closed_at_once(self, runtime):
+        sock = WaitingSocket()
+        Connection(sock, lambda closed: None).close()
+        assert sock.closed
+
+
+WAIT_S = 5.0
 DELIVERY_DELAY_S = 0.05
 FALLBACK_DELAY_S = 2.0
 
