Let requests wait for the first heartbeats after a pause

It can't know whether a key was withdrawn meanwhile, so that it mustn't admit them; the refusal wasn't necessary, though, as their deadlines were 2 s away. Requests wait now for 400 ms after the daemon finds itself isolated. One that stays isolated refuses at once, as before, and keys are checked after the wait.

Ruled out: a promotion back to a leaving endpoint, which shows as work there. The first of the two tests failed before.

--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -35,6 +35,10 @@
 WRITE_ID_BYTES = 12
 STOPPING_RETRY_AFTER_MS = 50
 ISOLATED_RETRY_AFTER_MS = 1000
+# How long after a daemon finds itself isolated requests wait for news, and how often
+# they look. After a pause of its own the next replies to heartbeats bring the news.
+ISOLATION_WAIT_MS = 400
+ISOLATION_CHECK_MS = 5
 
 _request_decoder = msgspec.json.Decoder(StatementRequest)
 
@@ -75,6 +79,7 @@
             lambda workspace: self.shares.spend(workspace),
         )
         self.stopping = False
+        self._isolated_since_ms: float | None = None
         self._log = logs.open_log("kernel")
 
     # Admission
@@ -92,6 +97,26 @@
             return refuse(Code.ISOLATED, message, ISOLATED_RETRY_AFTER_MS)
         return Ok(None)
 
+    def _await_admission(self, end_ms: float) -> Result[None, Refusal]:
+        """Return Ok if requests may run; wait a short time if that is likely to help.
+
+        A daemon that was paused can't know whether keys were withdrawn meanwhile until
+        it hears of its peers again. One that stays isolated refuses at once.
+        """
+        clock = self._runtime.clock
+        while True:
+            admitted = self.check_admission()
+            if admitted.is_ok() or admitted.error.code != Code.ISOLATED:
+                self._isolated_since_ms = None
+                return admitted
+            now_ms = clock.now_ms()
+            since_ms = self._isolated_since_ms
+            if since_ms is None:
+                since_ms = self._isolated_since_ms = now_ms
+            if now_ms >= min(end_ms, since_ms + ISOLATION_WAIT_MS):
+                return admitted
+            self._runtime.sleep_ms(ISOLATION_CHECK_MS)
+
     def check_ready(self) -> Result[None, Refusal]:
         """Return Ok if the load balancer should send callers here.
 
@@ -133,8 +158,9 @@
     def _admit_and_run(
         self, workspace: str, key: str, request: StatementRequest, trace_id: str
     ) -> Result[StatementAnswer, Refusal]:
+        deadline_ms = self._find_deadline(request)
         # An open transaction may still run and end while the daemon stops.
-        admitted = self.check_admission()
+        admitted = self._await_admission(deadline_ms)
         if not admitted.is_ok() and not self._may_continue(admitted.error, request):
             return admitted
         checked = self._store.check_key(workspace, key)
@@ -152,18 +178,24 @@
             spent = self.shares.spend(workspace)
             if not spent.is_ok():
                 return spent
-        work = self._make_work(workspace, request, session.ok)
+        work = self._make_work(workspace, request, session.ok, deadline_ms)
         return self._router.route(work._replace(trace_id=trace_id))
 
     def _may_continue(self, refusal: Refusal, request: StatementRequest) -> bool:
         return refusal.code == Code.STOPPING and "transaction" in request
 
-    def _make_work(
-        self, workspace: str, request: StatementRequest, session: Session
-    ) -> Work:
+    def _find_deadline(self, request: StatementRequest) -> float:
         limit_ms = self._settings.max_deadline_ms
         requested_ms = request.get("deadline_ms", self._settings.default_deadline_ms)
-        deadline_ms = self._runtime.clock.now_ms() + min(requested_ms, limit_ms)
+        return self._runtime.clock.now_ms() + min(requested_ms, limit_ms)
+
+    def _make_work(
+        self,
+        workspace: str,
+        request: StatementRequest,
+        session: Session,
+        deadline_ms: float,
+    ) -> Work:
         # Callers may reuse a request id, so each write gets an id of its own.
         write_id = self._runtime.random.randbytes(WRITE_ID_BYTES).hex()
         return Work(write_id, workspace, request, session, deadline_ms)
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -505,6 +505,13 @@
         "if False:",
         "tests/test_promise_once.py::test_queued_work_of_a_closed_peer_link_takes_no_slot",
     ),
+    Mutation(
+        "a request waits for the first heartbeats after a pause",
+        "bronzerelay/kernel.py",
+        "admitted = self._await_admission(deadline_ms)",
+        "admitted = self.check_admission()",
+        "tests/test_kernel.py::test_a_request_after_a_pause_waits_for_the_next_heartbeats",
+    ),
     Mutation(
         "a descriptor stays open while a task waits on it",
         "bronzerelay/runtime.py",
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -1,9 +1,11 @@
-"""Tests of the kernel: the log lines of a request."""
+"""Tests of the kernel: the log lines of a request, and requests while isolated."""
 
 import logging
 
 import pytest
 
+from bronzerelay.codes import Code
+from bronzerelay.kernel import ISOLATION_WAIT_MS
 from tests.endpoints import get
 from tests.nodes import KEY, WORKSPACE, open_deployment
 
@@ -48,3 +50,28 @@
         assert answer.is_ok()
     ids = [getattr(record, "request_id", "") for record in records]
     assert ids.count(REQUEST_ID) == 2
+
+
+def test_a_request_after_a_pause_waits_for_the_next_heartbeats(monkeypatch):
+    """Guards against refusals by a daemon that hears of its peers a moment later."""
+    with open_deployment(1) as deployment:
+        deployment.warm_up()
+        (node,) = deployment.nodes
+        clock = deployment.runtime.clock
+        heard_ms = clock.now_ms() + ISOLATION_WAIT_MS / 4
+        monkeypatch.setattr(
+            node.membership, "is_isolated", lambda: clock.now_ms() < heard_ms
+        )
+        assert node.send(statement=get("row")).is_ok()
+
+
+def test_a_daemon_that_stays_isolated_refuses_at_once(monkeypatch):
+    """Guards against requests that wait for a certain refusal."""
+    with open_deployment(1) as deployment:
+        deployment.warm_up()
+        (node,) = deployment.nodes
+        monkeypatch.setattr(node.membership, "is_isolated", lambda: True)
+        assert node.send(statement=get("row")).error.code == Code.ISOLATED
+        begun_ms = deployment.runtime.clock.now_ms()
+        assert node.send(statement=get("row")).error.code == Code.ISOLATED
+        assert deployment.runtime.clock.now_ms() - begun_ms < ISOLATION_WAIT_MS / 2
