--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -278,6 +278,10 @@
         # couldn't exit, since interpreter exit joins the executor's threads.
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
+        self._close_unused()
+
+    def _close_unused(self) -> None:
+        """Close the socket, or let the last call that uses it do so."""
         with self._lock:
             self._closing = True
             is_unused = not self._calls
@@ -292,8 +296,7 @@
         """
         with contextlib.suppress(OSError):
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
-        self._sock.close()
-        self._on_close(self)
+        self._close_unused()
 
 
 class Listener:
