Let a restarted daemon recover from all others while the store is out

Cause: a restarted daemon, which may have forgotten a change that it acknowledged, counted in no majority until the store told it. All other members know as much: once each of them has told what it knows since the start, and one of them has its memory, the daemon counts.

--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -133,6 +133,9 @@
         self.heard_up_to_ms = NEVER_MS
         # A store revision that the peer knew at that time or later.
         self.known_revision = 0
+        # The same as `heard_up_to_ms`, but only what the peer has told itself, also
+        # while it may have forgotten changes.
+        self.told_up_to_ms = NEVER_MS
         # By service, the epoch of the primary change that the peer has acknowledged.
         self.acknowledged: dict[str, int] = {}
         # The shortened incarnation of the process that has acknowledged them.
@@ -372,10 +375,11 @@
             proven_ms = NEVER_MS if sent_at_ms is None else sent_at_ms
             # A peer that hasn't loaded the store yet may not know of a primary change,
             # and one that has restarted may not know of one that it acknowledged.
-            knows_changes = beat.store_revision > 0 and beat.recovered
-            if knows_changes and beat.has_all_records:
-                view.heard_up_to_ms = max(view.heard_up_to_ms, proven_ms)
-                view.known_revision = beat.store_revision
+            if beat.store_revision > 0 and beat.has_all_records:
+                view.told_up_to_ms = max(view.told_up_to_ms, proven_ms)
+                if beat.recovered:
+                    view.heard_up_to_ms = max(view.heard_up_to_ms, proven_ms)
+                    view.known_revision = beat.store_revision
         handle(beat, view, proven_ms)
 
     def _find_sent(self, number: int) -> float | None:
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -14,7 +14,14 @@
 from bronzerelay.pooler.directory import Directory, PrimaryRecord
 from bronzerelay.pooler.fleetrates import FleetRates
 from bronzerelay.pooler.freshness import Turn
-from bronzerelay.pooler.gossip import BEAT_MS, Beat, Gossip, PeerView, Relayed
+from bronzerelay.pooler.gossip import (
+    BEAT_MS,
+    NEVER_MS,
+    Beat,
+    Gossip,
+    PeerView,
+    Relayed,
+)
 from bronzerelay.pooler.messages import Position
 from bronzerelay.pooler.mirror import Mirror
 from bronzerelay.pooler.placement import Placement
@@ -80,6 +87,7 @@
         self._upstream: tuple[str, ...] = ()
         self.is_stopping = False
         self._started_ms = runtime.clock.now_ms()
+        self._has_recovered = False
 
     # Contacts and relays
 
@@ -231,10 +239,22 @@
         """Return whether the changes acknowledged before a restart are known here.
 
         They are once the store is known as of a time after the start, as a change is
-        recorded before anyone acknowledges it. A mirror from a peer may be older.
+        recorded before anyone acknowledges it; a mirror from a peer may be older. They
+        also are once all other members have told what they know since the start, and
+        one of them has recovered or never restarted.
         """
-        now_ms = self._clock.now_ms()
-        return now_ms - self._mirror.store_age_ms() >= self._started_ms
+        if not self._has_recovered:
+            known_ms = self._clock.now_ms() - self._mirror.store_age_ms()
+            since_ms = max(known_ms, self._find_all_told_ms())
+            self._has_recovered = since_ms >= self._started_ms
+        return self._has_recovered
+
+    def _find_all_told_ms(self) -> float:
+        views = list(self._gossip.views.values())
+        if not views:
+            return NEVER_MS
+        told_ms = min(view.told_up_to_ms for view in views)
+        return min(told_ms, max(view.heard_up_to_ms for view in views))
 
     def _list_unsettled(self) -> dict[str, int]:
         return {
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -557,8 +557,15 @@
     Mutation(
         "a restarted daemon's heartbeats count once it has recovered",
         POOLER + "gossip.py",
-        "knows_changes = beat.store_revision > 0 and beat.recovered",
-        "knows_changes = beat.store_revision > 0",
+        "if beat.recovered:",
+        "if True:",
+        "tests/test_heartbeats.py::TestProof",
+    ),
+    Mutation(
+        "a restarted daemon recovers once all others have told what they know",
+        POOLER + "heartbeats.py",
+        "since_ms = max(known_ms, self._find_all_told_ms())",
+        "since_ms = known_ms",
         "tests/test_heartbeats.py::TestProof",
     ),
     Mutation(
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -364,6 +364,23 @@
         fleet.run(SETTLING_MS)
         assert all(daemon.guard.has_proof() for daemon in fleet.list_alive())
 
+    def test_restarted_daemon_recovers_once_all_others_have_told_what_they_know(self):
+        # Guards against a fleet without a primary until the store is back, as most of
+        # the daemons were killed during its outage and all are running again.
+        fleet = HeartbeatFleet(5)
+        fleet.run(SETTLING_MS)
+        self.lose_store(fleet)
+        fleet.network.is_cut = lambda sender, receiver: "d4" in (sender, receiver)
+        self.restart(fleet, ["d0", "d1", "d2"])
+        fleet.run(SETTLING_MS)
+        restarted = [fleet.daemons[name] for name in ("d0", "d1", "d2")]
+        assert not any(one.heartbeats.has_recovered() for one in restarted)
+        assert not any(daemon.guard.has_proof() for daemon in fleet.list_alive())
+        fleet.network.is_cut = lambda sender, receiver: False
+        fleet.run(SETTLING_MS)
+        assert all(one.heartbeats.has_recovered() for one in restarted)
+        assert all(daemon.guard.has_proof() for daemon in fleet.list_alive())
+
     def test_restarted_daemon_counts_in_no_majority(self):
         # One of two daemons that acknowledged a change restarts, and hears only the one
         # that doesn't know of it: neither may have a proof.
