Let the mutation of a relay's order of reading be noticed

The mutation listed the members heard twice, so that its test passed in spite of it. Now it swaps the two readings; for that the listing of missing records is a method.

--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -283,13 +283,7 @@
         # Read before the records: a change that a member tells meanwhile is among these
         # or the member wasn't heard.
         relayed = self._build_relayed(view) if self._plan.relaying else None
-        missing_records = [
-            record
-            for record in list(self._directory.primary_records.values())
-            if since_ms is None
-            or view.acknowledged.get(record.service, 0) < record.epoch
-            or (record.settled and view.unsettled.get(record.service) == record.epoch)
-        ]
+        missing_records = self._list_missing(view, since_ms)
         scope = self._find_scope(view)
         return beat._replace(
             report=self._rates.make_report(since_ms, scope, view.name),
@@ -302,6 +296,17 @@
             and view.name in self._plan.contacts,
         )
 
+    def _list_missing(
+        self, view: PeerView, since_ms: float | None
+    ) -> list[PrimaryRecord]:
+        return [
+            record
+            for record in list(self._directory.primary_records.values())
+            if since_ms is None
+            or view.acknowledged.get(record.service, 0) < record.epoch
+            or (record.settled and view.unsettled.get(record.service) == record.epoch)
+        ]
+
     def _find_scope(self, view: PeerView) -> Scope:
         if not self._plan.relaying:
             return Scope.OWN
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -521,9 +521,10 @@
     Mutation(
         "a relay sends the changes that the members it has heard have told",
         POOLER + "heartbeats.py",
-        "            relayed=relayed,\n",
-        "            relayed=self._build_relayed(view)\n"
-        "            if self._plan.relaying else None,\n",
+        "relayed = self._build_relayed(view) if self._plan.relaying else None\n"
+        "        missing_records = self._list_missing(view, since_ms)",
+        "missing_records = self._list_missing(view, since_ms)\n"
+        "        relayed = self._build_relayed(view) if self._plan.relaying else None",
         "tests/test_heartbeats.py::TestProof",
     ),
     Mutation(
