--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -23,8 +23,8 @@
     Mutation(
         "a primary is used only with a proof that it hasn't been replaced",
         POOLER + "primaryguard.py",
-        "if not self.has_proof():",
-        "if False:",
+        "if self.has_proof():",
+        "if True:",
         "tests/test_primaryguard.py::TestProof",
     ),
     Mutation(
@@ -315,7 +315,7 @@
     Mutation(
         "the store is polled for a proof before the lease expires",
         POOLER + "primaryguard.py",
-        "self._proof_ms + STORE_PROOF_INTERVAL_MS,",
+        "max(self._proof_ms, self._store_known_ms) + STORE_PROOF_INTERVAL_MS,",
         "self._proof_ms + LEASE_MS,",
         "tests/test_primaryguard.py::TestStoreProofs",
     ),
@@ -350,7 +350,7 @@
     Mutation(
         "an isolated daemon admits no operation",
         POOLER + "primaryguard.py",
-        "if self.proof_age_ms() <= ISOLATED_AFTER_MS:",
+        "if self._clock.now_ms() - known_ms <= ISOLATED_AFTER_MS:",
         "if True:",
         PATH + "TestIsolation",
     ),
@@ -578,9 +578,10 @@
     Mutation(
         "a relay sends the changes that the members it has heard have told",
         POOLER + "heartbeats.py",
-        "            relayed=relayed,\n",
-        "            relayed=self._build_relayed(view)\n"
-        "            if self._plan.relaying else None,\n",
+        "relayed = self._build_relayed(view) if self._plan.relaying else None\n"
+        "        missing_records = self._list_missing(view, since_ms)",
+        "missing_records = self._list_missing(view, since_ms)\n"
+        "        relayed = self._build_relayed(view) if self._plan.relaying else None",
         "tests/test_heartbeats.py::TestProof",
     ),
     Mutation(
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -427,7 +427,9 @@
         # from the member list and knows neither of that nor of the change.
         *members, outsider = fleet.start_ready("d1", "d2", "d3")
         outsider.mirror._apply = lambda update: None
+        outsider.mirror.confirm_current = lambda revision, as_of_ms: False
         entry = members[0].mirror.get(MEMBER_PREFIX + "d3")
+        outsider.guard.add_peer_proof(fleet.runtime.clock.now_ms())
         members[0].mirror.compare_and_swap({entry.key: entry.revision}, {}, [entry.key])
         fleet.wait(
             lambda: all("d3" not in one.members.list_names() for one in members),
