Begin no call on a connection that is being closed

Between the decision to close a descriptor and its closing another task could begin a call on it, and wait on the connection that got the number next. Found in the review; test_no_call_begins_on_a_connection_that_is_being_closed failed before.

--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -196,6 +196,8 @@
     def _call(self, function: Callable[..., Any], *args: Any) -> Any:
         """Call `function`, which uses the descriptor, and return its result."""
         with self._lock:
+            if self._closing:
+                raise ConnectionLostError("the connection is closed")
             self._calls += 1
         try:
             return function(*args)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -1,5 +1,6 @@
 """Tests of the runtime."""
 
+import contextlib
 import signal
 import socket
 import threading
@@ -71,6 +72,22 @@
         assert task.result() == b""
         assert sock.closed
 
+    def test_no_call_begins_on_a_connection_that_is_being_closed(self):
+        """Guards against a task that waits on a newer connection with its number."""
+        sock = WaitingSocket()
+        sock.woken.set()
+        connection = Connection(sock, lambda closed: None)
+
+        def call_first():
+            # Another task calls just before the descriptor is closed.
+            sock.close = lambda: None
+            with contextlib.suppress(OSError):
+                connection.receive()
+
+        sock.close = call_first
+        connection.close()
+        assert not sock.entered.is_set()
+
     def test_an_unused_connection_is_closed_at_once(self, runtime):
         sock = WaitingSocket()
         Connection(sock, lambda closed: None).close()
