Grant slots that came free with time to those who wait

After an endpoint was busy its limit grows with time, which wakes no waiter: a newcomer took the slot before them. Found in the review; test_a_newcomer_doesnt_overtake_waiters_when_the_busy_limit_grows failed before. test_a_busy_endpoint_gets_fewer_requests_for_a_while let a newcomer have the slot while another request waited; now that one gets it, and the newcomer the next.

--- a/bronzerelay/slots.py
+++ b/bronzerelay/slots.py
@@ -380,6 +380,9 @@
         self, workspace: str, selector: Selector, deadline_ms: float
     ) -> str | Refusal | Waiter:
         """Return the endpoint granted, a refusal, or the queued waiter."""
+        if self._busy_limits:
+            # A slot may have come free as time passed, which wakes nobody.
+            self._grant_slots()
         # All queued waiters have declined every endpoint that is free now, so granting
         # one here overtakes nobody.
         endpoint = select_endpoint(selector, self._list_free())
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -325,10 +325,26 @@
     trial.serve()
     assert trial.queue.count_used() == {"x": 1}
     runtime.sleep_ms(BUSY_PERIOD_MS)
-    trial.queue.wake()
-    assert trial.acquire("c").is_ok()
-    trial.serve()
+    newcomer = runtime.start(trial.acquire, "c", ("x",))
+    wait_until(runtime, lambda: trial.queue.count_used() == {"x": 2})
     assert all(waiter.result().is_ok() for waiter in waiters)
+    trial.queue.release("x")
+    assert newcomer.result().is_ok()
+
+
+def test_a_newcomer_doesnt_overtake_waiters_when_the_busy_limit_grows(runtime):
+    """Guards against a slot that comes free with time and goes to who asks next."""
+    trial = Trial(runtime, {"x": 2})
+    for _ in range(2):
+        assert trial.acquire().is_ok()
+    waiter = trial.start_waiter("b", ("x",))
+    trial.queue.note_busy("x")
+    trial.queue.release("x", was_busy=True)
+    runtime.sleep_ms(BUSY_PERIOD_MS)
+    newcomer = trial.acquire("c", ("x",), SHORT_MS)
+    trial.queue.release("x")
+    assert waiter.result().is_ok()
+    assert not newcomer.is_ok()
 
 
 def test_the_wait_for_a_busy_endpoint_is_no_hold_time(runtime):
