Let the old primary lead again if it is the only instance left

What callers saw: a service without a primary for ever, though its instance was back.

Cause: a change that goes on with one that was abandoned never considers the primary that is to be replaced, not even when no other instance answers.

--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -560,8 +560,12 @@
     def _find_best(
         self, refused: set[str]
     ) -> tuple[InstanceEntry, InstanceStatus] | None:
-        excluded = refused if self._reason == "no primary" else refused | {self._old_id}
-        return self._coordinator.find_best(self._service, frozenset(excluded))
+        find_best = self._coordinator.find_best
+        best = find_best(self._service, frozenset(refused | {self._old_id}))
+        if best is None or self._reason == "no primary":
+            # The old primary may have come back as the only instance.
+            best = find_best(self._service, frozenset(refused))
+        return best
 
     def _ask(self, entry: InstanceEntry) -> InstanceStatus | None:
         return self._coordinator._ask_status(entry, STATUS_TIMEOUT_MS)
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -270,6 +270,19 @@
         harness.run_for(TAKEOVER_MS - 200)
         assert harness.promotions == []
 
+    def test_only_instance_leads_again_after_an_abandoned_change(self, harness):
+        # Guards against a service that never has a primary again: its only instance
+        # crashes, no other can be promoted, and it comes back with its log as primary.
+        harness.received = {}
+        harness.kill_primary()
+        harness.run_for(DEAD_AFTER_MS + 2000)
+        harness.received = {PRIMARY: Position(1, 9)}
+        harness.primaries = {PRIMARY}
+        harness.run_for(10 * TAKEOVER_MS)
+        primary = harness.directory.find_primary(SERVICE)
+        assert primary is not None
+        assert primary.id == PRIMARY
+
     def test_stalled_change_is_taken_over_under_a_higher_epoch(self, harness):
         harness.directory.set_primary_record(
             make_primary_record(4, settled=False, holder="d2")
