Ask those who were never heard before daemons that joined outvote them

Cause: a lock holder that had never heard the two didn't count what they know, and after five seconds the two were removed from the list, so that no change waited for their proofs.

Evidence: found in the review; test_majority_is_too_few_if_the_others_were_never_heard and test_majority_of_an_earlier_list_isnt_removed failed before.

The price: while most members of an earlier list are gone for good and haven't told that they know a newer one, no primary is replaced.

--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -101,23 +101,17 @@
     def _are_majority_of_earlier_list(self, members: set[str]) -> bool:
         """Return whether daemons outside `members` may be a majority that they know of.
 
-        A contact may know the list as of the revision that it last told, or a later
-        one. What other daemons know isn't told here, nor are members removed since.
+        Each knows the list as of the revision that it last told, or a later one; one
+        that was never heard knows it as of its own entry.
         """
         joined = {
             item.key.removeprefix(MEMBER_PREFIX): item.revision
             for item in self._mirror.list_prefix(MEMBER_PREFIX)
         }
-        views = self._gossip.views
-        outside = [views[name] for name in joined if name in views.keys() - members]
-        told = [
-            view.store_revision
-            for view in outside
-            if view.contact_since_ms is not None and view.store_revision > 0
-        ]
-        if not told:
+        outside = joined.keys() - members
+        oldest = min((self._find_told(name, joined) for name in outside), default=None)
+        if oldest is None:
             return False
-        oldest = min(told)
         for revision in {oldest, *joined.values()}:
             listed = {name for name, at in joined.items() if at <= revision}
             # A daemon that knows no other gets no proof from members.
@@ -127,6 +121,13 @@
                 return True
         return False
 
+    def _find_told(self, name: str, joined: dict[str, int]) -> int:
+        """Return the newest store revision that a member is known to have had."""
+        view = self._gossip.views.get(name)
+        if view is None:
+            return joined[name]
+        return max(joined[name], view.store_revision, view.known_revision)
+
     def is_current(self, revision: int) -> bool:
         """Return whether the list here is as of a store revision or a later one."""
         return self._read_revision >= revision
@@ -259,6 +260,9 @@
         ]
         if not silent or not self._hears_majority():
             return
+        # Off the list, nothing would wait for their proofs any more.
+        if self._are_majority_of_earlier_list(set(self.list_names()) - set(silent)):
+            return
         name = silent[0]
         views[name].listed_at_ms = self._clock.now_ms()
         item = self._mirror.get(MEMBER_PREFIX + name)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -126,6 +126,18 @@
         make_contacts(members)
         assert not members.is_quorum({"d1", "d4", "d5", "d6"})
 
+    def test_majority_is_too_few_if_the_others_were_never_heard(self):
+        # The lock holder joins, with two more daemons, on the side of one of three
+        # while the other two are partitioned from it. It has never heard these, and
+        # they are still a majority of the three that they know.
+        joined = dict.fromkeys(["d1", "d5", "d6"], 8)
+        told = dict.fromkeys(["d2", "d5", "d6"], 8)
+        members = make_members(
+            {"d2": 2, "d3": 3, "d4": 4, **joined}, {**told, "d3": 0, "d4": 0}
+        )
+        make_contacts(members)
+        assert not members.is_quorum({"d1", "d2", "d5", "d6"})
+
     def test_majority_of_a_list_on_the_way_is_too_few(self):
         # The daemons outside last told of a list of two, and may know a later one by
         # now, of which they are a majority.
@@ -245,6 +257,27 @@
     def test_member_that_was_frozen_for_a_moment_stays(self):
         assert self.make({"d3": 4000}) == []
 
+    def test_majority_of_an_earlier_list_isnt_removed(self):
+        # Guards against dropping two of three daemons that are partitioned from the
+        # third, on whose side three more have joined. The two are a majority of the
+        # list that they know; once they are off the list no change waits for them, and
+        # they go on using the old primary.
+        clock = ManualClock()
+        runtime = make_runtime(clock)
+        joined = dict.fromkeys(["d4", "d5", "d6"], 8)
+        gossip = FakeGossip({"d2": 3, "d3": 3, **joined})
+        for name, view in gossip.views.items():
+            view.contact_since_ms = 0.0
+            view.listed_at_ms = 0.0
+            view.heard_up_to_ms = clock.now_ms() - (100 if name in joined else 6000)
+            view.received_at_ms = view.heard_up_to_ms
+        mirror = FakeMirror({"d1": 1, "d2": 2, "d3": 3, **joined})
+        members = Members(runtime, "d1", PEER, mirror, gossip, make_log(runtime))
+        members.update()
+        assert not members.is_quorum({"d1", *joined})
+        members.remove_silent()
+        assert mirror.removed == []
+
     def test_daemon_that_hears_few_members_removes_none(self):
         # A daemon that is partitioned itself would remove all others.
         assert self.make({"d2": 6000, "d3": 6000, "d4": 6000}) == []
