Prove the store's state by a heartbeat only with all of its records

A daemon that has just restarted with an older mirror took a peer's word that it knows the store for a proof, though not all changes that the peer knows had fitted into the heartbeat. Found in the review; test_restarted_daemon_has_no_proof_before_it_has_all_records failed before.

--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -385,7 +385,7 @@
             self._apply_record(record)
         if view.relaying and view.name in self._upstream:
             self._mirror.update_relay_revision(beat.store_revision, view.address)
-        if beat.store_revision > 0:
+        if beat.store_revision > 0 and beat.has_all_records:
             self._mirror.confirm_current(
                 beat.store_revision, proven_ms - beat.store_age_ms
             )
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -5,6 +5,7 @@
 from bronzerelay.pooler.fleetrates import DEMAND_WINDOW_MS, FleetRates
 from bronzerelay.pooler.gossip import Relayed
 from bronzerelay.pooler.heartbeats import (
+    MAX_RECORDS_PER_BEAT,
     MESH_LAG_MS,
     RELAY_LAG_MS,
     STORE_WATCHERS,
@@ -422,6 +423,42 @@
         fleet.run(SETTLING_MS, look)
         assert not wrong
 
+    def test_restarted_daemon_has_no_proof_before_it_has_all_records(self):
+        # All daemons have acknowledged a change, and one of them restarts at once with
+        # a mirror from before it. More records than fit into a heartbeat are new to
+        # it. What its peers knew of the store just before the change is no proof yet.
+        fleet = HeartbeatFleet(3)
+        fleet.run(SETTLING_MS)
+        records = [
+            make_primary_record(1, service=f"orders{number}")
+            for number in range(MAX_RECORDS_PER_BEAT)
+        ]
+        change = make_primary_record(4, settled=False, holder="d0")
+        for daemon in fleet.daemons.values():
+            daemon.mirror.age_ms = OLD_MIRROR_MS
+            daemon.mirror.confirm_current(7, fleet.clock.now_ms())
+            for record in [*records, change]:
+                daemon.apply_record(record)
+        fleet.run(100)
+        fleet.restart("d1")
+        restarted = fleet.daemons["d1"]
+        restarted.mirror.age_ms = OLD_MIRROR_MS
+        # It is heard before it hears a peer, so that these send all their records.
+        restarted.next_beat_ms = 0.0
+        # As the mirror tells the guard.
+        restarted.mirror.confirm_current = lambda revision, as_of_ms: (
+            restarted.guard.add_store_proof(as_of_ms)
+        )
+        unaware = []
+
+        def look():
+            if change.service not in restarted.directory.primary_records:
+                unaware.append(restarted.guard.has_proof())
+
+        fleet.run(SETTLING_MS, look)
+        assert unaware
+        assert not any(unaware)
+
     def test_relay_that_has_heard_a_member_sends_the_change_it_told(self):
         # A member's heartbeat is handled while one to another relay is built. If that
         # one said that the member was heard, and lacked the change that the member
