--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -101,6 +101,8 @@
     recovered: bool
     # Whether the receiver should reply at once and not with its next round.
     wants_reply: bool = False
+    # A store revision that all members have, as far as the sender, a relay, knows.
+    known_by_all: int = 0
 
 
 class Echo(NamedTuple):
@@ -133,6 +135,8 @@
         self.heard_up_to_ms = NEVER_MS
         # A store revision that the peer knew at that time or later.
         self.known_revision = 0
+        # A store revision that all members have, by what the peer said as a relay.
+        self.known_by_all = 0
         # The same as `heard_up_to_ms`, but only what the peer has told itself, also
         # while it may have forgotten changes.
         self.told_up_to_ms = NEVER_MS
@@ -365,6 +369,7 @@
             view.stopping = beat.stopping
             view.relaying = beat.relaying
             view.store_revision = beat.store_revision
+            view.known_by_all = beat.known_by_all
             view.unsettled = beat.unsettled
             view.acknowledged = dict(beat.acknowledged)
             view.acknowledged_by = beat.incarnation & SHORT_INCARNATION
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -233,8 +233,14 @@
             relaying,
             None,
             self.has_recovered(),
+            known_by_all=self._find_known_by_all() if relaying else 0,
         )
 
+    def _find_known_by_all(self) -> int:
+        """Return the newest store revision that all members are known to have."""
+        views = list(self._gossip.views.values())
+        return min([self._mirror.revision, *(view.known_revision for view in views)])
+
     def has_recovered(self) -> bool:
         """Return whether the changes acknowledged before a restart are known here.
 
--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -1,5 +1,6 @@
 """The member list in the platform's store, to which each daemon adds itself."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import msgspec
@@ -202,15 +203,24 @@
         if self._removal_revision == 0 or self._others.keys() - others.keys():
             self._removal_revision = revision
             self._removal_known_since_ms = None
-        views = self._gossip.views
-        if not all(
-            name in views and views[name].known_revision >= self._removal_revision
-            for name in others
-        ):
+        if not self._is_known_by_all(self._removal_revision, others):
             self._removal_known_since_ms = None
         elif self._removal_known_since_ms is None:
             self._removal_known_since_ms = self._clock.now_ms()
 
+    def _is_known_by_all(self, revision: int, others: Iterable[str]) -> bool:
+        """Return whether all others have a store revision, or a relay says so."""
+        views = self._gossip.views
+        if all(
+            name in views and views[name].known_revision >= revision for name in others
+        ):
+            return True
+        oldest_ms = self._clock.now_ms() - LEASE_MS
+        return revision > 0 and any(
+            view.known_by_all >= revision and view.received_at_ms >= oldest_ms
+            for view in views.values()
+        )
+
     def _decode(self, items: list[Item]) -> dict[str, Peer]:
         others = {}
         for item in items:
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -72,10 +72,31 @@
     Mutation(
         "a removed daemon may have a proof until all members know of the removal",
         POOLER + "members.py",
-        "name in views and views[name].known_revision >= self._removal_revision",
-        "True",
+        "name in views and views[name].known_revision >= revision for name in others",
+        "True for name in others",
         "tests/test_members.py::TestOutsiders",
     ),
+    Mutation(
+        "relays tell what store revision all members have",
+        POOLER + "heartbeats.py",
+        "known_by_all=self._find_known_by_all() if relaying else 0",
+        "known_by_all=0",
+        "tests/test_members.py::TestOutsiders",
+    ),
+    Mutation(
+        "a daemon that was never heard knows the list as of its own entry",
+        POOLER + "members.py",
+        "            return joined[name]\n",
+        "            return max(joined.values())\n",
+        "tests/test_members.py::TestQuorum",
+    ),
+    Mutation(
+        "a majority of an earlier list isn't removed",
+        POOLER + "members.py",
+        "if self._are_majority_of_earlier_list(set(self.list_names()) - set(silent)):",
+        "if False:",
+        "tests/test_members.py::TestRemoving",
+    ),
     Mutation(
         "the store gives a proof to members only",
         POOLER + "primaryguard.py",
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -10,6 +10,7 @@
 from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
 from bronzerelay.runtime import Address
 from standins.linegroup import LOCAL
+from tests.builders_heartbeats import HeartbeatFleet
 from tests.builders_pooler import ManualClock, make_log, make_runtime
 
 ADDRESS = Address(LOCAL, 1)
@@ -207,6 +208,31 @@
             assert members.may_have_outsiders()
             clock.sleep_ms(LEASE_MS)
 
+    @pytest.mark.parametrize("count", [8, 30])
+    def test_every_daemon_knows_in_time_that_there_are_none(self, count):
+        # Nobody was removed for long. A daemon behind relays that learned only as the
+        # lock holder that all know it would prolong each change by a lease.
+        fleet = HeartbeatFleet(count)
+        lists = {
+            name: Members(
+                make_runtime(fleet.clock),
+                name,
+                daemon.peer,
+                FakeMirror(dict.fromkeys(fleet.daemons, daemon.mirror.revision)),
+                daemon.gossip,
+                make_log(make_runtime(fleet.clock)),
+            )
+            for name, daemon in fleet.daemons.items()
+        }
+
+        def update():
+            for members in lists.values():
+                members.update()
+
+        fleet.run(8000, update)
+        waiting = [name for name in lists if lists[name].may_have_outsiders()]
+        assert waiting == []
+
     def test_list_is_current_once_it_has_been_read_again(self, members):
         members._mirror.revision = 9
         assert not members.is_current(9)
