Record which instance is asked to become primary before it is asked

Cause: after an unanswered request the same instance was asked again, but only until the change was abandoned: whoever went on with it chose anew, and the platform could carry out the first request afterwards.

Evidence: found in the review; test_unanswered_promotion_counts_after_the_change_was_abandoned failed before.

The price: one more write to the store for each change.

--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -18,7 +18,7 @@
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.fleetconfig import InstanceEntry
 from bronzerelay.pooler.messages import InstanceStatus
-from bronzerelay.pooler.mirror import Mirror, StoreError
+from bronzerelay.pooler.mirror import Item, Mirror, StoreError
 from bronzerelay.pooler.placement import Placement
 from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
 from bronzerelay.rendezvous import rank
@@ -184,7 +184,9 @@
         # The revision first: a record that is newer than it makes the lock fail.
         item = self._mirror.get(PRIMARY_RECORD_PREFIX + service)
         record = self._directory.primary_records.get(service)
-        return Basis(record, item.revision if item else 0)
+        if item is None or record is None or record.settled:
+            return Basis(record, item.revision if item else 0)
+        return Basis(_find_newest_version(record, item), item.revision)
 
     def _find_reason(self, service: str, basis: Basis) -> str | None:
         now_ms = self._clock.now_ms()
@@ -313,6 +315,15 @@
         return max(candidates, key=lambda pair: pair[1].received, default=None)
 
 
+def _find_newest_version(record: PrimaryRecord, item: Item) -> PrimaryRecord:
+    """Return the record as the store has it, which may name a later choice."""
+    try:
+        stored = msgspec.json.decode(item.data or b"", type=PrimaryRecord)
+    except msgspec.DecodeError:
+        return record
+    return stored if stored.epoch == record.epoch else record
+
+
 def _find_replaced(record: PrimaryRecord | None) -> str:
     """Return the instance that a change after this record replaces, or ""."""
     if record is None:
@@ -499,18 +510,18 @@
 
     def _promote_replica(self) -> tuple[InstanceEntry, int]:
         refused: set[str] = set()
-        # The choice whose request got no answer. The platform may still carry it out,
-        # so another instance could be replaced without any daemon knowing.
-        unanswered = None
+        # The instance whose request got no answer. The platform may still carry it out,
+        # so another one could be replaced without any daemon knowing.
+        unanswered = self._find_asked_before()
         for _ in range(MAX_TRIES):
-            chosen = unanswered or self._choose(refused)
-            if chosen is None:
+            chosen = None if unanswered else self._choose(refused)
+            entry = chosen[0] if chosen else unanswered
+            if entry is None:
                 refused.clear()
                 self._coordinator._runtime.sleep_ms(RETRY_MS)
                 self._verify_lock()
                 continue
-            entry, status = chosen
-            self._verify_lock()
+            self._record_choice(entry)
             outcome = self._coordinator._promote(
                 self._service,
                 entry.id,
@@ -522,13 +533,13 @@
             self._log(
                 "A promotion was requested.",
                 instance=entry.id,
-                received=status.received,
+                received=chosen[1].received if chosen else None,
                 outcome=outcome.name.lower(),
             )
             if outcome is Promotion.NOT_SENT:
                 self._coordinator._runtime.sleep_ms(RETRY_MS)
                 continue
-            unanswered = chosen if outcome is Promotion.UNKNOWN else None
+            unanswered = entry if outcome is Promotion.UNKNOWN else None
             if outcome is Promotion.NOT_RUNNING:
                 refused.add(entry.id)
                 continue
@@ -537,6 +548,20 @@
                 return entry, term
         raise _ChangeAbandonedError("no instance could be promoted")
 
+    def _find_asked_before(self) -> InstanceEntry | None:
+        """Return the instance that an earlier holder of this change may have asked."""
+        if self._record.instance == self._old_id:
+            return None
+        return self._coordinator._directory.instances.get(self._record.instance)
+
+    def _record_choice(self, entry: InstanceEntry) -> None:
+        """Record the instance before it is asked, for whoever takes the change over."""
+        if self._record.instance == entry.id:
+            self._verify_lock()
+            return
+        self._record = self._record._replace(instance=entry.id)
+        self._write()
+
     def _choose(self, refused: set[str]) -> tuple[InstanceEntry, InstanceStatus] | None:
         """Return the replica whose log is longest, or None if none answers.
 
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -86,8 +86,8 @@
     Mutation(
         "a daemon that was never heard knows the list as of its own entry",
         POOLER + "members.py",
-        "            return joined[name]\n",
-        "            return max(joined.values())\n",
+        "return max(joined[name], view.store_revision, view.known_revision)",
+        "return max(joined.values())",
         "tests/test_members.py::TestQuorum",
     ),
     Mutation(
@@ -154,6 +154,13 @@
         "and True",
         "tests/test_primarychanges.py::TestSafety",
     ),
+    Mutation(
+        "a change that is taken over asks the instance that was asked before",
+        POOLER + "primarychanges.py",
+        "unanswered = self._find_asked_before()",
+        "unanswered = None",
+        "tests/test_primarychanges.py::TestSafety",
+    ),
     Mutation(
         "the replica that has received most of the log is promoted",
         POOLER + "primarychanges.py",
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -585,3 +585,34 @@
         harness.run_for(NO_PRIMARY_MS + 2000)
         assert harness.promotions
         assert harness.directory.find_primary(SERVICE) is None
+
+    def test_unanswered_promotion_counts_after_the_change_was_abandoned(self, harness):
+        # The platform carries out the request late, and the store's answer fails while
+        # the lock holder waits, so that the change begins anew. If another instance is
+        # promoted then, the first request replaces it without any daemon knowing.
+        real = harness.mirror.compare_and_swap
+
+        def refuse_once(expected, puts, removed):
+            if harness.promotions and not refused:
+                refused.append(True)
+                raise StoreError("the store is busy")
+            return real(expected, puts, removed)
+
+        def lose(service, instance, *args):
+            outcome = promote(service, instance, *args)
+            if len(harness.promotions) == 1:
+                harness.primaries.discard(instance)
+                # Replicas still receive from the old primary.
+                harness.received[FIRST] = Position(1, 20)
+            return outcome
+
+        refused: list[bool] = []
+        promote = harness.changes._promote
+        harness.mirror.compare_and_swap = refuse_once
+        harness.changes._promote = lose
+        harness.outcome = Promotion.UNKNOWN
+        self.start(harness)
+        harness.run_for(2 * TAKEOVER_MS)
+        assert refused
+        assert len(harness.promotions) > 1
+        assert {instance for instance, _ in harness.promotions} == {SECOND}
