--- a/bronzerelay/pooler/directory.py
+++ b/bronzerelay/pooler/directory.py
@@ -18,8 +18,8 @@
 
     `instance` is the primary and `term` its term. While `settled` is False the change
     is under way, no daemon may use a primary of the service, and `instance` may be the
-    one that was asked to become primary. `deposed` is the primary before the change. `epoch` is the change's fencing token and `holder` the
-    daemon that holds its lock.
+    one that was asked to become primary. `deposed` is the primary before the change.
+    `epoch` is the change's fencing token and `holder` the daemon that holds its lock.
     """
 
     service: str
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -135,7 +135,7 @@
     Mutation(
         "an unanswered promotion is repeated for the same instance",
         POOLER + "primarychanges.py",
-        "unanswered = chosen if outcome is Promotion.UNKNOWN else None",
+        "unanswered = entry if outcome is Promotion.UNKNOWN else None",
         "unanswered = None",
         "tests/test_primarychanges.py::TestSafety",
     ),
