--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -444,8 +444,8 @@
     Mutation(
         "a caller's key isn't sent beyond the daemon",
         "bronzerelay/kernel.py",
-        "self._make_work(workspace, request, session.ok)",
-        "self._make_work(workspace + key, request, session.ok)",
+        "self._make_work(workspace, request, session.ok, deadline_ms)",
+        "self._make_work(workspace + key, request, session.ok, deadline_ms)",
         "tests/test_promise_configuration.py::test_no_endpoint_and_no_log_sees_a_key",
     ),
     Mutation(
