Log lost replies of peers, and outcomes that stay unknown

A caller that hears OUTCOME_UNKNOWN can't be told from the logs why. A line for each lost reply gives the peer, the time waited, the time left and the reason; one for each unknown outcome of the forwarding daemon gives which daemons were asked, and what they said.

--- a/bronzerelay/routing.py
+++ b/bronzerelay/routing.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Error, Result
 
+from bronzerelay import logs
 from bronzerelay.codes import NOT_RUN, UNKNOWN, Code, Refusal, refuse
 from bronzerelay.groups import Groups
 from bronzerelay.membership import Membership
@@ -47,6 +48,8 @@
 # After these refusals of a commit its transaction has ended, committed or not.
 ENDED_CODES = {Code.PEER_UNREACHABLE, Code.TRANSACTION_UNKNOWN}
 ROLL_BACK_TIMEOUT_MS = 300
+# How many tries to determine an outcome a log line lists at most.
+LOGGED_TRIES_LIMIT = 8
 # A longer transaction token can't have been issued by a daemon.
 MAX_TOKEN_LENGTH = 128
 
@@ -76,6 +79,7 @@
         self._run_here = run_here
         self._spend = spend
         self._budget = RetryBudget(runtime)
+        self._log = logs.open_log("routing")
 
     def route(self, work: Work) -> Result[StatementAnswer, Refusal]:
         """Run `work` at its group's serving daemon, or the next one that can."""
@@ -131,6 +135,8 @@
         the write. Each daemon gets only a part of the time, because one that can't
         reach the group must leave time for the next.
         """
+        began_ms = self._runtime.clock.now_ms()
+        tried: list[str] = []
         while not self._is_past_deadline(work):
             ranked = self._groups.rank_daemons(work.group)
             # The lost daemon may be frozen and use up the time, so it is asked last.
@@ -142,9 +148,19 @@
                 result = self._run_at(daemon, attempt, True)
                 if result.is_ok() or result.error.code in SETTLED_CODES:
                     return result
+                tried.append(f"{daemon}: {result.error.code.name}")
                 if self._is_past_deadline(work):
                     break
             self._runtime.sleep_ms(SETTLE_RETRY_MS)
+        extra = {
+            "request_id": work.trace_id,
+            "group": work.group,
+            "lost": lost,
+            "tried": tried[:LOGGED_TRIES_LIMIT],
+            "tries": len(tried),
+            "settled_for_ms": round(self._runtime.clock.now_ms() - began_ms),
+        }
+        self._log.warning("The outcome of a lost write isn't known.", extra=extra)
         message = "The serving daemon was lost, and the outcome isn't known."
         return refuse(Code.OUTCOME_UNKNOWN, message, LOST_RETRY_AFTER_MS, UNKNOWN)
 
@@ -156,7 +172,8 @@
         address = self._membership.address_of(daemon)
         if address is None:
             return refuse(Code.PEER_UNREACHABLE, f"{daemon} isn't known here.")
-        budget_ms = int(work.deadline_ms - self._runtime.clock.now_ms())
+        sent_at_ms = self._runtime.clock.now_ms()
+        budget_ms = int(work.deadline_ms - sent_at_ms)
         call = StatementCall(
             request_id=work.request_id,
             workspace=work.workspace,
@@ -171,6 +188,16 @@
         if reply.is_ok():
             return unpack_reply(reply.ok)
         error = reply.error
+        if error.may_have_run:
+            extra = {
+                "request_id": work.trace_id,
+                "peer": daemon,
+                "settle": settle,
+                "waited_ms": round(self._runtime.clock.now_ms() - sent_at_ms),
+                "left_ms": round(work.deadline_ms - self._runtime.clock.now_ms()),
+                "reason": error.message,
+            }
+            self._log.info("A peer's reply was lost.", extra=extra)
         if error.is_unreachable:
             self._membership.mark_unreachable(daemon, error.message)
         ran = UNKNOWN if error.may_have_run else NOT_RUN
