Release a connection's descriptor once no task waits on it

Cause: closing a connection on which another task waits shut it down and closed its descriptor. The shutdown wakes the task, but the kernel's poll then looks up the descriptor again. If a new connection has taken the number meanwhile, the task waits for that one. So calls to a silent daemon were cut, but some of their tasks didn't notice until 100 ms past the deadline, when no time was left to settle their writes.

Ruled out: that the calls were made after the links had been dropped, or that the thawed daemon didn't answer. A trial noted when each link was used and dropped: the sockets of the calls that timed out had been closed 1.5 s before.

Tests: test_runtime.py::TestClose failed before in all three cases (31 to 114 of 200 tasks waited until their timeout, 6 of 6 tries).

--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -175,33 +175,70 @@
 
 
 class Connection:
-    """A TCP connection with a timeout for each call."""
+    """A TCP connection with a timeout for each call; any task may close it.
+
+    The descriptor is released once no task uses it any more. After a wakeup the kernel
+    looks up again which file a descriptor stands for. If a new connection had taken the
+    descriptor by then, the woken task would wait for that one until its timeout.
+    """
 
     def __init__(self, sock: socket.socket, on_close: Callable[[Connection], None]):
         self._sock = sock
         self._on_close = on_close
         self._timeout_ms: float | None = -1
+        self._lock = threading.Lock()
+        # How many tasks are in a call on the socket.
+        self._users = 0
+        self._closing = False
+
+    def _enter(self) -> socket.socket:
+        """Return the socket for one call, after which `_leave` has to be called."""
+        with self._lock:
+            if self._closing:
+                raise ConnectionLostError("the connection is closed")
+            self._users += 1
+            return self._sock
+
+    def _leave(self) -> None:
+        with self._lock:
+            self._users -= 1
+            is_last = self._closing and not self._users
+        if is_last:
+            self._sock.close()
 
     def set_timeout(self, timeout_ms: float | None) -> None:
         """Let each later call wait `timeout_ms` at most; None waits forever."""
         # `settimeout` makes a system call, which also lets another thread take the GIL.
-        if timeout_ms != self._timeout_ms:
-            self._sock.settimeout(None if timeout_ms is None else timeout_ms / 1000)
+        if timeout_ms == self._timeout_ms:
+            return
+        sock = self._enter()
+        try:
+            sock.settimeout(None if timeout_ms is None else timeout_ms / 1000)
             self._timeout_ms = timeout_ms
+        finally:
+            self._leave()
 
     def send(self, data: bytes) -> None:
         """Send all of `data`, or raise OSError."""
-        self._sock.sendall(data)
+        sock = self._enter()
+        try:
+            sock.sendall(data)
+        finally:
+            self._leave()
 
     def receive(self, limit: int = RECEIVE_BYTES) -> bytes:
-        """Return the next bytes; b"" means that the other side has closed."""
-        return self._sock.recv(limit)
+        """Return the next bytes; b"" means that one of the sides has closed."""
+        sock = self._enter()
+        try:
+            return sock.recv(limit)
+        finally:
+            self._leave()
 
     def receive_exactly(self, count: int) -> bytes:
         """Return exactly `count` bytes, or raise ConnectionLostError."""
         chunks = []
         while count:
-            chunk = self._sock.recv(count)
+            chunk = self.receive(count)
             if not chunk:
                 raise ConnectionLostError("the other side closed the connection")
             chunks.append(chunk)
@@ -216,11 +253,17 @@
         """
         try:
             self.set_timeout(0)
-            self._sock.recv(1, socket.MSG_PEEK)
+            sock = self._enter()
+        except OSError:
+            return False
+        try:
+            sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
             return False
+        finally:
+            self._leave()
         return False
 
     def wait_readable(
@@ -230,31 +273,48 @@
 
         Return False when the timeout passed or `signal` was set and nothing arrived.
         """
-        if is_encrypted(self._sock) and self._sock.pending():
-            return True
-        return _wait_readable(self._sock, timeout_ms, signal)
+        sock = self._enter()
+        try:
+            if is_encrypted(sock) and sock.pending():
+                return True
+            return _wait_readable(sock, timeout_ms, signal)
+        finally:
+            self._leave()
 
     def complete_handshake(self) -> None:
         """Complete the TLS handshake, if TLS is used, within the set timeout."""
-        if is_encrypted(self._sock):
-            self._sock.do_handshake()
+        sock = self._enter()
+        try:
+            if is_encrypted(sock):
+                sock.do_handshake()
+        finally:
+            self._leave()
 
     def finish_sending(self) -> None:
         """Shut down the sending side; receiving still works."""
-        # `SSLSocket.shutdown` would drop the TLS state of both directions.
-        socket.socket.shutdown(self._sock, socket.SHUT_WR)
+        sock = self._enter()
+        try:
+            # `SSLSocket.shutdown` would drop the TLS state of both directions.
+            socket.socket.shutdown(sock, socket.SHUT_WR)
+        finally:
+            self._leave()
 
     def untrack(self) -> None:
         """Stop tracking the connection: closing the runtime no longer closes it."""
         self._on_close(self)
 
     def close(self) -> None:
-        """Close the connection; a task that waits on it gets an error."""
-        # Without the shutdown a task blocked in recv would never wake, and the process
-        # couldn't exit, since interpreter exit joins the executor's threads.
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
-        self._sock.close()
+        """Close the connection; a task that waits on it stops waiting."""
+        with self._lock:
+            was_closing, self._closing = self._closing, True
+            is_unused = not self._users
+            if not was_closing:
+                # Without the shutdown a task blocked in recv would never wake, and the
+                # process couldn't exit, since interpreter exit joins the threads.
+                with contextlib.suppress(OSError):
+                    self._sock.shutdown(socket.SHUT_RDWR)
+        if is_unused:
+            self._sock.close()
         self._on_close(self)
 
 
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -1,5 +1,6 @@
 """Tests of the runtime."""
 
+import contextlib
 import signal
 import socket
 import threading
@@ -12,8 +13,20 @@
     KEEPALIVE_INTERVAL_S,
     KEEPALIVE_PROBES,
     Address,
+    Connection,
 )
 from standins.linegroup import LOCAL
+from tests.endpoints import open_runtime
+
+# How long a test's task waits for data that never comes.
+WAIT_MS = 3000
+
+
+class UnwokenSocket(socket.socket):
+    """A socket whose shutdown wakes nobody."""
+
+    def shutdown(self, how):
+        pass
 
 
 class TestSilentConnections:
@@ -37,6 +50,62 @@
         listener.close()
 
 
+class TestClose:
+    @pytest.mark.parametrize("wait", ["receive", "wait_readable"])
+    def test_close_ends_the_waits_of_other_tasks(self, wait):
+        """Guards against calls to a silent peer that last until their deadlines.
+
+        Each descriptor is taken by a new connection as soon as it is free. A task that
+        waits for the old connection must not wait for the new one.
+        """
+        with open_runtime(task_limit=300) as runtime:
+            listener = runtime.listen(Address(LOCAL, 0))
+            connections = [runtime.dial(listener.address, 1000) for _ in range(200)]
+            waiting = threading.Semaphore(0)
+
+            def read(connection):
+                connection.set_timeout(WAIT_MS)
+                waiting.release()
+                started_ms = runtime.clock.now_ms()
+                with contextlib.suppress(OSError):
+                    if wait == "receive":
+                        connection.receive()
+                    else:
+                        connection.wait_readable(WAIT_MS)
+                return runtime.clock.now_ms() - started_ms
+
+            tasks = [runtime.start(read, connection) for connection in connections]
+            for _ in tasks:
+                waiting.acquire()
+            runtime.sleep_ms(50)
+            others = []
+            for connection in connections:
+                connection.close()
+                others.append(runtime.dial(listener.address, 1000))
+            waits_ms = [task.result() for task in tasks]
+            for other in others:
+                other.close()
+            listener.close()
+        late = [wait_ms for wait_ms in waits_ms if wait_ms >= WAIT_MS]
+        assert late == []
+
+    def test_a_descriptor_is_kept_until_the_last_task_has_left(self, runtime):
+        """Guards against a task that reads what belongs to another connection."""
+        ours, theirs = socket.socketpair()
+        # As in the moment before a task that was woken runs on.
+        ours = UnwokenSocket(fileno=ours.detach())
+        connection = Connection(ours, lambda connection: None)
+        task = runtime.start(connection.receive)
+        runtime.sleep_ms(20)
+        connection.close()
+        assert ours.fileno() >= 0
+        with pytest.raises(OSError):
+            connection.send(b"late")
+        theirs.close()
+        assert task.result() == b""
+        assert ours.fileno() < 0
+
+
 DELIVERY_DELAY_S = 0.05
 FALLBACK_DELAY_S = 2.0
 
