Keep a group at its daemon after a lost reply

After one lost reply of a serving daemon the forwarding daemon took the next in rank for the serving one, until the live members changed: two daemons handed out the group's slots, and /status listed the group at both. No answer was untrue by it.

Cause: the order in which daemons are asked to settle a write was made by sorting the list that the ranking keeps for all requests.

Evidence: found by reading; test_lost_reply_moves_no_group failed before (the ranking began with the next daemon after one cut reply) and passes now. That this had a part in a known failure was not shown.

Ruled out: other lists that are handed out and changed in place; the lenders are copied before they are shuffled, and the watch sorts its own list.

--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -55,7 +55,7 @@
     """The first-ranked daemons of each group, valid while `alive` are the live ones."""
 
     alive: list[str]
-    first: dict[str, list[str]]
+    first: dict[str, tuple[str, ...]]
 
 
 class Groups:
@@ -81,7 +81,7 @@
         self._specs: dict[str, GroupSpec] = {}
         self._ranking = Ranking([], {})
 
-    def rank_daemons(self, group: str) -> list[str]:
+    def rank_daemons(self, group: str) -> tuple[str, ...]:
         """Return the first-ranked live daemons of `group`; the first one serves it."""
         alive = self._membership.alive_names()
         ranking = self._ranking
@@ -89,12 +89,12 @@
             ranking = self._ranking = Ranking(alive, {})
         first = ranking.first.get(group)
         if first is None:
-            first = rank(f"group/{group}", alive)[:RANKED_LIMIT]
+            first = tuple(rank(f"group/{group}", alive)[:RANKED_LIMIT])
             ranking.first[group] = first
         return first
 
     def _is_serving_daemon(self, group: str) -> bool:
-        return self.rank_daemons(group)[:1] == [self._settings.name]
+        return self._settings.name in self.rank_daemons(group)[:1]
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Apply the groups of a new configuration."""
--- a/bronzerelay/routing.py
+++ b/bronzerelay/routing.py
@@ -138,9 +138,11 @@
         began_ms = self._runtime.clock.now_ms()
         tried: list[str] = []
         while not self._is_past_deadline(work):
-            ranked = self._groups.rank_daemons(work.group)
             # The lost daemon may be frozen and use up the time, so it is asked last.
-            ranked.sort(key=lambda daemon: daemon == lost)
+            ranked = sorted(
+                self._groups.rank_daemons(work.group),
+                key=lambda daemon: daemon == lost,
+            )
             for daemon in ranked[:MAX_DAEMONS_TRIED]:
                 attempt_end_ms = self._runtime.clock.now_ms() + SETTLE_TIMEOUT_MS
                 deadline_ms = min(work.deadline_ms, attempt_end_ms)
--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -156,6 +156,20 @@
         check_outcome(deployment, outcome_of(result), "row")
 
 
+def test_lost_reply_moves_no_group():
+    """Guards against two daemons that serve one group after a single lost reply."""
+    with open_deployment(3) as deployment:
+        deployment.warm_up()
+        serving, other, _ = deployment.ranked
+        names = [node.name for node in deployment.ranked]
+        serving.cutter.arm(CUT_REPLY)
+        assert outcome_of(send_add(other, "row")) == RAN
+        assert serving.cutter.struck == 1
+        assert list(other.groups.rank_daemons("orders")) == names
+        lists = [list(node.groups.describe()) for node in deployment.ranked]
+        assert lists == [["orders"], [], []]
+
+
 def test_queued_work_of_a_closed_peer_link_takes_no_slot():
     """Guards against slots spent on writes that another daemon already settles."""
     with open_deployment(2, service_ms=100) as deployment:
