Log why transactions are lost

Callers hear why a transaction was lost, the logs said nothing. A line gives the reason, the endpoint and the term, without the endpoint's message, which may name a row.

No fault of the product was found; the test and its bound are unchanged.

--- a/bronzerelay/transactions.py
+++ b/bronzerelay/transactions.py
@@ -5,6 +5,7 @@
 
 from expression import Error, Ok, Result
 
+from bronzerelay import logs
 from bronzerelay.codes import NOT_RUN, Code, Refusal, refuse
 from bronzerelay.dialect import CommitAnswer, EndpointError, EndpointLink
 from bronzerelay.group import GroupServer
@@ -84,6 +85,7 @@
         self._lock = runtime.make_lock()
         self._open: dict[str, Transaction] = {}
         self._used_at_ms: dict[str, float] = {}
+        self._log = logs.open_log("transactions")
 
     def count(self) -> int:
         """Return how many transactions are open."""
@@ -171,6 +173,22 @@
         finally:
             transaction.lock.release()
 
+    def _report_lost(self, transaction: Transaction, work: Work, reason: str) -> None:
+        """Log why a transaction ended without a commit or a rollback.
+
+        The endpoint's message is left out, as it may name a row.
+        """
+        extra = {
+            "request_id": work.trace_id,
+            "workspace": work.workspace,
+            "group": work.group,
+            "endpoint": transaction.endpoint,
+            "term": transaction.term,
+            "action": work.request.get("action", "statement"),
+            "reason": reason,
+        }
+        self._log.info("A transaction was lost.", extra=extra)
+
     def run(self, work: Work) -> Result[StatementAnswer, Refusal]:
         """Run a statement, a commit or a rollback of an open transaction."""
         transaction = self._find(work)
@@ -223,12 +241,13 @@
         finally:
             transaction.group.components.slots.release(transaction.endpoint)
         if not result.is_ok():
-            return self._handle_failure(transaction, result.error)
+            return self._handle_failure(transaction, work, result.error)
         seen = Position(result.ok.log_term, result.ok.position)
         if seen < work.session.get(work.group, Position(0, 0)):
             # A replaced primary lacks the session's later writes, and couldn't
             # commit.
             self._end(transaction)
+            self._report_lost(transaction, work, "behind")
             message = "The transaction is lost: its primary was replaced."
             return refuse(Code.TRANSACTION_LOST, message)
         return Ok(
@@ -244,7 +263,9 @@
         slots = transaction.group.components.slots
         return slots.acquire(work.workspace, (transaction.endpoint,), work.deadline_ms)
 
-    def _handle_failure(self, transaction: Transaction, error: EndpointError) -> Result:
+    def _handle_failure(
+        self, transaction: Transaction, work: Work, error: EndpointError
+    ) -> Result:
         if error.kind == "invalid_statement":
             return refuse(Code.STATEMENT_FAILED, error.message)
         if error.kind == "busy":
@@ -252,6 +273,7 @@
             return refuse(Code.QUEUE_FULL, message, 50)
         # The connection broke or the term ended, and the endpoint rolled back.
         self._end(transaction)
+        self._report_lost(transaction, work, error.kind)
         message = f"The transaction is lost: {error.message}."
         return refuse(Code.TRANSACTION_LOST, message)
 
@@ -276,6 +298,7 @@
         # cancelled.
         if result.error.may_have_run or result.error.kind == "cancelled":
             return self._settle_commit(transaction, work)
+        self._report_lost(transaction, work, result.error.kind)
         message = f"Nothing was committed: {result.error.message}."
         return refuse(Code.TRANSACTION_LOST, message)
 
