Log why an instance didn't accept a term

A failed promotion was logged with the number of instances that accepted the term, and not with what the others said. The reason now names each of them, so that a competing daemon ("a term as great was accepted before") can be told from an instance that was too slow.

--- a/bronzerelay/failover.py
+++ b/bronzerelay/failover.py
@@ -86,31 +86,37 @@
         fenced = run_concurrently(
             self._runtime, lambda endpoint: self._fence(endpoint, term), endpoints
         )
-        accepted = [item for item in fenced if item is not None]
+        accepted = [item for item in fenced if isinstance(item, FencedInstance)]
+        failures = [item for item in fenced if isinstance(item, str)]
         try:
-            return self._promote_best(spec, term, accepted)
+            return self._promote_best(spec, term, accepted, failures)
         finally:
             for item in accepted:
                 item.link.close()
 
-    def _fence(self, endpoint: EndpointSpec, term: int) -> FencedInstance | None:
+    def _fence(self, endpoint: EndpointSpec, term: int) -> FencedInstance | str:
+        """Return the fenced instance, or why it didn't accept the term."""
         opened = self._opener(endpoint, "monitor", CONNECT_TIMEOUT_MS)
         if not opened.is_ok():
-            return None
+            return f"{endpoint.name} can't be opened: {opened.error.message}"
         result = opened.ok.fence(term, CALL_TIMEOUT_MS)
         if not result.is_ok():
             opened.ok.close()
-            return None
+            return f"{endpoint.name} isn't fenced: {result.error.message}"
         end = Position(result.ok.log_term, result.ok.position)
         return FencedInstance(endpoint, opened.ok, end)
 
     def _promote_best(
-        self, spec: GroupSpec, term: int, accepted: list[FencedInstance]
+        self,
+        spec: GroupSpec,
+        term: int,
+        accepted: list[FencedInstance],
+        failures: list[str],
     ) -> Outcome:
         needed = len(spec.endpoints) // 2 + 1
         if len(accepted) < needed:
             reason = f"{len(accepted)} of {len(spec.endpoints)} accepted the term"
-            return Outcome("", term, reason)
+            return Outcome("", term, "; ".join([reason, *failures]))
         # Among equal logs an endpoint that isn't leaving is preferred.
         best = max(accepted, key=lambda item: (item.end, not item.endpoint.leaving))
         result = best.link.promote(term, CALL_TIMEOUT_MS)
