--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -60,7 +60,7 @@
         POOLER + "primarychanges.py",
         "if is_current and names <= known and not has_outsiders:",
         "if is_current and names <= known:",
-        PATH + "TestPrimaryChanges",
+        "tests/test_primarychanges.py::TestSafety",
     ),
     Mutation(
         "a primary change counts only members as of its own record",
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -471,10 +471,14 @@
                 harness.clock.sleep_ms(TAKEOVER_MS + LOCK_RECHECK_MS)
                 harness.mirror.items[KEY] = Item(KEY, b"other", 9)
 
+        def freeze_once_chosen():
+            if harness.mirror.writes[-1].instance != PRIMARY:
+                freeze()
+
         if step == "connect":
             harness.on_connect = freeze
         else:
-            harness.mirror.on_written = freeze
+            harness.mirror.on_written = freeze_once_chosen
         harness.kill_primary()
         for _ in range(40):
             if not frozen:
