--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -586,11 +586,11 @@
         self, refused: set[str]
     ) -> tuple[InstanceEntry, InstanceStatus] | None:
         find_best = self._coordinator.find_best
-        best = find_best(self._service, frozenset(refused | {self._old_id}))
-        if best is None or self._reason == "no primary":
-            # The old primary may have come back as the only instance.
-            best = find_best(self._service, frozenset(refused))
-        return best
+        best = None
+        if self._reason != "no primary":
+            best = find_best(self._service, frozenset(refused | {self._old_id}))
+        # The old primary may have come back as the only instance.
+        return best or find_best(self._service, frozenset(refused))
 
     def _ask(self, entry: InstanceEntry) -> InstanceStatus | None:
         return self._coordinator._ask_status(entry, STATUS_TIMEOUT_MS)
