Count what relays tell of members that a lock holder never heard

Cause: a daemon behind relays hears few members itself. When it holds the lock, the members of the dark domain counted by their entries alone. Most of the first daemons to join are in one domain at times, so these could be 'a majority of an earlier list', and the 55 of 83 that had acknowledged were no quorum. Evidence: the holders' logs, 'most daemons haven't acknowledged the change' after 5.2 s, twice; the third service's change went on in the moment when the domain was heard again.

Relays tell a store revision that all members have; this holds for members that can't be heard any more, too. One that joins later counts by its own entry.

test_members_that_a_relay_has_heard_prevent_no_change failed before.

--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -123,11 +123,19 @@
         return False
 
     def _find_told(self, name: str, joined: dict[str, int]) -> int:
-        """Return the newest store revision that a member is known to have had."""
-        view = self._gossip.views.get(name)
-        if view is None:
-            return joined[name]
-        return max(joined[name], view.store_revision, view.known_revision)
+        """Return the newest store revision that a member is known to have had.
+
+        A daemon behind relays hears few members itself. If the others of a failure
+        domain that lost its power counted by their entries alone, the first ones to
+        have joined could be a majority of the list at that time, and no daemon that
+        never heard them could change a primary until they are back.
+        """
+        views = self._gossip.views
+        told = [one.known_by_all for one in views.values()]
+        view = views.get(name)
+        if view is not None:
+            told += [view.store_revision, view.known_revision]
+        return max([joined[name], *told])
 
     def is_current(self, revision: int) -> bool:
         """Return whether the list here is as of a store revision or a later one."""
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -148,6 +148,23 @@
         make_contacts(members)
         assert not members.is_quorum({"d1", "d4", "d5"})
 
+    def test_members_that_a_relay_has_heard_prevent_no_change(self):
+        # Guards against services without a primary for as long as a failure domain has
+        # no power, as most of the first members of the list are there.
+        joined = {"d3": 1, "d4": 2, "d1": 3, "d2": 4, "d5": 5}
+        members = make_members(joined, {"d2": 9, "d5": 9})
+        assert not members.is_quorum({"d1", "d2", "d5"})
+        members._gossip.views["d5"].known_by_all = 5
+        assert members.is_quorum({"d1", "d2", "d5"})
+
+    def test_member_that_joined_after_a_relay_told_counts_by_its_entry(self):
+        # Guards against two of three members who go on with the primary, as they don't
+        # know of the three that have joined since.
+        joined = {"d1": 1, "d2": 2, "d3": 3, "d4": 8, "d5": 8, "d6": 8}
+        members = make_members(joined, {"d4": 8, "d5": 8, "d6": 8})
+        members._gossip.views["d4"].known_by_all = 3
+        assert not members.is_quorum({"d1", "d4", "d5", "d6"})
+
     def test_member_that_is_gone_for_good_prevents_no_change(self):
         # A daemon last told of a list of two and hasn't been heard since.
         joined = dict.fromkeys(["d3", "d4", "d5"], 8)
