Keep a link to a busy primary until the statement's deadline

What callers saw on the shifted site: overload that kept itself up.

Cause: a new link takes 12 ms of one of the primary's three slots. A statement that then found no slot was sent every 12 ms for half of its latency objective and given up with its link; the caller came back to another daemon, which opened the next link. The primary's slots went to links of statements that it never ran.

When to send again stands in a module of its own. test_link_to_an_overloaded_primary_ isnt_given_up failed before.

--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -36,6 +36,11 @@
     refuse_lost_transaction,
     refuse_no_primary,
 )
+from bronzerelay.pooler.retrypolicy import (
+    MAX_ATTEMPTS,
+    find_busy_pause_ms,
+    find_pause_ms,
+)
 from bronzerelay.runtime import Runtime
 from bronzerelay.slots import SlotQueue
 
@@ -52,16 +57,11 @@
 # time refusing connections. With this value, up to eight daemons may each use all
 # slots, which keeps the slots busy and the queue short.
 STATEMENTS_PER_SLOT = 8
-# How often one statement is attempted, as long as no instance has run it.
-MAX_ATTEMPTS = 6
 # Consecutive failures after which an instance gets only one statement at a time.
 UNRESPONSIVE_FAILURES = 2
-# The pause after an instance had no free slot, in milliseconds.
-RETRY_PAUSE_MS = 12
-# The pause after an instance had no free connection, in milliseconds. Connections of a
-# killed daemon are freed after seconds, idle ones of other daemons after a statement or
-# two.
-NO_CONNECTION_PAUSE_MS = 40
+# The interval at which a statement looks for a primary during a switchover, in
+# milliseconds.
+SWITCHOVER_POLL_MS = 12
 # Why an instance under evacuation gets nothing.
 EVACUATED_DETAIL = "its failure domain was evacuated"
 # The workspace under which the pooler itself asks instances for their status.
@@ -322,7 +322,7 @@
                 or self._clock.now_ms() >= job.slot_deadline_ms
             ):
                 return candidates
-            self._runtime.sleep_ms(RETRY_PAUSE_MS)
+            self._runtime.sleep_ms(SWITCHOVER_POLL_MS)
 
     def _release_slot(self, slot: AcquiredSlot) -> None:
         self._placement.view_of(slot.instance).outstanding -= 1
@@ -357,21 +357,24 @@
         entry: InstanceEntry,
         call: Callable[[], Answer],
     ) -> Answer | Refusal:
-        """Retry a call to a busy primary on the same link until the slot deadline.
+        """Retry a call to a busy primary on the same link until the deadline.
 
-        No other instance can serve the statement, and a new link would itself take a
-        slot.
+        No other instance can serve the statement.
         """
+        refused = 0
         while True:
             if self._directory.is_closed(entry):
                 return Answer(fault=Fault.UNREACHABLE, detail=EVACUATED_DETAIL)
             answer = self._use_instance(entry, slot.as_primary, call)
             if isinstance(answer, Refusal) or answer.fault is not Fault.BUSY:
                 return answer
-            if not slot.as_primary or self._clock.now_ms() >= job.slot_deadline_ms:
+            refused += 1
+            left_ms = job.deadline_ms - self._clock.now_ms()
+            pause_ms = find_busy_pause_ms(refused, left_ms) if slot.as_primary else None
+            if pause_ms is None:
                 return answer
             self._count_retry(answer)
-            self._pause_before_retry(Fault.BUSY)
+            self._runtime.sleep_ms(pause_ms)
 
     def _run_at(
         self,
@@ -437,10 +440,7 @@
         return self._clock.now_ms() < job.deadline_ms
 
     def _pause_before_retry(self, fault: Fault) -> None:
-        if fault is Fault.TOO_MANY_LINKS:
-            self._runtime.sleep_ms(NO_CONNECTION_PAUSE_MS)
-        elif fault in (Fault.BUSY, Fault.READ_ONLY):
-            self._runtime.sleep_ms(RETRY_PAUSE_MS)
+        self._runtime.sleep_ms(find_pause_ms(fault))
 
     # Transactions
 
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -682,4 +682,11 @@
         "return None",
         "tests/test_evacuations.py",
     ),
+    Mutation(
+        "a link to a busy primary is kept until the statement's deadline",
+        POOLER + "runner.py",
+        "left_ms = job.deadline_ms - self._clock.now_ms()",
+        "left_ms = job.slot_deadline_ms - self._clock.now_ms()",
+        PATH + "TestManyDaemons",
+    ),
 )
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -1,5 +1,7 @@
 """End-to-end tests of the pooler on stand-ins: sessions, limits, primary changes."""
 
+import math
+
 import pytest
 
 from bronzerelay.pooler import contacts, session
@@ -9,7 +11,8 @@
 from bronzerelay.pooler.placement import POSITION_VALID_MS
 from bronzerelay.pooler.primarychanges import MAX_LAG_ENTRIES
 from bronzerelay.pooler.primaryguard import LEASE_MS
-from bronzerelay.pooler.runner import limit_statements
+from bronzerelay.pooler.retrypolicy import BUSY_PAUSE_MS
+from bronzerelay.pooler.runner import SLOT_WAIT_FRACTION, limit_statements
 from bronzerelay.runtime import Address
 from standins.linecaller import LineCaller
 from standins.linegroup import LOCAL
@@ -323,6 +326,19 @@
         run_ok(caller, "STORE a 1")
         assert daemon.pool.opened == opened + 1
 
+    def test_link_to_an_overloaded_primary_isnt_given_up(self, fleet):
+        # Guards against an overload that keeps itself up: the primary's slots go to
+        # links whose statements are refused before it runs them.
+        daemon = fleet.start_ready("d1")[0]
+        daemon.runner.set_daemon_count(70)
+        caller = open_session(fleet, STRICT)
+        opened = daemon.pool.opened
+        objective_ms = daemon.directory.find_route(STRICT).objective_ms
+        refusals = math.ceil(SLOT_WAIT_FRACTION * objective_ms / BUSY_PAUSE_MS)
+        fleet.platform.group.instances["orders-0"].busy_answers = refusals
+        run_ok(caller, "STORE a 1")
+        assert daemon.pool.opened == opened + 1
+
 
 class TestRelays:
     """Four daemons, of which two are relays and the other two depend on them."""
