Count a task as ended that was cancelled before it began

Cause that fits, not shown to be this one: a task counts as running from when it is handed to the executor. close() cancels what no thread has taken yet, which happens on a busy machine; such a task never ran and never counted as ended, so that a closing process waited for the whole deadline. test_task_that_was_cancelled_before_it_began_has_ended failed before.

A runtime now names its running tasks by their stacks, and the tests' runtimes say so when one is left over, so that the next failure tells.

--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -393,6 +393,8 @@
         )
         self._lock = threading.Lock()
         self._running = 0
+        # The threads in which tasks run now.
+        self._task_threads: set[int] = set()
         self._connections: set[Connection] = set()
         self._listeners: set[Listener] = set()
         self._stopping = threading.Event()
@@ -417,13 +419,25 @@
                 raise TaskLimitError(f"all {self.task_limit} tasks are taken")
             self._running += 1
         try:
-            return self._executor.submit(self._run, function, args)
+            future = self._executor.submit(self._run, function, args)
         except RuntimeError:
-            with self._lock:
-                self._running -= 1
+            self._count_ended()
             raise
+        future.add_done_callback(self._note_cancelled)
+        return future
+
+    def _count_ended(self) -> None:
+        with self._lock:
+            self._running -= 1
+
+    def _note_cancelled(self, future: concurrent.futures.Future) -> None:
+        """Count a task as ended that `close` has cancelled before a thread took it."""
+        if future.cancelled():
+            self._count_ended()
 
     def _run(self, function: Callable[..., Any], args: tuple) -> Any:
+        thread_id = threading.get_ident()
+        self._task_threads.add(thread_id)
         try:
             return function(*args)
         except Exception:
@@ -432,8 +446,18 @@
             self.report_failure(traceback.format_exc())
             raise
         finally:
-            with self._lock:
-                self._running -= 1
+            self._task_threads.discard(thread_id)
+            self._count_ended()
+
+    def describe_tasks(self) -> str:
+        """Return the stacks of the tasks that are running, one after the other."""
+        frames = sys._current_frames()
+        stacks = [
+            "".join(traceback.format_stack(frames[thread_id]))
+            for thread_id in list(self._task_threads)
+            if thread_id in frames
+        ]
+        return f"{self.running_tasks()} running tasks:\n" + "\n".join(stacks)
 
     def running_tasks(self) -> int:
         """Return how many tasks are running."""
--- a/tests/endpoints.py
+++ b/tests/endpoints.py
@@ -38,7 +38,7 @@
     try:
         yield runtime
     finally:
-        assert runtime.close(WAIT_LIMIT_MS), "tasks are left over"
+        assert runtime.close(WAIT_LIMIT_MS), runtime.describe_tasks()
 
 
 def wait_until(runtime: Runtime, predicate: Callable[[], object]) -> None:
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -1,5 +1,6 @@
 """Tests of the runtime."""
 
+import concurrent.futures
 import contextlib
 import signal
 import socket
@@ -14,6 +15,7 @@
     KEEPALIVE_PROBES,
     Address,
     Connection,
+    Runtime,
 )
 from standins.linegroup import LOCAL
 from tests.endpoints import open_runtime
@@ -219,3 +221,21 @@
             listener.open()
         taken.close()
         listener.close()
+
+
+class TestTasks:
+    def test_task_that_was_cancelled_before_it_began_has_ended(self):
+        """Guards against a process that waits at its end for a task that never ran."""
+        runtime = Runtime(task_limit=2)
+        runtime._executor = concurrent.futures.ThreadPoolExecutor(max_workers=1)
+        runtime.start(runtime.sleep_ms, WAIT_MS)
+        runtime.start(runtime.sleep_ms, WAIT_MS)
+        assert runtime.close(WAIT_MS)
+
+    def test_running_task_is_described_by_its_stack(self):
+        runtime = Runtime(task_limit=2)
+        runtime.start(runtime.sleep_ms, WAIT_MS)
+        while "in sleep_ms" not in runtime.describe_tasks():
+            time.sleep(0.01)
+        assert runtime.close(WAIT_MS)
+        assert "in sleep_ms" not in runtime.describe_tasks()
