Run statements only in the regions of their route and workspace

Nothing read the lists: a statement could reach an instance in any region.

An instance's region comes from its failure domain by the settings' table. Where route and workspace both name regions, both bind. What no instance there can run is refused at once as not run; daemons don't pass statements on, so no body leaves the daemon for another region.

--- a/bronzerelay/pooler/fleetconfig.py
+++ b/bronzerelay/pooler/fleetconfig.py
@@ -5,6 +5,16 @@
 
 from bronzerelay.runtime import Address
 
+# The regions in which statements may run; None stands for all.
+Regions = frozenset[str] | None
+
+
+def intersect_regions(first: Regions, second: Regions) -> Regions:
+    """Return the regions that both allow."""
+    if first is None or second is None:
+        return second if first is None else first
+    return first & second
+
 
 class Consistency(enum.Enum):
     """Which commits a route's reads must include."""
@@ -28,6 +38,7 @@
     objective_ms: float
     max_age_ms: float
     public: bool
+    regions: Regions = None
 
 
 class Service(NamedTuple):
@@ -43,6 +54,7 @@
     name: str
     rate: float
     burst: float
+    regions: Regions = None
 
 
 class FleetConfig(NamedTuple):
@@ -69,5 +81,6 @@
     # When it started, by its own clock. A restarted instance keeps its id but loses the
     # state of its connections.
     born_ms: int
-    # Its failure domain.
+    # Its failure domain, and the region of that; empty if the platform names none.
     domain: str
+    region: str = ""
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -3,7 +3,12 @@
 from typing import NamedTuple
 
 from bronzerelay.pooler.directory import Directory
-from bronzerelay.pooler.fleetconfig import Consistency, InstanceEntry, Route
+from bronzerelay.pooler.fleetconfig import (
+    Consistency,
+    InstanceEntry,
+    Regions,
+    Route,
+)
 from bronzerelay.pooler.messages import Position
 from bronzerelay.pooler.positions import LogPositions, Sample
 from bronzerelay.runtime import Runtime
@@ -176,13 +181,16 @@
         requirement: ReadRequirement,
         tried: frozenset[str],
         has_proof: bool,
+        regions: Regions = None,
     ) -> list[str]:
-        """Return the ids of the instances that may serve a read, best first.
+        """Return the ids of the instances in `regions` that may serve, best first.
 
         Without a proof that it is still the primary, the primary is used only if the
         read requires it or no other instance is left.
         """
         primary = self._directory.find_primary(service)
+        if primary is not None and not _is_inside(primary, regions):
+            primary = None
         if requirement.primary_only:
             return [primary.id] if primary else []
         now_ms = self._clock.now_ms()
@@ -190,6 +198,8 @@
         for entry in self._directory.list_instances(service):
             if self._directory.is_leaving(entry) or entry.id in tried:
                 continue
+            if not _is_inside(entry, regions):
+                continue
             is_primary = primary is not None and primary.id == entry.id
             if is_primary and not has_proof:
                 continue
@@ -217,3 +227,7 @@
         if floor is None or view.position is None or view.position >= floor:
             return True
         return now_ms - view.position_at_ms > POSITION_VALID_MS
+
+
+def _is_inside(entry: InstanceEntry, regions: Regions) -> bool:
+    return regions is None or entry.region in regions
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -8,7 +8,7 @@
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.pooler.events import EventLog
-from bronzerelay.pooler.fleetconfig import InstanceEntry, Route
+from bronzerelay.pooler.fleetconfig import InstanceEntry, Regions, Route
 from bronzerelay.pooler.links import (
     POOLER_STATEMENT_ID,
     InstanceLink,
@@ -87,6 +87,8 @@
     prepared: Prepared | None
     deadline_ms: float
     slot_deadline_ms: float
+    # Where the statement may run.
+    regions: Regions
 
     @property
     def writes(self) -> bool:
@@ -312,7 +314,7 @@
         while True:
             has_proof = self._guard.has_proof()
             candidates = self._placement.list_candidates(
-                service, requirement, tried, has_proof
+                service, requirement, tried, has_proof, job.regions
             )
             record = self._directory.primary_records.get(service)
             planned = record is not None and record.planned and not record.settled
--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -6,7 +6,12 @@
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.pooler.events import EventLog
-from bronzerelay.pooler.fleetconfig import FleetConfig, Route
+from bronzerelay.pooler.fleetconfig import (
+    FleetConfig,
+    Regions,
+    Route,
+    intersect_regions,
+)
 from bronzerelay.pooler.fleetrates import FleetRates
 from bronzerelay.pooler.lines import LINE_TIMEOUT_MS, LineReader
 from bronzerelay.pooler.links import InstanceLink
@@ -374,8 +379,15 @@
             prepared,
             now_ms + route.timeout_ms,
             now_ms + min(route.timeout_ms, route.objective_ms * SLOT_WAIT_FRACTION),
+            self._find_regions(route, workspace),
         )
 
+    def _find_regions(self, route: Route, workspace: str) -> Regions:
+        """Return the regions that both the route and the workspace allow."""
+        config = self._services.directory.config
+        known = config.workspaces.get(workspace) if config else None
+        return intersect_regions(route.regions, known.regions if known else None)
+
     def _record_own_commit(self, service: str, position: Position) -> None:
         known = self._own_commits.get(service)
         self._own_commits[service] = max(known, position) if known else position
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -689,4 +689,11 @@
         "left_ms = job.slot_deadline_ms - self._clock.now_ms()",
         PATH + "TestManyDaemons",
     ),
+    Mutation(
+        "a statement runs only in the regions of its route and its workspace",
+        POOLER + "runner.py",
+        "service, requirement, tried, has_proof, job.regions",
+        "service, requirement, tried, has_proof",
+        PATH + "TestAdmission",
+    ),
 )
--- a/tests/builders_pooler.py
+++ b/tests/builders_pooler.py
@@ -144,7 +144,7 @@
         plugins = Plugins(
             CODEC,
             StoreClient(runtime, store),
-            PlatformRecords(),
+            PlatformRecords({}),
             FailoverCall(runtime, store),
             lambda: None,
         )
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bronzerelay.pooler.fleetconfig import Consistency
+from bronzerelay.pooler.fleetconfig import Consistency, intersect_regions
 from bronzerelay.pooler.messages import Position
 from bronzerelay.pooler.placement import POSITION_VALID_MS, Placement, ReadRequirement
 from bronzerelay.pooler.positions import AGE_MARGIN_MS, LogPositions
@@ -140,3 +140,48 @@
         assert list_candidates(
             placement, self.requirement, frozenset([FIRST, SECOND])
         ) == [PRIMARY]
+
+
+class TestRegions:
+    @pytest.fixture
+    def directory(self, placement):
+        directory = placement._directory
+        for name, region in ((PRIMARY, "north"), (FIRST, "south"), (SECOND, "")):
+            entry = directory.instances[name]
+            directory.set_instance(entry._replace(region=region))
+        return directory
+
+    @pytest.mark.parametrize(
+        ("regions", "allowed"),
+        [
+            (None, {PRIMARY, FIRST, SECOND}),
+            (frozenset(["north"]), {PRIMARY}),
+            (frozenset(["south", "west"]), {FIRST}),
+            (frozenset(), set()),
+        ],
+    )
+    def test_reads_stay_in_their_regions(self, placement, directory, regions, allowed):
+        requirement = ReadRequirement(Position(1, 5), False)
+        found = placement.list_candidates(
+            SERVICE, requirement, frozenset(), True, regions
+        )
+        assert set(found) == allowed
+
+    def test_primary_in_another_region_isnt_used(self, placement, directory):
+        # Guards against a write that leaves its regions since only the primary can run
+        # it, and against a read that goes there when no replica is left.
+        south = frozenset(["south"])
+        strict = ReadRequirement(None, True)
+        aged = ReadRequirement(Position(1, 5), False)
+        for requirement in (strict, aged):
+            found = placement.list_candidates(
+                SERVICE, requirement, frozenset([FIRST]), True, south
+            )
+            assert found == []
+
+    def test_regions_of_a_route_and_a_workspace_both_bind(self):
+        north, both = frozenset(["north"]), frozenset(["north", "south"])
+        assert intersect_regions(None, None) is None
+        assert intersect_regions(north, None) == intersect_regions(None, north) == north
+        assert intersect_regions(both, north) == north
+        assert intersect_regions(north, frozenset(["south"])) == frozenset()
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -190,6 +190,15 @@
         assert caller.query("COMMIT").error == "DENIED"
         assert fleet.platform.group.instances["orders-0"].log == []
 
+    def test_route_whose_regions_have_no_instance_is_refused(self, fleet):
+        # Guards against statements that leave the regions of their route.
+        fleet.platform.routes[0]["allowed_regions"] = ["elsewhere"]
+        fleet.platform.configure()
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        assert caller.query("STORE a 1").error == "RETRY"
+        assert fleet.platform.group.runs == []
+
     def test_instances_get_the_workspace_and_never_the_key(self, fleet):
         fleet.start_ready("d1")
         run_ok(open_session(fleet), "FETCH a")
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -5,7 +5,8 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from records import PlatformRecords, decode_config, decode_instance
+from records import PlatformRecords, decode_config
+from records import decode_instance as decode_with_regions
 
 from bronzerelay.pooler.fleetconfig import Consistency
 from bronzerelay.pooler.mirror import Item
@@ -47,6 +48,10 @@
     return json.dumps({**value, **fields}).encode()
 
 
+def decode_instance(instance_id, data):
+    return decode_with_regions(instance_id, data, {"z": "north"})
+
+
 class TestConfig:
     def test_config(self):
         config = decode_config(encode(CONFIG))
@@ -55,6 +60,14 @@
         assert config.routes["db"].max_age_ms == 2500
         assert config.keys == {"k1": "t"}
         assert config.workspaces["t"].rate == 66
+        assert config.routes["db"].regions is config.workspaces["t"].regions is None
+
+    def test_regions(self):
+        tenant = {**CONFIG["tenants"][0], "allowed_regions": ["north"]}
+        route = {**ROUTE, "allowed_regions": ["north", "south"]}
+        config = decode_config(encode(CONFIG, routes=[route], tenants=[tenant]))
+        assert config.routes["db"].regions == {"north", "south"}
+        assert config.workspaces["t"].regions == {"north"}
 
     @pytest.mark.parametrize(
         "data",
@@ -73,6 +86,8 @@
     def test_entry(self):
         entry = decode_instance("i-1", encode(ENTRY))
         assert (entry.id, entry.slots, entry.born_ms) == ("i-1", 3, 77)
+        assert (entry.domain, entry.region) == ("z", "north")
+        assert decode_instance("i-1", encode(ENTRY, zone="other")).region == ""
         assert not entry.leaving
         assert decode_instance("i-1", encode(ENTRY, state="draining")).leaving
         assert decode_instance(
@@ -105,8 +120,10 @@
                 read()
 
     def test_keys(self):
-        records = PlatformRecords()
+        records = PlatformRecords({})
         assert records.is_config("op/config")
         assert records.find_instance_id("servers/i-1") == "i-1"
         assert records.find_instance_id("op/config") is None
+        assert records.find_evacuated_domain("op/config") is None
+        assert records.find_evacuated_domain("op/evacuate/z1") == "z1"
         assert records.read_instance(Item("servers/i-1", None, 3)) is None
