--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -51,7 +51,6 @@
 # The time between two rounds of upkeep, in milliseconds.
 UPKEEP_MS = 250
 METRICS_PATH = "/metrics"
-READY_PATH = "/-/readyz"
 # The fraction of the drain time, or of the time for an evacuation, during which a
 # leaving instance is still used as the primary. Statements that are sent at the end of
 # it still have to arrive in time.
@@ -121,6 +120,8 @@
     store: Store
     records: RecordReader
     promote: Promoter
+    # The path at which the load balancer asks whether to send callers here.
+    ready_path: str
     # Returns the settings if they have changed, else None; raises ValueError.
     read_changed_settings: Callable[[], PoolerSettings | None]
 
@@ -261,7 +262,7 @@
     def get_page(self, path: str) -> HttpResponse:
         """Return the response for a path."""
         path, _, query = path.partition("?")
-        if path == READY_PATH:
+        if path == self._plugins.ready_path:
             return HttpResponse(200 if self.is_ready() else 503, b"")
         if path == MIRROR_PATH:
             return HttpResponse(200, self.mirror.pack(read_after(query)))
--- a/tests/builders_pooler.py
+++ b/tests/builders_pooler.py
@@ -29,6 +29,7 @@
 from standins.processes import reserve_addresses
 
 TASKS = 400
+READY_PATH = "/-/readyz"
 WAIT_MS = 8000
 # How long the instances of an evacuated failure domain may be used in these
 # directories, and how soon daemons may send nothing there, in milliseconds.
@@ -146,6 +147,7 @@
             StoreClient(runtime, store),
             PlatformRecords({}),
             FailoverCall(runtime, store),
+            READY_PATH,
             lambda: None,
         )
         daemon = PoolerDaemon(runtime, settings, plugins)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -25,7 +25,16 @@
 
 ROOT = Path(__file__).parent.parent
 # Words of the platform's protocol, which must not occur in the product's own code.
-FOREIGN_WORDS = ["kv-", "op/config", "servers/", "WAITLSN", "STEPDOWN", "DATAROW"]
+FOREIGN_WORDS = [
+    "kv-",
+    "readyz",
+    "op/config",
+    "op/evacuate",
+    "servers/",
+    "WAITLSN",
+    "STEPDOWN",
+    "DATAROW",
+]
 FOREIGN_WORDS += ["max_staleness_ms", "rate_per_s", "api_keys", "X-Fencing-Token"]
 # Limit of a daemon's resident memory after its start.
 MAX_RESIDENT_KB = 45 * 1024
