--- a/bronzerelay/pooler/directory.py
+++ b/bronzerelay/pooler/directory.py
@@ -174,7 +174,10 @@
         )
 
     def is_leaving(self, entry: InstanceEntry) -> bool:
-        """Return whether an instance is to get no new work, by its own or an order."""
+        """Return whether an instance is to get no new work.
+
+        It has announced that it leaves, or its failure domain is under evacuation.
+        """
         return entry.leaving or self.evacuations.includes(entry.domain)
 
     def is_closed(self, entry: InstanceEntry) -> bool:
--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -125,10 +125,13 @@
     def _find_told(self, name: str, joined: dict[str, int]) -> int:
         """Return the newest store revision that a member is known to have had.
 
-        A daemon behind relays hears few members itself. If the others of a failure
-        domain that lost its power counted by their entries alone, the first ones to
-        have joined could be a majority of the list at that time, and no daemon that
-        never heard them could change a primary until they are back.
+        A daemon behind relays hears few members itself. If those that it never heard
+        counted by their entries alone, the first ones to have joined could be a
+        majority of the list at that time. When their failure domain loses its power,
+        no primary could be changed until they are back.
+
+        What a relay has told of all members stays true: a mirror never goes back, and
+        a daemon that restarts loads that of the store or of a member.
         """
         views = self._gossip.views
         told = [one.known_by_all for one in views.values()]
