--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -696,4 +696,11 @@
         "service, requirement, tried, has_proof",
         PATH + "TestAdmission",
     ),
+    Mutation(
+        "what a relay tells of all members counts for those that were never heard",
+        POOLER + "members.py",
+        "told = [one.known_by_all for one in views.values()]",
+        "told = []",
+        "tests/test_members.py::TestQuorum",
+    ),
 )
