--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -86,7 +86,7 @@
     Mutation(
         "a daemon that was never heard knows the list as of its own entry",
         POOLER + "members.py",
-        "return max(joined[name], view.store_revision, view.known_revision)",
+        "return max([joined[name], *told])",
         "return max(joined.values())",
         "tests/test_members.py::TestQuorum",
     ),
@@ -357,8 +357,8 @@
     Mutation(
         "an operation is retried at a busy primary on the same connection",
         POOLER + "runner.py",
-        "if not slot.as_primary or self._clock.now_ms() >= job.slot_deadline_ms:",
-        "if True:",
+        "find_busy_pause_ms(refused, left_ms) if slot.as_primary else None",
+        "None",
         PATH + "TestManyDaemons",
     ),
     Mutation(
