Revert "Leave explained conflicts out of the commits that have to run"

The body of a listed test stays as it is, and an entry leaves the list only when that unchanged test has passed many times.

--- a/tests/test_promise_transactions.py
+++ b/tests/test_promise_transactions.py
@@ -8,7 +8,6 @@
 from standins.caller import Caller, CallerSettings
 from standins.checks import run_checks
 from standins.cluster import Cluster
-from standins.conflicts import list_conflicting
 from standins.exchange import LinkPool
 from standins.faultrelay import (
     CUT_HALF_REPLY,
@@ -509,12 +508,7 @@
         assert run.struck >= 10
         assert run_checks(run.record, cluster.collect_evidence()) == []
         commits = [entry for entry in run.record if entry.action == "commit"]
-        # The slower the machine, the more transactions of this load change one row.
-        answered = [
-            entry
-            for entry in commits
-            if entry.code >= 0 and not list_conflicting(run.record, entry)
-        ]
+        answered = [entry for entry in commits if entry.code >= 0]
         committed = sum(entry.ran == RAN for entry in answered)
         assert committed >= len(answered) * 0.9
         assert committed >= 20
