Log refused requests with what decided them

What remains of the flood's test on the list of known failures couldn't be told from its runs: neither the record nor the daemons' logs said what refused a request, where, and how old what it was decided by was.

Daemons log a refused caller and a refused forwarded request at level info, with its id, how long it had waited, the daemon that serves the group and the age of that news, and the state of the slot queue (waiters, hold, intervals between grants).

--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -259,6 +259,24 @@
             if self._is_serving_daemon(name)
         }
 
+    def describe_service(self, group: str, workspace: str) -> dict[str, Any]:
+        """Return what decides at this daemon about a workspace's requests to a group.
+
+        That is who serves the group as far as this daemon knows and how old the news of
+        that daemon is and, once this daemon has a queue for the group, its state.
+        """
+        ranked = self.rank_daemons(group)
+        first = ranked[0] if ranked else ""
+        heard_at_ms = self._membership.view_of(first).heard_at_ms
+        fields: dict[str, Any] = {
+            "served_by": first,
+            "heard_ms_ago": round(self._runtime.clock.now_ms() - heard_at_ms),
+        }
+        served = self._served.get(group)
+        if served is None:
+            return fields
+        return fields | served.server.components.slots.describe(workspace)
+
     def list_standby(self) -> list[str]:
         """Return the groups that this daemon keeps as a standby."""
         with self._lock:
--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -1,5 +1,6 @@
 """The kernel: authenticates, admits and runs a caller's request."""
 
+import functools
 from typing import Any
 
 import msgspec
@@ -22,6 +23,7 @@
 )
 from bronzerelay.peers import PeerLinks, make_wanted_check
 from bronzerelay.policies import make_policy
+from bronzerelay.refusallog import RefusalLog, RefusedRequest
 from bronzerelay.replies import pack_reply
 from bronzerelay.routing import Router, is_write
 from bronzerelay.runtime import Runtime
@@ -81,6 +83,7 @@
         self.stopping = False
         self._isolated_since_ms: float | None = None
         self._log = logs.open_log("kernel")
+        self._refusals = RefusalLog(runtime, self._log)
 
     # Admission
 
@@ -144,8 +147,20 @@
         if result.is_ok():
             duration_ms = self._runtime.clock.now_ms() - started_ms
             self._metrics.record_latency(workspace, request["group"], duration_ms)
+        else:
+            refused = RefusedRequest(request_id, workspace, started_ms)
+            message = "A caller was refused."
+            self._log_refusal(message, refused, request["group"], result.error)
         return result
 
+    def _log_refusal(
+        self, message: str, request: RefusedRequest, group: str, refusal: Refusal
+    ) -> None:
+        describe = functools.partial(
+            self._groups.describe_service, group, request.workspace
+        )
+        self._refusals.record(message, request, refusal, describe)
+
     def _log_result(
         self, message: str, workspace: str, trace_id: str, result: Result
     ) -> None:
@@ -232,7 +247,8 @@
         """Run a statement that a peer forwarded; it is never forwarded again."""
         request = _request_decoder.decode(call.request)
         session = decode_session(request.get("session", "")).ok
-        deadline_ms = self._runtime.clock.now_ms() + call.budget_ms
+        received_ms = self._runtime.clock.now_ms()
+        deadline_ms = received_ms + call.budget_ms
         work = Work(
             call.request_id,
             call.workspace,
@@ -245,6 +261,10 @@
         result = self.run_here(work, bool(call.settle))
         message = "A forwarded request ended."
         self._log_result(message, work.workspace, work.trace_id, result)
+        if not result.is_ok():
+            refused = RefusedRequest(work.trace_id, work.workspace, received_ms)
+            message = "A forwarded request was refused."
+            self._log_refusal(message, refused, work.group, result.error)
         return pack_reply(result)
 
     def lend(self, call: LoanCall) -> LoanReply:
--- a/bronzerelay/slots.py
+++ b/bronzerelay/slots.py
@@ -8,7 +8,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from bronzerelay.codes import NOT_RUN, Code, Refusal
 from bronzerelay.runtime import Runtime
@@ -349,6 +349,23 @@
         with self._lock:
             return {name: queue.count for name, queue in self._queues.items()}
 
+    def describe(self, workspace: str) -> dict[str, Any]:
+        """Return what decides about a workspace's waiters, for the log."""
+        with self._lock:
+            queue = self._queues.get(self._name_queue(workspace))
+            return {
+                "waiting": queue.count if queue is not None else 0,
+                "waiting_in_all": sum(other.count for other in self._queues.values()),
+                "in_use": sum(len(times) for times in self._grant_times_ms.values()),
+                "hold_ms": round(self._hold_ms, 1),
+                "grant_intervals_ms": []
+                if queue is None
+                else [
+                    round(subqueue.interval_ms, 1)
+                    for subqueue in queue.subqueues.values()
+                ],
+            }
+
     def count_used(self) -> dict[str, int]:
         """Return how many slots are in use, by endpoint."""
         with self._lock:
--- a/standins/summary.py
+++ b/standins/summary.py
@@ -96,3 +96,21 @@
         f"{summary.replica_share:.0%}",
         codes,
     ]
+
+
+def print_refused(entries: Iterable[Entry], limit: int = 100) -> None:
+    """Print the requests that didn't run: when, where, and what refused them.
+
+    Times count from when the first request was due. With more than `limit` requests
+    the last ones are left out.
+    """
+    entries = list(entries)
+    start_ms = min((entry.due_ms for entry in entries), default=0)
+    refused = [entry for entry in entries if entry.ran != RAN]
+    for entry in sorted(refused, key=lambda entry: entry.due_ms)[:limit]:
+        due_ms, answered_ms = entry.due_ms - start_ms, entry.answered_ms - start_ms
+        print(
+            f"{due_ms:6.0f} to {answered_ms:6.0f} ms  {entry.request_id}"
+            f"  {entry.workspace}  {get_code_name(entry.code)} at {entry.daemon}"
+            f" ({entry.ran}): {entry.message}"
+        )
--- a/tests/test_promise_fairness.py
+++ b/tests/test_promise_fairness.py
@@ -8,7 +8,7 @@
 from bronzerelay.runtime import Runtime
 from standins.cluster import Cluster, Layout, WorkspaceLayout
 from standins.load import Load, LoadSettings
-from standins.summary import summarise
+from standins.summary import print_refused, summarise
 
 SMALL = ("caterer-1", "caterer-2", "caterer-3", "caterer-4")
 FLOODING = "caterer-5"
@@ -56,7 +56,18 @@
     daemons = {name: cluster.addresses[name] for name in cluster.daemon_names}
     load = Load(cluster.runtime, settings, daemons, cluster.keys)
     load.start()
-    return load.wait()
+    record = load.wait()
+    print_account(cluster, record)
+    return record
+
+
+def print_account(cluster, record):
+    """Print what tells why a request was refused; pytest shows it if the test fails."""
+    print_refused(entry for entry in record if entry.workspace != FLOODING)
+    for name in cluster.daemon_names:
+        for line in cluster.read_log(name).splitlines():
+            if FLOODING not in line:
+                print(name, line)
 
 
 def list_served_fractions(record, names):
