Count a daemon's own pause as no stall of the replicas

Callers of a group lost a second of writes after a pause of its serving daemon: it promoted another instance 150 ms after it went on, though the primary was healthy.

Cause: a primary counts as cut off from its replicas once a majority hasn't held its log's end for 600 ms or more, as seen from the serving daemon. That time ran on while the daemon was paused, and its first check came before the answers that had waited in its sockets were read.

Fix: after 250 ms without a check the detector begins anew.

The new test failed before: stalled at the first check after the pause.

--- a/bronzerelay/failover.py
+++ b/bronzerelay/failover.py
@@ -39,6 +39,9 @@
 STALL_FLOOR_MS = 600.0
 INITIAL_CATCH_UP_MS = 400.0
 CATCH_UP_DECAY = 0.9
+# If this much time lies between two checks, this daemon was paused, and its view of the
+# replicas is as old.
+PAUSED_CHECK_MS = 250.0
 # How long a switchover waits for a replica to catch up.
 CATCH_UP_TIMEOUT_MS = 1000
 
@@ -152,6 +155,7 @@
         self._usual_ms = INITIAL_CATCH_UP_MS
         self._awaited: Position | None = None
         self._since_ms = 0.0
+        self._checked_at_ms = 0.0
 
     def reset(self) -> None:
         """Drop the awaited position, as the primary changes."""
@@ -163,6 +167,9 @@
         if state is None:
             return False
         now_ms = self._runtime.clock.now_ms()
+        if now_ms - self._checked_at_ms > PAUSED_CHECK_MS:
+            self.reset()
+        self._checked_at_ms = now_ms
         if self._awaited is not None and watch.is_held_by_majority(self._awaited):
             self._update_usual(now_ms - self._since_ms)
             self._awaited = None
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -76,6 +76,13 @@
         "return False",
         "tests/test_failover.py::test_a_primary_cut_off_from_its_replicas_is_replaced",
     ),
+    Mutation(
+        "a daemon's own pause is no stall of the replicas",
+        "bronzerelay/failover.py",
+        "if now_ms - self._checked_at_ms > PAUSED_CHECK_MS:",
+        "if False:",
+        "tests/test_failover.py::test_a_pause_of_the_daemon_is_no_stall_of_the_replicas",
+    ),
     Mutation(
         "instances that follow no primary are told to follow the current one",
         "bronzerelay/failover.py",
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -3,7 +3,15 @@
 import pytest
 
 from bronzerelay import dialect
-from bronzerelay.failover import CATCH_UP_TIMEOUT_MS, CHECK_INTERVAL_MS, Promoter
+from bronzerelay.failover import (
+    CATCH_UP_TIMEOUT_MS,
+    CHECK_INTERVAL_MS,
+    INITIAL_CATCH_UP_MS,
+    STALL_FACTOR,
+    Promoter,
+    StallDetector,
+)
+from bronzerelay.watch import InstanceState
 from tests.builders_group import (
     make_configuration,
     make_group_spec,
@@ -12,6 +20,7 @@
     make_work,
 )
 from tests.endpoints import add, get, wait_until
+from tests.fleet import SimulatedRuntime
 
 SLOW_MS = 150
 
@@ -289,3 +298,31 @@
     group.admin("orders-2", "heal", names=["orders-1"])
     answer = write_until_acknowledged(runtime, server)
     assert answer["value"] == latest["value"] + 1
+
+
+class StalledWatch:
+    """A group whose primary's last entries no replica holds."""
+
+    states = {"orders-1": InstanceState(term=1, role="primary", log_term=1, position=5)}
+
+    def is_held_by_majority(self, need):
+        return False
+
+
+def test_a_pause_of_the_daemon_is_no_stall_of_the_replicas():
+    """Guards against a promotion by a daemon that has just ended a pause."""
+    runtime = SimulatedRuntime()
+    detector = StallDetector(runtime)
+    stall_ms = STALL_FACTOR * INITIAL_CATCH_UP_MS
+
+    def check_for(duration_ms):
+        for _ in range(int(duration_ms / CHECK_INTERVAL_MS)):
+            runtime.clock.time_ms += CHECK_INTERVAL_MS
+            if detector.is_stalled(StalledWatch(), "orders-1"):
+                return True
+        return False
+
+    assert not check_for(stall_ms / 2)
+    runtime.clock.time_ms += 2 * stall_ms
+    assert not check_for(stall_ms / 2)
+    assert check_for(stall_ms)
