Leave the groups of a missed daemon to those that took them over

Callers of small workspaces were refused for want of a slot (DEADLINE_PASSED, NO_PRIMARY, not run) for a second after a pause of the serving daemon, though the endpoint's slots could have served them.

Cause: who serves a group is the first by rank of the live daemons, as each sees them. A daemon that was paused for more than 0.7 s sees itself as live and first, and serves what it finds in its sockets and what its peers forward as soon as one heartbeat got through. The daemon that took the group over still has its own queue then. Both grant the same slots, and the endpoint refuses what is beyond them; a request that was refused as busy goes to the end of the queue, where it is refused early. The daemon that goes on is also the slowest to answer: its heartbeats are late again, and calls to it are cut a second time 50 to 250 ms after the first.

Evidence: the load of the flood's test, the serving daemon stopped once. After 1,300 ms both report that they serve the group for 0.2 to 0.5 s, and both hold queues for about a second.

Fix: the replies to heartbeats tell a daemon how long ago each peer counted it as dead. While most have done so in the last 10 s it serves no groups, forwards its callers' requests, and says so in its own heartbeats; peers that missed it send it nothing before it says which. Requests that it finds after a pause wait for these answers, 400 ms at most.

The new tests failed before; on processes the paused daemon reported the group as its own again at once.

--- a/bronzerelay/gossip.py
+++ b/bronzerelay/gossip.py
@@ -6,17 +6,17 @@
 import msgspec
 
 from bronzerelay.configuration import ConfigurationStore
-from bronzerelay.membership import Membership
+from bronzerelay.membership import PAUSE_MS, Membership
 from bronzerelay.peerlink.ttypes import Beat, Record
 from bronzerelay.peers import PeerLinks
-from bronzerelay.runtime import Address, Runtime
+from bronzerelay.runtime import Address, Runtime, TaskLimitError
 from bronzerelay.types import Roster
 
 FETCH_TIMEOUT_MS = 2000
+# How many peers are asked at once after a pause; the others at their next heartbeat.
+MAX_ASKED = 16
 # How often the liveness of peers is checked, to drop the links to silent ones.
 LIVENESS_CHECK_MS = 50
-# If this much time lies between two liveness checks, this daemon was paused.
-PAUSE_MS = 250
 
 _roster_decoder = msgspec.json.Decoder(Roster)
 
@@ -102,7 +102,7 @@
         # so before it has the configuration version that the reply announces, it would
         # admit requests with keys that this version withdraws.
         if result.ok.config_version <= self._store.version:
-            self._membership.merge_reply(result.ok.views, sent_at_ms)
+            self._membership.merge_reply(result.ok.views, sent_at_ms, name)
         return True
 
     def make_beat(self) -> Beat:
@@ -163,8 +163,18 @@
             self._membership.note_pause(checked_ms, now_ms)
             extra = {"paused_ms": round(now_ms - checked_ms)}
             self._log.warning("This daemon was paused.", extra=extra)
+            self._ask_peers()
+        self._membership.note_running(now_ms)
         return now_ms
 
+    def _ask_peers(self) -> None:
+        """Send heartbeats at once, as requests wait for the answers after a pause."""
+        for name, address in list(self._targets.items())[:MAX_ASKED]:
+            try:
+                self._runtime.start(self.send_heartbeat, name, address)
+            except TaskLimitError:
+                return
+
     def _drop_silent(self, name: str) -> None:
         address = self._membership.address_of(name)
         view = self._membership.view_of(name)
--- a/bronzerelay/groups.py
+++ b/bronzerelay/groups.py
@@ -52,9 +52,9 @@
 
 
 class Ranking(NamedTuple):
-    """The first-ranked daemons of each group, valid while `alive` are the live ones."""
+    """The first-ranked daemons of each group, valid while `serving` serve groups."""
 
-    alive: list[str]
+    serving: list[str]
     first: dict[str, tuple[str, ...]]
 
 
@@ -82,14 +82,14 @@
         self._ranking = Ranking([], {})
 
     def rank_daemons(self, group: str) -> tuple[str, ...]:
-        """Return the first-ranked live daemons of `group`; the first one serves it."""
-        alive = self._membership.alive_names()
+        """Return the first-ranked daemons of `group`; the first one serves it."""
+        serving = self._membership.serving_names()
         ranking = self._ranking
-        if ranking.alive is not alive:
-            ranking = self._ranking = Ranking(alive, {})
+        if ranking.serving is not serving:
+            ranking = self._ranking = Ranking(serving, {})
         first = ranking.first.get(group)
         if first is None:
-            first = tuple(rank(f"group/{group}", alive)[:RANKED_LIMIT])
+            first = tuple(rank(f"group/{group}", serving)[:RANKED_LIMIT])
             ranking.first[group] = first
         return first
 
@@ -140,6 +140,7 @@
             "began": sorted(current - previous)[:LOGGED_GROUP_LIMIT],
             "ended": sorted(previous - current)[:LOGGED_GROUP_LIMIT],
             "live_daemons": len(self._membership.alive_names()),
+            "standing_down": self._membership.is_standing_down(),
         }
         self._log.info("The groups that this daemon serves changed.", extra=extra)
 
--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -1,20 +1,28 @@
 """Membership: which daemons are alive, from views that heartbeats carry."""
 
+import math
 from typing import NamedTuple
 
 from bronzerelay.peerlink.ttypes import MemberView
 from bronzerelay.runtime import Address, Runtime, parse_address
+from bronzerelay.standdown import ASK_MS, STAND_DOWN_MS, Answer, StandDown
 from bronzerelay.types import Roster
 
 # The age of an event that never happened; it fits into the heartbeat's i64.
 NEVER_MS = 10**12
+# If this much time lies between two calls of `note_running`, this daemon was paused.
+PAUSE_MS = 250
+# After a pause of this share of `suspect_ms` peers may have counted this daemon as
+# dead, as their last news of it was older than the pause.
+MISSED_SHARE = 0.5
 
 
 class View(NamedTuple):
     """What this daemon knows about a member; times are on this daemon's clock.
 
     `heard_at_ms` is when the member was known to run, and `platform_at_ms` when the
-    platform last answered it.
+    platform last answered it. While `standing_down` it serves no groups; None says that
+    it doesn't know yet whether it may.
     """
 
     beat: int = -1
@@ -23,6 +31,7 @@
     heard_at_ms: float = -NEVER_MS
     platform_at_ms: float = -NEVER_MS
     stopping: bool = False
+    standing_down: bool | None = None
 
 
 class Pause(NamedTuple):
@@ -59,9 +68,20 @@
         self._addresses: dict[str, Address] = {}
         self._own_view = View(beat=0)
         self._pause = Pause()
+        # When this daemon last noted that it runs; inf until it does so at all.
+        self._running_at_ms = math.inf
+        # When each member was last found to be dead because of its silence.
+        self._missed_at_ms: dict[str, float] = {}
+        self._stand_down = StandDown()
+        # Notified of answers while `is_asking` is true.
+        self._answered = runtime.make_condition()
         self._platform_at_ms: float = -NEVER_MS
-        # The live members, cached until a view changes or `_alive_until_ms` has passed.
+        # The live members, those of them that may serve groups, and what this daemon
+        # itself does, cached until a view changes or `_alive_until_ms` has passed.
         self._alive: list[str] = []
+        self._serving: list[str] = []
+        self._is_asking = False
+        self._is_standing_down = False
         self._alive_until_ms: float = -NEVER_MS
 
     @property
@@ -106,29 +126,53 @@
         """Return this daemon's view of itself and of all others, with current ages."""
         now_ms = self._runtime.clock.now_ms()
         with self._lock:
+            self._update_alive(now_ms)
             self._own_view = self._own_view._replace(
-                beat=self._own_view.beat + 1, heard_at_ms=now_ms
+                beat=self._own_view.beat + 1,
+                heard_at_ms=now_ms,
+                standing_down=None if self._is_asking else self._is_standing_down,
             )
             views = {**self._views, self.name: self._own_view}
-        return [_pack_view(name, view, now_ms) for name, view in views.items()]
-
-    def merge_reply(self, views: list[MemberView], sent_at_ms: float) -> None:
+            missed_at_ms = dict(self._missed_at_ms)
+        return [
+            _pack_view(name, view, now_ms, missed_at_ms.get(name, -NEVER_MS))
+            for name, view in views.items()
+        ]
+
+    def merge_reply(
+        self, views: list[MemberView], sent_at_ms: float, sender: str = ""
+    ) -> None:
         """Merge the views of a reply, with ages that count from `sent_at_ms`."""
+        was_asking = self._is_asking
         with self._lock:
             for packed in views:
                 if packed.name == self.name:
+                    self._note_answer(sender, packed, sent_at_ms)
                     continue
                 known = self._views.get(packed.name, View())
                 view = _merge_view(known, packed, sent_at_ms)
                 self._views[packed.name] = view
                 self._note_merged(packed.name, known, view)
+        if was_asking:
+            with self._answered:
+                self._answered.notify_all()
+
+    def _note_answer(self, sender: str, own: MemberView, sent_at_ms: float) -> None:
+        """Record what `sender` reports of this daemon itself."""
+        missed_at_ms = -math.inf
+        if own.missed_age_ms is not None:
+            missed_at_ms = sent_at_ms - own.missed_age_ms
+        answer = Answer(sent_at_ms, missed_at_ms)
+        if self._stand_down.note_answer(sender, answer, self._runtime.clock.now_ms()):
+            self._invalidate_alive()
 
     def _note_merged(self, name: str, known: View, view: View) -> None:
         self._platform_at_ms = max(self._platform_at_ms, view.platform_at_ms)
         now_ms = self._runtime.clock.now_ms()
         was_silent = not self._is_recent(known, now_ms)
         returned = was_silent and self._is_recent(view, now_ms)
-        if returned or known.stopping != view.stopping:
+        was_stopping = (known.stopping, known.standing_down)
+        if returned or was_stopping != (view.stopping, view.standing_down):
             self._invalidate_alive()
 
     def clear_unreachable(self, name: str) -> None:
@@ -155,8 +199,56 @@
         in progress would be closed.
         """
         with self._lock:
-            self._pause = Pause(began_ms, ended_ms)
-            self._invalidate_alive()
+            self._note_pause(began_ms, ended_ms)
+
+    def _note_pause(self, began_ms: float, ended_ms: float) -> None:
+        is_known = began_ms < self._pause.ended_ms
+        self._pause = Pause(began_ms, ended_ms)
+        long_ms = MISSED_SHARE * self._settings.suspect_ms
+        if ended_ms - began_ms >= long_ms and not is_known:
+            self._stand_down.note_pause(ended_ms)
+        self._invalidate_alive()
+
+    def note_running(self, now_ms: float) -> None:
+        """Record that this daemon runs; to be called a few times in `PAUSE_MS`."""
+        with self._lock:
+            self._running_at_ms = now_ms
+
+    def _catch_up_pause(self, now_ms: float) -> None:
+        """Record a pause that ended just now; the lock is held.
+
+        Requests that arrived during the pause may be handled before the task that looks
+        for pauses runs.
+        """
+        if now_ms - self._running_at_ms > PAUSE_MS:
+            self._note_pause(self._running_at_ms, now_ms)
+            self._running_at_ms = now_ms
+
+    # Standing down
+
+    def is_asking(self) -> bool:
+        """Return whether the peers have yet to tell what they did during a pause.
+
+        They may have counted this daemon as dead and let others serve its groups.
+        """
+        with self._lock:
+            self._update_alive(self._runtime.clock.now_ms())
+            return self._is_asking
+
+    def wait_for_answers(self, timeout_ms: float) -> None:
+        """Return once `is_asking` is false, after `timeout_ms` at the latest."""
+        if not self.is_asking():
+            return
+        with self._answered:
+            self._runtime.wait_for(
+                self._answered, lambda: not self.is_asking(), min(timeout_ms, ASK_MS)
+            )
+
+    def is_standing_down(self) -> bool:
+        """Return whether this daemon serves no groups, as peers counted it as dead."""
+        with self._lock:
+            self._update_alive(self._runtime.clock.now_ms())
+            return self._is_standing_down
 
     # The roster
 
@@ -184,6 +276,8 @@
             }
             for name in set(self._views) - set(self._addresses):
                 del self._views[name]
+                self._missed_at_ms.pop(name, None)
+            self._stand_down.keep_peers(self._addresses)
             self._invalidate_alive()
         return True
 
@@ -240,11 +334,24 @@
         to check all members each time is slow in a large fleet.
         """
         with self._lock:
-            now_ms = self._runtime.clock.now_ms()
-            if now_ms > self._alive_until_ms:
-                self._refresh_alive(now_ms)
+            self._update_alive(self._runtime.clock.now_ms())
             return self._alive
 
+    def serving_names(self) -> list[str]:
+        """Return the live members that serve groups.
+
+        Those that stand down are left out, unless all do. The list is cached like that
+        of `alive_names`.
+        """
+        with self._lock:
+            self._update_alive(self._runtime.clock.now_ms())
+            return self._serving
+
+    def _update_alive(self, now_ms: float) -> None:
+        self._catch_up_pause(now_ms)
+        if now_ms > self._alive_until_ms:
+            self._refresh_alive(now_ms)
+
     def _invalidate_alive(self) -> None:
         self._alive_until_ms = -NEVER_MS
 
@@ -260,11 +367,42 @@
             if name != self.name and self._is_recent(view, now_ms):
                 names.add(name)
                 until_ms = min(until_ms, self._trusted_until_ms(view))
+        self._note_missed(names, now_ms)
         alive = sorted(names)
         if alive != self._alive:
             self._alive = alive
+        peers = set(self._addresses) - {self.name}
+        self._is_asking = self._stand_down.is_asking(peers & names, now_ms)
+        self._is_standing_down = self._stand_down.is_missed(len(peers), now_ms)
+        if self._is_asking:
+            until_ms = min(until_ms, self._stand_down.asks_until_ms)
+        serving = [name for name in alive if not self._stands_down(name, now_ms)]
+        serving = serving or alive
+        if serving != self._serving:
+            self._serving = serving
         self._alive_until_ms = until_ms
 
+    def _note_missed(self, alive: set[str], now_ms: float) -> None:
+        """Record which members count as dead because of their silence."""
+        for name, view in self._views.items():
+            was_heard = view.heard_at_ms > -NEVER_MS / 2
+            is_silent = name not in alive and name not in self._unreachable
+            if was_heard and is_silent and not view.stopping:
+                self._missed_at_ms[name] = now_ms
+
+    def _stands_down(self, name: str, now_ms: float) -> bool:
+        """Return whether a live member stands down, as far as is known here.
+
+        One that was missed here takes its groups back only when it says that it may.
+        """
+        if name == self.name:
+            return self._is_asking or self._is_standing_down
+        standing_down = self._views[name].standing_down
+        if standing_down is None:
+            missed_at_ms = self._missed_at_ms.get(name, -NEVER_MS)
+            return now_ms < missed_at_ms + STAND_DOWN_MS
+        return standing_down
+
     def platform_age_ms(self) -> float:
         """Return how long ago the platform answered any daemon, as far as known."""
         return self._runtime.clock.now_ms() - self._platform_at_ms
@@ -319,7 +457,8 @@
     return [member["name"] for member in roster["members"]]
 
 
-def _pack_view(name: str, view: View, now_ms: float) -> MemberView:
+def _pack_view(name: str, view: View, now_ms: float, missed_at_ms: float) -> MemberView:
+    missed_age_ms = int(now_ms - missed_at_ms) + 1
     return MemberView(
         name=name,
         beat=view.beat,
@@ -328,6 +467,8 @@
         heard_age_ms=int(min(NEVER_MS, now_ms - view.heard_at_ms)) + 1,
         platform_age_ms=int(min(NEVER_MS, now_ms - view.platform_at_ms)) + 1,
         stopping=view.stopping,
+        standing_down=view.standing_down,
+        missed_age_ms=missed_age_ms if missed_age_ms < STAND_DOWN_MS else None,
     )
 
 
@@ -347,4 +488,5 @@
         applied_epoch=packed.applied_epoch,
         config_version=packed.config_version,
         stopping=packed.stopping,
+        standing_down=packed.standing_down,
     )
--- a/bronzerelay/peerlink/peer.thrift
+++ b/bronzerelay/peerlink/peer.thrift
@@ -9,6 +9,10 @@
   5: i64 heard_age_ms
   6: i64 platform_age_ms
   7: bool stopping
+  // Absent while the member doesn't know itself.
+  8: optional bool standing_down
+  // Only if the sender has lately counted the member as dead.
+  9: optional i64 missed_age_ms
 }
 
 struct Beat {
--- a/bronzerelay/peerlink/ttypes.py
+++ b/bronzerelay/peerlink/ttypes.py
@@ -26,11 +26,13 @@
      - heard_age_ms
      - platform_age_ms
      - stopping
+     - standing_down
+     - missed_age_ms
 
     """
 
 
-    def __init__(self, name=None, beat=None, applied_epoch=None, config_version=None, heard_age_ms=None, platform_age_ms=None, stopping=None,):
+    def __init__(self, name=None, beat=None, applied_epoch=None, config_version=None, heard_age_ms=None, platform_age_ms=None, stopping=None, standing_down=None, missed_age_ms=None,):
         self.name = name
         self.beat = beat
         self.applied_epoch = applied_epoch
@@ -38,6 +40,8 @@
         self.heard_age_ms = heard_age_ms
         self.platform_age_ms = platform_age_ms
         self.stopping = stopping
+        self.standing_down = standing_down
+        self.missed_age_ms = missed_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -83,6 +87,16 @@
                     self.stopping = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.standing_down = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.missed_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -121,6 +135,14 @@
             oprot.writeFieldBegin('stopping', TType.BOOL, 7)
             oprot.writeBool(self.stopping)
             oprot.writeFieldEnd()
+        if self.standing_down is not None:
+            oprot.writeFieldBegin('standing_down', TType.BOOL, 8)
+            oprot.writeBool(self.standing_down)
+            oprot.writeFieldEnd()
+        if self.missed_age_ms is not None:
+            oprot.writeFieldBegin('missed_age_ms', TType.I64, 9)
+            oprot.writeI64(self.missed_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -718,6 +740,8 @@
     (5, TType.I64, 'heard_age_ms', None, None, ),  # 5
     (6, TType.I64, 'platform_age_ms', None, None, ),  # 6
     (7, TType.BOOL, 'stopping', None, None, ),  # 7
+    (8, TType.BOOL, 'standing_down', None, None, ),  # 8
+    (9, TType.I64, 'missed_age_ms', None, None, ),  # 9
 )
 all_structs.append(Beat)
 Beat.thrift_spec = (
--- a/bronzerelay/routing.py
+++ b/bronzerelay/routing.py
@@ -91,6 +91,7 @@
             "No daemon serves the group.",
             NO_DAEMON_RETRY_AFTER_MS,
         )
+        self._membership.wait_for_answers(self._left_ms(work))
         ranked = self._groups.rank_daemons(work.group)[:MAX_DAEMONS_TRIED]
         for number, daemon in enumerate(ranked, start=1):
             result = self._run_at(daemon, work, False)
@@ -124,8 +125,11 @@
         self._metrics.count_retry("elsewhere")
         return True
 
+    def _left_ms(self, work: Work) -> float:
+        return work.deadline_ms - self._runtime.clock.now_ms()
+
     def _is_past_deadline(self, work: Work) -> bool:
-        return work.deadline_ms <= self._runtime.clock.now_ms()
+        return self._left_ms(work) <= 0
 
     def _settle(self, work: Work, lost: str) -> Result[StatementAnswer, Refusal]:
         """Determine the outcome of a write that was sent to daemon `lost`.
--- a/tests/test_daemon_gossip.py
+++ b/tests/test_daemon_gossip.py
@@ -43,7 +43,7 @@
     def clear_unreachable(self, name):
         pass
 
-    def merge_reply(self, views, sent_at_ms):
+    def merge_reply(self, views, sent_at_ms, sender):
         self.merged_at.append(self._store.version)
 
 
@@ -127,6 +127,9 @@
     def note_pause(self, began_ms, ended_ms):
         pass
 
+    def note_running(self, now_ms):
+        pass
+
     def why_unreachable(self, name):
         return "refused"
 
--- a/tests/test_promise_fairness.py
+++ b/tests/test_promise_fairness.py
@@ -28,6 +28,8 @@
 SMALL_RATE = 12
 DURATION_MS = 4000
 SLOTS_RATE = 100
+# Longer than the silence after which a daemon counts as dead.
+PAUSE_MS = 1300
 
 
 @pytest.fixture(scope="module")
@@ -113,3 +115,27 @@
     assert sum(entry.ran == RAN for entry in record) >= 0.7 * SLOTS_RATE * 4
     unknown = [entry for entry in record if entry.ran == UNKNOWN]
     assert len(unknown) <= 0.02 * len(record)
+
+
+def find_serving_daemons(cluster):
+    """Return the daemons that report that they serve the group."""
+    group = LAYOUT.groups[0]
+    return [
+        name
+        for name in cluster.daemon_names
+        if group in cluster.fetch_status(name)["groups"]
+    ]
+
+
+def test_a_paused_daemon_leaves_its_group_to_the_one_that_took_it(cluster):
+    """Guards against two daemons that grant the same slots after a pause of one."""
+    cluster.wait_until(
+        lambda: len(find_serving_daemons(cluster)) == 1, "one daemon to serve the group"
+    )
+    (paused,) = find_serving_daemons(cluster)
+    cluster.freeze(paused)
+    cluster.runtime.clock.sleep_ms(PAUSE_MS)
+    cluster.thaw(paused)
+    seen = [find_serving_daemons(cluster) for _ in range(50)]
+    assert paused not in seen[-1]
+    assert seen == 50 * [seen[-1]]
