--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -171,8 +171,9 @@
         now_ms = self._runtime.clock.now_ms()
         was_silent = not self._is_recent(known, now_ms)
         returned = was_silent and self._is_recent(view, now_ms)
-        was_stopping = (known.stopping, known.standing_down)
-        if returned or was_stopping != (view.stopping, view.standing_down):
+        stop_changed = known.stopping != view.stopping
+        stand_down_changed = known.standing_down != view.standing_down
+        if returned or stop_changed or stand_down_changed:
             self._invalidate_alive()
 
     def clear_unreachable(self, name: str) -> None:
--- a/bronzerelay/slots.py
+++ b/bronzerelay/slots.py
@@ -432,15 +432,13 @@
     def describe(self, workspace: str) -> dict[str, Any]:
         """Return what decides about a workspace's waiters, for the log."""
         with self._lock:
-            queue = self._queues.get(self._name_queue(workspace))
+            queue = self._queues.get(self._name_queue(workspace)) or WorkspaceQueue()
             return {
-                "waiting": queue.count if queue is not None else 0,
+                "waiting": queue.count,
                 "waiting_in_all": sum(other.count for other in self._queues.values()),
                 "in_use": sum(len(times) for times in self._grant_times_ms.values()),
                 "hold_ms": round(self._hold_ms, 1),
-                "grant_intervals_ms": []
-                if queue is None
-                else [
+                "grant_intervals_ms": [
                     round(subqueue.interval_ms, 1)
                     for subqueue in queue.subqueues.values()
                 ],
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -6,8 +6,14 @@
 
 from bronzerelay.codes import Code
 from bronzerelay.kernel import ISOLATION_WAIT_MS
-from tests.endpoints import get
-from tests.nodes import KEY, WORKSPACE, open_deployment
+from tests.endpoints import get, put
+from tests.nodes import (
+    KEY,
+    WORKSPACE,
+    hold_all_slots,
+    open_deployment,
+    wait_until_idle,
+)
 
 REQUEST_ID = "till-7"
 
@@ -52,6 +58,26 @@
     assert ids.count(REQUEST_ID) == 2
 
 
+def test_a_refusal_is_logged_with_what_decided_it(records):
+    """Guards against a refused request whose cause can't be found by its id."""
+    with open_deployment() as deployment:
+        deployment.warm_up()
+        serving, other = deployment.ranked
+        release = hold_all_slots(serving)
+        request = {"group": "orders", "statement": put("row", 1), "deadline_ms": 50}
+        answer = other.kernel.run_statement(WORKSPACE, KEY, request, REQUEST_ID)
+        release()
+        assert answer.error.code == Code.DEADLINE_PASSED
+        wait_until_idle(deployment)
+    lines = [record for record in records if "refused" in record.msg]
+    assert {line.request_id for line in lines} == {REQUEST_ID}
+    forwarded = next(line for line in lines if "forwarded" in line.msg)
+    assert forwarded.code == Code.DEADLINE_PASSED
+    assert forwarded.served_by == serving.name
+    assert forwarded.in_use == 3
+    assert any("caller" in line.msg for line in lines)
+
+
 def test_a_request_after_a_pause_waits_for_the_next_heartbeats(monkeypatch):
     """Guards against refusals by a daemon that hears of its peers a moment later."""
     with open_deployment(1) as deployment:
