--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -203,6 +203,7 @@
             self._note_pause(began_ms, ended_ms)
 
     def _note_pause(self, began_ms: float, ended_ms: float) -> None:
+        # A pause may be recorded twice; answers to the first record still count.
         is_known = began_ms < self._pause.ended_ms
         self._pause = Pause(began_ms, ended_ms)
         long_ms = MISSED_SHARE * self._settings.suspect_ms
