Log refusals of callers without a key under one name

Anybody could use up the 40 lines a second of the log of refusals with invented names of workspaces, and so hide why others were refused: 40 lines for 80 requests without a valid key. They share the lines of one name now, as in the counters of refusals.

The new test failed before.

--- a/bronzerelay/kernel.py
+++ b/bronzerelay/kernel.py
@@ -25,6 +25,7 @@
 from bronzerelay.policies import make_policy
 from bronzerelay.refusallog import RefusalLog, RefusedRequest
 from bronzerelay.replies import pack_reply
+from bronzerelay.router import NO_WORKSPACE, UNAUTHENTICATED_CODES
 from bronzerelay.routing import Router, is_write
 from bronzerelay.runtime import Runtime
 from bronzerelay.sessions import Session, decode_session
@@ -148,7 +149,10 @@
             duration_ms = self._runtime.clock.now_ms() - started_ms
             self._metrics.record_latency(workspace, request["group"], duration_ms)
         else:
-            refused = RefusedRequest(request_id, workspace, started_ms)
+            # Whoever has no key could use up the log's lines with invented names.
+            is_known = result.error.code not in UNAUTHENTICATED_CODES
+            name = workspace if is_known else NO_WORKSPACE
+            refused = RefusedRequest(request_id, name, started_ms)
             message = "A caller was refused."
             self._log_refusal(message, refused, request["group"], result.error)
         return result
--- a/bronzerelay/standdown.py
+++ b/bronzerelay/standdown.py
@@ -14,8 +14,8 @@
 class Answer(NamedTuple):
     """A peer's answer to a heartbeat; times are on this daemon's clock.
 
-    `missed_at_ms` is when the peer last began to count this daemon as dead, -inf if it
-    hasn't lately.
+    `missed_at_ms` is when the peer last counted this daemon as dead, -inf if it hasn't
+    lately.
     """
 
     asked_at_ms: float
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -6,6 +6,7 @@
 
 from bronzerelay.codes import Code
 from bronzerelay.kernel import ISOLATION_WAIT_MS
+from bronzerelay.refusallog import PERIOD_MS, WORKSPACE_LINES
 from tests.endpoints import get, put
 from tests.nodes import (
     KEY,
@@ -78,6 +79,22 @@
     assert any("caller" in line.msg for line in lines)
 
 
+def test_callers_without_a_key_use_up_few_lines_of_the_log(records):
+    """Guards against invented names of workspaces that crowd out other refusals."""
+    with open_deployment(1) as deployment:
+        deployment.warm_up()
+        (node,) = deployment.nodes
+        clock = deployment.runtime.clock
+        began_ms = clock.now_ms()
+        request = {"group": "orders", "statement": get("row")}
+        for number in range(20 * WORKSPACE_LINES):
+            answer = node.kernel.run_statement(f"{number}", "no key", request, "id")
+            assert not answer.is_ok()
+        periods = (clock.now_ms() - began_ms) // PERIOD_MS + 2
+    lines = [record for record in records if "refused" in record.msg]
+    assert len(lines) <= periods * WORKSPACE_LINES
+
+
 def test_a_request_after_a_pause_waits_for_the_next_heartbeats(monkeypatch):
     """Guards against refusals by a daemon that hears of its peers a moment later."""
     with open_deployment(1) as deployment:
