--- /dev/null
+++ b/bronzerelay/load/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, as functions and state that need no network."""
