Pass statements on to the daemon that holds an instance's links

Where an instance accepts fewer connections than two for each daemon, each operation opened a connection. One daemon of the instance's failure domain now keeps the links and the queue; the others pass on to it over standing connections. What runs at an instance moves from runner.py to execution.py, for both.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -10,12 +10,14 @@
 import msgspec
 
 from bronzerelay.env import ADVISED_SWITCH_INTERVAL_S
+from bronzerelay.load.linkholders import LinkHolders
 from bronzerelay.pooler.catchup import MIRROR_PATH, CatchUp, read_after
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import Directory, PrimaryRecord
 from bronzerelay.pooler.evacuations import Evacuations
 from bronzerelay.pooler.events import EventLog
+from bronzerelay.pooler.execution import Executor
 from bronzerelay.pooler.fleetconfig import FleetConfig, InstanceEntry
 from bronzerelay.pooler.fleetrates import FleetRates
 from bronzerelay.pooler.freshness import StorePoller
@@ -29,6 +31,8 @@
 from bronzerelay.pooler.members import Members
 from bronzerelay.pooler.messages import LineCodec
 from bronzerelay.pooler.mirror import Item, Mirror, Store
+from bronzerelay.pooler.passingclient import PassingClient
+from bronzerelay.pooler.passingserver import MAX_CONNECTIONS, PassingServer
 from bronzerelay.pooler.placement import Placement
 from bronzerelay.pooler.primarychanges import (
     PRIMARY_RECORD_PREFIX,
@@ -37,7 +41,7 @@
     Promoter,
 )
 from bronzerelay.pooler.primaryguard import PrimaryGuard
-from bronzerelay.pooler.runner import Runner
+from bronzerelay.pooler.runner import Passing, Runner
 from bronzerelay.pooler.session import CallerSession, Services
 from bronzerelay.runtime import (
     Address,
@@ -89,6 +93,9 @@
     max_sessions: int
     # The failure domain of the VM.
     domain: str = ""
+    # For statements that other daemons pass on, on the same port of each VM; without it
+    # none are passed on.
+    passing: Address | None = None
 
 
 class RecordReader(Protocol):
@@ -191,16 +198,35 @@
             self.counters,
             self.log,
         )
-        self.runner = Runner(
+        self.holders = LinkHolders(settings.name, runtime.clock)
+        self.executor = Executor(
             runtime,
             plugins.codec,
             self.directory,
             self.placement,
             self.pool,
             self.guard,
+            self.holders,
             self.counters,
             self.log,
         )
+        self.passing_client = PassingClient(
+            runtime,
+            self.holders,
+            self._find_passing_address,
+            self.placement,
+            self.counters,
+            self.log,
+        )
+        self.runner = Runner(
+            runtime,
+            self.directory,
+            self.placement,
+            self.guard,
+            self.executor,
+            Passing(self.holders, self.passing_client, self.heartbeats.is_leaving),
+            self.counters,
+        )
         self.changes = PrimaryChangeCoordinator(
             runtime,
             settings.name,
@@ -215,7 +241,7 @@
                 self.members.may_have_outsiders,
                 self.heartbeats.list_silent_since,
             ),
-            self.runner.ask_status,
+            self.executor.ask_status,
             plugins.promote,
             self._apply_primary_record,
             self.counters,
@@ -235,6 +261,7 @@
         self._members_lock = runtime.make_lock()
         self._listener: Listener = runtime.listen(settings.frontend)
         self._servers = self._open_pages()
+        self._passing_server = self._open_passing()
 
     def _open_pages(self) -> list[PageServer]:
         settings = self._settings
@@ -245,6 +272,32 @@
             if address is not None
         ]
 
+    def _open_passing(self) -> PassingServer | None:
+        if self._settings.passing is None:
+            return None
+        return PassingServer(
+            self._runtime,
+            self._settings.passing,
+            self.directory,
+            self.executor,
+            self.guard,
+            self.log,
+            self._ended,
+        )
+
+    def _find_passing_address(self, name: str) -> Address | None:
+        """Return where a member serves statements that are passed on, if it is known.
+
+        All VMs use the same port.
+        """
+        own = self._settings.passing
+        view = self.gossip.views.get(name)
+        return (
+            None
+            if own is None or view is None
+            else view.address._replace(port=own.port)
+        )
+
     # Pages
 
     def is_ready(self) -> bool:
@@ -271,6 +324,7 @@
         return HttpResponse(404, b"")
 
     def _list_gauges(self) -> dict[str, float]:
+        server = self._passing_server
         return {
             "config_version": self.directory.version,
             "instances": len(self.directory.instances),
@@ -281,12 +335,19 @@
             "store_age_ms": round(self.mirror.store_age_ms()),
             "watching": self.mirror.is_watching,
             "links_opened": self.pool.opened,
+            "links_idle": self.pool.count_idle(),
+            "instances_held": self._count_held(),
+            "daemons_served": server.count_sessions() if server else 0,
             "heartbeat_bytes": self.gossip.bytes_sent,
             "relaying": self.heartbeats.is_relaying(),
             "log_lines_dropped": self.log.dropped,
             "tasks": self._runtime.running_tasks(),
         }
 
+    def _count_held(self) -> int:
+        instances = self.directory.instances.values()
+        return sum(self.executor.holds_links(entry) for entry in instances)
+
     # Applying changes from the store
 
     def _apply_item(self, item: Item) -> None:
@@ -365,7 +426,11 @@
     def _apply_members(self, members: dict[str, Peer]) -> None:
         self.gossip.set_members(members)
         self.heartbeats.contacts.set_peers(members)
-        self.runner.set_daemon_count(len(members) + 1)
+        if self._settings.passing is not None:
+            domains = {name: peer.domain for name, peer in members.items()}
+            own = {self._settings.name: self._settings.domain}
+            self.holders.set_members({**own, **domains})
+        self.executor.set_daemon_count(len(members) + 1)
         # Until the relays are known, this daemon has to watch the store itself.
         self.gossip.send_now()
 
@@ -395,7 +460,10 @@
                 self.changes.start_due_changes()
         self.directory.forget_unlisted()
         self.placement.drop_unlisted()
-        self.pool.close_unused(self.directory.may_keep_links)
+        self.pool.close_unused(
+            self.directory.may_keep_links, self.executor.find_idle_close_ms
+        )
+        self.passing_client.close_unused()
 
     def _reload(self) -> None:
         """Apply changed settings; keep the old ones if the new ones are invalid."""
@@ -488,6 +556,8 @@
         run(self.gossip.run_receiver, self.heartbeats.handle_beat)
         run(self._run_upkeep_loop)
         run(self._accept)
+        if self._passing_server is not None:
+            run(self._passing_server.run)
 
     def stop(self) -> None:
         """Drain: keep serving at first, let sessions end, stop in the grace period."""
@@ -499,17 +569,23 @@
         self.is_stopping = True
         self.members.is_stopping = True
         self.heartbeats.is_stopping = True
+        if self._passing_server is not None:
+            self._passing_server.is_stopping = True
         self.stopping.set()
         serve_until_ms = started_ms + ACCEPT_FRACTION * grace_ms
         exit_by_ms = started_ms + EXIT_FRACTION * grace_ms
         while self._clock.now_ms() < serve_until_ms:
             self._runtime.sleep_ms(STOP_POLL_MS)
-        while self._sessions and self._clock.now_ms() < exit_by_ms:
+        while self._is_in_use() and self._clock.now_ms() < exit_by_ms:
             self._runtime.sleep_ms(STOP_POLL_MS)
         self._ended.set()
         self.log.write("daemon", "The daemon has stopped.", cut=len(self._sessions))
         self.log.flush()
 
+    def _is_in_use(self) -> bool:
+        server = self._passing_server
+        return bool(self._sessions) or (server is not None and server.count_busy() > 0)
+
 
 def run_daemon(runtime: Runtime, settings: PoolerSettings, plugins: Plugins) -> int:
     """Run a daemon until SIGTERM or SIGINT; return its exit code."""
@@ -539,4 +615,5 @@
 
 def max_tasks(settings: PoolerSettings) -> int:
     """Return the most tasks that a daemon with these settings may run."""
-    return settings.max_sessions + BACKGROUND_TASKS
+    served = MAX_CONNECTIONS if settings.passing is not None else 0
+    return settings.max_sessions + served + BACKGROUND_TASKS
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -139,6 +139,13 @@
         since_ms = max(view.received_at_ms, view.contact_since_ms)
         return self._clock.now_ms() - since_ms > SILENT_PEER_MS
 
+    def is_leaving(self, name: str) -> bool:
+        """Return whether a member stops, as far as is known here, or isn't heard."""
+        if name == self._name:
+            return self.is_stopping
+        view = self._gossip.views.get(name)
+        return view is not None and (view.stopping or self._is_silent(name))
+
     def is_relaying(self) -> bool:
         """Return whether this daemon is a relay of its failure domain."""
         return self._plan.relaying
--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -330,15 +330,20 @@
             link.close()
         self.close_idle(instance_id)
 
-    def close_unused(self, is_listed: Callable[[InstanceEntry], bool]) -> None:
+    def close_unused(
+        self,
+        is_listed: Callable[[InstanceEntry], bool],
+        find_idle_close_ms: Callable[[InstanceEntry], float],
+    ) -> None:
         """Close links that were idle for too long or whose instance is unlisted."""
-        oldest_ms = self._runtime.clock.now_ms() - IDLE_CLOSE_MS
+        now_ms = self._runtime.clock.now_ms()
         surplus = []
         with self._lock:
             for instance_id, idle in list(self._idle.items()):
                 kept = []
                 for link in idle:
-                    fresh = link.idle_since_ms >= oldest_ms
+                    idle_ms = now_ms - link.idle_since_ms
+                    fresh = idle_ms <= find_idle_close_ms(link.entry)
                     (kept if fresh and is_listed(link.entry) else surplus).append(link)
                 self._idle[instance_id] = kept
         for link in surplus:
@@ -348,6 +353,10 @@
         """Return how many links to the instance are open, including those in use."""
         return self._open.get(instance_id, 0)
 
+    def count_idle(self) -> int:
+        """Return how many links are idle."""
+        return sum(len(idle) for idle in list(self._idle.values()))
+
     def _discard(self, link: InstanceLink) -> None:
         link.close()
         self._count_closed(link.entry.id)
--- /dev/null
+++ b/bronzerelay/pooler/passingclient.py
@@ -0,0 +1,342 @@
+"""Passes statements on to link holders, over connections that are kept for a while."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bronzerelay.codes import Refusal
+from bronzerelay.load.linkholders import LinkHolders
+from bronzerelay.pooler.counters import Counters
+from bronzerelay.pooler.events import EventLog
+from bronzerelay.pooler.execution import Job
+from bronzerelay.pooler.fleetconfig import InstanceEntry
+from bronzerelay.pooler.messages import Answer, Fault, Position, TransactionState
+from bronzerelay.pooler.passing import (
+    FrameReader,
+    Kind,
+    Outcome,
+    Reply,
+    Request,
+    encode_frame,
+)
+from bronzerelay.pooler.placement import Placement
+from bronzerelay.runtime import Address, Clock, Connection, Runtime
+
+# How long connecting to a holder, and its first frame, may take, in milliseconds. A
+# frozen holder's kernel still accepts connections.
+CONNECT_TIMEOUT_MS = 150
+GREETING_TIMEOUT_MS = 150
+# How much longer than the statement the origin waits, in milliseconds: the holder's own
+# timeout has to arrive.
+ANSWER_GRACE_MS = 40
+# Idle connections that are kept for each holder, and for how long, in milliseconds.
+KEPT_CONNECTIONS = 2
+KEPT_MS = 20_000
+
+
+class NotTaken(NamedTuple):
+    """A holder didn't take a statement, which hasn't run, for this reason."""
+
+    reason: str
+
+
+class Replaced(NamedTuple):
+    """A holder didn't send a statement, as the primary is being replaced."""
+
+
+# What became of a statement that was passed on.
+PassedOutcome = Answer | Refusal | NotTaken | Replaced
+
+
+class PassingError(Exception):
+    """A holder can't be reached; nothing was sent."""
+
+
+class HolderConnection:
+    """A connection to a holder, used by one task at a time."""
+
+    def __init__(
+        self, connection: Connection, clock: Clock, holder: str, address: Address
+    ):
+        self.connection = connection
+        self.reader = FrameReader(connection, clock, Reply)
+        self.holder = holder
+        self.address = address
+        self.idle_since_ms = 0.0
+        self.usable = True
+
+    def close(self) -> None:
+        """Close the connection; the holder rolls back an open transaction."""
+        if self.usable:
+            self.usable = False
+            self.connection.close()
+
+
+class PassedLink:
+    """An open transaction at a holder; it has what a session needs of a link."""
+
+    def __init__(self, connection: HolderConnection, entry: InstanceEntry):
+        self.connection = connection
+        self.entry = entry
+        self.in_transaction = True
+
+    @property
+    def usable(self) -> bool:
+        """Return whether the connection to the holder is open."""
+        return self.connection.usable
+
+    def close(self) -> None:
+        """End the transaction by closing the connection."""
+        self.connection.close()
+
+
+class PassingClient:
+    """Sends statements to holders and notes what it sees of them."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        holders: LinkHolders,
+        find_address: Callable[[str], Address | None],
+        placement: Placement,
+        counters: Counters,
+        log: EventLog,
+    ):
+        self._runtime = runtime
+        self._clock = runtime.clock
+        self._holders = holders
+        self._find_address = find_address
+        self._placement = placement
+        self._counters = counters
+        self._log = log
+        self._lock = runtime.make_lock()
+        self._idle: dict[str, list[HolderConnection]] = {}
+
+    # Statements
+
+    def run_single(
+        self, job: Job, entry: InstanceEntry, holder: str, request: Request
+    ) -> PassedOutcome:
+        """Pass a single statement on and return what became of it."""
+        connection = self._acquire(holder)
+        if isinstance(connection, NotTaken):
+            return connection
+        outcome = self._exchange(connection, request, entry, job.deadline_ms)
+        self._release(connection)
+        return outcome
+
+    def begin(
+        self, job: Job, entry: InstanceEntry, holder: str, request: Request
+    ) -> PassedOutcome | PassedLink:
+        """Open a transaction at a holder; return its link if it is open."""
+        connection = self._acquire(holder)
+        if isinstance(connection, NotTaken):
+            return connection
+        outcome = self._exchange(connection, request, entry, job.deadline_ms)
+        if isinstance(outcome, Answer) and outcome.state is TransactionState.OPEN:
+            return PassedLink(connection, entry)
+        self._release(connection)
+        return outcome
+
+    def run_in_transaction(
+        self, link: PassedLink, job: Job, request: Request
+    ) -> PassedOutcome:
+        """Run a statement, or the commit, of an open transaction."""
+        outcome = self._exchange(link.connection, request, link.entry, job.deadline_ms)
+        link.in_transaction = (
+            isinstance(outcome, Answer) and outcome.state is not TransactionState.IDLE
+        )
+        return outcome
+
+    def end(self, link: PassedLink, timeout_ms: float) -> None:
+        """Roll the transaction back unless it has ended, and release the connection."""
+        if link.usable and link.in_transaction:
+            deadline_ms = self._clock.now_ms() + timeout_ms
+            request = Request(Kind.ROLLBACK, "", "", 0, round(timeout_ms), 0)
+            self._exchange(link.connection, request, link.entry, deadline_ms)
+        self._release(link.connection)
+
+    def _exchange(
+        self,
+        connection: HolderConnection,
+        request: Request,
+        entry: InstanceEntry,
+        deadline_ms: float,
+    ) -> PassedOutcome:
+        """Send a request and return what became of it."""
+        holder = connection.holder
+        began_ms = self._holders.begin_call(holder)
+        reply = self._call(connection, request, deadline_ms)
+        is_reply = isinstance(reply, Reply)
+        if self._holders.end_call(holder, began_ms, is_reply):
+            self._log.write_request("passing", "A holder is used again.", holder=holder)
+        if isinstance(reply, Reply):
+            return self._read_reply(holder, reply, entry, began_ms)
+        fault = reply.fault.name.lower() if reply.fault else ""
+        self._counters.count("passes", outcome=fault)
+        self._close_idle(holder)
+        self._avoid(holder, "", reply.detail)
+        return reply
+
+    def _call(
+        self, connection: HolderConnection, request: Request, deadline_ms: float
+    ) -> Reply | Answer:
+        """Return the holder's reply, or the fault if the outcome isn't known."""
+        holder = connection.holder
+        try:
+            left_ms = deadline_ms - self._clock.now_ms()
+            connection.connection.set_timeout(max(1.0, left_ms))
+            # Part of the frame may arrive even if sending fails.
+            connection.connection.send(encode_frame(request))
+            return connection.reader.read(deadline_ms + ANSWER_GRACE_MS)
+        except TimeoutError:
+            connection.close()
+            return Answer(fault=Fault.TIMED_OUT, detail=f"no answer from {holder}")
+        except (OSError, ValueError) as error:
+            connection.close()
+            detail = f"the connection to {holder} has ended: {error}"
+            return Answer(fault=Fault.LOST, detail=detail)
+
+    def _read_reply(
+        self, holder: str, reply: Reply, entry: InstanceEntry, sent_at_ms: float
+    ) -> PassedOutcome:
+        self._placement.record_pressure(entry.id, float(reply.wait_ms))
+        self._counters.count("passes", outcome=Outcome(reply.outcome).name.lower())
+        if reply.is_stopping:
+            self._avoid(holder, "", "it is stopping")
+        if reply.outcome == Outcome.ANSWERED:
+            answer = reply.find_answer()
+            self._record_answer(entry, answer, bool(reply.is_silent), sent_at_ms)
+            return answer
+        if reply.outcome == Outcome.REFUSED:
+            return reply.find_refusal()
+        if reply.outcome == Outcome.REPLACED:
+            return Replaced()
+        self._avoid(holder, entry.id, reply.detail)
+        return NotTaken(reply.detail)
+
+    def _record_answer(
+        self, entry: InstanceEntry, answer: Answer, is_silent: bool, sent_at_ms: float
+    ) -> None:
+        """Record for placement what the holder has found of the instance."""
+        if is_silent:
+            self._placement.record_failure(entry, sent_at_ms)
+        elif answer.fault not in (Fault.TOO_MANY_LINKS, Fault.UNREACHABLE):
+            took_ms = self._clock.now_ms() - sent_at_ms
+            self._placement.record_answer(entry, took_ms)
+            self._placement.record_position(entry, answer.position, sent_at_ms)
+
+    def _avoid(self, holder: str, instance_id: str, reason: str) -> None:
+        if self._holders.avoid(holder, instance_id, reason):
+            self._log.write_request(
+                "passing",
+                "A holder is avoided.",
+                holder=holder,
+                instance=instance_id,
+                reason=reason,
+            )
+
+    # Connections
+
+    def _acquire(self, holder: str) -> HolderConnection | NotTaken:
+        """Return a connection to a holder, or why there is none."""
+        try:
+            return self._open(holder)
+        except PassingError as error:
+            self._counters.count("passes", outcome="unreachable")
+            self._avoid(holder, "", str(error))
+            return NotTaken(str(error))
+
+    def _open(self, holder: str) -> HolderConnection:
+        address = self._find_address(holder)
+        if address is None:
+            raise PassingError("its address isn't known")
+        while True:
+            connection = self._take_idle(holder)
+            if connection is None:
+                return self._connect(holder, address)
+            if connection.address == address and connection.connection.is_quiet():
+                return connection
+            connection.close()
+
+    def _take_idle(self, holder: str) -> HolderConnection | None:
+        with self._lock:
+            idle = self._idle.get(holder)
+            return idle.pop() if idle else None
+
+    def _connect(self, holder: str, address: Address) -> HolderConnection:
+        try:
+            raw = self._runtime.dial(address, CONNECT_TIMEOUT_MS)
+        except OSError as error:
+            raise PassingError(f"it can't be reached: {error}") from None
+        connection = HolderConnection(raw, self._clock, holder, address)
+        try:
+            greeting = connection.reader.read(
+                self._clock.now_ms() + GREETING_TIMEOUT_MS
+            )
+        except (OSError, ValueError) as error:
+            connection.close()
+            raise PassingError(f"it gives no first frame: {error}") from None
+        if greeting.outcome != Outcome.ANSWERED:
+            connection.close()
+            raise PassingError(greeting.detail)
+        return connection
+
+    def _release(self, connection: HolderConnection) -> None:
+        if not connection.usable:
+            return
+        connection.idle_since_ms = self._clock.now_ms()
+        with self._lock:
+            idle = self._idle.setdefault(connection.holder, [])
+            if len(idle) < KEPT_CONNECTIONS:
+                idle.append(connection)
+                return
+        connection.close()
+
+    def _close_idle(self, holder: str) -> None:
+        with self._lock:
+            idle = self._idle.pop(holder, [])
+        for connection in idle:
+            connection.close()
+
+    def close_unused(self) -> None:
+        """Close connections that were idle for too long."""
+        oldest_ms = self._clock.now_ms() - KEPT_MS
+        surplus = []
+        with self._lock:
+            for holder, idle in list(self._idle.items()):
+                fresh = [one for one in idle if one.idle_since_ms >= oldest_ms]
+                surplus += [one for one in idle if one.idle_since_ms < oldest_ms]
+                self._idle[holder] = fresh
+        for connection in surplus:
+            connection.close()
+
+
+def make_request(
+    job: Job,
+    kind: Kind,
+    now_ms: float,
+    entry: InstanceEntry | None = None,
+    floor: Position | None = None,
+    needs_primary: bool = False,
+) -> Request:
+    """Return the request for a job; without an instance it is in a transaction."""
+    prepared = job.prepared
+    statement = job.statement
+    return Request(
+        kind,
+        statement.id,
+        statement.text if prepared is None else statement.arguments,
+        statement.verb.value,
+        max(0, int(job.deadline_ms - now_ms)),
+        max(0, int(job.slot_deadline_ms - now_ms)),
+        int(needs_primary),
+        entry.id if entry else "",
+        entry.born_ms if entry else 0,
+        job.workspace if entry else "",
+        floor.term + 1 if floor else 0,
+        floor.position if floor else 0,
+        job.level,
+        0 if prepared is None else 2 if prepared.writes else 1,
+        prepared.shape if prepared else "",
+        job.values,
+    )
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -43,6 +43,9 @@
         self.failing_since_ms = 0.0
         self.position: Position | None = None
         self.position_at_ms = 0.0
+        # The wait of a new statement for a slot, as its link holder last told.
+        self.pressure_ms = 0.0
+        self.pressure_at_ms = 0.0
 
 
 class ReadRequirement(NamedTuple):
@@ -149,6 +152,12 @@
         if primary is not None and primary.id == entry.id:
             self.positions_of(entry.service).add_own_sample(sent_at_ms, position)
 
+    def record_pressure(self, instance_id: str, wait_ms: float) -> None:
+        """Record how long a new statement would wait for a slot of an instance."""
+        view = self.view_of(instance_id)
+        view.pressure_ms = wait_ms
+        view.pressure_at_ms = self._clock.now_ms()
+
     # Choosing
 
     def find_requirement(
--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -6,6 +6,7 @@
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.pooler.events import EventLog
+from bronzerelay.pooler.execution import Job
 from bronzerelay.pooler.fleetconfig import (
     FleetConfig,
     Regions,
@@ -14,7 +15,6 @@
 )
 from bronzerelay.pooler.fleetrates import FleetRates
 from bronzerelay.pooler.lines import LINE_TIMEOUT_MS, LineReader
-from bronzerelay.pooler.links import InstanceLink
 from bronzerelay.pooler.messages import (
     Answer,
     LineCodec,
@@ -29,7 +29,7 @@
 )
 from bronzerelay.pooler.primaryguard import PrimaryGuard
 from bronzerelay.pooler.refusals import refuse_fault, refuse_lost_transaction
-from bronzerelay.pooler.runner import SLOT_WAIT_FRACTION, Job, Runner
+from bronzerelay.pooler.runner import SLOT_WAIT_FRACTION, Runner, TransactionLink
 from bronzerelay.runtime import Connection, Runtime, Signal
 
 # The most session values, and the most prepared names, of one session. More are refused
@@ -79,7 +79,7 @@
         self.route = route
         self.workspace = workspace
         self.read_only = read_only
-        self.link: InstanceLink | None = None
+        self.link: TransactionLink | None = None
         self.wrote = False
         self.failure: Refusal | None = None
 
--- a/bronzerelay/slots.py
+++ b/bronzerelay/slots.py
@@ -449,6 +449,20 @@
         with self._lock:
             return {name: len(times) for name, times in self._grant_times_ms.items()}
 
+    def estimate_endpoint_wait(self, endpoint: str) -> float:
+        """Return how many milliseconds a new waiter for one endpoint would wait."""
+        with self._lock:
+            slots = self._slots.get(endpoint, 0)
+            if self._is_free(endpoint, slots):
+                return 0.0
+            waiting = sum(
+                len(subqueue.waiters)
+                for queue in self._queues.values()
+                for selector, subqueue in queue.subqueues.items()
+                if endpoint in selector
+            )
+            return (waiting + 1) * self._hold_ms / max(1, slots)
+
     # The methods below require that the lock is held.
 
     def _list_free(self) -> list[str]:
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -335,7 +335,7 @@
     ),
     Mutation(
         "opening a connection to a primary doesn't count as using it",
-        POOLER + "runner.py",
+        POOLER + "execution.py",
         "        if not as_primary:\n            return action()\n        refusal",
         "        refusal",
         PATH + "TestPrimaryChanges",
@@ -349,14 +349,14 @@
     ),
     Mutation(
         "daemons divide an instance's slots among themselves",
-        POOLER + "runner.py",
+        POOLER + "execution.py",
         "return min(slots, max(1, math.ceil(STATEMENTS_PER_SLOT * slots / daemons)))",
         "return slots",
         PATH + "TestManyDaemons",
     ),
     Mutation(
         "an operation is retried at a busy primary on the same connection",
-        POOLER + "runner.py",
+        POOLER + "execution.py",
         "find_busy_pause_ms(refused, left_ms) if slot.as_primary else None",
         "None",
         PATH + "TestManyDaemons",
@@ -670,7 +670,7 @@
     ),
     Mutation(
         "a transaction at an evacuated instance ends without a commit",
-        POOLER + "runner.py",
+        POOLER + "execution.py",
         "        if self._directory.is_closed(link.entry):\n            link.close()",
         "        if False:\n            link.close()",
         "tests/test_evacuations.py",
@@ -684,7 +684,7 @@
     ),
     Mutation(
         "a link to a busy primary is kept until the statement's deadline",
-        POOLER + "runner.py",
+        POOLER + "execution.py",
         "left_ms = job.deadline_ms - self._clock.now_ms()",
         "left_ms = job.slot_deadline_ms - self._clock.now_ms()",
         PATH + "TestManyDaemons",
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bronzerelay.pooler import contacts, session
+from bronzerelay.pooler.execution import limit_statements
 from bronzerelay.pooler.httpcalls import HttpCallError
 from bronzerelay.pooler.members import MEMBER_PREFIX
 from bronzerelay.pooler.mirror import BATCH_PAUSE_MS
@@ -12,7 +13,7 @@
 from bronzerelay.pooler.primarychanges import MAX_LAG_ENTRIES
 from bronzerelay.pooler.primaryguard import LEASE_MS
 from bronzerelay.pooler.retrypolicy import BUSY_PAUSE_MS
-from bronzerelay.pooler.runner import SLOT_WAIT_FRACTION, limit_statements
+from bronzerelay.pooler.runner import SLOT_WAIT_FRACTION
 from bronzerelay.runtime import Address
 from standins.linecaller import LineCaller
 from standins.linegroup import LOCAL
@@ -310,8 +311,9 @@
         # If 70 daemons keep one idle link each, these take 70 of the 74 connections of
         # an instance, and statements are refused because none is free.
         daemon = fleet.start_ready("d1")[0]
-        daemon.runner.set_daemon_count(daemons)
-        assert daemon.runner.max_idle_links(SERVICE) == kept
+        daemon.executor.set_daemon_count(daemons)
+        entry = daemon.directory.instances["orders-0"]
+        assert daemon.executor.max_idle_links(entry) == kept
         caller = open_session(fleet, STRICT)
         run_ok(caller, "FETCH a")
         assert daemon.pool.count_open("orders-0") == min(kept, 1)
@@ -328,7 +330,7 @@
         # A primary has no free slot. Each new link would itself take a slot, so
         # retries on new links would keep the primary busy.
         daemon = fleet.start_ready("d1")[0]
-        daemon.runner.set_daemon_count(70)
+        daemon.executor.set_daemon_count(70)
         caller = open_session(fleet, STRICT)
         opened = daemon.pool.opened
         fleet.platform.group.instances["orders-0"].busy_answers = 3
@@ -339,7 +341,7 @@
         # Guards against an overload that keeps itself up: the primary's slots go to
         # links whose statements are refused before it runs them.
         daemon = fleet.start_ready("d1")[0]
-        daemon.runner.set_daemon_count(70)
+        daemon.executor.set_daemon_count(70)
         caller = open_session(fleet, STRICT)
         opened = daemon.pool.opened
         objective_ms = daemon.directory.find_route(STRICT).objective_ms
