--- a/bronzerelay/pooler/passing.py
+++ b/bronzerelay/pooler/passing.py
@@ -59,11 +59,11 @@
     """
 
     kind: int
-    id: str
-    text: str
-    verb: int
-    left_ms: int
-    slot_left_ms: int
+    id: str = ""
+    text: str = ""
+    verb: int = 0
+    left_ms: int = 0
+    slot_left_ms: int = 0
     needs_primary: int = 0
     instance: str = ""
     born_ms: int = 0
