Test statements that are passed on, and each failure of a holder

A statement in a transaction whose holder ends is said to have ended its transaction (TRANSACTION_LOST), not to have failed: nothing of it is kept, and the caller may begin again. A holder that closed the connection of a resting transaction is noticed before the commit is sent.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -337,6 +337,7 @@
             "links_opened": self.pool.opened,
             "links_idle": self.pool.count_idle(),
             "instances_held": self._count_held(),
+            "holder_connections_idle": self.passing_client.count_idle(),
             "daemons_served": server.count_sessions() if server else 0,
             "heartbeat_bytes": self.gossip.bytes_sent,
             "relaying": self.heartbeats.is_relaying(),
--- a/bronzerelay/pooler/passingclient.py
+++ b/bronzerelay/pooler/passingclient.py
@@ -84,6 +84,10 @@
         """Return whether the connection to the holder is open."""
         return self.connection.usable
 
+    def is_open(self) -> bool:
+        """Return whether the holder hasn't ended it, as far as is known."""
+        return self.usable and self.connection.connection.is_quiet()
+
     def close(self) -> None:
         """End the transaction by closing the connection."""
         self.connection.close()
@@ -298,6 +302,10 @@
         for connection in idle:
             connection.close()
 
+    def count_idle(self) -> int:
+        """Return how many connections to holders are idle."""
+        return sum(len(idle) for idle in list(self._idle.values()))
+
     def close_unused(self) -> None:
         """Close connections that were idle for too long."""
         oldest_ms = self._clock.now_ms() - KEPT_MS
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -332,7 +332,8 @@
         """Run one statement, or the commit, of the transaction on `link`."""
         if isinstance(link, InstanceLink):
             return self._executor.run_in_transaction(link, job, as_primary)
-        if not link.usable:
+        if not link.is_open():
+            link.close()
             return refuse_lost_transaction("its connection has ended")
         request = make_request(job, Kind.STATEMENT, self._clock.now_ms())
         outcome = self._passing.client.run_in_transaction(link, job, request)
@@ -340,7 +341,11 @@
             link.close()
             return refuse_lost_transaction("its holder can't go on with it")
         if isinstance(outcome, Answer):
-            if as_primary and job.statement.verb is Verb.COMMIT:
+            is_commit = job.statement.verb is Verb.COMMIT
+            if not link.usable and not is_commit:
+                # Without its connection the holder rolls the transaction back.
+                return refuse_lost_transaction(outcome.detail)
+            if as_primary and is_commit:
                 outcome = self._executor.check_still_primary(outcome, link.entry)
             choice = Choice(Way.PASSED, link.connection.holder)
             target = Target((link.entry.id,), ReadRequirement(None, as_primary), choice)
--- a/tests/builders_pooler.py
+++ b/tests/builders_pooler.py
@@ -120,15 +120,12 @@
     def store(self) -> KvStore:
         return self.platform.store
 
-    def start(self, name: str) -> PoolerDaemon:
-        runtime = make_runtime()
-        self._runtimes.append(runtime)
-        store = self.store.address
+    def make_settings(self, name: str) -> PoolerSettings:
         # Held until the fleet is closed, so that no other test run takes them.
         frontend, ready, peer = (
             listener.address for listener in reserve_addresses(self.runtime, 3)
         )
-        settings = PoolerSettings(
+        return PoolerSettings(
             name,
             frontend,
             ready,
@@ -142,6 +139,12 @@
             EVACUATE_WITHIN_MS,
             100,
         )
+
+    def start(self, name: str) -> PoolerDaemon:
+        runtime = make_runtime()
+        self._runtimes.append(runtime)
+        store = self.store.address
+        settings = self.make_settings(name)
         plugins = Plugins(
             CODEC,
             StoreClient(runtime, store),
