Let a holder's idle links make room, and a stand-by keep few

When a holder changes, the old and the new one would keep more links than the instance accepts; a full instance cost a holder all its warm links.

--- a/bronzerelay/load/linkholders.py
+++ b/bronzerelay/load/linkholders.py
@@ -92,6 +92,9 @@
         self._domains: dict[str, str] = {name: ""}
         self._rankings: dict[tuple[str, str], tuple[str, ...]] = {}
         self._views: dict[str, HolderView] = {}
+        # Returns whether a member, possibly this daemon, has announced its stop or
+        # isn't heard of any more.
+        self.is_leaving: Callable[[str], bool] = lambda _: False
 
     @property
     def count(self) -> int:
@@ -118,22 +121,23 @@
         """Return whether others may pass statements for the instance on to here."""
         return self._name in self.rank(instance_id, domain)
 
+    def is_first(self, instance_id: str, domain: str) -> bool:
+        """Return whether this daemon is the link holder, not only its stand-by."""
+        serving = self._list_serving(instance_id, domain)
+        return bool(serving) and serving[0] == self._name
+
+    def _list_serving(self, instance_id: str, domain: str) -> list[str]:
+        ranking = self.rank(instance_id, domain)
+        return [name for name in ranking if not self.is_leaving(name)]
+
     def view_of(self, name: str) -> HolderView:
         """Return what was seen of a daemon as a holder."""
         return self._views.setdefault(name, HolderView())
 
-    def choose(
-        self, instance_id: str, domain: str, is_leaving: Callable[[str], bool]
-    ) -> Choice:
-        """Return the way of a statement to an instance.
-
-        `is_leaving` tells whether a member, possibly this daemon, has announced its
-        stop or isn't heard of any more.
-        """
+    def choose(self, instance_id: str, domain: str) -> Choice:
+        """Return the way of a statement to an instance."""
         now_ms = self._clock.now_ms()
-        serving = [
-            name for name in self.rank(instance_id, domain) if not is_leaving(name)
-        ]
+        serving = self._list_serving(instance_id, domain)
         reason = "no daemon serves as a holder"
         for name in serving[:USED_PLACES]:
             if name == self._name:
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -199,6 +199,7 @@
             self.log,
         )
         self.holders = LinkHolders(settings.name, runtime.clock)
+        self.holders.is_leaving = self.heartbeats.is_leaving
         self.executor = Executor(
             runtime,
             plugins.codec,
@@ -224,7 +225,7 @@
             self.placement,
             self.guard,
             self.executor,
-            Passing(self.holders, self.passing_client, self.heartbeats.is_leaving),
+            Passing(self.holders, self.passing_client),
             self.counters,
         )
         self.changes = PrimaryChangeCoordinator(
--- a/bronzerelay/pooler/execution.py
+++ b/bronzerelay/pooler/execution.py
@@ -50,10 +50,15 @@
 # time refusing connections. With this value, up to eight daemons may each use all
 # slots, which keeps the slots busy and the queue short.
 STATEMENTS_PER_SLOT = 8
-# The fraction of an instance's connections that its link holder keeps while they are
-# idle. The others are for running statements, open transactions, daemons that go
-# direct, and connections of killed daemons that the instance hasn't closed yet.
-HELD_LINKS_FRACTION = 0.6
+# The fraction of an instance's connections that its link holder opens at most, and the
+# one that it keeps while they are idle. The others are for the stand-by, daemons that
+# go direct, and connections of killed daemons that the instance hasn't closed yet.
+HELD_LINKS_FRACTION = 0.8
+HELD_IDLE_FRACTION = 0.65
+# The fraction of an instance's connections that a stand-by keeps while they are idle.
+STANDBY_IDLE_FRACTION = 0.15
+# How many idle links are closed when the instance has no free connection.
+CLOSED_IF_FULL = 8
 # How long a link holder keeps an idle link, in milliseconds. The least recently used
 # ones are closed first, so the time needs to limit only links that nobody uses.
 HELD_IDLE_CLOSE_MS = 45_000
@@ -264,9 +269,12 @@
         )
 
     def _share_of_links(self, service: str) -> int:
+        return self._max_links(service) // (2 * self._daemons)
+
+    def _max_links(self, service: str) -> int:
         config = self._directory.config
         spec = config.services.get(service) if config else None
-        return spec.max_links // (2 * self._daemons) if spec else 0
+        return spec.max_links if spec else 0
 
     def max_idle_links(self, entry: InstanceEntry) -> int:
         """Return how many idle links to one instance this daemon may keep.
@@ -277,14 +285,24 @@
         the link holder keeps any: otherwise the idle links of many daemons would take
         all connections of an instance, and each statement would wait for one.
         """
-        config = self._directory.config
-        if config is not None and self.holds_links(entry):
-            return int(config.services[entry.service].max_links * HELD_LINKS_FRACTION)
-        return self._share_of_links(entry.service)
+        if not self.holds_links(entry):
+            return self._share_of_links(entry.service)
+        is_first = self._holders.is_first(entry.id, entry.domain)
+        fraction = HELD_IDLE_FRACTION if is_first else STANDBY_IDLE_FRACTION
+        return int(self._max_links(entry.service) * fraction)
+
+    def _max_open_links(self, entry: InstanceEntry) -> int | None:
+        """Return how many links may be open before idle ones are closed, or None."""
+        if not self.holds_links(entry):
+            return None
+        return int(self._max_links(entry.service) * HELD_LINKS_FRACTION)
 
     def find_idle_close_ms(self, entry: InstanceEntry) -> float:
         """Return how long a link to the instance may be idle, in milliseconds."""
-        return HELD_IDLE_CLOSE_MS if self.holds_links(entry) else IDLE_CLOSE_MS
+        is_holder = self.holds_links(entry) and self._holders.is_first(
+            entry.id, entry.domain
+        )
+        return HELD_IDLE_CLOSE_MS if is_holder else IDLE_CLOSE_MS
 
     # Single statements
 
@@ -383,7 +401,13 @@
             self._pool.release(link, self.max_idle_links(entry))
 
     def _acquire_link(self, job: Job, entry: InstanceEntry) -> InstanceLink:
-        link = self._pool.acquire(entry, job.workspace, job.values, job.deadline_ms)
+        link = self._pool.acquire(
+            entry,
+            job.workspace,
+            job.values,
+            job.deadline_ms,
+            self._max_open_links(entry),
+        )
         try:
             link.apply_session_state(job.values, job.prepared)
         except LinkError:
@@ -397,7 +421,7 @@
         if error.fault is Fault.UNREACHABLE:
             self._placement.record_failure(entry, began_ms)
         if error.fault is Fault.TOO_MANY_LINKS:
-            self._pool.close_idle(entry.id)
+            self._pool.close_idle(entry.id, CLOSED_IF_FULL)
         return Answer(fault=error.fault, detail=error.detail)
 
     def _call(self, link: InstanceLink, job: Job, floor: Position | None) -> Answer:
--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -239,11 +239,17 @@
         workspace: str,
         values: dict[str, str],
         deadline_ms: float,
+        max_open: int | None = None,
     ) -> InstanceLink:
-        """Return a link of the workspace to the instance, or raise LinkError."""
+        """Return a link of the workspace to the instance, or raise LinkError.
+
+        Idle links of other workspaces make room for a new one beyond `max_open`.
+        """
         while True:
             link = self._find_idle(entry, workspace, values)
             if link is None:
+                if max_open is not None and self.count_open(entry.id) >= max_open:
+                    self.close_idle(entry.id, 1)
                 link = self._connect(entry, workspace, deadline_ms)
             elif not link.is_reusable():
                 self._discard(link)
@@ -315,10 +321,12 @@
         for surplus_link in surplus:
             self._discard(surplus_link)
 
-    def close_idle(self, instance_id: str) -> None:
-        """Close the idle links of an instance that has no free connection."""
+    def close_idle(self, instance_id: str, count: int | None = None) -> None:
+        """Close the idle links of an instance, at most the `count` oldest ones."""
         with self._lock:
-            links = self._idle.pop(instance_id, [])
+            idle = self._idle.get(instance_id, [])
+            links = idle[:count]
+            del idle[:count]
         for link in links:
             self._discard(link)
 
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -62,14 +62,10 @@
 
 
 class Passing(NamedTuple):
-    """What passing statements on needs.
-
-    `is_leaving` tells whether a member has announced its stop or isn't heard of.
-    """
+    """What passing statements on needs."""
 
     holders: LinkHolders
     client: PassingClient
-    is_leaving: Callable[[str], bool]
 
 
 class Runner:
@@ -170,9 +166,7 @@
         entry = self._directory.instances.get(instance_id)
         if entry is None:
             return refuse_no_primary()
-        choice = self._passing.holders.choose(
-            entry.id, entry.domain, self._passing.is_leaving
-        )
+        choice = self._passing.holders.choose(entry.id, entry.domain)
         target = Target((instance_id,), requirement, choice)
         if choice.way is Way.PASSED:
             outcome = self._with_use(entry, requirement, lambda: pass_on(entry, target))
--- a/tests/test_linkholders.py
+++ b/tests/test_linkholders.py
@@ -21,7 +21,8 @@
 
 
 def choose(holders, instance="i1", domain="z1", leaving=()):
-    return holders.choose(instance, domain, lambda name: name in leaving)
+    holders.is_leaving = lambda name: name in leaving
+    return holders.choose(instance, domain)
 
 
 class TestRanking:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -26,11 +26,11 @@
     return LinkPool(group.runtime, CODEC)
 
 
-def acquire(group, pool, workspace="north", values=NOTHING):
+def acquire(group, pool, workspace="north", values=NOTHING, max_open=None):
     instance = group.instances["orders-0"]
     entry = make_instance("orders-0", claims_primary=True, address=instance.address)
     deadline_ms = group.runtime.clock.now_ms() + 2000
-    link = pool.acquire(entry, workspace, values, deadline_ms)
+    link = pool.acquire(entry, workspace, values, deadline_ms, max_open)
     link.apply_session_state(values, None)
     return link
 
@@ -56,6 +56,25 @@
         assert acquire(group, pool) is not link
         assert pool.count_open("orders-0") == 1
 
+    def test_oldest_idle_link_makes_room_for_another_workspace(self, group, pool):
+        """Guards against idle links that take all of an instance's connections."""
+        for workspace in ("north", "south"):
+            pool.release(acquire(group, pool, workspace), 5)
+        acquire(group, pool, "east", max_open=2)
+        assert pool.count_open("orders-0") == 2
+        # The link of `south` is the newer one, and was kept.
+        opened = pool.opened
+        acquire(group, pool, "south", max_open=2)
+        assert pool.opened == opened
+
+    def test_full_instance_closes_only_some_idle_links(self, group, pool):
+        """Guards against all warm links being lost as an instance is full for once."""
+        links = [acquire(group, pool) for _ in range(3)]
+        for link in links:
+            pool.release(link, 5)
+        pool.close_idle("orders-0", 1)
+        assert [link.usable for link in links] == [False, True, True]
+
     def test_link_that_the_instance_closed_isnt_reused(self, group, pool):
         link = acquire(group, pool)
         pool.release(link, 2)
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -92,6 +92,15 @@
         values = [run.values for run in fleet.platform.group.runs]
         assert values == [(("zone", "north"),), ()]
 
+    def test_the_stand_by_leaves_the_connections_to_the_holder(self, fleet, daemons):
+        """Guards against two daemons that keep more links than an instance accepts."""
+        entry = daemons[0].directory.instances[PRIMARY]
+        kept = [one.executor.max_idle_links(entry) for one in daemons]
+        assert kept[0] > 2 * kept[1]
+        assert sum(kept) < fleet.platform.group.max_links
+        closed_ms = [one.executor.find_idle_close_ms(entry) for one in daemons[:2]]
+        assert closed_ms[0] > closed_ms[1]
+
     def test_few_daemons_keep_their_own_links(self, fleet):
         """Guards against statements that are passed on where links are plenty."""
         fleet.start_ready("d1", "d2")
