Count calls to holders exactly, also while the member list changes

Calls of several tasks that begin at once, or a member that leaves during a call, could leave a holder counted as busy for ever, and then as silent.

--- a/bronzerelay/load/linkholders.py
+++ b/bronzerelay/load/linkholders.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from bronzerelay.rendezvous import rank
-from bronzerelay.runtime import Clock
+from bronzerelay.runtime import Runtime
 
 # The places of the ranking whose daemons serve statements that are passed on to them.
 # One more than are used at a time, since one of them may be stopping.
@@ -78,6 +78,13 @@
         return now_ms < until_ms
 
 
+class Call(NamedTuple):
+    """A call to a holder in progress. The view may be dropped while it lasts."""
+
+    view: HolderView
+    began_ms: float
+
+
 class LinkHolders:
     """The ranking of the daemons for each instance, and the view of each as a holder.
 
@@ -85,9 +92,10 @@
     hold links to one instance, which only costs connections.
     """
 
-    def __init__(self, name: str, clock: Clock):
+    def __init__(self, name: str, runtime: Runtime):
         self._name = name
-        self._clock = clock
+        self._clock = runtime.clock
+        self._lock = runtime.make_lock()
         # The failure domain of each member, including this daemon.
         self._domains: dict[str, str] = {name: ""}
         self._rankings: dict[tuple[str, str], tuple[str, ...]] = {}
@@ -132,7 +140,11 @@
 
     def view_of(self, name: str) -> HolderView:
         """Return what was seen of a daemon as a holder."""
-        return self._views.setdefault(name, HolderView())
+        view = self._views.get(name)
+        if view is None:
+            with self._lock:
+                view = self._views.setdefault(name, HolderView())
+        return view
 
     def choose(self, instance_id: str, domain: str) -> Choice:
         """Return the way of a statement to an instance."""
@@ -162,24 +174,26 @@
         view.reason = reason
         return is_new
 
-    def begin_call(self, name: str) -> float:
-        """Note that a call to a holder begins; return the time."""
+    def begin_call(self, name: str) -> Call:
+        """Note that a call to a holder begins; the caller must end it."""
         view = self.view_of(name)
         now_ms = self._clock.now_ms()
-        if view.calls == 0:
-            view.waiting_since_ms = now_ms
-        view.calls += 1
-        return now_ms
+        with self._lock:
+            if view.calls == 0:
+                view.waiting_since_ms = now_ms
+            view.calls += 1
+        return Call(view, now_ms)
 
-    def end_call(self, name: str, began_ms: float, answered: bool) -> bool:
+    def end_call(self, call: Call, answered: bool) -> bool:
         """Note the end of a call; return whether the holder is used again by it."""
-        view = self.view_of(name)
+        view = call.view
         now_ms = self._clock.now_ms()
-        view.calls -= 1
-        if not answered:
-            view.failures += 1
-            return False
-        view.failures = 0
-        view.waiting_since_ms = now_ms
-        view.answer_ms += ANSWER_WEIGHT * (now_ms - began_ms - view.answer_ms)
-        return view.avoid_until_ms.pop("", None) is not None
+        with self._lock:
+            view.calls -= 1
+            if not answered:
+                view.failures += 1
+                return False
+            view.failures = 0
+            view.waiting_since_ms = now_ms
+            view.answer_ms += ANSWER_WEIGHT * (now_ms - call.began_ms - view.answer_ms)
+            return view.avoid_until_ms.pop("", None) is not None
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -198,7 +198,7 @@
             self.counters,
             self.log,
         )
-        self.holders = LinkHolders(settings.name, runtime.clock)
+        self.holders = LinkHolders(settings.name, runtime)
         self.holders.is_leaving = self.heartbeats.is_leaving
         self.executor = Executor(
             runtime,
--- a/bronzerelay/pooler/passingclient.py
+++ b/bronzerelay/pooler/passingclient.py
@@ -168,13 +168,17 @@
     ) -> PassedOutcome:
         """Send a request and return what became of it."""
         holder = connection.holder
-        began_ms = self._holders.begin_call(holder)
-        reply = self._call(connection, request, deadline_ms)
-        is_reply = isinstance(reply, Reply)
-        if self._holders.end_call(holder, began_ms, is_reply):
+        call = self._holders.begin_call(holder)
+        answered = False
+        try:
+            reply = self._call(connection, request, deadline_ms)
+            answered = isinstance(reply, Reply)
+        finally:
+            is_used_again = self._holders.end_call(call, answered)
+        if is_used_again:
             self._log.write_request("passing", "A holder is used again.", holder=holder)
         if isinstance(reply, Reply):
-            return self._read_reply(holder, reply, entry, began_ms)
+            return self._read_reply(holder, reply, entry, call.began_ms)
         fault = reply.fault.name.lower() if reply.fault else ""
         self._counters.count("passes", outcome=fault)
         self._close_idle(holder)
--- a/tests/test_linkholders.py
+++ b/tests/test_linkholders.py
@@ -9,13 +9,13 @@
     LinkHolders,
     Way,
 )
-from tests.builders_pooler import ManualClock
+from tests.builders_pooler import ManualClock, make_runtime
 
 MEMBERS = {f"d{number}": f"z{number % 3}" for number in range(30)}
 
 
 def make_holders(name="d0", members=MEMBERS):
-    holders = LinkHolders(name, ManualClock())
+    holders = LinkHolders(name, make_runtime(ManualClock()))
     holders.set_members(members)
     return holders
 
@@ -101,27 +101,37 @@
         """Guards against a frozen holder that collects everybody's statements."""
         holders = make_holders()
         first, second, _ = holders.rank("i1", "z1")
-        began_ms = holders.begin_call(first)
+        call = holders.begin_call(first)
         holders.begin_call(first)
         assert choose(holders).holder == first
         holders._clock.sleep_ms(SILENT_MS + 1)
         assert choose(holders).holder == second
-        holders.end_call(first, began_ms, answered=True)
+        holders.end_call(call, answered=True)
         assert choose(holders).holder == first
 
     def test_one_call_at_a_time_tests_a_holder_that_gave_no_answer(self):
         """Guards against many calls that each wait for a frozen holder."""
         holders = make_holders()
         first = holders.rank("i1", "z1")[0]
-        began_ms = holders.begin_call(first)
-        holders.end_call(first, began_ms, answered=False)
+        call = holders.begin_call(first)
+        holders.end_call(call, answered=False)
         assert choose(holders).holder == first
-        began_ms = holders.begin_call(first)
+        call = holders.begin_call(first)
         assert choose(holders).holder != first
-        holders.end_call(first, began_ms, answered=True)
+        holders.end_call(call, answered=True)
         holders.begin_call(first)
         assert choose(holders).holder == first
 
+    def test_a_call_that_outlives_its_holders_membership_leaves_no_trace(self):
+        """Guards against a holder that looks busy or silent for ever."""
+        holders = make_holders()
+        first = holders.rank("i1", "z1")[0]
+        call = holders.begin_call(first)
+        holders.set_members({n: at for n, at in MEMBERS.items() if n != first})
+        holders.set_members(MEMBERS)
+        holders.end_call(call, answered=True)
+        assert holders.view_of(first).calls == 0
+
 
 @pytest.mark.parametrize("name", ["d0", "d1"])
 def test_many_origins_agree_while_one_holder_fails(name):
