Give an instance that fails more than its peers few reads

Only lost and timed-out answers counted against an instance, and a read that FAILED went back to its caller.

Now only results teach an instance's answer time. Each daemon compares the share of failed, refused and late answers of an instance with that of its peers; one that stands out beyond chance is only tested, and comes back by steps. A caller's own errors count against no instance, and nobody is put aside while all fail alike. A read outside a transaction that FAILED is repeated once at another instance, within its deadline and a budget that successful reads earn.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from bronzerelay.env import ADVISED_SWITCH_INTERVAL_S
+from bronzerelay.load.outliers import STEPS, AnswerRecord
 from bronzerelay.pooler.catchup import MIRROR_PATH, CatchUp, read_after
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.counters import Counters
@@ -146,6 +147,7 @@
             self.evacuations,
         )
         self.placement = Placement(runtime, self.directory)
+        self.placement.on_share_change = self._report_share
         self.pool = LinkPool(runtime, plugins.codec)
         self.rates = FleetRates(runtime, settings.name)
         self.mirror = Mirror(runtime, plugins.store, self._apply_item, self.log)
@@ -345,6 +347,21 @@
             self.pool.close_all(record.deposed)
         self.gossip.send_now()
 
+    def _report_share(self, entry: InstanceEntry, record: AnswerRecord) -> None:
+        shares = record.measure(self._clock.now_ms())
+        share = STEPS[record.step]
+        self.counters.count("read_shares", service=entry.service, share=f"{share:g}")
+        self.log.write_request(
+            "placement",
+            "The share of the reads that an instance gets has changed.",
+            service=entry.service,
+            instance=entry.id,
+            share=share,
+            answers=round(shares.answers, 1),
+            failed_share=round(shares.failed, 2),
+            bad_share=round(shares.bad, 2),
+        )
+
     # The other daemons
 
     def _add_store_proof(self, read_at_ms: float) -> None:
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -1,7 +1,9 @@
 """Chooses the instance for a read: up to date enough, and the fastest to answer."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
+from bronzerelay.load.outliers import AnswerRecord, Quality, RetryBudget, Use
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.pooler.fleetconfig import (
     Consistency,
@@ -9,7 +11,7 @@
     Regions,
     Route,
 )
-from bronzerelay.pooler.messages import Position
+from bronzerelay.pooler.messages import Fault, Position
 from bronzerelay.pooler.positions import LogPositions, Sample
 from bronzerelay.runtime import Runtime
 
@@ -28,6 +30,16 @@
 # The factor on the primary's cost. Only the primary can serve writes, so a read goes
 # there only if a replica would take this many times as long.
 PRIMARY_COST_FACTOR = 2.0
+# What a fault says about its instance. The others say nothing: the caller's statement
+# was wrong, or the instance's state or role wasn't what was assumed.
+FAULT_QUALITIES = {
+    Fault.FAILED: Quality.FAILED,
+    Fault.TIMED_OUT: Quality.FAILED,
+    Fault.LOST: Quality.FAILED,
+    Fault.UNREACHABLE: Quality.FAILED,
+    Fault.BUSY: Quality.WEAK,
+    Fault.TOO_MANY_LINKS: Quality.WEAK,
+}
 
 
 class InstanceView:
@@ -43,6 +55,7 @@
         self.failing_since_ms = 0.0
         self.position: Position | None = None
         self.position_at_ms = 0.0
+        self.answers = AnswerRecord()
 
 
 class ReadRequirement(NamedTuple):
@@ -52,6 +65,20 @@
     primary_only: bool
 
 
+class Candidate(NamedTuple):
+    """An instance that may serve a read; the lowest in this order is the best."""
+
+    is_avoided: bool
+    # Whether the read is to test the instance: such a read goes there first.
+    isnt_test: bool
+    cost: float
+    id: str
+
+
+# Called when the share of the reads that an instance gets has changed.
+ReportShare = Callable[[InstanceEntry, AnswerRecord], None]
+
+
 class Placement:
     """Chooses instances by what this daemon's own statements have shown of them."""
 
@@ -62,6 +89,8 @@
         self._lock = runtime.make_lock()
         self._views: dict[str, InstanceView] = {}
         self._positions: dict[str, LogPositions] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self.on_share_change: ReportShare = lambda entry, record: None
 
     def positions_of(self, service: str) -> LogPositions:
         """Return the known log positions of a service's primary."""
@@ -110,13 +139,53 @@
 
     # Recording answers
 
-    def record_answer(self, entry: InstanceEntry, took_ms: float) -> None:
-        """Record how long an instance took to answer."""
+    def record_answer(
+        self, entry: InstanceEntry, took_ms: float, is_late: bool = False
+    ) -> None:
+        """Record how long an instance took to return a result."""
         view = self.view_of(entry.id)
         view.answer_ms += ANSWER_WEIGHT * (took_ms - view.answer_ms)
+        self._record_contact(view)
+        self._record_quality(entry, Quality.WEAK if is_late else Quality.GOOD)
+
+    def record_error(self, entry: InstanceEntry, fault: Fault) -> None:
+        """Record that an instance answered with an error.
+
+        An error often comes faster than a result would, so its time doesn't count.
+        """
+        self._record_contact(self.view_of(entry.id))
+        self.record_fault(entry, fault)
+
+    def _record_contact(self, view: InstanceView) -> None:
         view.avoid_until_ms = 0.0
         view.failures = 0
 
+    def record_fault(self, entry: InstanceEntry, fault: Fault) -> None:
+        """Count a fault against an instance if it says something about the instance."""
+        quality = FAULT_QUALITIES.get(fault)
+        if quality is not None:
+            self._record_quality(entry, quality)
+
+    def _record_quality(self, entry: InstanceEntry, quality: Quality) -> None:
+        record = self.view_of(entry.id).answers
+        peers = [
+            self.view_of(peer.id).answers
+            for peer in self._directory.list_instances(entry.service)
+            if peer.id != entry.id
+        ]
+        with self._lock:
+            changed = record.record(quality, peers, self._clock.now_ms())
+        if changed:
+            self.on_share_change(entry, record)
+
+    def budget_of(self, service: str) -> RetryBudget:
+        """Return the budget for repeating failed reads of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            with self._lock:
+                budget = self._budgets.setdefault(service, RetryBudget())
+        return budget
+
     def record_failure(self, entry: InstanceEntry, sent_at_ms: float) -> None:
         """Record that an instance didn't answer a request sent at `sent_at_ms`.
 
@@ -194,7 +263,9 @@
         if requirement.primary_only:
             return [primary.id] if primary else []
         now_ms = self._clock.now_ms()
-        ranked = []
+        usable: list[Candidate] = []
+        # Instances that get only a share of the reads, and this one isn't in it.
+        limited: list[Candidate] = []
         for entry in self._directory.list_instances(service):
             if self._directory.is_leaving(entry) or entry.id in tried:
                 continue
@@ -215,11 +286,25 @@
             cost = (view.outstanding + 1) * view.answer_ms
             if is_primary:
                 cost *= PRIMARY_COST_FACTOR
-            is_avoided = view.avoid_until_ms > now_ms
-            ranked.append((is_avoided, cost, entry.id))
-        if not ranked and primary is not None:
+            use = self._choose_use(view, bool(tried), now_ms)
+            candidate = Candidate(
+                view.avoid_until_ms > now_ms, use is not Use.TEST, cost, entry.id
+            )
+            (limited if use is Use.NONE else usable).append(candidate)
+        if not any(not candidate.is_avoided for candidate in usable):
+            usable += limited
+        if not usable and primary is not None:
             return [primary.id]
-        return [instance_id for _, _, instance_id in sorted(ranked)]
+        return [candidate.id for candidate in sorted(usable)]
+
+    def _choose_use(self, view: InstanceView, is_retry: bool, now_ms: float) -> Use:
+        record = view.answers
+        if not record.is_limited:
+            return Use.NORMAL
+        if is_retry:
+            return Use.NONE
+        with self._lock:
+            return record.choose_use(view.outstanding, now_ms)
 
     def _may_have_reached(
         self, view: InstanceView, floor: Position | None, now_ms: float
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -197,17 +197,26 @@
         """Run a statement outside a transaction and return its answer."""
         tried: frozenset[str] = frozenset()
         failure: Refusal | None = None
+        # The refusal for a read that ran and failed, and is being repeated.
+        failed: Refusal | None = None
         for _ in range(MAX_ATTEMPTS):
             requirement = self._find_requirement(job, own_commit)
             outcome = self._try_single(job, requirement, tried)
             if isinstance(outcome, Refusal):
-                return failure or outcome
+                return failed or failure or outcome
             answer, entry = outcome
             if answer.fault is None:
+                if not job.writes:
+                    self._placement.budget_of(entry.service).earn()
                 return answer
             may_repeat = answer.fault in NOT_RUN_FAULTS or not job.writes
             self._count_retry(answer)
-            failure = refuse_fault(answer, job.writes)
+            failure = failed or refuse_fault(answer, job.writes)
+            if answer.fault is Fault.FAILED and failed is None:
+                tried = tried | {entry.id}
+                if self._may_repeat_failed(job, requirement, tried):
+                    failed = failure
+                    continue
             if not may_repeat or answer.fault in (Fault.FAILED, Fault.REJECTED):
                 return failure
             if not self._has_time_left(job):
@@ -217,6 +226,25 @@
             self._pause_before_retry(answer.fault)
         return failure or refuse_no_primary()
 
+    def _may_repeat_failed(
+        self, job: Job, requirement: ReadRequirement, tried: frozenset[str]
+    ) -> bool:
+        """Return whether a read that ran and failed may run at another instance."""
+        if job.writes:
+            return False
+        service = job.route.service
+        others = self._placement.list_candidates(
+            service, requirement, tried, self._guard.has_proof(), job.regions
+        )
+        if tried.issuperset(others) or not self._has_time_left(job):
+            outcome = "no_other"
+        elif self._placement.budget_of(service).take():
+            outcome = "repeated"
+        else:
+            outcome = "no_budget"
+        self._counters.count("failed_reads", outcome=outcome)
+        return outcome == "repeated"
+
     def _find_requirement(
         self, job: Job, own_commit: Position | None
     ) -> ReadRequirement:
@@ -409,6 +437,7 @@
     def _handle_link_error(
         self, entry: InstanceEntry, error: LinkError, began_ms: float
     ) -> Answer:
+        self._placement.record_fault(entry, error.fault)
         if error.fault is Fault.UNREACHABLE:
             self._placement.record_failure(entry, began_ms)
         if error.fault is Fault.TOO_MANY_LINKS:
@@ -425,17 +454,22 @@
         answer = link.call(job.statement.id, text, floor, job.deadline_ms)
         if answer.fault is Fault.UNPREPARED:
             link.forget_prepared()
-        self._record_outcome(link.entry, answer, sent_at_ms)
+        self._record_outcome(link.entry, job, answer, sent_at_ms)
         return answer
 
     def _record_outcome(
-        self, entry: InstanceEntry, answer: Answer, sent_at_ms: float
+        self, entry: InstanceEntry, job: Job, answer: Answer, sent_at_ms: float
     ) -> None:
         took_ms = self._clock.now_ms() - sent_at_ms
         if answer.fault in (Fault.LOST, Fault.TIMED_OUT):
+            self._placement.record_fault(entry, answer.fault)
             self._placement.record_failure(entry, sent_at_ms)
             return
-        self._placement.record_answer(entry, took_ms)
+        if answer.fault is None:
+            is_late = took_ms > job.route.objective_ms
+            self._placement.record_answer(entry, took_ms, is_late)
+        else:
+            self._placement.record_error(entry, answer.fault)
         self._placement.record_position(entry, answer.position, sent_at_ms)
 
     def _has_time_left(self, job: Job) -> bool:
@@ -519,7 +553,7 @@
         text = self._codec.format_begin(read_only)
         sent_at_ms = self._clock.now_ms()
         answer = link.call(POOLER_STATEMENT_ID, text, floor, job.deadline_ms)
-        self._record_outcome(link.entry, answer, sent_at_ms)
+        self._record_outcome(link.entry, job, answer, sent_at_ms)
         return answer
 
     def run_in_transaction(
--- a/standins/linegroup.py
+++ b/standins/linegroup.py
@@ -54,6 +54,9 @@
         self.silent = False
         self.lose_answers = 0
         self.busy_answers = 0
+        # Whether it fails all statements, and how many it has failed.
+        self.failing = False
+        self.failures = 0
         self.refuse_links = False
         self.work_ms = 0.0
         self.held_term = 0
@@ -183,6 +186,9 @@
         if statement_id != "-" and instance.busy_answers:
             instance.busy_answers -= 1
             raise _RefusedError("RETRY no slot")
+        if statement_id != "-" and instance.failing:
+            instance.failures += 1
+            raise _RefusedError("FAILED out of order")
         word, _, rest = text.partition(" ")
         if word == "WAITLSN":
             floor, _, text = rest.partition(" ")
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bronzerelay.pooler.fleetconfig import Consistency, intersect_regions
-from bronzerelay.pooler.messages import Position
+from bronzerelay.pooler.messages import Fault, Position
 from bronzerelay.pooler.placement import POSITION_VALID_MS, Placement, ReadRequirement
 from bronzerelay.pooler.positions import AGE_MARGIN_MS, LogPositions
 from standins.lineplatform import SERVICE
@@ -107,6 +107,67 @@
         assert placement.list_silent() == {"orders-1": clock.now_ms()}
 
 
+class TestOutliers:
+    requirement = ReadRequirement(Position(1, 5), False)
+
+    def answer(self, placement, clock, rounds, failing=(FIRST,), fault=Fault.FAILED):
+        """Have each instance answer some reads, the failing ones with a fault."""
+        for _ in range(rounds):
+            for name in (PRIMARY, FIRST, SECOND):
+                entry = make_instance(name)
+                if name in failing:
+                    placement.record_error(entry, fault)
+                else:
+                    placement.record_answer(entry, 20)
+            clock.sleep_ms(10)
+
+    def test_quick_error_is_no_quick_answer(self, placement, clock):
+        """Guards against an instance that fails fast and thereby attracts reads."""
+        self.answer(placement, clock, 10, failing=())
+        before_ms = placement.view_of(FIRST).answer_ms
+        placement.record_error(make_instance(FIRST), Fault.FAILED)
+        assert placement.view_of(FIRST).answer_ms == before_ms
+
+    def test_failing_instance_is_left_out_while_others_are_well(self, placement, clock):
+        self.answer(placement, clock, 10)
+        lists = [list_candidates(placement, self.requirement) for _ in range(40)]
+        assert sum(FIRST in one for one in lists) <= 5
+        # A read that tests an instance goes there first.
+        assert all(one[0] == FIRST for one in lists if FIRST in one)
+
+    def test_failed_read_isnt_repeated_at_a_limited_instance(self, placement, clock):
+        self.answer(placement, clock, 10)
+        for _ in range(20):
+            clock.sleep_ms(100)
+            tried = frozenset([SECOND])
+            found = list_candidates(placement, self.requirement, tried)
+            assert found == [PRIMARY]
+
+    def test_failing_instance_serves_if_no_other_is_left(self, placement, clock):
+        self.answer(placement, clock, 10)
+        tried = frozenset([PRIMARY, SECOND])
+        assert list_candidates(placement, self.requirement, tried) == [FIRST]
+
+    def test_failing_primary_still_gets_what_only_it_can_serve(self, placement, clock):
+        self.answer(placement, clock, 10, failing=(PRIMARY,))
+        strict = ReadRequirement(None, True)
+        assert list_candidates(placement, strict) == [PRIMARY]
+
+    def test_callers_errors_count_against_no_instance(self, placement, clock):
+        """Guards against callers that put an instance aside by broken statements."""
+        self.answer(placement, clock, 50, fault=Fault.REJECTED)
+        assert not placement.view_of(FIRST).answers.is_limited
+
+    def test_changes_are_reported(self, placement, clock):
+        reported = []
+        placement.on_share_change = lambda entry, record: reported.append(
+            (entry.id, record.step)
+        )
+        self.answer(placement, clock, 10)
+        self.answer(placement, clock, 100, failing=())
+        assert reported == [(FIRST, step) for step in range(4)]
+
+
 class TestCandidates:
     requirement = ReadRequirement(Position(1, 5), False)
 
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bronzerelay.load.outliers import MAX_TOKENS
 from bronzerelay.pooler import contacts, session
 from bronzerelay.pooler.httpcalls import HttpCallError
 from bronzerelay.pooler.members import MEMBER_PREFIX
@@ -302,6 +303,61 @@
         }
 
 
+class TestFailingInstances:
+    """An instance that reports that it is well and fails whatever it gets."""
+
+    def start(self, fleet, *failing):
+        daemon = fleet.start_ready("d1")[0]
+        run_ok(open_session(fleet, STRICT), "STORE row one")
+        fleet.runtime.clock.sleep_ms(POSITION_VALID_MS + 50)
+        for name in failing:
+            fleet.platform.group.instances[name].failing = True
+        return daemon
+
+    def read(self, fleet, count, database=AGED):
+        """Return the errors of some reads; those that the rate refused don't count."""
+        caller = open_session(fleet, database)
+        replies = [caller.query_with_retries("FETCH row") for _ in range(count)]
+        return [reply.error for reply in replies]
+
+    def test_failed_read_is_repeated_at_another_instance(self, fleet):
+        """Guards against returning failures that another instance could avoid."""
+        daemon = self.start(fleet, "orders-1")
+        # The one that fails is the fastest.
+        fleet.platform.group.instances["orders-2"].work_ms = 10
+        assert set(self.read(fleet, 30)) == {""}
+        assert daemon.placement.view_of("orders-1").answers.is_limited
+
+    def test_read_that_only_the_primary_may_serve_fails_as_before(self, fleet):
+        self.start(fleet, "orders-0")
+        caller = open_session(fleet, STRICT)
+        assert caller.query("FETCH row").error == "FAILED"
+        assert fleet.platform.group.instances["orders-0"].failures == 1
+
+    def test_failed_write_isnt_repeated(self, fleet):
+        """Guards against running a write twice: it has run and failed."""
+        self.start(fleet, "orders-0")
+        assert open_session(fleet, STRICT).query("STORE row two").error == "FAILED"
+        assert fleet.platform.group.instances["orders-0"].failures == 1
+
+    def test_repetitions_are_bounded_while_all_fail(self, fleet):
+        """Guards against doubling the load of a service that fails everything."""
+        instances = fleet.platform.group.instances
+        self.start(fleet, *instances)
+        reads = 30
+        caller = open_session(fleet, AGED)
+        errors = []
+        while len(errors) < reads:
+            error = caller.query("FETCH row").error
+            if error == "RETRY":
+                fleet.runtime.clock.sleep_ms(20)
+            else:
+                errors.append(error)
+        assert set(errors) == {"FAILED"}
+        runs = sum(instance.failures for instance in instances.values())
+        assert reads < runs <= reads + MAX_TOKENS
+
+
 class TestManyDaemons:
     @pytest.mark.parametrize(("daemons", "kept"), [(2, 5), (10, 1), (70, 0)])
     def test_idle_links_leave_an_instance_half_of_its_connections(
