Count bytes by kind and by whether they leave their failure domain

Nobody could say how much of the bytes between domains are statements, handshakes, heartbeats and the store's news. bronzerelay_bytes_total has them by kind: handshakes and statements both ways at the daemon, heartbeats at the sender, calls to the store both ways (its domain isn't known, so remote). One addition a message.

Test: TestAdmission::test_bytes_are_counted_by_kind, TestCounters.

--- a/bronzerelay/pooler/counters.py
+++ b/bronzerelay/pooler/counters.py
@@ -32,12 +32,22 @@
 
     def count(self, name: str, **labels: str) -> None:
         """Add one to a counter under its labels."""
-        key = tuple(sorted(labels.items()))
+        self._add(name, tuple(sorted(labels.items())), 1)
+
+    def count_bytes(self, kind: str, is_remote: bool, count: int) -> None:
+        """Add the bytes of a message; `is_remote` if it left its failure domain.
+
+        A message whose other end is in an unknown failure domain counts as remote.
+        """
+        remote = "yes" if is_remote else "no"
+        self._add("bytes", (("kind", kind), ("remote", remote)), count)
+
+    def _add(self, name: str, key: Labels, amount: int) -> None:
         with self._lock:
             counts = self._counts.setdefault(name, {})
             if key not in counts and len(counts) >= LABEL_LIMIT:
                 key = OVERFLOW_LABELS
-            counts[key] = counts.get(key, 0) + 1
+            counts[key] = counts.get(key, 0) + amount
 
     def record_ms(self, name: str, took_ms: float) -> None:
         """Add a latency in milliseconds to a histogram."""
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -228,6 +228,7 @@
         self.mirror.on_change = self._handle_store_change
         self.mirror.fetch = self.catch_up.fetch
         self.guard.on_idle = self.heartbeats.announce_idle
+        self._count_bytes()
         self.reload_requested = False
         self.stopping: Signal = runtime.make_signal()
         self.is_stopping = False
@@ -238,6 +239,21 @@
         self._listener: Listener = runtime.listen(settings.frontend)
         self._servers = self._open_pages()
 
+    def _count_bytes(self) -> None:
+        """Have the bytes counted by kind and by whether they leave the domain."""
+        count = self.counters.count_bytes
+        own = self._settings.domain
+
+        def count_exchange(entry: InstanceEntry, kind: str, size: int) -> None:
+            count(kind, not own or entry.domain != own, size)
+
+        self.pool.count_bytes = count_exchange
+        self.gossip.count_bytes = lambda is_remote, size: count(
+            "heartbeats", not own or is_remote, size
+        )
+        # The store's failure domain isn't known.
+        self._plugins.store.count_bytes_with(lambda size: count("store", True, size))
+
     def _open_pages(self) -> list[PageServer]:
         settings = self._settings
         addresses = {settings.ready, settings.peer, settings.metrics, settings.admin}
--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -193,6 +193,8 @@
         self._encoder = msgspec.msgpack.Encoder()
         self.views: dict[str, PeerView] = {}
         self.bytes_sent = 0
+        # Counts the bytes of a heartbeat, and whether it leaves the failure domain.
+        self.count_bytes: Callable[[bool, int], None] = lambda is_remote, count: None
 
     def set_members(self, peers: dict[str, Peer]) -> None:
         """Update the other members and their addresses."""
@@ -313,9 +315,11 @@
                 number=number, echo=echo.number, echo_incarnation=echo.incarnation
             )
         )
-        if view.peer.domain != self._domain and len(packed) >= MIN_COMPRESSED_BYTES:
+        is_remote = view.peer.domain != self._domain
+        if is_remote and len(packed) >= MIN_COMPRESSED_BYTES:
             packed = zlib.compress(packed, COMPRESSION)
         self.bytes_sent += len(packed)
+        self.count_bytes(is_remote, len(packed))
         try:
             self._sock.send_to(packed, view.address)
         except OSError as error:
--- a/bronzerelay/pooler/httpcalls.py
+++ b/bronzerelay/pooler/httpcalls.py
@@ -73,6 +73,8 @@
         self._address = address
         self._lock = runtime.make_lock()
         self._connection: Connection | None = None
+        # Counts the bytes of each call, sent and received.
+        self.count_bytes: Callable[[int], None] = lambda count: None
 
     def call(
         self,
@@ -97,6 +99,7 @@
             try:
                 connection.set_timeout(timeout_ms)
                 connection.send(request)
+                self.count_bytes(len(request))
                 answer, keep_alive = self._receive(connection, deadline_ms)
             except (OSError, ValueError, httptools.HttpParserError) as error:
                 # A late response would be taken for the response to the next call, and
@@ -149,6 +152,7 @@
             data = connection.receive()
             if not data:
                 raise ConnectionLostError("the connection ended before the response")
+            self.count_bytes(len(data))
             parser.feed_data(data)
         answer = HttpResponse(parser.get_status_code(), bytes(collector.body))
         return answer, parser.should_keep_alive()
--- a/bronzerelay/pooler/lines.py
+++ b/bronzerelay/pooler/lines.py
@@ -23,6 +23,8 @@
         self._clock = clock
         self._buffer = bytearray()
         self._searched = 0
+        # How many bytes have been received in all.
+        self.received = 0
 
     def has_line(self) -> bool:
         """Return whether a complete line is buffered."""
@@ -63,3 +65,4 @@
         if not data:
             raise ConnectionLostError("the other side closed the connection")
         self._buffer += data
+        self.received += len(data)
--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -60,6 +60,14 @@
     return f"{'w' if prepared.writes else 'r'}_{prepared.shape}"
 
 
+# Counts the bytes of an exchange with an instance, sent and received, by their kind.
+CountBytes = Callable[[InstanceEntry, str, int], None]
+
+
+def ignore_bytes(entry: InstanceEntry, kind: str, count: int) -> None:
+    """Count nothing."""
+
+
 class InstanceLink:
     """One connection to an instance, used by one task at a time."""
 
@@ -70,7 +78,9 @@
         connection: Connection,
         entry: InstanceEntry,
         workspace: str,
+        count_bytes: CountBytes = ignore_bytes,
     ):
+        self._count_bytes = count_bytes
         self._clock = runtime.clock
         self._codec = codec
         self._connection = connection
@@ -106,6 +116,7 @@
         self, data: bytes, deadline_ms: float, is_handshake: bool = False
     ) -> Answer:
         sent = False
+        received_before = self._reader.received
         try:
             self._connection.set_timeout(max(1.0, deadline_ms - self._clock.now_ms()))
             # Part of the data may arrive even if sending fails.
@@ -119,6 +130,10 @@
             self.close()
             fault = Fault.LOST if sent else Fault.UNREACHABLE
             return Answer(fault=fault, detail=str(error))
+        finally:
+            kind = "handshakes" if is_handshake else "statements"
+            received = self._reader.received - received_before
+            self._count_bytes(self.entry, kind, len(data) + received)
 
     def _read_answer(self, deadline_ms: float, is_handshake: bool = False) -> Answer:
         """Return the complete answer; in the handshake an error line ends it.
@@ -232,6 +247,7 @@
         self._open: dict[str, int] = {}
         self._in_use: set[InstanceLink] = set()
         self.opened = 0
+        self.count_bytes: CountBytes = ignore_bytes
 
     def acquire(
         self,
@@ -287,7 +303,9 @@
         except OSError as error:
             self._count_closed(entry.id)
             raise LinkError(Fault.UNREACHABLE, str(error)) from None
-        link = InstanceLink(self._runtime, self._codec, connection, entry, workspace)
+        link = InstanceLink(
+            self._runtime, self._codec, connection, entry, workspace, self.count_bytes
+        )
         handshake_deadline_ms = min(deadline_ms, now_ms + HANDSHAKE_TIMEOUT_MS)
         answer = link.handshake(handshake_deadline_ms)
         if answer.fault is None:
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -103,6 +103,9 @@
     def interrupt(self) -> None:
         """Interrupt the watch that is waiting now."""
 
+    def count_bytes_with(self, count: Callable[[int], None]) -> None:
+        """Have the bytes of all calls counted, sent and received."""
+
 
 # Called with each item that was put or removed.
 HandleItem = Callable[[Item], None]
--- a/tests/test_counters.py
+++ b/tests/test_counters.py
@@ -17,6 +17,17 @@
         assert 'bronzerelay_latency_ms_count{route="orders"} 10' in page
         assert 'bronzerelay_latency_ms{route="orders",quantile="0.5"} 20' in page
 
+    def test_bytes_by_kind(self):
+        counters = Counters(make_runtime())
+        for size in (100, 20):
+            counters.count_bytes("statements", True, size)
+        counters.count_bytes("statements", False, 3)
+        lines = counters.render({}).decode().splitlines()
+        assert lines == [
+            'bronzerelay_bytes_total{kind="statements",remote="no"} 3',
+            'bronzerelay_bytes_total{kind="statements",remote="yes"} 120',
+        ]
+
     def test_labels_are_bounded_and_escaped(self):
         counters = Counters(make_runtime())
         for number in range(LABEL_LIMIT + 50):
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -1,6 +1,7 @@
 """End-to-end tests of the pooler on stand-ins: sessions, limits, primary changes."""
 
 import math
+import re
 
 import pytest
 
@@ -200,6 +201,19 @@
         assert caller.query("STORE a 1").error == "RETRY"
         assert fleet.platform.group.runs == []
 
+    def test_bytes_are_counted_by_kind(self, fleet):
+        daemon = fleet.start_ready("d1", "d2")[0]
+        run_ok(open_session(fleet, STRICT), "FETCH a")
+
+        def find_kinds():
+            page = daemon.get_page("/metrics").body.decode()
+            return set(
+                re.findall(r'bytes_total{kind="(\w+)",remote="\w+"} [1-9]', page)
+            )
+
+        wanted = {"statements", "handshakes", "heartbeats", "store"}
+        fleet.wait(lambda: find_kinds() == wanted, "bytes of each kind")
+
     def test_instances_get_the_workspace_and_never_the_key(self, fleet):
         fleet.start_ready("d1")
         run_ok(open_session(fleet), "FETCH a")
