Keep reads in their failure domain while its instance has room

What callers saw: reads went by answer time alone.

Now the near instance comes first, the near primary included at twice its time. As it takes longer than another domain's, counting the way, the reads that this daemon has there and reported pressure, a part of the reads leaves that grows linearly from 0.15 to 0.8 of the route's objective. A domain without an instance spreads over the replicas in turns, by their room. On only where several failure domains occur among the service's instances and the daemon knows its own; elsewhere the order is as before.

Placement.record_pressure takes the wait that an instance's holder reports.

The mutation of the regions is adapted to the call, which has one more argument; its test is the same.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -146,7 +146,7 @@
             settings.drain_ms * LEAVING_USE_FRACTION,
             self.evacuations,
         )
-        self.placement = Placement(runtime, self.directory)
+        self.placement = Placement(runtime, self.directory, settings.domain)
         self.placement.on_share_change = self._report_share
         self.pool = LinkPool(runtime, plugins.codec)
         self.rates = FleetRates(runtime, settings.name)
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from bronzerelay.load.nearness import AnswerTimes, Option, Spread, fade_pressure
 from bronzerelay.load.outliers import AnswerRecord, Quality, RetryBudget, Use
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.pooler.fleetconfig import (
@@ -30,6 +31,8 @@
 # The factor on the primary's cost. Only the primary can serve writes, so a read goes
 # there only if a replica would take this many times as long.
 PRIMARY_COST_FACTOR = 2.0
+# The latency objective that is assumed where no route is given, in milliseconds.
+DEFAULT_OBJECTIVE_MS = 400
 # What a fault says about its instance. The others say nothing: the caller's statement
 # was wrong, or the instance's state or role wasn't what was assumed.
 FAULT_QUALITIES = {
@@ -56,6 +59,10 @@
         self.position: Position | None = None
         self.position_at_ms = 0.0
         self.answers = AnswerRecord()
+        self.times = AnswerTimes()
+        # The wait that was last reported for a new statement, and when.
+        self.pressure_ms = 0.0
+        self.pressure_at_ms = 0.0
 
 
 class ReadRequirement(NamedTuple):
@@ -73,6 +80,8 @@
     isnt_test: bool
     cost: float
     id: str
+    entry: InstanceEntry
+    is_primary: bool
 
 
 # Called when the share of the reads that an instance gets has changed.
@@ -82,14 +91,17 @@
 class Placement:
     """Chooses instances by what this daemon's own statements have shown of them."""
 
-    def __init__(self, runtime: Runtime, directory: Directory):
+    def __init__(self, runtime: Runtime, directory: Directory, domain: str = ""):
         self._runtime = runtime
         self._clock = runtime.clock
         self._directory = directory
+        # The failure domain of this daemon, empty if it isn't known.
+        self._domain = domain
         self._lock = runtime.make_lock()
         self._views: dict[str, InstanceView] = {}
         self._positions: dict[str, LogPositions] = {}
         self._budgets: dict[str, RetryBudget] = {}
+        self._spreads: dict[str, Spread] = {}
         self.on_share_change: ReportShare = lambda entry, record: None
 
     def positions_of(self, service: str) -> LogPositions:
@@ -145,6 +157,7 @@
         """Record how long an instance took to return a result."""
         view = self.view_of(entry.id)
         view.answer_ms += ANSWER_WEIGHT * (took_ms - view.answer_ms)
+        view.times.record(took_ms, self._clock.now_ms())
         self._record_contact(view)
         self._record_quality(entry, Quality.WEAK if is_late else Quality.GOOD)
 
@@ -178,6 +191,12 @@
         if changed:
             self.on_share_change(entry, record)
 
+    def record_pressure(self, instance_id: str, wait_ms: float) -> None:
+        """Record the wait that a new statement would have at an instance, as told."""
+        view = self.view_of(instance_id)
+        view.pressure_ms = wait_ms
+        view.pressure_at_ms = self._clock.now_ms()
+
     def budget_of(self, service: str) -> RetryBudget:
         """Return the budget for repeating failed reads of a service."""
         budget = self._budgets.get(service)
@@ -251,9 +270,12 @@
         tried: frozenset[str],
         has_proof: bool,
         regions: Regions = None,
+        objective_ms: float = DEFAULT_OBJECTIVE_MS,
     ) -> list[str]:
         """Return the ids of the instances in `regions` that may serve, best first.
 
+        Where the instances of the service lie in several failure domains, those of the
+        own domain come first, as far as `objective_ms` allows the wait for them.
         Without a proof that it is still the primary, the primary is used only if the
         read requires it or no other instance is left.
         """
@@ -288,14 +310,71 @@
                 cost *= PRIMARY_COST_FACTOR
             use = self._choose_use(view, bool(tried), now_ms)
             candidate = Candidate(
-                view.avoid_until_ms > now_ms, use is not Use.TEST, cost, entry.id
+                view.avoid_until_ms > now_ms,
+                use is not Use.TEST,
+                cost,
+                entry.id,
+                entry,
+                is_primary,
             )
             (limited if use is Use.NONE else usable).append(candidate)
         if not any(not candidate.is_avoided for candidate in usable):
             usable += limited
         if not usable and primary is not None:
             return [primary.id]
-        return [candidate.id for candidate in sorted(usable)]
+        usable.sort()
+        if len(usable) > 1 and self._has_several_domains(service):
+            return self._order_by_domain(service, usable, objective_ms, now_ms)
+        return [candidate.id for candidate in usable]
+
+    def _has_several_domains(self, service: str) -> bool:
+        """Return whether the service's instances lie in several failure domains."""
+        if not self._domain:
+            return False
+        group = self._directory.list_instances(service)
+        return len({entry.domain for entry in group if entry.domain}) > 1
+
+    def _order_by_domain(
+        self,
+        service: str,
+        candidates: list[Candidate],
+        objective_ms: float,
+        now_ms: float,
+    ) -> list[str]:
+        """Return the ids of sorted candidates with the near ones first.
+
+        Reads that test an instance still go there first, and those that didn't answer
+        come last.
+        """
+        tests, options, avoided = [], [], []
+        for candidate in candidates:
+            if candidate.is_avoided:
+                avoided.append(candidate.id)
+            elif not candidate.isnt_test:
+                tests.append(candidate.id)
+            else:
+                options.append(self._make_option(candidate, now_ms))
+        with self._lock:
+            spread = self._spreads.get(service)
+            if spread is None:
+                spread = self._spreads[service] = Spread(self._runtime.random.random)
+            ordered = spread.order(options, objective_ms, now_ms) if options else []
+        return [*tests, *ordered, *avoided]
+
+    def _make_option(self, candidate: Candidate, now_ms: float) -> Option:
+        entry = candidate.entry
+        view = self.view_of(candidate.id)
+        pressure_ms = fade_pressure(view.pressure_ms, now_ms - view.pressure_at_ms)
+        return Option(
+            candidate.id,
+            entry.domain == self._domain,
+            candidate.is_primary,
+            view.times.estimate(pressure_ms, now_ms),
+            view.times.calm_ms,
+            PRIMARY_COST_FACTOR if candidate.is_primary else 1.0,
+            view.outstanding,
+            entry.slots,
+        )
 
     def _choose_use(self, view: InstanceView, is_retry: bool, now_ms: float) -> Use:
         record = view.answers
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -342,7 +342,12 @@
         while True:
             has_proof = self._guard.has_proof()
             candidates = self._placement.list_candidates(
-                service, requirement, tried, has_proof, job.regions
+                service,
+                requirement,
+                tried,
+                has_proof,
+                job.regions,
+                job.route.objective_ms,
             )
             record = self._directory.primary_records.get(service)
             planned = record is not None and record.planned and not record.settled
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -692,8 +692,8 @@
     Mutation(
         "a statement runs only in the regions of its route and its workspace",
         POOLER + "runner.py",
-        "service, requirement, tried, has_proof, job.regions",
-        "service, requirement, tried, has_proof",
+        "has_proof,\n                job.regions,",
+        "has_proof,\n                None,",
         PATH + "TestAdmission",
     ),
     Mutation(
@@ -738,4 +738,39 @@
         "if False:",
         "tests/test_outliers.py::TestBudget",
     ),
+    Mutation(
+        "reads prefer an instance of the daemon's own failure domain",
+        POOLER + "placement.py",
+        "if len(usable) > 1 and self._has_several_domains(service):",
+        "if False:",
+        "tests/test_placement.py::TestNearness",
+    ),
+    Mutation(
+        "reads leave a full near instance",
+        "bronzerelay/load/nearness.py",
+        "return min(MAX_SPILL, max(0.0, part))",
+        "return 0.0",
+        "tests/test_nearness.py::TestNear",
+    ),
+    Mutation(
+        "reads leave a near instance by degrees",
+        "bronzerelay/load/nearness.py",
+        "return min(MAX_SPILL, max(0.0, part))",
+        "return MAX_SPILL if part > 0 else 0.0",
+        "tests/test_nearness.py",
+    ),
+    Mutation(
+        "a domain without an instance spreads over the others",
+        "bronzerelay/load/nearness.py",
+        "first = self._take_turn(_drop_worse_primary(far))",
+        "first = far[0]",
+        "tests/test_placement.py::TestNearness",
+    ),
+    Mutation(
+        "pressure that was reported long ago has no influence",
+        "bronzerelay/load/nearness.py",
+        "return wait_ms * math.exp(-max(0.0, age_ms) / PRESSURE_FADE_MS)",
+        "return wait_ms",
+        "tests/test_nearness.py::TestPressure",
+    ),
 )
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -168,6 +168,61 @@
         assert reported == [(FIRST, step) for step in range(4)]
 
 
+class TestNearness:
+    requirement = ReadRequirement(Position(1, 5), False)
+
+    def make(self, clock, own="z1", domains=("z1", "z2", "z3")):
+        """Return a placement of a daemon in `own` with an instance in each domain."""
+        runtime = make_runtime(clock)
+        directory = make_directory(runtime)
+        for name, domain in zip((PRIMARY, FIRST, SECOND), domains, strict=True):
+            entry = make_instance(name, claims_primary=name == PRIMARY, domain=domain)
+            directory.set_instance(entry)
+        placement = Placement(runtime, directory, own)
+        for name, took_ms in ((PRIMARY, 22), (FIRST, 25), (SECOND, 20)):
+            for _ in range(10):
+                placement.record_answer(directory.instances[name], took_ms)
+        return placement
+
+    def list_firsts(self, placement, count=40):
+        return [list_candidates(placement, self.requirement)[0] for _ in range(count)]
+
+    def test_reads_go_to_the_instance_of_the_own_domain(self, clock):
+        """Guards against reads that leave their failure domain for a millisecond."""
+        assert set(self.list_firsts(self.make(clock, "z2"))) == {FIRST}
+        assert set(self.list_firsts(self.make(clock, "z1"))) == {PRIMARY}
+
+    def test_domain_without_an_instance_uses_all_replicas(self, clock):
+        firsts = self.list_firsts(self.make(clock, "z4"))
+        assert firsts.count(PRIMARY) == 0
+        assert firsts.count(FIRST) >= 15
+        assert firsts.count(SECOND) >= 15
+
+    @pytest.mark.parametrize(
+        ("own", "domains"),
+        [("", ("z1", "z2", "z3")), ("z2", ("z1", "z1", "z1")), ("z2", ("", "", "z2"))],
+    )
+    def test_order_is_by_answer_time_without_several_domains(self, clock, own, domains):
+        placement = self.make(clock, own, domains)
+        expected = [SECOND, FIRST, PRIMARY]
+        assert list_candidates(placement, self.requirement) == expected
+
+    def test_reported_pressure_moves_reads_until_it_is_old(self, clock):
+        placement = self.make(clock, "z2")
+        placement.record_pressure(FIRST, 300)
+        list_candidates(placement, self.requirement)
+        clock.sleep_ms(1)
+        assert self.list_firsts(placement).count(FIRST) < 20
+        clock.sleep_ms(10_000)
+        assert set(self.list_firsts(placement)) == {FIRST}
+
+    def test_instance_without_answers_comes_last_though_near(self, clock):
+        placement = self.make(clock, "z2")
+        entry = placement._directory.instances[FIRST]
+        placement.record_failure(entry, clock.now_ms())
+        assert list_candidates(placement, self.requirement)[-1] == FIRST
+
+
 class TestCandidates:
     requirement = ReadRequirement(Position(1, 5), False)
 
