Prefer a successor in a failure domain with few primaries, among equal logs

A primary that has to be chosen anew is still the instance with the longest log. Among equal ones the first was taken, so that primaries could gather in one failure domain. Now it is one in a domain with few primaries of other services; a healthy primary isn't moved. The domain of the writers plays no part, since no daemon knows where they are.

"A statement was sent." tells what decided about reads at the instance: its share, whether it is near, the part that leaves, reported pressure and its age.

tests/test_successors.py, test_primarychanges.py and test_pooler_path.py pass; the new mutation is caught.

--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from bronzerelay.load.nearness import AnswerTimes, Option, Spread, fade_pressure
-from bronzerelay.load.outliers import AnswerRecord, Quality, RetryBudget, Use
+from bronzerelay.load.outliers import STEPS, AnswerRecord, Quality, RetryBudget, Use
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.pooler.fleetconfig import (
     Consistency,
@@ -361,6 +361,22 @@
             ordered = spread.order(options, objective_ms, now_ms) if options else []
         return [*tests, *ordered, *avoided]
 
+    def describe(self, service: str, instance_id: str) -> dict[str, object]:
+        """Return what decided about reads at an instance, for the log."""
+        now_ms = self._clock.now_ms()
+        view = self.view_of(instance_id)
+        spread = self._spreads.get(service)
+        entry = self._directory.instances.get(instance_id)
+        fields: dict[str, object] = {"read_share": STEPS[view.answers.step]}
+        if entry is not None and self._domain:
+            fields["near"] = entry.domain == self._domain
+        if spread is not None:
+            fields["spill"] = round(spread.spill, 2)
+        if view.pressure_at_ms:
+            fields["pressure_ms"] = round(view.pressure_ms)
+            fields["pressure_age_ms"] = round(now_ms - view.pressure_at_ms)
+        return fields
+
     def _make_option(self, candidate: Candidate, now_ms: float) -> Option:
         entry = candidate.entry
         view = self.view_of(candidate.id)
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from bronzerelay.load.successors import Successor, choose_successor
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import Directory, PrimaryRecord
 from bronzerelay.pooler.events import EventLog
@@ -320,15 +321,31 @@
     def find_best(
         self, service: str, excluded: frozenset[str]
     ) -> tuple[InstanceEntry, InstanceStatus] | None:
-        """Return the instance to promote: the one whose log is longest."""
-        candidates = []
+        """Return the instance to promote: the one whose log is longest.
+
+        Among equal ones it is one in a failure domain with few primaries.
+        """
+        candidates = {}
         for entry in self._directory.list_instances(service):
             if self._directory.is_leaving(entry) or entry.id in excluded:
                 continue
             status = self._ask_status(entry, STATUS_TIMEOUT_MS)
             if status is not None:
-                candidates.append((entry, status))
-        return max(candidates, key=lambda pair: pair[1].received, default=None)
+                candidates[entry.id] = (entry, status)
+        successors = [
+            Successor(entry.id, entry.domain, status.received)
+            for entry, status in candidates.values()
+        ]
+        chosen = choose_successor(successors, self._list_primary_domains(service))
+        return candidates[chosen.id] if chosen else None
+
+    def _list_primary_domains(self, service: str) -> list[str]:
+        """Return the failure domains of the primaries of all other services."""
+        services = {entry.service for entry in self._directory.instances.values()}
+        primaries = [
+            self._directory.find_listed_primary(other) for other in services - {service}
+        ]
+        return [primary.domain for primary in primaries if primary is not None]
 
 
 def _find_newest_version(record: PrimaryRecord, item: Item) -> PrimaryRecord:
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -702,4 +702,5 @@
             outcome=answer.fault.name.lower() if answer.fault else "done",
             detail=answer.detail,
             position=answer.position,
+            **self._placement.describe(slot.service, slot.instance),
         )
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -766,6 +766,13 @@
         "first = far[0]",
         "tests/test_placement.py::TestNearness",
     ),
+    Mutation(
+        "a primary goes where few primaries are, among equally good instances",
+        "bronzerelay/load/successors.py",
+        "-primary_domains.count(one.domain)",
+        "0",
+        "tests/test_successors.py",
+    ),
     Mutation(
         "pressure that was reported long ago has no influence",
         "bronzerelay/load/nearness.py",
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -59,6 +59,17 @@
         assert harness.promotions == [(SECOND, 1)]
         assert harness.directory.find_primary(SERVICE).id == SECOND
 
+    def test_equal_replica_in_a_domain_without_primaries_is_preferred(self, harness):
+        """Guards against gathering primaries in one failure domain."""
+        directory = harness.directory
+        for name, domain in ((FIRST, "z2"), (SECOND, "z3")):
+            directory.set_instance(make_instance(name, domain=domain))
+        other = make_instance("stock-0", service="stock", domain="z2")
+        directory.set_instance(other._replace(claims_primary=True))
+        harness.received = {FIRST: Position(1, 9), SECOND: Position(1, 9)}
+        found = harness.changes.find_best(SERVICE, frozenset([PRIMARY]))
+        assert found[0].id == SECOND
+
     def test_primary_that_a_peer_still_reaches_stays(self, harness):
         # The primary is partitioned from this daemon only. Promoting a replica would
         # roll back what was acknowledged meanwhile.
