--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -11,6 +11,7 @@
 
 from bronzerelay.env import ADVISED_SWITCH_INTERVAL_S
 from bronzerelay.load.linkholders import LinkHolders
+from bronzerelay.load.outliers import STEPS, AnswerRecord
 from bronzerelay.pooler.catchup import MIRROR_PATH, CatchUp, read_after
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.counters import Counters
@@ -152,7 +153,8 @@
             settings.drain_ms * LEAVING_USE_FRACTION,
             self.evacuations,
         )
-        self.placement = Placement(runtime, self.directory)
+        self.placement = Placement(runtime, self.directory, settings.domain)
+        self.placement.on_share_change = self._report_share
         self.pool = LinkPool(runtime, plugins.codec)
         self.rates = FleetRates(runtime, settings.name)
         self.mirror = Mirror(runtime, plugins.store, self._apply_item, self.log)
@@ -253,6 +255,7 @@
         self.mirror.on_change = self._handle_store_change
         self.mirror.fetch = self.catch_up.fetch
         self.guard.on_idle = self.heartbeats.announce_idle
+        self._count_bytes()
         self.reload_requested = False
         self.stopping: Signal = runtime.make_signal()
         self.is_stopping = False
@@ -264,6 +267,21 @@
         self._servers = self._open_pages()
         self._passing_server = self._open_passing()
 
+    def _count_bytes(self) -> None:
+        """Have the bytes counted by kind and by whether they leave the domain."""
+        count = self.counters.count_bytes
+        own = self._settings.domain
+
+        def count_exchange(entry: InstanceEntry, kind: str, size: int) -> None:
+            count(kind, not own or entry.domain != own, size)
+
+        self.pool.count_bytes = count_exchange
+        self.gossip.count_bytes = lambda is_remote, size: count(
+            "heartbeats", not own or is_remote, size
+        )
+        # The store's failure domain isn't known.
+        self._plugins.store.count_bytes_with(lambda size: count("store", True, size))
+
     def _open_pages(self) -> list[PageServer]:
         settings = self._settings
         addresses = {settings.ready, settings.peer, settings.metrics, settings.admin}
@@ -408,6 +426,21 @@
             self.pool.close_all(record.deposed)
         self.gossip.send_now()
 
+    def _report_share(self, entry: InstanceEntry, record: AnswerRecord) -> None:
+        shares = record.measure(self._clock.now_ms())
+        share = STEPS[record.step]
+        self.counters.count("read_shares", service=entry.service, share=f"{share:g}")
+        self.log.write_request(
+            "placement",
+            "The share of the reads that an instance gets has changed.",
+            service=entry.service,
+            instance=entry.id,
+            share=share,
+            answers=round(shares.answers, 1),
+            failed_share=round(shares.failed, 2),
+            bad_share=round(shares.bad, 2),
+        )
+
     # The other daemons
 
     def _add_store_proof(self, read_at_ms: float) -> None:
--- a/bronzerelay/pooler/execution.py
+++ b/bronzerelay/pooler/execution.py
@@ -418,6 +418,7 @@
     def _handle_link_error(
         self, entry: InstanceEntry, error: LinkError, began_ms: float
     ) -> Answer:
+        self._placement.record_fault(entry, error.fault)
         if error.fault is Fault.UNREACHABLE:
             self._placement.record_failure(entry, began_ms)
         if error.fault is Fault.TOO_MANY_LINKS:
@@ -434,17 +435,23 @@
         answer = link.call(job.statement.id, text, floor, job.deadline_ms)
         if answer.fault is Fault.UNPREPARED:
             link.forget_prepared()
-        self._record_outcome(link.entry, answer, sent_at_ms)
+        self._record_outcome(link.entry, job, answer, sent_at_ms)
         return answer
 
     def _record_outcome(
-        self, entry: InstanceEntry, answer: Answer, sent_at_ms: float
+        self, entry: InstanceEntry, job: Job, answer: Answer, sent_at_ms: float
     ) -> None:
         took_ms = self._clock.now_ms() - sent_at_ms
         if answer.fault in (Fault.LOST, Fault.TIMED_OUT):
+            self._placement.record_fault(entry, answer.fault)
             self._placement.record_failure(entry, sent_at_ms)
             return
-        self._placement.record_answer(entry, took_ms)
+        if answer.fault is None:
+            # The objective of a statement of another daemon isn't known here.
+            is_late = 0 < job.route.objective_ms < took_ms
+            self._placement.record_answer(entry, took_ms, is_late)
+        else:
+            self._placement.record_error(entry, answer.fault)
         self._placement.record_position(entry, answer.position, sent_at_ms)
 
     # Transactions
@@ -497,7 +504,7 @@
         text = self._codec.format_begin(read_only)
         sent_at_ms = self._clock.now_ms()
         answer = link.call(POOLER_STATEMENT_ID, text, floor, job.deadline_ms)
-        self._record_outcome(link.entry, answer, sent_at_ms)
+        self._record_outcome(link.entry, job, answer, sent_at_ms)
         return answer
 
     def run_in_transaction(
@@ -643,6 +650,7 @@
             outcome=answer.fault.name.lower() if answer.fault else "done",
             detail=answer.detail,
             position=answer.position,
+            **self._placement.describe(entry.service, entry.id),
         )
 
 
--- a/bronzerelay/pooler/passingclient.py
+++ b/bronzerelay/pooler/passingclient.py
@@ -124,7 +124,9 @@
         connection = self._acquire(holder)
         if isinstance(connection, NotTaken):
             return connection
-        outcome = self._exchange(connection, request, entry, job.deadline_ms)
+        outcome = self._exchange(
+            connection, request, entry, job.deadline_ms, job.route.objective_ms
+        )
         self._release(connection)
         return outcome
 
@@ -135,7 +137,9 @@
         connection = self._acquire(holder)
         if isinstance(connection, NotTaken):
             return connection
-        outcome = self._exchange(connection, request, entry, job.deadline_ms)
+        outcome = self._exchange(
+            connection, request, entry, job.deadline_ms, job.route.objective_ms
+        )
         if isinstance(outcome, Answer) and outcome.state is TransactionState.OPEN:
             return PassedLink(connection, entry)
         self._release(connection)
@@ -145,7 +149,13 @@
         self, link: PassedLink, job: Job, request: Request
     ) -> PassedOutcome:
         """Run a statement, or the commit, of an open transaction."""
-        outcome = self._exchange(link.connection, request, link.entry, job.deadline_ms)
+        outcome = self._exchange(
+            link.connection,
+            request,
+            link.entry,
+            job.deadline_ms,
+            job.route.objective_ms,
+        )
         link.in_transaction = (
             isinstance(outcome, Answer) and outcome.state is not TransactionState.IDLE
         )
@@ -165,6 +175,7 @@
         request: Request,
         entry: InstanceEntry,
         deadline_ms: float,
+        objective_ms: float = 0,
     ) -> PassedOutcome:
         """Send a request and return what became of it."""
         holder = connection.holder
@@ -178,7 +189,7 @@
         if is_used_again:
             self._log.write_request("passing", "A holder is used again.", holder=holder)
         if isinstance(reply, Reply):
-            return self._read_reply(holder, reply, entry, call.began_ms)
+            return self._read_reply(holder, reply, entry, call.began_ms, objective_ms)
         fault = reply.fault.name.lower() if reply.fault else ""
         self._counters.count("passes", outcome=fault)
         self._close_idle(holder)
@@ -205,7 +216,12 @@
             return Answer(fault=Fault.LOST, detail=detail)
 
     def _read_reply(
-        self, holder: str, reply: Reply, entry: InstanceEntry, sent_at_ms: float
+        self,
+        holder: str,
+        reply: Reply,
+        entry: InstanceEntry,
+        sent_at_ms: float,
+        objective_ms: float,
     ) -> PassedOutcome:
         self._placement.record_pressure(entry.id, float(reply.wait_ms))
         self._counters.count("passes", outcome=Outcome(reply.outcome).name.lower())
@@ -213,7 +229,11 @@
             self._avoid(holder, "", "it is stopping")
         if reply.outcome == Outcome.ANSWERED:
             answer = reply.find_answer()
-            self._record_answer(entry, answer, bool(reply.is_silent), sent_at_ms)
+            if reply.is_silent:
+                self._placement.record_fault(entry, answer.fault or Fault.LOST)
+                self._placement.record_failure(entry, sent_at_ms)
+            else:
+                self._record_answer(entry, answer, sent_at_ms, objective_ms)
             return answer
         if reply.outcome == Outcome.REFUSED:
             return reply.find_refusal()
@@ -223,15 +243,24 @@
         return NotTaken(reply.detail)
 
     def _record_answer(
-        self, entry: InstanceEntry, answer: Answer, is_silent: bool, sent_at_ms: float
+        self,
+        entry: InstanceEntry,
+        answer: Answer,
+        sent_at_ms: float,
+        objective_ms: float,
     ) -> None:
         """Record for placement what the holder has found of the instance."""
-        if is_silent:
-            self._placement.record_failure(entry, sent_at_ms)
-        elif answer.fault not in (Fault.TOO_MANY_LINKS, Fault.UNREACHABLE):
+        if answer.fault in (Fault.TOO_MANY_LINKS, Fault.UNREACHABLE):
+            self._placement.record_fault(entry, answer.fault)
+            return
+        if answer.fault is None:
             took_ms = self._clock.now_ms() - sent_at_ms
-            self._placement.record_answer(entry, took_ms)
-            self._placement.record_position(entry, answer.position, sent_at_ms)
+            is_late = 0 < objective_ms < took_ms
+            self._placement.record_answer(entry, took_ms, is_late)
+        elif answer.fault is not Fault.LOST:
+            # The holder also answers LOST when the primary may have been replaced.
+            self._placement.record_error(entry, answer.fault)
+        self._placement.record_position(entry, answer.position, sent_at_ms)
 
     def _avoid(self, holder: str, instance_id: str, reason: str) -> None:
         if self._holders.avoid(holder, instance_id, reason):
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -1,7 +1,10 @@
 """Chooses the instance for a read: up to date enough, and the fastest to answer."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
+from bronzerelay.load.nearness import AnswerTimes, Option, Spread, fade_pressure
+from bronzerelay.load.outliers import STEPS, AnswerRecord, Quality, RetryBudget, Use
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.pooler.fleetconfig import (
     Consistency,
@@ -9,7 +12,7 @@
     Regions,
     Route,
 )
-from bronzerelay.pooler.messages import Position
+from bronzerelay.pooler.messages import Fault, Position
 from bronzerelay.pooler.positions import LogPositions, Sample
 from bronzerelay.runtime import Runtime
 
@@ -28,6 +31,18 @@
 # The factor on the primary's cost. Only the primary can serve writes, so a read goes
 # there only if a replica would take this many times as long.
 PRIMARY_COST_FACTOR = 2.0
+# The latency objective that is assumed where no route is given, in milliseconds.
+DEFAULT_OBJECTIVE_MS = 400
+# What a fault says about its instance. The others say nothing: the caller's statement
+# was wrong, or the instance's state or role wasn't what was assumed.
+FAULT_QUALITIES = {
+    Fault.FAILED: Quality.FAILED,
+    Fault.TIMED_OUT: Quality.FAILED,
+    Fault.LOST: Quality.FAILED,
+    Fault.UNREACHABLE: Quality.FAILED,
+    Fault.BUSY: Quality.WEAK,
+    Fault.TOO_MANY_LINKS: Quality.WEAK,
+}
 
 
 class InstanceView:
@@ -43,6 +58,8 @@
         self.failing_since_ms = 0.0
         self.position: Position | None = None
         self.position_at_ms = 0.0
+        self.answers = AnswerRecord()
+        self.times = AnswerTimes()
         # The wait of a new statement for a slot, as its link holder last told.
         self.pressure_ms = 0.0
         self.pressure_at_ms = 0.0
@@ -55,16 +72,37 @@
     primary_only: bool
 
 
+class Candidate(NamedTuple):
+    """An instance that may serve a read; the lowest in this order is the best."""
+
+    is_avoided: bool
+    # Whether the read is to test the instance: such a read goes there first.
+    isnt_test: bool
+    cost: float
+    id: str
+    entry: InstanceEntry
+    is_primary: bool
+
+
+# Called when the share of the reads that an instance gets has changed.
+ReportShare = Callable[[InstanceEntry, AnswerRecord], None]
+
+
 class Placement:
     """Chooses instances by what this daemon's own statements have shown of them."""
 
-    def __init__(self, runtime: Runtime, directory: Directory):
+    def __init__(self, runtime: Runtime, directory: Directory, domain: str = ""):
         self._runtime = runtime
         self._clock = runtime.clock
         self._directory = directory
+        # The failure domain of this daemon, empty if it isn't known.
+        self._domain = domain
         self._lock = runtime.make_lock()
         self._views: dict[str, InstanceView] = {}
         self._positions: dict[str, LogPositions] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._spreads: dict[str, Spread] = {}
+        self.on_share_change: ReportShare = lambda entry, record: None
 
     def positions_of(self, service: str) -> LogPositions:
         """Return the known log positions of a service's primary."""
@@ -113,13 +151,60 @@
 
     # Recording answers
 
-    def record_answer(self, entry: InstanceEntry, took_ms: float) -> None:
-        """Record how long an instance took to answer."""
+    def record_answer(
+        self, entry: InstanceEntry, took_ms: float, is_late: bool = False
+    ) -> None:
+        """Record how long an instance took to return a result."""
         view = self.view_of(entry.id)
         view.answer_ms += ANSWER_WEIGHT * (took_ms - view.answer_ms)
+        view.times.record(took_ms, self._clock.now_ms())
+        self._record_contact(view)
+        self._record_quality(entry, Quality.WEAK if is_late else Quality.GOOD)
+
+    def record_error(self, entry: InstanceEntry, fault: Fault) -> None:
+        """Record that an instance answered with an error.
+
+        An error often comes faster than a result would, so its time doesn't count.
+        """
+        self._record_contact(self.view_of(entry.id))
+        self.record_fault(entry, fault)
+
+    def _record_contact(self, view: InstanceView) -> None:
         view.avoid_until_ms = 0.0
         view.failures = 0
 
+    def record_fault(self, entry: InstanceEntry, fault: Fault) -> None:
+        """Count a fault against an instance if it says something about the instance."""
+        quality = FAULT_QUALITIES.get(fault)
+        if quality is not None:
+            self._record_quality(entry, quality)
+
+    def _record_quality(self, entry: InstanceEntry, quality: Quality) -> None:
+        record = self.view_of(entry.id).answers
+        peers = [
+            self.view_of(peer.id).answers
+            for peer in self._directory.list_instances(entry.service)
+            if peer.id != entry.id
+        ]
+        with self._lock:
+            changed = record.record(quality, peers, self._clock.now_ms())
+        if changed:
+            self.on_share_change(entry, record)
+
+    def record_pressure(self, instance_id: str, wait_ms: float) -> None:
+        """Record the wait that a new statement would have at an instance, as told."""
+        view = self.view_of(instance_id)
+        view.pressure_ms = wait_ms
+        view.pressure_at_ms = self._clock.now_ms()
+
+    def budget_of(self, service: str) -> RetryBudget:
+        """Return the budget for repeating failed reads of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            with self._lock:
+                budget = self._budgets.setdefault(service, RetryBudget())
+        return budget
+
     def record_failure(self, entry: InstanceEntry, sent_at_ms: float) -> None:
         """Record that an instance didn't answer a request sent at `sent_at_ms`.
 
@@ -152,12 +237,6 @@
         if primary is not None and primary.id == entry.id:
             self.positions_of(entry.service).add_own_sample(sent_at_ms, position)
 
-    def record_pressure(self, instance_id: str, wait_ms: float) -> None:
-        """Record how long a new statement would wait for a slot of an instance."""
-        view = self.view_of(instance_id)
-        view.pressure_ms = wait_ms
-        view.pressure_at_ms = self._clock.now_ms()
-
     # Choosing
 
     def find_requirement(
@@ -191,9 +270,12 @@
         tried: frozenset[str],
         has_proof: bool,
         regions: Regions = None,
+        objective_ms: float = DEFAULT_OBJECTIVE_MS,
     ) -> list[str]:
         """Return the ids of the instances in `regions` that may serve, best first.
 
+        Where the instances of the service lie in several failure domains, those of the
+        own domain come first, as far as `objective_ms` allows the wait for them.
         Without a proof that it is still the primary, the primary is used only if the
         read requires it or no other instance is left.
         """
@@ -203,7 +285,9 @@
         if requirement.primary_only:
             return [primary.id] if primary else []
         now_ms = self._clock.now_ms()
-        ranked = []
+        usable: list[Candidate] = []
+        # Instances that get only a share of the reads, and this one isn't in it.
+        limited: list[Candidate] = []
         for entry in self._directory.list_instances(service):
             if self._directory.is_leaving(entry) or entry.id in tried:
                 continue
@@ -224,11 +308,98 @@
             cost = (view.outstanding + 1) * view.answer_ms
             if is_primary:
                 cost *= PRIMARY_COST_FACTOR
-            is_avoided = view.avoid_until_ms > now_ms
-            ranked.append((is_avoided, cost, entry.id))
-        if not ranked and primary is not None:
+            use = self._choose_use(view, bool(tried), now_ms)
+            candidate = Candidate(
+                view.avoid_until_ms > now_ms,
+                use is not Use.TEST,
+                cost,
+                entry.id,
+                entry,
+                is_primary,
+            )
+            (limited if use is Use.NONE else usable).append(candidate)
+        if not any(not candidate.is_avoided for candidate in usable):
+            usable += limited
+        if not usable and primary is not None:
             return [primary.id]
-        return [instance_id for _, _, instance_id in sorted(ranked)]
+        usable.sort()
+        if len(usable) > 1 and self._has_several_domains(service):
+            return self._order_by_domain(service, usable, objective_ms, now_ms)
+        return [candidate.id for candidate in usable]
+
+    def _has_several_domains(self, service: str) -> bool:
+        """Return whether the service's instances lie in several failure domains."""
+        if not self._domain:
+            return False
+        group = self._directory.list_instances(service)
+        return len({entry.domain for entry in group if entry.domain}) > 1
+
+    def _order_by_domain(
+        self,
+        service: str,
+        candidates: list[Candidate],
+        objective_ms: float,
+        now_ms: float,
+    ) -> list[str]:
+        """Return the ids of sorted candidates with the near ones first.
+
+        Reads that test an instance still go there first, and those that didn't answer
+        come last.
+        """
+        tests, options, avoided = [], [], []
+        for candidate in candidates:
+            if candidate.is_avoided:
+                avoided.append(candidate.id)
+            elif not candidate.isnt_test:
+                tests.append(candidate.id)
+            else:
+                options.append(self._make_option(candidate, now_ms))
+        with self._lock:
+            spread = self._spreads.get(service)
+            if spread is None:
+                spread = self._spreads[service] = Spread(self._runtime.random.random)
+            ordered = spread.order(options, objective_ms, now_ms) if options else []
+        return [*tests, *ordered, *avoided]
+
+    def describe(self, service: str, instance_id: str) -> dict[str, object]:
+        """Return what decided about reads at an instance, for the log."""
+        now_ms = self._clock.now_ms()
+        view = self.view_of(instance_id)
+        spread = self._spreads.get(service)
+        entry = self._directory.instances.get(instance_id)
+        fields: dict[str, object] = {"read_share": STEPS[view.answers.step]}
+        if entry is not None and self._domain:
+            fields["near"] = entry.domain == self._domain
+        if spread is not None:
+            fields["spill"] = round(spread.spill, 2)
+        if view.pressure_at_ms:
+            fields["pressure_ms"] = round(view.pressure_ms)
+            fields["pressure_age_ms"] = round(now_ms - view.pressure_at_ms)
+        return fields
+
+    def _make_option(self, candidate: Candidate, now_ms: float) -> Option:
+        entry = candidate.entry
+        view = self.view_of(candidate.id)
+        pressure_ms = fade_pressure(view.pressure_ms, now_ms - view.pressure_at_ms)
+        return Option(
+            candidate.id,
+            entry.domain == self._domain,
+            candidate.is_primary,
+            view.times.estimate(pressure_ms, now_ms),
+            view.times.calm_ms,
+            PRIMARY_COST_FACTOR if candidate.is_primary else 1.0,
+            view.outstanding,
+            entry.slots,
+        )
+
+    def _choose_use(self, view: InstanceView, is_retry: bool, now_ms: float) -> Use:
+        record = view.answers
+        if not record.is_limited:
+            return Use.NORMAL
+        if is_retry:
+            return Use.NONE
+        with self._lock:
+            return record.choose_use(view.outstanding, now_ms)
 
     def _may_have_reached(
         self, view: InstanceView, floor: Position | None, now_ms: float
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -96,17 +96,26 @@
         """Run a statement outside a transaction and return its answer."""
         tried: frozenset[str] = frozenset()
         failure: Refusal | None = None
+        # The refusal for a read that ran and failed, and is being repeated.
+        failed: Refusal | None = None
         for _ in range(MAX_ATTEMPTS):
             requirement = self._find_requirement(job, own_commit)
             outcome = self._try_single(job, requirement, tried)
             if isinstance(outcome, Refusal):
-                return failure or outcome
+                return failed or failure or outcome
             answer, entry = outcome
             if answer.fault is None:
+                if not job.writes:
+                    self._placement.budget_of(entry.service).earn()
                 return answer
             may_repeat = answer.fault in NOT_RUN_FAULTS or not job.writes
             count_retry(self._counters, answer)
-            failure = refuse_fault(answer, job.writes)
+            failure = failed or refuse_fault(answer, job.writes)
+            if answer.fault is Fault.FAILED and failed is None:
+                tried = tried | {entry.id}
+                if self._may_repeat_failed(job, requirement, tried):
+                    failed = failure
+                    continue
             if not may_repeat or answer.fault in (Fault.FAILED, Fault.REJECTED):
                 return failure
             if not self._has_time_left(job):
@@ -116,6 +125,25 @@
             self._pause_before_retry(answer.fault)
         return failure or refuse_no_primary()
 
+    def _may_repeat_failed(
+        self, job: Job, requirement: ReadRequirement, tried: frozenset[str]
+    ) -> bool:
+        """Return whether a read that ran and failed may run at another instance."""
+        if job.writes:
+            return False
+        service = job.route.service
+        others = self._placement.list_candidates(
+            service, requirement, tried, self._guard.has_proof(), job.regions
+        )
+        if tried.issuperset(others) or not self._has_time_left(job):
+            outcome = "no_other"
+        elif self._placement.budget_of(service).take():
+            outcome = "repeated"
+        else:
+            outcome = "no_budget"
+        self._counters.count("failed_reads", outcome=outcome)
+        return outcome == "repeated"
+
     def _find_requirement(
         self, job: Job, own_commit: Position | None
     ) -> ReadRequirement:
@@ -236,7 +264,12 @@
         while True:
             has_proof = self._guard.has_proof()
             candidates = self._placement.list_candidates(
-                service, requirement, tried, has_proof, job.regions
+                service,
+                requirement,
+                tried,
+                has_proof,
+                job.regions,
+                job.route.objective_ms,
             )
             record = self._directory.primary_records.get(service)
             planned = record is not None and record.planned and not record.settled
