Grant slots by urgency, within each workspace's fair share

What callers saw: the queue for slots knew no urgency, so that a burst of long and least urgent statements delayed the short and most urgent ones until they were refused or late.

Now the most urgent level that waits goes first. A workspace more than LEAD_LIMIT grants ahead of the one furthest behind waits, whatever the levels of its requests, and a tenth of the grants is left to the less urgent levels while they wait. A full queue displaces the last of the least urgent waiters, which is told that it hasn't run and when to return. Without levels the queue takes the path that it had; a randomized test checks that equal levels are served in the same order.

The waiters' classes move to a module of their own. The entry in lab/mutations.py for "workspaces that no idle endpoint suits accumulate no turns" names the moved code; it is caught as before.

--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -394,12 +394,13 @@
     Mutation(
         "workspaces that no idle endpoint suits accumulate no turns",
         "bronzerelay/slots.py",
-        "        return False\n\n    def _skip_turns",
-        "        self._skip_turns(len(self._ring))\n"
-        "        self._turn = None\n"
-        "        return False\n"
+        "                return waiter\n        return None\n\n    def _grant(",
+        "                return waiter\n"
+        "        ring.skip_turns(len(ring.order), barred)\n"
+        "        ring.turn = None\n"
+        "        return None\n"
         "\n"
-        "    def _skip_turns",
+        "    def _grant(",
         "tests/test_slots.py::test_idle_endpoints_that_nobody_can_use_add_no_credit",
     ),
     Mutation(
@@ -645,6 +646,48 @@
         "runtime.listen(settings.listen, self._tls)",
         "tests/test_daemon.py::test_a_daemon_that_is_starting_refuses_callers_and_peers",
     ),
+    Mutation(
+        "more urgent requests get their slots first",
+        "bronzerelay/load/urgency.py",
+        "levels = sorted(waiting)",
+        "levels = sorted(waiting, reverse=True)",
+        "tests/test_urgency.py::TestBurstOfTheLeastUrgent",
+    ),
+    Mutation(
+        "less urgent levels keep a share of the slots",
+        "bronzerelay/load/urgency.py",
+        "return due + [level for level in levels if level not in due]",
+        "return levels",
+        "tests/test_urgency.py::test_a_burst_of_the_most_urgent_leaves_the_others_their_share",
+    ),
+    Mutation(
+        "a workspace ahead of the others loses its precedence",
+        "bronzerelay/load/urgency.py",
+        "limit = lowest + LEAD_LIMIT",
+        "limit = math.inf",
+        "tests/test_urgency.py::test_a_workspace_that_floods_with_urgent_requests_takes_nothing",
+    ),
+    Mutation(
+        "an urgent request displaces a less urgent one from a full queue",
+        "bronzerelay/slots.py",
+        "found = find_displaced(counts, level)",
+        "found = None",
+        "tests/test_urgency.py::TestFullQueue",
+    ),
+    Mutation(
+        "what can't have a slot in time at the pace of its level is refused at once",
+        "bronzerelay/slots.py",
+        "if pace.estimate_wait(now_ms) <= deadline_ms - now_ms:",
+        "if True:",
+        "tests/test_urgency.py::TestBurstOfTheLeastUrgent",
+    ),
+    Mutation(
+        "less urgent callers return later",
+        "bronzerelay/slots.py",
+        "return max(wait_ms, find_return_ms(level, ahead, self._find_interval()))",
+        "return wait_ms",
+        "tests/test_urgency.py::test_return_times_are_ordered_by_level",
+    ),
 )
 
 
