Queue statements at the level of their route's priority

A route's priority was dropped when the configuration was decoded. Its rank among the configuration's distinct priorities is now the level of its statements in the queue for slots; with one priority all is as before. Grants, waits and refusals are counted by level, the waits for slots are kept as histograms, and the lines on attempts and refusals carry level and wait, refusals for want of a slot also how many wait ahead.

--- a/bronzerelay/pooler/fleetconfig.py
+++ b/bronzerelay/pooler/fleetconfig.py
@@ -1,6 +1,7 @@
 """The types of the pooler's configuration and of the instance list."""
 
 import enum
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from bronzerelay.runtime import Address
@@ -28,7 +29,8 @@
     """The service of the sessions of one database, and its time limits.
 
     `timeout_ms` limits one statement, `objective_ms` is the latency objective of an
-    operation, `max_age_ms` bounds the age of what reads see.
+    operation, `max_age_ms` bounds the age of what reads see. A `priority` of 0 is the
+    most urgent.
     """
 
     database: str
@@ -39,6 +41,13 @@
     max_age_ms: float
     public: bool
     regions: Regions = None
+    priority: int = 0
+
+
+def rank_priorities(routes: Iterable[Route]) -> dict[int, int]:
+    """Return the level of each priority of the routes; 0 is the most urgent level."""
+    priorities = sorted({route.priority for route in routes})
+    return {priority: level for level, priority in enumerate(priorities)}
 
 
 class Service(NamedTuple):
@@ -67,6 +76,12 @@
     # The workspace of each key.
     keys: dict[str, str]
     idle_transaction_ms: float
+    # The level of each priority, see `rank_priorities`.
+    levels: dict[int, int] = {}
+
+    def find_level(self, route: Route) -> int:
+        """Return how urgent a route's statements are; 0 is the most urgent."""
+        return self.levels.get(route.priority, 0)
 
 
 class InstanceEntry(NamedTuple):
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -42,11 +42,14 @@
     find_pause_ms,
 )
 from bronzerelay.runtime import Runtime
-from bronzerelay.slots import SlotQueue
+from bronzerelay.slots import COUNTED_WAIT_MS, SlotQueue
 
 # How many statements of one workspace may be queued for slots of one service at this
 # daemon.
 MAX_QUEUED_STATEMENTS = 64
+# How many statements of all workspaces may be queued so where routes differ in
+# priority. Beyond it the more urgent ones displace the others.
+MAX_QUEUED_IN_ALL = 512
 # The fraction of an operation's latency objective that it may wait for a slot. After
 # that the objective is missed anyway, and the caller does better to ask another daemon.
 SLOT_WAIT_FRACTION = 0.5
@@ -89,6 +92,8 @@
     slot_deadline_ms: float
     # Where the statement may run.
     regions: Regions
+    # How urgent it is among the routes of the configuration; 0 is the most urgent.
+    level: int = 0
 
     @property
     def writes(self) -> bool:
@@ -104,11 +109,15 @@
 
 
 class AcquiredSlot(NamedTuple):
-    """A slot of an instance; `as_primary` if the instance is used as the primary."""
+    """A slot of an instance; `as_primary` if the instance is used as the primary.
+
+    `waited_ms` is how long the statement waited for it.
+    """
 
     service: str
     instance: str
     as_primary: bool
+    waited_ms: float = 0.0
 
 
 class Runner:
@@ -161,7 +170,9 @@
             queue = self._queues.get(service)
             if queue is None:
                 queue = self._queues[service] = SlotQueue(
-                    self._runtime, MAX_QUEUED_STATEMENTS
+                    self._runtime,
+                    MAX_QUEUED_STATEMENTS,
+                    total_limit=MAX_QUEUED_IN_ALL,
                 )
             queue.set_endpoints(
                 {
@@ -171,12 +182,37 @@
             )
             self._queue_instances[service] = group
 
-    def _acquire_slot(self, job: Job, candidates: list[str]) -> str | Refusal:
-        """Return the first candidate with a free slot, waiting if there is none."""
+    def _acquire_slot(
+        self, job: Job, candidates: list[str]
+    ) -> tuple[str, float] | Refusal:
+        """Return the first candidate with a free slot, waiting if there is none.
+
+        The second value is how many milliseconds that took.
+        """
         queue = self._queue_of(job.route.service)
-        return queue.acquire_endpoint(
-            job.workspace, tuple(candidates), job.slot_deadline_ms
+        began_ms = self._clock.now_ms()
+        outcome = queue.acquire_endpoint(
+            job.workspace, tuple(candidates), job.slot_deadline_ms, level=job.level
         )
+        waited_ms = self._clock.now_ms() - began_ms
+        level = str(job.level)
+        if isinstance(outcome, Refusal):
+            reason = outcome.code.name.lower()
+            self._counters.count("slot_refusals", level=level, reason=reason)
+            return outcome
+        self._counters.count("slot_grants", level=level)
+        if waited_ms >= COUNTED_WAIT_MS:
+            self._counters.count("slot_waits", level=level)
+            self._counters.record_ms(f"slot_wait_level_{level}", waited_ms)
+        return outcome, waited_ms
+
+    def describe_wait(self, service: str, level: int) -> dict[str, float]:
+        """Return what a new statement of a level finds in the queue, for the log."""
+        queue = self._queue_of(service)
+        return {
+            "ahead": queue.count_ahead(level),
+            "expected_wait_ms": round(queue.estimate_wait_ms(level), 1),
+        }
 
     def max_idle_links(self, service: str) -> int:
         """Return how many idle links to one instance this daemon may keep.
@@ -277,9 +313,10 @@
         candidates = self._wait_for_candidates(job, requirement, tried)
         if not candidates or self._is_unresponsive(candidates):
             return refuse_no_primary()
-        instance_id = self._acquire_slot(job, candidates)
-        if isinstance(instance_id, Refusal):
-            return instance_id
+        acquired = self._acquire_slot(job, candidates)
+        if isinstance(acquired, Refusal):
+            return acquired
+        instance_id, waited_ms = acquired
         as_primary = requirement.primary_only or instance_id == self._primary_id(
             service
         )
@@ -288,7 +325,7 @@
             self._queue_of(service).release(instance_id)
             return refusal
         self._placement.view_of(instance_id).outstanding += 1
-        return AcquiredSlot(service, instance_id, as_primary)
+        return AcquiredSlot(service, instance_id, as_primary, waited_ms)
 
     def _is_unresponsive(self, candidates: list[str]) -> bool:
         """Return whether the only candidate doesn't respond and is being tested.
@@ -546,11 +583,12 @@
         self, link: InstanceLink, job: Job, as_primary: bool
     ) -> Answer | Refusal:
         entry = link.entry
-        instance_id = self._acquire_slot(job, [entry.id])
-        if isinstance(instance_id, Refusal):
-            return instance_id
+        acquired = self._acquire_slot(job, [entry.id])
+        if isinstance(acquired, Refusal):
+            return acquired
+        instance_id, waited_ms = acquired
         self._placement.view_of(instance_id).outstanding += 1
-        slot = AcquiredSlot(entry.service, instance_id, as_primary)
+        slot = AcquiredSlot(entry.service, instance_id, as_primary, waited_ms)
         try:
             outcome = self._call_in_transaction(link, job, as_primary)
             if isinstance(outcome, Answer):
@@ -650,6 +688,8 @@
             workspace=job.workspace,
             database=job.route.database,
             verb=job.statement.verb.name,
+            level=job.level,
+            waited_ms=round(slot.waited_ms, 1),
             service=slot.service,
             instance=slot.instance,
             as_primary=slot.as_primary,
--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -50,6 +50,8 @@
 # its workspace admits it. The rest is left for the instance; an operation that would
 # have to wait longer is refused with a time to retry.
 RATE_WAIT_FRACTION = 0.2
+# The refusals of statements that got no slot. Their log line tells what waits.
+SLOT_REFUSALS = (Code.QUEUE_FULL, Code.DEADLINE_PASSED)
 # The workspace under which instances see callers of public routes whose key is unknown.
 ANONYMOUS_WORKSPACE = "public"
 
@@ -145,7 +147,7 @@
         self._wait_for_config()
         admitted = self._admit()
         if isinstance(admitted, Refusal):
-            self._count_refusal("startup", "-", "", admitted)
+            self._count_refusal("startup", "-", "", admitted, 0)
             self._send(self._codec.encode_refusal(admitted))
             return False
         self._send(self._codec.encode_ready(TransactionState.IDLE, None))
@@ -380,8 +382,13 @@
             now_ms + route.timeout_ms,
             now_ms + min(route.timeout_ms, route.objective_ms * SLOT_WAIT_FRACTION),
             self._find_regions(route, workspace),
+            self._find_level(route),
         )
 
+    def _find_level(self, route: Route | None) -> int:
+        config = self._services.directory.config
+        return config.find_level(route) if config and route else 0
+
     def _find_regions(self, route: Route, workspace: str) -> Regions:
         """Return the regions that both the route and the workspace allow."""
         config = self._services.directory.config
@@ -473,11 +480,12 @@
         self, statement: Statement, refusal: Refusal, started_ms: float
     ) -> None:
         took_ms = self._clock.now_ms() - started_ms
-        self._count_refusal("statement", statement.id, statement.verb.name, refusal)
+        verb = statement.verb.name
+        self._count_refusal("statement", statement.id, verb, refusal, took_ms)
         self._services.counters.record_ms("refused", took_ms)
 
     def _count_refusal(
-        self, kind: str, request: str, verb: str, refusal: Refusal
+        self, kind: str, request: str, verb: str, refusal: Refusal, took_ms: float
     ) -> None:
         directory = self._services.directory
         config = directory.config
@@ -485,6 +493,10 @@
         route = directory.find_route(self._database)
         service = route.service if route else ""
         primary = directory.find_primary(service)
+        level = self._find_level(route)
+        queue = {}
+        if service and refusal.code in SLOT_REFUSALS:
+            queue = self._services.runner.describe_wait(service, level)
         self._services.counters.count(
             "refusals", code=refusal.code.name.lower(), ran=refusal.ran
         )
@@ -504,6 +516,9 @@
             detail=refusal.message,
             retry_after_ms=refusal.retry_after_ms,
             version=directory.version,
+            level=level,
+            waited_ms=round(took_ms, 1),
+            **queue,
         )
 
 
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -696,6 +696,13 @@
         "service, requirement, tried, has_proof",
         PATH + "TestAdmission",
     ),
+    Mutation(
+        "statements are queued at the level of their route",
+        POOLER + "session.py",
+        "return config.find_level(route) if config and route else 0",
+        "return 0",
+        PATH + "TestAdmission",
+    ),
     Mutation(
         "what a relay tells of all members counts for those that were never heard",
         POOLER + "members.py",
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -199,6 +199,18 @@
         assert caller.query("STORE a 1").error == "RETRY"
         assert fleet.platform.group.runs == []
 
+    def test_statements_wait_at_the_level_of_their_route(self, fleet):
+        # Guards against urgent statements that are queued like all others.
+        for route, priority in zip(fleet.platform.routes, (1, 5, 3), strict=True):
+            route["priority"] = priority
+        fleet.platform.configure()
+        daemon = fleet.start_ready("d1")[0]
+        for database in (STRICT, AGED, AGED, OWN):
+            run_ok(open_session(fleet, database), "FETCH a")
+        page = daemon.counters.render({}).decode()
+        for level, count in enumerate((1, 1, 2)):
+            assert f'slot_grants_total{{level="{level}"}} {count}' in page
+
     def test_instances_get_the_workspace_and_never_the_key(self, fleet):
         fleet.start_ready("d1")
         run_ok(open_session(fleet), "FETCH a")
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -69,6 +69,17 @@
         assert config.routes["db"].regions == {"north", "south"}
         assert config.workspaces["t"].regions == {"north"}
 
+    def test_levels_rank_the_priorities(self):
+        routes = [
+            {**ROUTE, "host": host, "priority": priority}
+            for host, priority in (("a", 7), ("b", 2), ("c", 7))
+        ]
+        routes.append({name: ROUTE[name] for name in ROUTE if name != "priority"})
+        config = decode_config(encode(CONFIG, routes=routes))
+        levels = {name: config.find_level(at) for name, at in config.routes.items()}
+        assert levels == {"db": 0, "b": 1, "a": 2, "c": 2}
+        assert decode_config(encode(CONFIG)).levels == {2: 0}
+
     @pytest.mark.parametrize(
         "data",
         [b"", b"{", b"\xff", encode(CONFIG, version="x"), encode(CONFIG, routes=3)],
