Show in the summary who waited for slots and was refused, by level

`bronzerelay summary` has a second table, by level and workspace, from the fields that attempts and refusals now carry, and groups by level.

--- a/bronzerelay/logcommands.py
+++ b/bronzerelay/logcommands.py
@@ -146,7 +146,8 @@
 ) -> int:
     """Count served, refused and retried statements in LOGS (or standard input).
 
-    The counts are per interval, and by reason, workspace, service or daemon.
+    The counts are per interval, and by reason, workspace, service, daemon or level. A
+    second table tells who waited for a slot, and who got none, at each level.
     """
     log_summary = summarize(_open_logs(logs), every, by)
     if not log_summary.totals:
--- a/tests/test_logcommands.py
+++ b/tests/test_logcommands.py
@@ -7,7 +7,7 @@
 from bronzerelay.cli import main
 from bronzerelay.logcommands import select_changes, select_story
 from bronzerelay.loglines import read_lines
-from bronzerelay.logsummary import summarize
+from bronzerelay.logsummary import Waits, describe, format_table, summarize
 
 
 def make_line(time_ms, node="d1", part="session", **fields):
@@ -107,6 +107,25 @@
         lines[-1] = lines[-1].replace("log: Something.", "log: Lines were dropped.")
         assert summarize(read_lines([lines]), 2, "reason").dropped == 7
 
+    def test_waits_by_level(self):
+        lines = [
+            make_attempt(1000, "done", level=0, workspace="a", waited_ms=0.2),
+            make_attempt(1100, "busy", level=2, workspace="a", waited_ms=30.0),
+            make_attempt(1200, "done", level=2, workspace="a", waited_ms=50.0),
+            make_refusal(1300, "deadline_passed", level=2, workspace="b"),
+            make_refusal(1400, "rate_exceeded", level=2, workspace="b"),
+        ]
+        summary = summarize(read_lines([lines]), 2, "level")
+        assert summary.waits == {
+            (0, "a"): Waits(sent=1),
+            (2, "a"): Waits(2, 2, 80.0, 50.0),
+            (2, "b"): Waits(refused=1),
+        }
+        assert summary.totals[("refused", "2")] == 2
+        table = format_table(summary, 6)
+        assert "    2        2        2        1     40.0     50.0  all" in table
+        assert describe(summary)["waits"][2]["workspace"] == "b"
+
     def test_command_prints_a_table_and_plots_it(self, tmp_path):
         path, plot = tmp_path / "d1.log", tmp_path / "day.png"
         path.write_text("\n".join(OUTCOME_LOG))
