Give a workspace's tokens to its urgent operations first

What callers saw: beyond a workspace's rate each operation had the same chance of a token, a booking like a query.

Each daemon now admits the fraction that it may admit of its own operations, the most urgent levels first, and a less urgent level keeps a tenth of what it would get without levels. The sum is the same as without levels, so the limit doesn't change (a property test, and a play of forty daemons). While a workspace is over its rate, less urgent operations leave the tokens that more urgent ones ask for until the next reports arrive. No message changes; with one level the arithmetic is as it was.

--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from bronzerelay.load.levelshares import LevelShares
 from bronzerelay.pooler.fleetconfig import Workspace
 from bronzerelay.pooler.sources import (
     SILENT_MS,
@@ -66,8 +67,7 @@
         # The operations that the whole fleet was recently asked for, decaying with
         # time.
         self.demand = 0.0
-        # Accumulates the fractions of operations while only a fraction is admitted.
-        self.credit = credit
+        self.levels = LevelShares(credit)
         # The fraction of all daemons that are heard from, which is the fraction of the
         # rate that they may spend.
         self.fraction = 1.0
@@ -262,9 +262,14 @@
 
     # Admitting
 
-    def spend(self, workspace: str, max_wait_ms: float = 0.0) -> RateDecision:
+    def spend(
+        self, workspace: str, max_wait_ms: float = 0.0, level: int = 0
+    ) -> RateDecision:
         """Spend one token, or one that is due within `max_wait_ms`.
 
+        While more is requested than the rate, operations of more urgent levels are
+        admitted first; level 0 is the most urgent.
+
         A bucket that is nearly empty, such as that of a process that has just started,
         earns its next token in a few milliseconds. A caller far below its rate that was
         refused for so little would have to start again at another daemon. While callers
@@ -280,6 +285,7 @@
             bucket.requested += 1
             bucket.changed_at_ms = now_ms
             bucket.demand += 1
+            bucket.levels.record(level, now_ms)
             rate = max(bucket.spec.rate * bucket.fraction, 0.001)
             due_ms = max(0.0, (1 - bucket.tokens) / rate * 1000)
             is_over_rate = bucket.demand * 1000 / DEMAND_WINDOW_MS > rate
@@ -290,11 +296,12 @@
             # In simulations of a flood through 40 daemons at a rate of 100 a second,
             # 79 to 105 operations a second were admitted, and 58 to 164 if tokens alone
             # decided.
-            bucket.credit += min(1.0, max(0.0, budget / expected))
-            if bucket.credit < 1:
+            recent = bucket.demand * 1000 / DEMAND_WINDOW_MS
+            reserve = bucket.levels.find_reserve(level, recent, bucket.spec.burst)
+            has_reserve = not is_over_rate or bucket.tokens >= 1 + reserve
+            if not bucket.levels.admit(level, budget / expected, has_reserve):
                 # How long the rate takes to earn what is requested beyond the budget.
                 return RateDecision(False, max(1.0, (expected - budget) / rate * 1000))
-            bucket.credit -= 1
             bucket.tokens -= 1
             bucket.admitted += 1
             return RateDecision(True, due_ms)
--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -281,7 +281,8 @@
 
     def _apply_rate_limit(self, workspace: str, route: Route) -> Refusal | None:
         max_wait_ms = route.objective_ms * RATE_WAIT_FRACTION
-        decision = self._services.rates.spend(workspace, max_wait_ms)
+        level = self._find_level(route)
+        decision = self._services.rates.spend(workspace, max_wait_ms, level)
         if decision.admitted:
             if decision.wait_ms > 0:
                 self._services.runtime.sleep_ms(decision.wait_ms)
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -703,6 +703,27 @@
         "return 0",
         PATH + "TestAdmission",
     ),
+    Mutation(
+        "urgent operations have a workspace's tokens first",
+        "bronzerelay/load/levelshares.py",
+        "for level in sorted(demands):",
+        "for level in sorted(demands, reverse=True):",
+        "tests/test_levelshares.py",
+    ),
+    Mutation(
+        "tokens are held back for urgent operations",
+        POOLER + "fleetrates.py",
+        "not is_over_rate or bucket.tokens >= 1 + reserve",
+        "True",
+        "tests/test_levelshares.py",
+    ),
+    Mutation(
+        "an operation asks for a token at the level of its route",
+        POOLER + "session.py",
+        "rates.spend(workspace, max_wait_ms, level)",
+        "rates.spend(workspace, max_wait_ms, 0)",
+        PATH + "TestAdmission",
+    ),
     Mutation(
         "what a relay tells of all members counts for those that were never heard",
         POOLER + "members.py",
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -205,8 +205,16 @@
             route["priority"] = priority
         fleet.platform.configure()
         daemon = fleet.start_ready("d1")[0]
+        spend, levels = daemon.rates.spend, []
+
+        def record_level(workspace, max_wait_ms, level):
+            levels.append(level)
+            return spend(workspace, max_wait_ms, level)
+
+        daemon.rates.spend = record_level
         for database in (STRICT, AGED, AGED, OWN):
             run_ok(open_session(fleet, database), "FETCH a")
+        assert levels == [0, 2, 2, 1]
         page = daemon.counters.render({}).decode()
         for level, count in enumerate((1, 1, 2)):
             assert f'slot_grants_total{{level="{level}"}} {count}' in page
