--- a/bronzerelay/pooler/execution.py
+++ b/bronzerelay/pooler/execution.py
@@ -38,11 +38,14 @@
 )
 from bronzerelay.pooler.retrypolicy import find_busy_pause_ms, find_pause_ms
 from bronzerelay.runtime import Runtime
-from bronzerelay.slots import SlotQueue
+from bronzerelay.slots import COUNTED_WAIT_MS, SlotQueue
 
 # How many statements of one workspace may be queued for slots of one service at this
 # daemon.
 MAX_QUEUED_STATEMENTS = 64
+# How many statements of all workspaces may be queued so where routes differ in
+# priority. Beyond it the more urgent ones displace the others.
+MAX_QUEUED_IN_ALL = 512
 # How many statements all daemons together may have at an instance, per slot of the
 # instance. Statements beyond its slots wait in the instance's queue, and those beyond
 # the queue are refused. When each of 70 daemons used all five slots of an instance for
@@ -108,11 +111,15 @@
 
 
 class AcquiredSlot(NamedTuple):
-    """A slot of an instance; `as_primary` if the instance is used as the primary."""
+    """A slot of an instance; `as_primary` if the instance is used as the primary.
+
+    `waited_ms` is how long the statement waited for it.
+    """
 
     service: str
     instance: str
     as_primary: bool
+    waited_ms: float = 0.0
 
 
 class Target(NamedTuple):
@@ -178,7 +185,9 @@
             queue = self._queues.get(service)
             if queue is None:
                 queue = self._queues[service] = SlotQueue(
-                    self._runtime, MAX_QUEUED_STATEMENTS
+                    self._runtime,
+                    MAX_QUEUED_STATEMENTS,
+                    total_limit=MAX_QUEUED_IN_ALL,
                 )
             queue.set_endpoints({entry.id: self._limit(entry) for entry in group})
             self._queue_instances[service] = group
@@ -189,23 +198,51 @@
             return entry.slots
         return limit_statements(entry.slots, self._daemons)
 
-    def _acquire_slot(self, job: Job, candidates: tuple[str, ...]) -> str | Refusal:
-        """Return the first candidate with a free slot, waiting if there is none."""
+    def _acquire_slot(
+        self, job: Job, candidates: tuple[str, ...]
+    ) -> tuple[str, float] | Refusal:
+        """Return the first candidate with a free slot, waiting if there is none.
+
+        The second value is how many milliseconds that took.
+        """
         queue = self.queue_of(job.route.service)
-        return queue.acquire_endpoint(job.workspace, candidates, job.slot_deadline_ms)
+        began_ms = self._clock.now_ms()
+        outcome = queue.acquire_endpoint(
+            job.workspace, candidates, job.slot_deadline_ms, level=job.level
+        )
+        waited_ms = self._clock.now_ms() - began_ms
+        level = str(job.level)
+        if isinstance(outcome, Refusal):
+            reason = outcome.code.name.lower()
+            self._counters.count("slot_refusals", level=level, reason=reason)
+            return outcome
+        self._counters.count("slot_grants", level=level)
+        if waited_ms >= COUNTED_WAIT_MS:
+            self._counters.count("slot_waits", level=level)
+            self._counters.record_ms(f"slot_wait_level_{level}", waited_ms)
+        return outcome, waited_ms
+
+    def describe_wait(self, service: str, level: int) -> dict[str, float]:
+        """Return what a new statement of a level finds in the queue, for the log."""
+        queue = self.queue_of(service)
+        return {
+            "ahead": queue.count_ahead(level),
+            "expected_wait_ms": round(queue.estimate_wait_ms(level), 1),
+        }
 
     def _choose_slot(self, job: Job, target: Target) -> AcquiredSlot | Refusal:
         service = job.route.service
-        instance_id = self._acquire_slot(job, target.candidates)
-        if isinstance(instance_id, Refusal):
-            return instance_id
+        acquired = self._acquire_slot(job, target.candidates)
+        if isinstance(acquired, Refusal):
+            return acquired
+        instance_id, waited_ms = acquired
         as_primary = self.is_used_as_primary(service, instance_id, target.requirement)
         refusal = self._guard.check_use(service, instance_id) if as_primary else None
         if refusal is not None:
             self.queue_of(service).release(instance_id)
             return refusal
         self._placement.view_of(instance_id).outstanding += 1
-        return AcquiredSlot(service, instance_id, as_primary)
+        return AcquiredSlot(service, instance_id, as_primary, waited_ms)
 
     def is_used_as_primary(
         self, service: str, instance_id: str, requirement: ReadRequirement
@@ -319,7 +356,7 @@
                 return answer
             if slot.as_primary and job.writes:
                 answer = self.check_still_primary(answer, entry)
-            self.log_attempt(job, entry, target, answer)
+            self.log_attempt(job, entry, target, answer, slot.waited_ms)
             return answer, entry
 
         return self._with_slot(job, target, run)
@@ -469,7 +506,7 @@
             if isinstance(outcome, Refusal):
                 return outcome
             answer = Answer() if isinstance(outcome, InstanceLink) else outcome[0]
-            self.log_attempt(job, entry, target, answer, begins=True)
+            self.log_attempt(job, entry, target, answer, slot.waited_ms, begins=True)
             return outcome
 
         return self._with_slot(job, target, begin)
@@ -531,16 +568,17 @@
         self, link: InstanceLink, job: Job, as_primary: bool
     ) -> Answer | Refusal:
         entry = link.entry
-        instance_id = self._acquire_slot(job, (entry.id,))
-        if isinstance(instance_id, Refusal):
-            return instance_id
+        acquired = self._acquire_slot(job, (entry.id,))
+        if isinstance(acquired, Refusal):
+            return acquired
+        instance_id, waited_ms = acquired
         self._placement.view_of(instance_id).outstanding += 1
-        slot = AcquiredSlot(entry.service, instance_id, as_primary)
+        slot = AcquiredSlot(entry.service, instance_id, as_primary, waited_ms)
         try:
             outcome = self._call_in_transaction(link, job, as_primary)
             if isinstance(outcome, Answer):
                 target = Target((entry.id,), ReadRequirement(None, as_primary))
-                self.log_attempt(job, entry, target, outcome)
+                self.log_attempt(job, entry, target, outcome, waited_ms)
             return outcome
         finally:
             self._release_slot(slot)
@@ -620,9 +658,13 @@
         entry: InstanceEntry,
         target: Target,
         answer: Answer,
+        waited_ms: float = 0.0,
         begins: bool = False,
     ) -> None:
-        """Log where a statement was sent, why, and its outcome."""
+        """Log where a statement was sent, why, and its outcome.
+
+        `waited_ms` is how long it waited for a slot of this daemon.
+        """
         view = self._placement.view_of(entry.id)
         primary_record = self._directory.primary_records.get(entry.service)
         self._log.write_request(
@@ -632,6 +674,8 @@
             workspace=job.workspace,
             database=job.route.database,
             verb=job.statement.verb.name,
+            level=job.level,
+            waited_ms=round(waited_ms, 1),
             service=entry.service,
             instance=entry.id,
             as_primary=self.is_used_as_primary(
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -90,6 +90,10 @@
         self._passing = passing
         self._counters = counters
 
+    def describe_wait(self, service: str, level: int) -> dict[str, float]:
+        """Return what a new statement of a level finds in the queue, for the log."""
+        return self._executor.describe_wait(service, level)
+
     # Single statements
 
     def run_single(self, job: Job, own_commit: Position | None) -> Answer | Refusal:
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -215,6 +215,26 @@
         wanted = {"statements", "handshakes", "heartbeats", "store"}
         fleet.wait(lambda: find_kinds() == wanted, "bytes of each kind")
 
+    def test_statements_wait_at_the_level_of_their_route(self, fleet):
+        # Guards against urgent statements that are queued like all others.
+        for route, priority in zip(fleet.platform.routes, (1, 5, 3), strict=True):
+            route["priority"] = priority
+        fleet.platform.configure()
+        daemon = fleet.start_ready("d1")[0]
+        spend, levels = daemon.rates.spend, []
+
+        def record_level(workspace, max_wait_ms, level):
+            levels.append(level)
+            return spend(workspace, max_wait_ms, level)
+
+        daemon.rates.spend = record_level
+        for database in (STRICT, AGED, AGED, OWN):
+            run_ok(open_session(fleet, database), "FETCH a")
+        assert levels == [0, 2, 2, 1]
+        page = daemon.counters.render({}).decode()
+        for level, count in enumerate((1, 1, 2)):
+            assert f'slot_grants_total{{level="{level}"}} {count}' in page
+
     def test_instances_get_the_workspace_and_never_the_key(self, fleet):
         fleet.start_ready("d1")
         run_ok(open_session(fleet), "FETCH a")
