--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -12,6 +12,7 @@
 
 import click
 
+from lab.passingmutations import PASSING_MUTATIONS
 from lab.poolermutations import POOLER_MUTATIONS, Mutation
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -692,7 +693,7 @@
 def main(only: str) -> None:
     """Try every mutation and exit with 1 unless each of them is caught."""
     outcomes = []
-    for mutation in (*MUTATIONS, *POOLER_MUTATIONS):
+    for mutation in (*MUTATIONS, *POOLER_MUTATIONS, *PASSING_MUTATIONS):
         if only not in mutation.mechanism:
             continue
         outcome, reason = try_mutation(mutation)
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -141,7 +141,8 @@
         server = daemons[0]._passing_server
         assert server.count_busy() == 1
         fleet.kill(daemons[1])
-        fleet.wait(lambda: server.count_busy() == 0, "it is rolled back")
+        fleet.wait(lambda: server.count_busy() == 0, "its session has ended")
+        fleet.wait(lambda: daemons[0].pool.count_idle() == 1, "it is rolled back")
         assert fleet.primary.log == []
 
     def test_the_end_of_the_holder_ends_the_transaction(self, fleet, daemons):
