Send a transaction's first statement to the holder together with BEGIN

A transaction that was passed on paid a round trip to the holder for BEGIN before that of its first statement. The statement runs only inside the transaction, so it needn't wait for the answer to BEGIN. And a statement that the holder refused left the transaction open on a connection that other callers' statements would use: the origin now ends it.

--- a/bronzerelay/pooler/passing.py
+++ b/bronzerelay/pooler/passing.py
@@ -174,6 +174,10 @@
         self._decoder = msgspec.msgpack.Decoder(message_type)
         self._buffer = bytearray()
 
+    def has_data(self) -> bool:
+        """Return whether at least a part of the next frame was received."""
+        return bool(self._buffer)
+
     def read(self, deadline_ms: float) -> Any:
         """Return the next message.
 
--- a/bronzerelay/pooler/passingclient.py
+++ b/bronzerelay/pooler/passingclient.py
@@ -78,6 +78,8 @@
         self.connection = connection
         self.entry = entry
         self.in_transaction = True
+        # The job that was sent together with BEGIN, until its reply is read.
+        self.sent: Job | None = None
 
     @property
     def usable(self) -> bool:
@@ -124,20 +126,36 @@
         connection = self._acquire(holder)
         if isinstance(connection, NotTaken):
             return connection
-        outcome = self._exchange(connection, request, entry, job.deadline_ms)
+        data = encode_frame(request)
+        outcome = self._exchange(connection, data, entry, job.deadline_ms)
         self._release(connection)
         return outcome
 
     def begin(
-        self, job: Job, entry: InstanceEntry, holder: str, request: Request
+        self,
+        job: Job,
+        entry: InstanceEntry,
+        holder: str,
+        request: Request,
+        first: Request | None,
     ) -> PassedOutcome | PassedLink:
-        """Open a transaction at a holder; return its link if it is open."""
+        """Open a transaction at a holder; return its link if it is open.
+
+        The job's statement, `first`, is sent along, which spares a round trip; it runs
+        only inside the transaction. `run_in_transaction` reads its reply.
+        """
         connection = self._acquire(holder)
         if isinstance(connection, NotTaken):
             return connection
-        outcome = self._exchange(connection, request, entry, job.deadline_ms)
+        data = encode_frame(request) + (encode_frame(first) if first else b"")
+        outcome = self._exchange(connection, data, entry, job.deadline_ms)
         if isinstance(outcome, Answer) and outcome.state is TransactionState.OPEN:
-            return PassedLink(connection, entry)
+            link = PassedLink(connection, entry)
+            link.sent = job if first else None
+            return link
+        if first is not None:
+            # The holder's reply to the statement is still to come.
+            connection.close()
         self._release(connection)
         return outcome
 
@@ -145,33 +163,36 @@
         self, link: PassedLink, job: Job, request: Request
     ) -> PassedOutcome:
         """Run a statement, or the commit, of an open transaction."""
-        outcome = self._exchange(link.connection, request, link.entry, job.deadline_ms)
-        link.in_transaction = (
-            isinstance(outcome, Answer) and outcome.state is not TransactionState.IDLE
-        )
+        data = b"" if link.sent is job else encode_frame(request)
+        link.sent = None
+        outcome = self._exchange(link.connection, data, link.entry, job.deadline_ms)
+        is_idle = isinstance(outcome, Answer) and outcome.state is TransactionState.IDLE
+        link.in_transaction = not is_idle
         return outcome
 
     def end(self, link: PassedLink, timeout_ms: float) -> None:
         """Roll the transaction back unless it has ended, and release the connection."""
+        if link.sent is not None:
+            link.close()
         if link.usable and link.in_transaction:
             deadline_ms = self._clock.now_ms() + timeout_ms
-            request = Request(Kind.ROLLBACK, "", "", 0, round(timeout_ms), 0)
-            self._exchange(link.connection, request, link.entry, deadline_ms)
+            data = encode_frame(Request(Kind.ROLLBACK, left_ms=round(timeout_ms)))
+            self._exchange(link.connection, data, link.entry, deadline_ms)
         self._release(link.connection)
 
     def _exchange(
         self,
         connection: HolderConnection,
-        request: Request,
+        data: bytes,
         entry: InstanceEntry,
         deadline_ms: float,
     ) -> PassedOutcome:
-        """Send a request and return what became of it."""
+        """Send a request, unless it was sent before, and return what became of it."""
         holder = connection.holder
         call = self._holders.begin_call(holder)
         answered = False
         try:
-            reply = self._call(connection, request, deadline_ms)
+            reply = self._call(connection, data, deadline_ms)
             answered = isinstance(reply, Reply)
         finally:
             is_used_again = self._holders.end_call(call, answered)
@@ -186,7 +207,7 @@
         return reply
 
     def _call(
-        self, connection: HolderConnection, request: Request, deadline_ms: float
+        self, connection: HolderConnection, data: bytes, deadline_ms: float
     ) -> Reply | Answer:
         """Return the holder's reply, or the fault if the outcome isn't known."""
         holder = connection.holder
@@ -194,7 +215,8 @@
             left_ms = deadline_ms - self._clock.now_ms()
             connection.connection.set_timeout(max(1.0, left_ms))
             # Part of the frame may arrive even if sending fails.
-            connection.connection.send(encode_frame(request))
+            if data:
+                connection.connection.send(data)
             return connection.reader.read(deadline_ms + ANSWER_GRACE_MS)
         except TimeoutError:
             connection.close()
--- a/bronzerelay/pooler/passingserver.py
+++ b/bronzerelay/pooler/passingserver.py
@@ -292,15 +292,16 @@
         clock = self._server._clock
         reader = FrameReader(self._connection, clock, Request)
         self._send(Reply())
-        while self._connection.wait_readable(self._find_idle_ms(), ended):
+        while reader.has_data() or self._wait(ended):
             request = reader.read(clock.now_ms() + FRAME_TIMEOUT_MS)
             self._in_call = True
             reply = self._answer(request)
             self._in_call = False
             self._send(reply)
 
-    def _find_idle_ms(self) -> float:
-        return IDLE_MS if self._link is None else self._server.find_rest_ms()
+    def _wait(self, ended: Signal) -> bool:
+        idle_ms = IDLE_MS if self._link is None else self._server.find_rest_ms()
+        return self._connection.wait_readable(idle_ms, ended)
 
     def _send(self, reply: Reply) -> None:
         self._connection.set_timeout(FRAME_TIMEOUT_MS)
@@ -308,6 +309,8 @@
 
     def _answer(self, request: Request) -> Reply:
         if request.kind == Kind.SINGLE:
+            if self._link is not None:
+                raise ValueError("a transaction is open")
             return self._server.run_single(request)
         if request.kind in (Kind.BEGIN, Kind.BEGIN_READ_ONLY):
             return self._begin(request)
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -312,7 +312,10 @@
             target.requirement.floor,
             target.requirement.primary_only,
         )
-        outcome = self._passing.client.begin(job, entry, target.choice.holder, request)
+        first = make_request(job, Kind.STATEMENT, self._clock.now_ms())
+        outcome = self._passing.client.begin(
+            job, entry, target.choice.holder, request, first
+        )
         if isinstance(outcome, Refusal | NotTaken):
             return outcome
         is_open = isinstance(outcome, PassedLink)
@@ -326,7 +329,7 @@
         """Run one statement, or the commit, of the transaction on `link`."""
         if isinstance(link, InstanceLink):
             return self._executor.run_in_transaction(link, job, as_primary)
-        if not link.is_open():
+        if link.sent is not job and not link.is_open():
             link.close()
             return refuse_lost_transaction("its connection has ended")
         request = make_request(job, Kind.STATEMENT, self._clock.now_ms())
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -133,6 +133,36 @@
         assert fleet.primary.log == []
         assert daemons[0].pool.opened - opened <= 1
 
+    def test_a_refused_statement_leaves_no_transaction_open(
+        self, fleet, daemons, monkeypatch
+    ):
+        """Guards against the next caller's statements in another's transaction."""
+        holder = daemons[0]
+        caller = open_at(fleet, daemons[1])
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        refusal = refuse_no_primary()
+        with monkeypatch.context() as patch:
+            patch.setattr(holder.executor, "_acquire_slot", lambda *_: refusal)
+            assert caller.query("STORE a 2").error == "RETRY"
+        run_ok(caller, "ROLLBACK")
+        assert holder._passing_server.count_busy() == 0
+        run_ok(caller, "STORE b 1")
+        assert fleet.runs == ["STORE a 1", "STORE b 1"]
+        assert holder.pool.count_idle() >= 1
+
+    def test_a_statement_sent_with_a_refused_begin_doesnt_run(
+        self, fleet, daemons, monkeypatch
+    ):
+        """Guards against a statement that runs outside its transaction."""
+        refusal = refuse_no_primary()
+        for daemon in daemons:
+            monkeypatch.setattr(daemon.executor, "begin", lambda *_: refusal)
+        caller = open_at(fleet, daemons[2])
+        run_ok(caller, "BEGIN")
+        assert caller.query("STORE a 1").error == "RETRY"
+        assert fleet.runs == []
+
     def test_the_end_of_the_origin_rolls_back(self, fleet, daemons):
         """Guards against a transaction that stays open when its origin is killed."""
         caller = open_at(fleet, daemons[1])
@@ -156,6 +186,17 @@
         run_ok(caller, "STORE c 1")
         assert fleet.runs == ["STORE a 1", "STORE c 1"]
 
+    def test_a_statement_whose_holder_ends_ends_the_transaction(
+        self, fleet, daemons, monkeypatch
+    ):
+        """Guards against a caller that isn't told to begin its transaction again."""
+        caller = open_at(fleet, daemons[1])
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        cut_before_reply(monkeypatch)
+        assert caller.query("STORE b 1").error == "ABORTED"
+        assert fleet.primary.log == []
+
     def test_a_commit_whose_holder_ends_is_in_doubt(self, fleet, daemons, monkeypatch):
         """Guards against a commit that is said not to have run, and did."""
         caller = open_at(fleet, daemons[1])
