Try a read another way once its holder is silent; test a cut-off holder less

A read is now given up once the holder has answered nothing for a while, and the time for which a holder is avoided doubles up to four seconds. Writes still wait: none is sent twice.

--- a/bronzerelay/load/linkholders.py
+++ b/bronzerelay/load/linkholders.py
@@ -19,6 +19,9 @@
 # How long a holder that couldn't be reached or took nothing is avoided, in
 # milliseconds: about as long as the failure of a network path is worth testing again.
 AVOID_MS = 1_000
+# The longest time is this many times as long: it doubles with each failure in a row,
+# since every test of a holder that is cut off delays a statement.
+MAX_AVOID_FACTOR = 4
 # A holder counts as silent when it has answered nothing for this long while calls to it
 # are in progress, beyond twice its usual time to answer, in milliseconds.
 SILENT_MS = 250
@@ -54,16 +57,21 @@
         self.calls = 0
         self.waiting_since_ms = 0.0
         self.answer_ms = 0.0
-        # Consecutive calls without an answer.
+        # Consecutive calls without an answer, and attempts that reached nobody.
         self.failures = 0
+        self.unreached = 0
         # Until when it isn't used, by instance; "" stands for all instances.
         self.avoid_until_ms: dict[str, float] = {}
         self.reason = ""
 
+    @property
+    def patience_ms(self) -> float:
+        """Return how long a call may lack an answer before the holder is silent."""
+        return SILENT_MS + 2 * self.answer_ms
+
     def is_silent(self, now_ms: float) -> bool:
         """Return whether calls are in progress for too long without any answer."""
-        limit_ms = SILENT_MS + 2 * self.answer_ms
-        return self.calls > 0 and now_ms - self.waiting_since_ms > limit_ms
+        return self.calls > 0 and now_ms - self.waiting_since_ms > self.patience_ms
 
     def is_avoided(self, instance_id: str, now_ms: float) -> bool:
         """Return whether the holder isn't to be used for an instance now.
@@ -170,10 +178,19 @@
         view = self.view_of(name)
         now_ms = self._clock.now_ms()
         is_new = not view.is_avoided(instance_id, now_ms)
-        view.avoid_until_ms[instance_id] = now_ms + AVOID_MS
+        factor = min(2**view.unreached, MAX_AVOID_FACTOR)
+        view.avoid_until_ms[instance_id] = now_ms + factor * AVOID_MS
         view.reason = reason
         return is_new
 
+    def note_unreached(self, name: str, reason: str) -> bool:
+        """Avoid a holder that nothing could be sent to; return whether newly."""
+        is_new = self.avoid(name, "", reason)
+        if is_new:
+            # Not for each of several statements that tried at the same time.
+            self.view_of(name).unreached += 1
+        return is_new
+
     def begin_call(self, name: str) -> Call:
         """Note that a call to a holder begins; the caller must end it."""
         view = self.view_of(name)
@@ -193,7 +210,7 @@
             if not answered:
                 view.failures += 1
                 return False
-            view.failures = 0
+            view.failures = view.unreached = 0
             view.waiting_since_ms = now_ms
             view.answer_ms += ANSWER_WEIGHT * (now_ms - call.began_ms - view.answer_ms)
             return view.avoid_until_ms.pop("", None) is not None
--- a/bronzerelay/pooler/passingclient.py
+++ b/bronzerelay/pooler/passingclient.py
@@ -127,7 +127,9 @@
         if isinstance(connection, NotTaken):
             return connection
         data = encode_frame(request)
-        outcome = self._exchange(connection, data, entry, job.deadline_ms)
+        outcome = self._exchange(
+            connection, data, entry, job.deadline_ms, may_repeat=not job.writes
+        )
         self._release(connection)
         return outcome
 
@@ -186,13 +188,18 @@
         data: bytes,
         entry: InstanceEntry,
         deadline_ms: float,
+        may_repeat: bool = False,
     ) -> PassedOutcome:
-        """Send a request, unless it was sent before, and return what became of it."""
+        """Send a request, unless it was sent before, and return what became of it.
+
+        A request that `may_repeat` is given up once the holder is silent.
+        """
         holder = connection.holder
         call = self._holders.begin_call(holder)
         answered = False
+        patience_ms = call.view.patience_ms if may_repeat else None
         try:
-            reply = self._call(connection, data, deadline_ms)
+            reply = self._call(connection, data, deadline_ms, patience_ms)
             answered = isinstance(reply, Reply)
         finally:
             is_used_again = self._holders.end_call(call, answered)
@@ -207,7 +214,11 @@
         return reply
 
     def _call(
-        self, connection: HolderConnection, data: bytes, deadline_ms: float
+        self,
+        connection: HolderConnection,
+        data: bytes,
+        deadline_ms: float,
+        patience_ms: float | None,
     ) -> Reply | Answer:
         """Return the holder's reply, or the fault if the outcome isn't known."""
         holder = connection.holder
@@ -217,15 +228,36 @@
             # Part of the frame may arrive even if sending fails.
             if data:
                 connection.connection.send(data)
-            return connection.reader.read(deadline_ms + ANSWER_GRACE_MS)
+            return self._read_patiently(connection, deadline_ms, patience_ms)
         except TimeoutError:
             connection.close()
-            return Answer(fault=Fault.TIMED_OUT, detail=f"no answer from {holder}")
+            has_time = self._clock.now_ms() < deadline_ms
+            fault = Fault.LOST if has_time else Fault.TIMED_OUT
+            return Answer(fault=fault, detail=f"no answer from {holder}")
         except (OSError, ValueError) as error:
             connection.close()
             detail = f"the connection to {holder} has ended: {error}"
             return Answer(fault=Fault.LOST, detail=detail)
 
+    def _read_patiently(
+        self,
+        connection: HolderConnection,
+        deadline_ms: float,
+        patience_ms: float | None,
+    ) -> Reply:
+        """Return the reply; raise TimeoutError once the holder is silent, if it may."""
+        last_ms = deadline_ms + ANSWER_GRACE_MS
+        while True:
+            now_ms = self._clock.now_ms()
+            until_ms = last_ms if patience_ms is None else now_ms + patience_ms
+            try:
+                return connection.reader.read(min(until_ms, last_ms))
+            except TimeoutError:
+                view = self._holders.view_of(connection.holder)
+                now_ms = self._clock.now_ms()
+                if now_ms >= last_ms or view.is_silent(now_ms):
+                    raise
+
     def _read_reply(
         self, holder: str, reply: Reply, entry: InstanceEntry, sent_at_ms: float
     ) -> PassedOutcome:
@@ -257,13 +289,16 @@
 
     def _avoid(self, holder: str, instance_id: str, reason: str) -> None:
         if self._holders.avoid(holder, instance_id, reason):
-            self._log.write_request(
-                "passing",
-                "A holder is avoided.",
-                holder=holder,
-                instance=instance_id,
-                reason=reason,
-            )
+            self._log_avoided(holder, instance_id, reason)
+
+    def _log_avoided(self, holder: str, instance_id: str, reason: str) -> None:
+        self._log.write_request(
+            "passing",
+            "A holder is avoided.",
+            holder=holder,
+            instance=instance_id,
+            reason=reason,
+        )
 
     # Connections
 
@@ -273,7 +308,8 @@
             return self._open(holder)
         except PassingError as error:
             self._counters.count("passes", outcome="unreachable")
-            self._avoid(holder, "", str(error))
+            if self._holders.note_unreached(holder, str(error)):
+                self._log_avoided(holder, "", str(error))
             return NotTaken(str(error))
 
     def _open(self, holder: str) -> HolderConnection:
--- a/lab/passingmutations.py
+++ b/lab/passingmutations.py
@@ -56,6 +56,20 @@
         "if False:",
         "tests/test_links.py",
     ),
+    Mutation(
+        "a holder that stays cut off is tested less and less",
+        HOLDERS,
+        "factor = min(2**view.unreached, MAX_AVOID_FACTOR)",
+        "factor = 1",
+        CHOICE,
+    ),
+    Mutation(
+        "a read is tried another way once its holder is silent",
+        POOLER + "passingclient.py",
+        "if now_ms >= last_ms or view.is_silent(now_ms):",
+        "if now_ms >= last_ms:",
+        PASSING + "TestHolderFails",
+    ),
     Mutation(
         "a holder says that it serves a connection before it gets anything",
         POOLER + "passingclient.py",
--- a/tests/test_linkholders.py
+++ b/tests/test_linkholders.py
@@ -82,6 +82,22 @@
         holders._clock.sleep_ms(AVOID_MS)
         assert choose(holders).holder == first
 
+    def test_a_holder_that_stays_cut_off_is_tested_less_and_less(self):
+        """Guards against a cut that delays a statement of each daemon every second."""
+        holders = make_holders()
+        first = holders.rank("i1", "z1")[0]
+        tests = 0
+        for _ in range(12):
+            if choose(holders).holder == first:
+                tests += 1
+                holders.note_unreached(first, "test")
+            holders._clock.sleep_ms(AVOID_MS)
+        assert tests <= 5
+        holders.end_call(holders.begin_call(first), answered=True)
+        holders.note_unreached(first, "test")
+        holders._clock.sleep_ms(AVOID_MS)
+        assert choose(holders).holder == first
+
     def test_a_holder_is_avoided_only_for_the_instance_that_it_cant_reach(self):
         """Guards against a holder that is given up for one failed instance."""
         holders = make_holders()
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -266,6 +266,15 @@
         cut_before_reply(monkeypatch)
         assert run_ok(caller, "FETCH a").rows == ["1"]
 
+    def test_a_read_isnt_kept_waiting_by_a_frozen_holder(
+        self, fleet, daemons, monkeypatch
+    ):
+        """Guards against reads that fail as their holder freezes while they wait."""
+        caller = open_at(fleet, daemons[1])
+        run_ok(caller, "STORE a 1")
+        monkeypatch.setattr(daemons[0]._passing_server, "run_single", hang)
+        assert run_ok(caller, "FETCH a").rows == ["1"]
+
     def test_a_holder_that_gives_no_first_frame_gets_nothing(
         self, fleet, daemons, monkeypatch
     ):
@@ -283,7 +292,7 @@
         server = daemons[0]._passing_server
         first, second = (open_at(fleet, daemons[2]) for _ in range(2))
         run_ok(first, "STORE a 1")
-        monkeypatch.setattr(server, "run_single", lambda _: hang())
+        monkeypatch.setattr(server, "run_single", hang)
         waiting = fleet.runtime.start(first.query, "STORE a 2")
         clock = fleet.runtime.clock
         fleet.wait(
