--- a/bronzerelay/pooler/passingclient.py
+++ b/bronzerelay/pooler/passingclient.py
@@ -78,6 +78,8 @@
         self.connection = connection
         self.entry = entry
         self.in_transaction = True
+        # The job that was sent together with BEGIN, until its reply is read.
+        self.sent: Job | None = None
 
     @property
     def usable(self) -> bool:
@@ -124,24 +126,45 @@
         connection = self._acquire(holder)
         if isinstance(connection, NotTaken):
             return connection
+        data = encode_frame(request)
         outcome = self._exchange(
-            connection, request, entry, job.deadline_ms, job.route.objective_ms
+            connection,
+            data,
+            entry,
+            job.deadline_ms,
+            job.route.objective_ms,
+            may_repeat=not job.writes,
         )
         self._release(connection)
         return outcome
 
     def begin(
-        self, job: Job, entry: InstanceEntry, holder: str, request: Request
+        self,
+        job: Job,
+        entry: InstanceEntry,
+        holder: str,
+        request: Request,
+        first: Request | None,
     ) -> PassedOutcome | PassedLink:
-        """Open a transaction at a holder; return its link if it is open."""
+        """Open a transaction at a holder; return its link if it is open.
+
+        The job's statement, `first`, is sent along, which spares a round trip; it runs
+        only inside the transaction. `run_in_transaction` reads its reply.
+        """
         connection = self._acquire(holder)
         if isinstance(connection, NotTaken):
             return connection
+        data = encode_frame(request) + (encode_frame(first) if first else b"")
         outcome = self._exchange(
-            connection, request, entry, job.deadline_ms, job.route.objective_ms
+            connection, data, entry, job.deadline_ms, job.route.objective_ms
         )
         if isinstance(outcome, Answer) and outcome.state is TransactionState.OPEN:
-            return PassedLink(connection, entry)
+            link = PassedLink(connection, entry)
+            link.sent = job if first else None
+            return link
+        if first is not None:
+            # The holder's reply to the statement is still to come.
+            connection.close()
         self._release(connection)
         return outcome
 
@@ -149,40 +172,48 @@
         self, link: PassedLink, job: Job, request: Request
     ) -> PassedOutcome:
         """Run a statement, or the commit, of an open transaction."""
+        data = b"" if link.sent is job else encode_frame(request)
+        link.sent = None
         outcome = self._exchange(
             link.connection,
-            request,
+            data,
             link.entry,
             job.deadline_ms,
             job.route.objective_ms,
         )
-        link.in_transaction = (
-            isinstance(outcome, Answer) and outcome.state is not TransactionState.IDLE
-        )
+        is_idle = isinstance(outcome, Answer) and outcome.state is TransactionState.IDLE
+        link.in_transaction = not is_idle
         return outcome
 
     def end(self, link: PassedLink, timeout_ms: float) -> None:
         """Roll the transaction back unless it has ended, and release the connection."""
+        if link.sent is not None:
+            link.close()
         if link.usable and link.in_transaction:
             deadline_ms = self._clock.now_ms() + timeout_ms
-            request = Request(Kind.ROLLBACK, "", "", 0, round(timeout_ms), 0)
-            self._exchange(link.connection, request, link.entry, deadline_ms)
+            data = encode_frame(Request(Kind.ROLLBACK, left_ms=round(timeout_ms)))
+            self._exchange(link.connection, data, link.entry, deadline_ms)
         self._release(link.connection)
 
     def _exchange(
         self,
         connection: HolderConnection,
-        request: Request,
+        data: bytes,
         entry: InstanceEntry,
         deadline_ms: float,
         objective_ms: float = 0,
+        may_repeat: bool = False,
     ) -> PassedOutcome:
-        """Send a request and return what became of it."""
+        """Send a request, unless it was sent before, and return what became of it.
+
+        A request that `may_repeat` is given up once the holder is silent.
+        """
         holder = connection.holder
         call = self._holders.begin_call(holder)
         answered = False
+        patience_ms = call.view.patience_ms if may_repeat else None
         try:
-            reply = self._call(connection, request, deadline_ms)
+            reply = self._call(connection, data, deadline_ms, patience_ms)
             answered = isinstance(reply, Reply)
         finally:
             is_used_again = self._holders.end_call(call, answered)
@@ -197,7 +228,11 @@
         return reply
 
     def _call(
-        self, connection: HolderConnection, request: Request, deadline_ms: float
+        self,
+        connection: HolderConnection,
+        data: bytes,
+        deadline_ms: float,
+        patience_ms: float | None,
     ) -> Reply | Answer:
         """Return the holder's reply, or the fault if the outcome isn't known."""
         holder = connection.holder
@@ -205,16 +240,38 @@
             left_ms = deadline_ms - self._clock.now_ms()
             connection.connection.set_timeout(max(1.0, left_ms))
             # Part of the frame may arrive even if sending fails.
-            connection.connection.send(encode_frame(request))
-            return connection.reader.read(deadline_ms + ANSWER_GRACE_MS)
+            if data:
+                connection.connection.send(data)
+            return self._read_patiently(connection, deadline_ms, patience_ms)
         except TimeoutError:
             connection.close()
-            return Answer(fault=Fault.TIMED_OUT, detail=f"no answer from {holder}")
+            has_time = self._clock.now_ms() < deadline_ms
+            fault = Fault.LOST if has_time else Fault.TIMED_OUT
+            return Answer(fault=fault, detail=f"no answer from {holder}")
         except (OSError, ValueError) as error:
             connection.close()
             detail = f"the connection to {holder} has ended: {error}"
             return Answer(fault=Fault.LOST, detail=detail)
 
+    def _read_patiently(
+        self,
+        connection: HolderConnection,
+        deadline_ms: float,
+        patience_ms: float | None,
+    ) -> Reply:
+        """Return the reply; raise TimeoutError once the holder is silent, if it may."""
+        last_ms = deadline_ms + ANSWER_GRACE_MS
+        while True:
+            now_ms = self._clock.now_ms()
+            until_ms = last_ms if patience_ms is None else now_ms + patience_ms
+            try:
+                return connection.reader.read(min(until_ms, last_ms))
+            except TimeoutError:
+                view = self._holders.view_of(connection.holder)
+                now_ms = self._clock.now_ms()
+                if now_ms >= last_ms or view.is_silent(now_ms):
+                    raise
+
     def _read_reply(
         self,
         holder: str,
@@ -264,13 +321,16 @@
 
     def _avoid(self, holder: str, instance_id: str, reason: str) -> None:
         if self._holders.avoid(holder, instance_id, reason):
-            self._log.write_request(
-                "passing",
-                "A holder is avoided.",
-                holder=holder,
-                instance=instance_id,
-                reason=reason,
-            )
+            self._log_avoided(holder, instance_id, reason)
+
+    def _log_avoided(self, holder: str, instance_id: str, reason: str) -> None:
+        self._log.write_request(
+            "passing",
+            "A holder is avoided.",
+            holder=holder,
+            instance=instance_id,
+            reason=reason,
+        )
 
     # Connections
 
@@ -280,7 +340,8 @@
             return self._open(holder)
         except PassingError as error:
             self._counters.count("passes", outcome="unreachable")
-            self._avoid(holder, "", str(error))
+            if self._holders.note_unreached(holder, str(error)):
+                self._log_avoided(holder, "", str(error))
             return NotTaken(str(error))
 
     def _open(self, holder: str) -> HolderConnection:
