Test a limited instance by its share of the reads, and keep reads off primaries

A test now takes 1/8 of the reads that the instance would get of the service's. A limited instance with too few answers to judge it was taken up by any answer; now only by a good one.

A full replica was compared with the primary, which has more room because it gets fewer reads, and its reads went there (a suspicion for the bookings: not traced). Refused and late answers of a replica are now compared with those of other replicas only.

--- a/bronzerelay/load/outliers.py
+++ b/bronzerelay/load/outliers.py
@@ -20,8 +20,8 @@
 # of a share of n answers, at most SPREAD / sqrt(n), is added for either of them.
 MARGIN = 0.25
 SPREAD = 0.5
-# The share of the reads that may go to an instance at each step, from the one at which
-# it is only tested to the one at which it isn't limited.
+# The share that an instance gets, at each step, of the reads that it would get without
+# a limit: from the step at which it is only tested to the one without a limit.
 STEPS = (1 / 8, 1 / 4, 1 / 2, 1.0)
 TEST_STEP = 0
 FULL_STEP = len(STEPS) - 1
@@ -117,6 +117,10 @@
             return False
         own = self.measure(now_ms)
         known = [shares for peer in peers if _is_known(shares := peer.measure(now_ms))]
+        if not known or not _is_known(own):
+            # Too little to compare: a limited instance stays limited.
+            fails = quality is Quality.FAILED
+            return fails and self.is_limited and self._set_step(TEST_STEP, now_ms)
         if not any(_is_worse(own, peer, own.bad - peer.bad) for peer in known):
             return self.is_limited and self._step_up(now_ms)
         self._delay_test(now_ms)
@@ -152,14 +156,19 @@
         self._test_at_ms = now_ms + self._test_pause_ms
         self._test_pause_ms = min(2 * self._test_pause_ms, MAX_TEST_PAUSE_MS)
 
-    def choose_use(self, outstanding: int, now_ms: float) -> Use:
+    def choose_use(self, outstanding: int, instances: int, now_ms: float) -> Use:
         """Return whether a read may go to the instance, and count the read.
 
-        `outstanding` is how many statements are in progress there.
+        `outstanding` is how many statements are in progress there, `instances` how many
+        the service has. A read that tests the instance goes there first, while other
+        reads go there in one of so many cases.
         """
         if not self.is_limited:
             return Use.NORMAL
-        self._earned = min(1.0, self._earned + STEPS[self.step])
+        share = STEPS[self.step]
+        if self.step == TEST_STEP:
+            share /= max(1, instances)
+        self._earned = min(1.0, self._earned + share)
         if self._earned < 1:
             return Use.NONE
         if self.step > TEST_STEP:
@@ -178,8 +187,6 @@
 
 def _is_worse(own: Shares, peer: Shares, excess: float) -> bool:
     """Return whether a share exceeds the peer's by more than chance explains."""
-    if not _is_known(own):
-        return False
     noise = SPREAD / math.sqrt(own.answers) + SPREAD / math.sqrt(peer.answers)
     return excess > MARGIN + noise
 
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -181,16 +181,28 @@
 
     def _record_quality(self, entry: InstanceEntry, quality: Quality) -> None:
         record = self.view_of(entry.id).answers
-        peers = [
-            self.view_of(peer.id).answers
-            for peer in self._directory.list_instances(entry.service)
-            if peer.id != entry.id
-        ]
+        peers = self._list_peers(entry, quality)
         with self._lock:
             changed = record.record(quality, peers, self._clock.now_ms())
         if changed:
             self.on_share_change(entry, record)
 
+    def _list_peers(self, entry: InstanceEntry, quality: Quality) -> list[AnswerRecord]:
+        """Return the records of the instances that an answer is compared with.
+
+        A replica that is full isn't compared with the primary. The primary gets fewer
+        reads, so that it has more room, and it needs this room for writes.
+        """
+        left_out = {entry.id}
+        if quality is Quality.WEAK:
+            primary = self._directory.find_primary(entry.service)
+            left_out |= {primary.id} if primary else set()
+        return [
+            self.view_of(peer.id).answers
+            for peer in self._directory.list_instances(entry.service)
+            if peer.id not in left_out
+        ]
+
     def record_pressure(self, instance_id: str, wait_ms: float) -> None:
         """Record the wait that a new statement would have at an instance, as told."""
         view = self.view_of(instance_id)
@@ -288,7 +300,8 @@
         usable: list[Candidate] = []
         # Instances that get only a share of the reads, and this one isn't in it.
         limited: list[Candidate] = []
-        for entry in self._directory.list_instances(service):
+        group = self._directory.list_instances(service)
+        for entry in group:
             if self._directory.is_leaving(entry) or entry.id in tried:
                 continue
             if not _is_inside(entry, regions):
@@ -308,7 +321,7 @@
             cost = (view.outstanding + 1) * view.answer_ms
             if is_primary:
                 cost *= PRIMARY_COST_FACTOR
-            use = self._choose_use(view, bool(tried), now_ms)
+            use = self._choose_use(view, bool(tried), len(group), now_ms)
             candidate = Candidate(
                 view.avoid_until_ms > now_ms,
                 use is not Use.TEST,
@@ -392,14 +405,16 @@
             entry.slots,
         )
 
-    def _choose_use(self, view: InstanceView, is_retry: bool, now_ms: float) -> Use:
+    def _choose_use(
+        self, view: InstanceView, is_retry: bool, instances: int, now_ms: float
+    ) -> Use:
         record = view.answers
         if not record.is_limited:
             return Use.NORMAL
         if is_retry:
             return Use.NONE
         with self._lock:
-            return record.choose_use(view.outstanding, now_ms)
+            return record.choose_use(view.outstanding, instances, now_ms)
 
     def _may_have_reached(
         self, view: InstanceView, floor: Position | None, now_ms: float
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -780,4 +780,18 @@
         "return wait_ms",
         "tests/test_nearness.py::TestPressure",
     ),
+    Mutation(
+        "a full replica isn't compared with the primary, which needs its room",
+        POOLER + "placement.py",
+        "if quality is Quality.WEAK:",
+        "if False:",
+        "tests/test_placement.py::TestOutliers",
+    ),
+    Mutation(
+        "an instance is tested by a share of the reads that it would get",
+        "bronzerelay/load/outliers.py",
+        "share /= max(1, instances)",
+        "share *= 8",
+        "tests/test_outliers.py::TestShares",
+    ),
 )
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -26,11 +26,15 @@
         self.random = make_runtime().make_random(seed)
         self.now_ms = 0.0
         self.turn = 0
+        self.read_ms = READ_MS
 
     def choose(self):
         order = NAMES[self.turn :] + NAMES[: self.turn]
         self.turn = (self.turn + 1) % len(NAMES)
-        uses = {name: self.records[name].choose_use(0, self.now_ms) for name in order}
+        uses = {
+            name: self.records[name].choose_use(0, len(NAMES), self.now_ms)
+            for name in order
+        }
         for wanted in (Use.TEST, Use.NORMAL):
             chosen = [name for name in order if uses[name] is wanted]
             if chosen:
@@ -45,7 +49,7 @@
             counts[name] += 1
             is_bad = self.random.random() < bad_shares.get(name, 0)
             self.answer(name, quality if is_bad else Quality.GOOD)
-            self.now_ms += READ_MS
+            self.now_ms += self.read_ms
         return counts
 
     def answer(self, name, quality):
@@ -60,6 +64,13 @@
         assert group.run(40, {"a": 1})["a"] <= 8
         assert group.run(400, {"a": 1})["a"] <= 400 / 50
 
+    def test_instance_that_fails_is_seldom_tested_by_a_daemon_with_few_reads(self):
+        """Guards against many daemons that each test it as often as a busy one."""
+        group = Group()
+        group.read_ms = 200
+        group.run(60, {"a": 1})
+        assert group.run(600, {"a": 1})["a"] <= 600 / 3 / 6
+
     def test_instance_that_fails_half_is_limited(self):
         """Guards against readmitting an instance for a single good answer."""
         for seed in range(5):
