--- a/bronzerelay/load/nearness.py
+++ b/bronzerelay/load/nearness.py
@@ -54,11 +54,12 @@
             faded_ms = self._find_mean(now_ms)
             mean_ms = faded_ms + MEAN_WEIGHT * (took_ms - faded_ms)
         if now_ms - self._window_began_ms > CALM_WINDOW_MS:
-            self._calm_before_ms, self._calm_ms = self._calm_ms, math.inf
+            self._calm_before_ms, self._calm_ms = self._calm_ms, mean_ms
             self._window_began_ms = now_ms
-        self._mean_ms = mean_ms
         self._calm_ms = min(self._calm_ms, mean_ms)
         self._answered_at_ms = now_ms
+        # Last, as other tasks read without a lock and take None for no answer yet.
+        self._mean_ms = mean_ms
 
     @property
     def calm_ms(self) -> float | None:
