--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -265,8 +265,8 @@
     Mutation(
         "above the rate each daemon admits the same fraction of requests",
         POOLER + "fleetrates.py",
-        "bucket.credit += min(1.0, max(0.0, budget / expected))",
-        "bucket.credit += 1.0",
+        "bucket.levels.admit(level, budget / expected, has_reserve)",
+        "bucket.levels.admit(level, 1.0, has_reserve)",
         "tests/test_fleetrates.py",
     ),
     Mutation(
