Divide a bucket as of the last news of daemons that fall silent

Callers saw: when a cut began, workspaces that asked for less than was due were refused for their rate ("-115 of 136 operations left, 136 a second due, 15.6 a second asked for, 15% of the daemons heard of").

Cause: each side took rate x lost fraction x one second out of its bucket, whatever had been admitted.

A lost daemon's demand is left out as well. describe says what is owed; refusals are counted by whether the workspace asked for more than was due.

--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -5,17 +5,17 @@
 What the others admit before their next report isn't known, so daemons also report how
 many operations callers request: if more are requested than the bucket holds, each
 daemon admits the same fraction of its own requests. The share of a daemon that isn't
-heard from is set aside at once, so that a network partition splits the rate instead of
-doubling it.
+heard from is set aside as of its last news, so that a network partition splits the rate
+instead of doubling it.
 """
 
 import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from bronzerelay.load.apart import Apart, History, Limit, Loss
 from bronzerelay.pooler.fleetconfig import Workspace
 from bronzerelay.pooler.sources import (
-    SILENT_MS,
     ZERO_TALLY,
     PeerReports,
     Report,
@@ -50,6 +50,8 @@
 
     admitted: bool
     wait_ms: float = 0.0
+    # Whether the workspace asks for more than is due to the daemons heard from.
+    is_above_due: bool = False
 
 
 class Bucket:
@@ -71,6 +73,42 @@
         # The fraction of all daemons that are heard from, which is the fraction of the
         # rate that they may spend.
         self.fraction = 1.0
+        self.history = History()
+        # The last division, what the other sides admitted from then until they were
+        # heard again, and what of that was taken out here.
+        self.apart: Apart | None = None
+        self.admitted_apart = 0
+        self.charged = 0
+
+    def make_limit(self) -> Limit:
+        """Return the rate and burst of the daemons that are heard from."""
+        return Limit(self.spec.rate, self.spec.burst, self.fraction)
+
+    def take(self, count: float, now_ms: float) -> None:
+        """Take tokens out; a negative count returns them."""
+        self.history.record(now_ms, self.tokens, self.fraction, count)
+        self.tokens = min(self.make_limit().find_capacity(), self.tokens - count)
+
+    def forget_demand(self, losses: list[Loss], now_ms: float) -> None:
+        """Leave out the demand of callers who ask on another side."""
+        for loss in losses:
+            left = math.exp((loss.at_ms - now_ms) / DEMAND_WINDOW_MS)
+            self.demand = max(0.0, self.demand - loss.requested * left)
+
+    def divide(
+        self, fraction: float, since_ms: float, now_ms: float, losses: list[Loss]
+    ) -> None:
+        """Leave this side the fraction of the tokens since the last news of others."""
+        previous, self.fraction = self.fraction, fraction
+        division = self.history.divide(
+            self.tokens, self.make_limit(), previous, since_ms, now_ms, losses
+        )
+        self.tokens = division.tokens
+        if self.apart is None or previous == 1.0:
+            self.apart = Apart(since_ms, fraction, division.saved)
+            self.admitted_apart = self.charged = 0
+        else:
+            self.apart = self.apart._replace(fraction=fraction)
 
 
 class FleetRates:
@@ -88,6 +126,8 @@
         # other domains.
         self._sums: dict[Scope, dict[str, TallySum]] = {Scope.OWN: {}, Scope.DOMAIN: {}}
         self._propagation_ms = PROPAGATION_MS
+        # The fraction of all daemons that are heard from.
+        self._fraction = 1.0
 
     def set_workspaces(self, specs: Iterable[Workspace]) -> None:
         """Apply the rates of a configuration."""
@@ -99,6 +139,7 @@
                 if bucket is None:
                     # A random start, or all daemons would admit and refuse in step.
                     bucket = Bucket(spec, now_ms, self._random.random())
+                    bucket.fraction = self._fraction
                 bucket.spec = spec
                 bucket.tokens = min(bucket.tokens, spec.burst)
                 updated[spec.name] = bucket
@@ -125,6 +166,7 @@
             self._propagation_ms = (
                 RELAYED_PROPAGATION_MS if is_relayed else PROPAGATION_MS
             )
+            self._update_fraction(now_ms)
 
     # Reports
 
@@ -182,7 +224,7 @@
             if source.group.names == (receiver,):
                 continue
             members += source.members
-            reachable += 0 if source.is_silent(now_ms) else source.reachable
+            reachable += source.count_reachable(now_ms)
         return reachable, members
 
     def apply_report(
@@ -190,8 +232,8 @@
     ) -> None:
         """Take what a peer reports as admitted out of the buckets.
 
-        Operations that it admitted while it was silent aren't taken out: its share was
-        set aside already. Nor are those from before it began to report in this scope
+        Operations that it admitted while it was silent aren't taken out unless they
+        exceed its share, which was set aside already. Nor are those from before it began to report in this scope
         again: another reporter covered them.
         """
         now_ms = self._clock.now_ms()
@@ -201,13 +243,19 @@
             was_silent = reports.is_silent(now_ms)
             reports.add_report(report, as_of_ms)
             if source is None or was_silent or source.is_silent(now_ms):
-                reports.cover()
+                admitted = reports.take_uncovered()
+                if source is not None and report.scope is Scope.OWN:
+                    for name, added in admitted.items():
+                        self._charge_excess(reports, name, added, now_ms)
             elif source.accepts(peer, now_ms):
-                for name, added in reports.take_uncovered().items():
+                uncovered = reports.take_uncovered()
+                for name, added in uncovered.items():
                     self._apply_tally(reports, report.scope, name, added, now_ms)
+                source.record(now_ms, uncovered)
                 self._cover_others(source, peer)
             if source is not None:
-                source.add_report(peer, report, as_of_ms)
+                source.add_report(peer, report, as_of_ms, now_ms)
+            self._update_fraction(now_ms)
 
     def _cover_others(self, source: Source, peer: str) -> None:
         """Count what the other reporters of a group have reported as covered."""
@@ -236,6 +284,23 @@
                 return source
         return None
 
+    def _charge_excess(
+        self, reports: PeerReports, workspace: str, added: Tally, now_ms: float
+    ) -> None:
+        """Take out what others admitted beyond their share while they were silent.
+
+        They owe it, but this side knows only now, and no longer spends apart from them.
+        """
+        bucket = self._buckets.get(workspace)
+        if bucket is None or bucket.apart is None:
+            return
+        bucket.admitted_apart += added.admitted
+        share = bucket.apart.find_share_elsewhere(bucket.spec.rate, now_ms)
+        excess = math.floor(bucket.admitted_apart - share - bucket.charged)
+        if excess > 0:
+            bucket.charged += excess
+            self._apply_tally(reports, Scope.OWN, workspace, Tally(excess, 0), now_ms)
+
     def _apply_tally(
         self,
         reports: PeerReports,
@@ -248,8 +313,7 @@
         if bucket is not None:
             self._fill(bucket, now_ms)
             # The number is negative if the peer refunded more than it spent.
-            left = bucket.tokens - added.admitted
-            bucket.tokens = min(bucket.spec.burst, left)
+            bucket.take(added.admitted, now_ms)
             bucket.demand = max(0.0, bucket.demand + added.requested)
         sums = self._sums.get(scope)
         if sums is None:
@@ -284,18 +348,21 @@
             due_ms = max(0.0, (1 - bucket.tokens) / rate * 1000)
             is_over_rate = bucket.demand * 1000 / DEMAND_WINDOW_MS > rate
             if due_ms > (0.0 if is_over_rate else max_wait_ms):
-                return RateDecision(False, max(1.0, due_ms))
+                return RateDecision(False, max(1.0, due_ms), is_over_rate)
             expected = bucket.demand * self._propagation_ms / DEMAND_WINDOW_MS
             budget = bucket.tokens * SAVED_FRACTION + rate * self._propagation_ms / 1000
+            if is_over_rate:
+                budget *= self._find_heard_part(now_ms)
             # In simulations of a flood through 40 daemons at a rate of 100 a second,
             # 79 to 105 operations a second were admitted, and 58 to 164 if tokens alone
             # decided.
             bucket.credit += min(1.0, max(0.0, budget / expected))
             if bucket.credit < 1:
                 # How long the rate takes to earn what is requested beyond the budget.
-                return RateDecision(False, max(1.0, (expected - budget) / rate * 1000))
+                wait_ms = max(1.0, (expected - budget) / rate * 1000)
+                return RateDecision(False, wait_ms, is_over_rate)
             bucket.credit -= 1
-            bucket.tokens -= 1
+            bucket.take(1, now_ms)
             bucket.admitted += 1
             return RateDecision(True, due_ms)
 
@@ -309,7 +376,8 @@
             return (
                 f"{bucket.tokens:.1f} of {bucket.spec.burst:g} operations left, "
                 f"{bucket.spec.rate:g} a second due, {recent:.1f} a second asked for, "
-                f"{bucket.fraction:.0%} of the daemons heard of"
+                f"{bucket.fraction:.0%} of the daemons heard of, "
+                f"{max(0.0, -bucket.tokens):.1f} owed"
             )
 
     def refund(self, workspace: str) -> None:
@@ -321,37 +389,72 @@
         with self._lock:
             bucket = self._buckets.get(workspace)
             if bucket is not None and bucket.admitted > 0:
-                bucket.tokens = min(bucket.spec.burst, bucket.tokens + 1)
+                now_ms = self._clock.now_ms()
+                bucket.take(-1, now_ms)
                 bucket.admitted -= 1
                 bucket.requested -= 1
                 bucket.demand = max(0.0, bucket.demand - 1)
-                bucket.changed_at_ms = self._clock.now_ms()
+                bucket.changed_at_ms = now_ms
 
     def _fill(self, bucket: Bucket, now_ms: float) -> None:
         """Refill the bucket with the fraction of the rate for the reachable daemons."""
+        self._update_fraction(now_ms)
+        self._earn(bucket, now_ms)
+
+    def _earn(self, bucket: Bucket, now_ms: float) -> None:
         elapsed_ms = now_ms - bucket.filled_at_ms
         if elapsed_ms <= 0:
             return
-        fraction = self._find_reachable_fraction(now_ms)
-        if fraction < bucket.fraction:
-            # Silent daemons may also spend their fraction of the saved tokens. And
-            # since their last report both sides may have spent that fraction of the
-            # rate.
-            lost_fraction = bucket.fraction - fraction
-            bucket.tokens = min(
-                bucket.tokens, bucket.tokens * fraction / bucket.fraction
-            )
-            bucket.tokens -= bucket.spec.rate * lost_fraction * SILENT_MS / 1000
-        bucket.fraction = fraction
-        spec = bucket.spec
-        earned = spec.rate * fraction * elapsed_ms / 1000
-        bucket.tokens = min(spec.burst * fraction, bucket.tokens + earned)
+        bucket.tokens = bucket.make_limit().earn(bucket.tokens, elapsed_ms)
         bucket.filled_at_ms = now_ms
         bucket.demand *= math.exp(-elapsed_ms / DEMAND_WINDOW_MS)
 
+    def _update_fraction(self, now_ms: float) -> None:
+        """Divide all buckets if daemons have fallen silent since the last call."""
+        fraction = self._find_reachable_fraction(now_ms)
+        previous, self._fraction = self._fraction, fraction
+        if fraction < previous:
+            self._divide(fraction, now_ms)
+        elif fraction > previous:
+            for bucket in self._buckets.values():
+                self._earn(bucket, now_ms)
+                bucket.fraction = fraction
+        for source in self._sources.values():
+            source.counted = source.count_reachable(now_ms)
+
+    def _divide(self, fraction: float, now_ms: float) -> None:
+        news = {
+            source: source.find_last_news(now_ms, PROPAGATION_MS)
+            for source in self._sources.values()
+        }
+        lost = [source for source, last_ms in news.items() if last_ms is not None]
+        since_ms = min((news[source] for source in lost), default=now_ms)
+        for name, bucket in self._buckets.items():
+            self._earn(bucket, now_ms)
+            losses = []
+            for source in lost:
+                added = source.list_losses(name, now_ms)
+                losses += added
+                if source.counted:
+                    bucket.forget_demand(added, now_ms)
+            bucket.divide(fraction, since_ms, now_ms, losses)
+
+    def _find_heard_part(self, now_ms: float) -> float:
+        """Return the part of the reachable daemons whose reports aren't late.
+
+        Daemons whose reports are late may be behind a partition and spend the same
+        tokens.
+        """
+        reachable = heard = 1
+        for source in self._sources.values():
+            count = source.count_reachable(now_ms)
+            reachable += count
+            heard += 0 if source.is_late(now_ms) else count
+        return heard / reachable
+
     def _find_reachable_fraction(self, now_ms: float) -> float:
         reachable = members = 1
         for source in self._sources.values():
             members += source.members
-            reachable += 0 if source.is_silent(now_ms) else source.reachable
+            reachable += source.count_reachable(now_ms)
         return reachable / members
--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -284,6 +284,8 @@
             if decision.wait_ms > 0:
                 self._services.runtime.sleep_ms(decision.wait_ms)
             return None
+        due = "above" if decision.is_above_due else "below"
+        self._services.counters.count("rate_refusals", due=due)
         inputs = self._services.rates.describe(workspace)
         message = f"The workspace {workspace} is over its rate: {inputs}."
         return Refusal(Code.RATE_EXCEEDED, message, NOT_RUN, round(decision.wait_ms))
--- a/bronzerelay/pooler/sources.py
+++ b/bronzerelay/pooler/sources.py
@@ -7,8 +7,11 @@
 
 import enum
 import math
+from collections import deque
 from typing import NamedTuple
 
+from bronzerelay.load.apart import HISTORY_MS, Loss
+
 # How long without a report until a source counts as silent, in milliseconds. It may be
 # behind a network partition and admit operations that aren't reported here. Up to three
 # reports may be lost before.
@@ -17,6 +20,12 @@
 # current one, in milliseconds. It is longer than two lost reports take, and shorter
 # than SILENT_MS, so that a group doesn't count as silent because one relay died.
 REPORTER_SILENT_MS = 700
+# How long without a report until a source counts as late, in milliseconds: one and a
+# half reports. A lost report makes it late for a moment.
+LATE_MS = 450
+# How long reports go on holding operations of daemons that a relay doesn't reach any
+# more, in milliseconds, after the time from which it didn't hear them.
+TRAVEL_MS = 600
 
 
 class Tally(NamedTuple):
@@ -81,6 +90,12 @@
         self._last_report_ms = now_ms
         # By reporter, the time up to which its reports are known here.
         self._reported_ms: dict[str, float] = {}
+        # When the last report arrived here, which may be long after it was made.
+        self._arrived_ms = now_ms
+        # How many members counted as reachable when the fraction was last computed.
+        self.counted = group.members
+        # What its reports of the last HISTORY_MS added, and when they arrived.
+        self._recent: deque[tuple[float, dict[str, Tally]]] = deque()
 
     def set_group(self, group: SourceGroup) -> None:
         """Update the daemons that may report; one that may not isn't current."""
@@ -92,6 +107,54 @@
         """Return whether it may admit operations that aren't reported here."""
         return now_ms - self._last_report_ms > SILENT_MS
 
+    def is_late(self, now_ms: float) -> bool:
+        """Return whether a report should have arrived, though it isn't silent yet."""
+        return now_ms - self._arrived_ms > LATE_MS
+
+    def count_reachable(self, now_ms: float) -> int:
+        """Return how many of its members can't admit operations unreported here."""
+        return 0 if self.is_silent(now_ms) else self.reachable
+
+    def record(self, now_ms: float, added: dict[str, Tally]) -> None:
+        """Keep what a report added until the source can't turn out silent since."""
+        while self._recent and self._recent[0][0] < now_ms - HISTORY_MS:
+            self._recent.popleft()
+        if added:
+            self._recent.append((now_ms, added))
+
+    def find_last_news(self, now_ms: float, relay_lag_ms: float) -> float | None:
+        """Return from when on members admit operations unreported here, or None.
+
+        A relay that reaches fewer members than before noticed it after SILENT_MS, and
+        its report was on its way.
+        """
+        if self.is_silent(now_ms):
+            # One that is silent for longer has been set aside before.
+            is_known = self.counted == 0 and self._last_report_ms < now_ms - HISTORY_MS
+            return None if is_known else self._last_report_ms
+        if self.reachable < self.counted:
+            return now_ms - SILENT_MS - relay_lag_ms
+        return None
+
+    def list_losses(self, workspace: str, now_ms: float) -> list[Loss]:
+        """Return what its recent reports held of members that are silent now.
+
+        How much of a relay's report was of these members isn't known; it is taken to be
+        their part of all until the reports can't hold operations of theirs any more.
+        """
+        if self.is_silent(now_ms):
+            part, until_ms = 1.0, now_ms
+        elif self.reachable < self.counted:
+            part = 1 - self.reachable / self.counted
+            until_ms = now_ms - SILENT_MS + TRAVEL_MS
+        else:
+            return []
+        return [
+            Loss(at_ms, part * tally.admitted, part * tally.requested)
+            for at_ms, added in self._recent
+            if at_ms <= until_ms and (tally := added.get(workspace)) is not None
+        ]
+
     def accepts(self, peer: str, now_ms: float) -> bool:
         """Return whether a peer's reports are applied.
 
@@ -103,14 +166,17 @@
             self.current = peer
         return self.current == peer
 
-    def add_report(self, peer: str, report: Report, as_of_ms: float) -> None:
-        """Record a report that was made at `as_of_ms` or later.
+    def add_report(
+        self, peer: str, report: Report, as_of_ms: float, now_ms: float
+    ) -> None:
+        """Record a report that was made at `as_of_ms` or later and arrives now.
 
         Only the current reporter tells how many members are reachable. In a network
         partition two relays reach different ones, and each change to a smaller number
         takes tokens from the bucket.
         """
         self._last_report_ms = max(self._last_report_ms, as_of_ms)
+        self._arrived_ms = now_ms
         self._reported_ms[peer] = max(self._reported_ms.get(peer, -math.inf), as_of_ms)
         if self.group.scope is not Scope.OWN and peer == self.current:
             self.reachable = report.reachable
