--- a/bronzerelay/load/apart.py
+++ b/bronzerelay/load/apart.py
@@ -52,7 +52,7 @@
 
 
 class Apart(NamedTuple):
-    """Since when a bucket is divided, the fraction of this side, and the tokens then."""
+    """Since when a bucket is divided, this side's fraction, and the tokens then."""
 
     since_ms: float
     fraction: float
--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -233,8 +233,8 @@
         """Take what a peer reports as admitted out of the buckets.
 
         Operations that it admitted while it was silent aren't taken out unless they
-        exceed its share, which was set aside already. Nor are those from before it began to report in this scope
-        again: another reporter covered them.
+        exceed its share, which was set aside already. Nor are those from before it
+        began to report in this scope again: another reporter covered them.
         """
         now_ms = self._clock.now_ms()
         with self._lock:
