Admit a burst at one daemon that an exact bucket would admit

Callers saw: small workspaces refused with a part left ("2.8 of 6 operations left, 6 a second due, 8.7 asked for"). Cause: while more was asked for than is due, each daemon let only budget / expected of its requests through, as if each token could be taken by all daemons. What a daemon admits itself it knows at once; only requests at the others within one propagation time can take the same token. An operation is now admitted where a token is left after these, less what the rate earns meanwhile; an exact bucket would have admitted it, too.

The new test failed before the change and passes with it; test_fleetrates, test_rates_apart and the tests of rates in test_heartbeats pass. No existing test is changed.

--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -3,7 +3,7 @@
 Every daemon keeps a token bucket per workspace for the whole fleet. It takes tokens for
 the operations that it admits itself and for those that the others report as admitted.
 What the others admit before their next report isn't known, so daemons also report how
-many operations callers request: if more are requested than the bucket holds, each
+many operations callers request: if the others may take more than the bucket holds, each
 daemon admits the same fraction of its own requests. The share of a daemon that isn't
 heard from is set aside as of its last news, so that a network partition splits the rate
 instead of doubling it.
@@ -68,6 +68,8 @@
         # The operations that the whole fleet was recently asked for, decaying with
         # time.
         self.demand = 0.0
+        # The part of it that callers asked of this daemon.
+        self.own_demand = 0.0
         # Accumulates the fractions of operations while only a fraction is admitted.
         self.credit = credit
         # The fraction of all daemons that are heard from, which is the fraction of the
@@ -89,6 +91,11 @@
         self.history.record(now_ms, self.tokens, self.fraction, count)
         self.tokens = min(self.make_limit().find_capacity(), self.tokens - count)
 
+    def admit(self, now_ms: float) -> None:
+        """Take the token of an operation that is admitted here."""
+        self.take(1, now_ms)
+        self.admitted += 1
+
     def forget_demand(self, losses: list[Loss], now_ms: float) -> None:
         """Leave out the demand of callers who ask on another side."""
         for loss in losses:
@@ -344,11 +351,15 @@
             bucket.requested += 1
             bucket.changed_at_ms = now_ms
             bucket.demand += 1
+            bucket.own_demand += 1
             rate = max(bucket.spec.rate * bucket.fraction, 0.001)
             due_ms = max(0.0, (1 - bucket.tokens) / rate * 1000)
             is_over_rate = bucket.demand * 1000 / DEMAND_WINDOW_MS > rate
             if due_ms > (0.0 if is_over_rate else max_wait_ms):
                 return RateDecision(False, max(1.0, due_ms), is_over_rate)
+            if self._covers_others(bucket, is_over_rate, now_ms):
+                bucket.admit(now_ms)
+                return RateDecision(True)
             expected = bucket.demand * self._propagation_ms / DEMAND_WINDOW_MS
             budget = bucket.tokens * SAVED_FRACTION + rate * self._propagation_ms / 1000
             if is_over_rate:
@@ -362,10 +373,22 @@
                 wait_ms = max(1.0, (expected - budget) / rate * 1000)
                 return RateDecision(False, wait_ms, is_over_rate)
             bucket.credit -= 1
-            bucket.take(1, now_ms)
-            bucket.admitted += 1
+            bucket.admit(now_ms)
             return RateDecision(True, due_ms)
 
+    def _covers_others(self, bucket: Bucket, is_over_rate: bool, now_ms: float) -> bool:
+        """Return whether a token is left even if all requests elsewhere take theirs.
+
+        What this daemon admits it knows at once, so only the requests that the others
+        get before their next reports can take the same token.
+        """
+        elsewhere = max(0.0, bucket.demand - bucket.own_demand)
+        expected = elsewhere * self._propagation_ms / DEMAND_WINDOW_MS
+        rate = bucket.spec.rate * bucket.fraction
+        taken = max(0.0, expected - rate * self._propagation_ms / 1000)
+        part = self._find_heard_part(now_ms) if is_over_rate else 1.0
+        return bucket.tokens * part >= 1 + taken
+
     def describe(self, workspace: str) -> str:
         """Return the inputs of a decision about a workspace as readable text."""
         with self._lock:
@@ -394,6 +417,7 @@
                 bucket.admitted -= 1
                 bucket.requested -= 1
                 bucket.demand = max(0.0, bucket.demand - 1)
+                bucket.own_demand = max(0.0, bucket.own_demand - 1)
                 bucket.changed_at_ms = now_ms
 
     def _fill(self, bucket: Bucket, now_ms: float) -> None:
@@ -407,7 +431,9 @@
             return
         bucket.tokens = bucket.make_limit().earn(bucket.tokens, elapsed_ms)
         bucket.filled_at_ms = now_ms
-        bucket.demand *= math.exp(-elapsed_ms / DEMAND_WINDOW_MS)
+        left = math.exp(-elapsed_ms / DEMAND_WINDOW_MS)
+        bucket.demand *= left
+        bucket.own_demand *= left
 
     def _update_fraction(self, now_ms: float) -> None:
         """Divide all buckets if daemons have fallen silent since the last call."""
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -262,6 +262,20 @@
         "if False:",
         "tests/test_rates_apart.py::TestFlood",
     ),
+    Mutation(
+        "a burst at one daemon may use the tokens that are left",
+        POOLER + "fleetrates.py",
+        "if self._covers_others(bucket, is_over_rate, now_ms):",
+        "if False:",
+        "tests/test_fleetrates.py::TestBurst",
+    ),
+    Mutation(
+        "a burst leaves the tokens that other daemons may take meanwhile",
+        POOLER + "fleetrates.py",
+        "return bucket.tokens * part >= 1 + taken",
+        "return bucket.tokens * part >= 1",
+        "tests/test_fleetrates.py",
+    ),
     Mutation(
         "a flood is admitted with care while reports are late",
         POOLER + "fleetrates.py",
--- a/tests/test_fleetrates.py
+++ b/tests/test_fleetrates.py
@@ -3,9 +3,10 @@
 import pytest
 
 from bronzerelay.pooler.fleetrates import INITIAL_TOKENS, PROPAGATION_MS, FleetRates
-from bronzerelay.pooler.sources import SILENT_MS, Report, Tally
+from bronzerelay.pooler.sources import SILENT_MS, Report, Scope, SourceGroup, Tally
 from bronzerelay.runtime import Random
 from tests.builders_pooler import ManualClock, make_runtime, make_workspace
+from tests.builders_rates import ExactBucket
 
 RATE, BURST = 50.0, 50.0
 STEP_MS = 10.0
@@ -239,6 +240,32 @@
         assert rates._buckets["south"].demand == before
 
 
+class TestBurst:
+    def test_a_burst_at_one_daemon_gets_what_an_exact_bucket_gives(self):
+        """Guards against refusing operations of one caller as if all daemons were
+        flooded: "2.8 of 6 operations left, 6 a second due, 8.7 asked for".
+        """
+        clock = ManualClock()
+        rates = FleetRates(make_runtime(clock), "d1")
+        rates.set_workspaces([make_workspace(rate=6, burst=6)])
+        rates.set_sources({"fleet": SourceGroup(Scope.FLEET, ("r1",), 40)})
+        exact = ExactBucket(6, 6, clock.now_ms())
+        report = Report(True, {}, Scope.FLEET, 40, 40)
+        for number in range(80):
+            clock.sleep_ms(100)
+            rates.apply_report("r1", 1, clock.now_ms(), report)
+            if number >= 60:
+                decision = rates.spend("north")
+                assert decision.admitted == exact.spend(clock.now_ms())
+
+    def test_many_daemons_dont_give_the_same_tokens(self):
+        """Guards against a burst that each daemon takes for its own alone."""
+        fleet = Fleet(MANY, 50, 100)
+        fleet.play_callers(6000, 25)
+        admitted, _ = fleet.play_callers(8000, 200, retries=2)
+        assert count_most(admitted) <= (50 * 5 + 100) * 1.1 + 20
+
+
 class TestInsideTheRate:
     @pytest.mark.parametrize("daemons", [1, 3, 8])
     def test_even_traffic_is_not_refused(self, daemons):
