Don't prefer a near primary, and leave a near instance earlier

The primary isn't preferred for being near any more: its slots are what writes need, and a daemon with a few reads a second learns late that it fills. Reads leave a near replica from an excess of 0.05 of the objective on (0.15), nearly all at half (0.8), and a RETRY counts as an answer of twice the mean.

--- a/bronzerelay/load/nearness.py
+++ b/bronzerelay/load/nearness.py
@@ -25,8 +25,10 @@
 PRESSURE_FADES = 4
 # How much longer than another domain's the near instance may take before reads leave
 # it, and from when on nearly all do, as fractions of the route's latency objective.
-SPILL_FROM = 0.15
-SPILL_ALL = 0.8
+SPILL_FROM = 0.05
+SPILL_ALL = 0.5
+# A refusal for want of room counts as an answer that took this many times the mean.
+REFUSAL_FACTOR = 2
 # The largest part of the reads that leaves a near instance; the others show how it is.
 MAX_SPILL = 0.9
 # The least cost of an instance, in milliseconds; it divides.
@@ -61,6 +63,11 @@
         # Last, as other tasks read without a lock and take None for no answer yet.
         self._mean_ms = mean_ms
 
+    def record_refusal(self, now_ms: float) -> None:
+        """Take note that the instance had no room."""
+        if self._mean_ms is not None:
+            self.record(REFUSAL_FACTOR * self._find_mean(now_ms), now_ms)
+
     @property
     def calm_ms(self) -> float | None:
         """Return the mean without load, or None before the first answer."""
@@ -112,6 +119,7 @@
     id: str
     slots: int
     is_primary: bool
+    is_near: bool
 
 
 class Spread:
@@ -130,15 +138,18 @@
     def order(
         self, options: list[Option], objective_ms: float, now_ms: float
     ) -> list[str]:
-        """Return the ids of all options, the one for the next read first."""
+        """Return the ids of all options, the one for the next read first.
+
+        The primary isn't preferred for being near: writes need its slots.
+        """
         choices = _find_costs(options)
-        near = sorted(choices[one.id] for one in options if one.is_near)
-        far = sorted(choices[one.id] for one in options if not one.is_near)
+        near = [one for one in choices if one.is_near and not one.is_primary]
+        far = [one for one in choices if not one.is_near or one.is_primary]
         if near and far:
             excess_ms = near[0].cost_ms - far[0].cost_ms
             self._follow(find_spill(excess_ms, objective_ms), now_ms)
         if far and (not near or self._goes_far()):
-            first = self._take_turn(_drop_worse_primary(far))
+            first = self._choose_far(far)
             ordered = [first, *near, *(one for one in far if one is not first)]
         else:
             ordered = near + far
@@ -157,6 +168,15 @@
         self._earned -= 1
         return True
 
+    def _choose_far(self, far: list[Choice]) -> Choice:
+        """Return a replica whose turn it is, or the primary if that is far better."""
+        best = far[0]
+        if best.is_primary and best.is_near:
+            return best
+        if best.is_primary:
+            return self._take_turn(far)
+        return self._take_turn([choice for choice in far if not choice.is_primary])
+
     def _take_turn(self, choices: list[Choice]) -> Choice:
         """Return the choice whose turn it is; turns are due by the room of each."""
         rooms = [choice.slots / choice.cost_ms for choice in choices]
@@ -180,21 +200,14 @@
     return min(MAX_SPILL, max(0.0, part))
 
 
-def _find_costs(options: list[Option]) -> dict[str, Choice]:
-    """Return the cost of each option; an unknown one counts as free of load."""
+def _find_costs(options: list[Option]) -> list[Choice]:
+    """Return the choices, the best first; an unknown one counts as free of load."""
     known = [one.calm_ms for one in options if one.calm_ms is not None]
     assumed_ms = min(known, default=MIN_COST_MS)
-    choices = {}
+    choices = []
     for one in options:
         expected_ms = assumed_ms if one.expected_ms is None else one.expected_ms
         queue = 1 + one.outstanding / max(1, one.slots)
         cost_ms = max(MIN_COST_MS, expected_ms * queue * one.factor)
-        choices[one.id] = Choice(cost_ms, one.id, one.slots, one.is_primary)
-    return choices
-
-
-def _drop_worse_primary(choices: list[Choice]) -> list[Choice]:
-    """Return the choices without the primary unless it is the best."""
-    if choices[0].is_primary:
-        return choices
-    return [choice for choice in choices if not choice.is_primary]
+        choices.append(Choice(cost_ms, one.id, one.slots, one.is_primary, one.is_near))
+    return sorted(choices)
--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -166,7 +166,10 @@
 
         An error often comes faster than a result would, so its time doesn't count.
         """
-        self._record_contact(self.view_of(entry.id))
+        view = self.view_of(entry.id)
+        self._record_contact(view)
+        if fault is Fault.BUSY:
+            view.times.record_refusal(self._clock.now_ms())
         self.record_fault(entry, fault)
 
     def _record_contact(self, view: InstanceView) -> None:
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -762,7 +762,7 @@
     Mutation(
         "a domain without an instance spreads over the others",
         "bronzerelay/load/nearness.py",
-        "first = self._take_turn(_drop_worse_primary(far))",
+        "first = self._choose_far(far)",
         "first = far[0]",
         "tests/test_placement.py::TestNearness",
     ),
@@ -794,4 +794,18 @@
         "share *= 8",
         "tests/test_outliers.py::TestShares",
     ),
+    Mutation(
+        "reads leave a near instance that refuses quickly",
+        POOLER + "placement.py",
+        "view.times.record_refusal(self._clock.now_ms())",
+        "pass",
+        "tests/test_placement.py::TestNearness",
+    ),
+    Mutation(
+        "a near primary isn't preferred to a replica, since writes need its slots",
+        "bronzerelay/load/nearness.py",
+        "if one.is_near and not one.is_primary]",
+        "if one.is_near]",
+        "tests/test_placement.py::TestNearness",
+    ),
 )
