--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -38,6 +38,15 @@
         assert settings.pooler.apply_within_ms == 3000
         assert str(settings.store) == "10.200.1.7:8466"
 
+    @pytest.mark.parametrize(
+        ("ports", "passing"),
+        [("7560, 7575", "10.1.0.26:7575"), ("7560, 7560", "None"), ("7560", "None")],
+    )
+    def test_port_for_statements_that_are_passed_on(self, ports, passing):
+        """Guards against two listeners on one port, when there is only one."""
+        settings = read_settings(TEXT.replace("7560, 7575", ports), None)
+        assert str(settings.pooler.passing) == passing
+
     @pytest.mark.parametrize(
         ("before", "after"),
         [
