Date what a first statement's answer tells by when the statement was sent

The statement that goes with BEGIN may have run before its reply is asked for. Its sample of the primary's log counted from the later time, so that a commit in between could be missed by a later read at a replica. Found by reading the code; the test fails without the change.

--- a/bronzerelay/pooler/passingclient.py
+++ b/bronzerelay/pooler/passingclient.py
@@ -78,8 +78,9 @@
         self.connection = connection
         self.entry = entry
         self.in_transaction = True
-        # The job that was sent together with BEGIN, until its reply is read.
+        # The job that was sent together with BEGIN, until its reply is read, and when.
         self.sent: Job | None = None
+        self.sent_at_ms = 0.0
 
     @property
     def usable(self) -> bool:
@@ -139,7 +140,7 @@
         entry: InstanceEntry,
         holder: str,
         request: Request,
-        first: Request | None,
+        first: Request,
     ) -> PassedOutcome | PassedLink:
         """Open a transaction at a holder; return its link if it is open.
 
@@ -149,25 +150,43 @@
         connection = self._acquire(holder)
         if isinstance(connection, NotTaken):
             return connection
-        data = encode_frame(request) + (encode_frame(first) if first else b"")
+        sent_at_ms = self._clock.now_ms()
+        data = encode_frame(request) + encode_frame(first)
         outcome = self._exchange(connection, data, entry, job.deadline_ms)
         if isinstance(outcome, Answer) and outcome.state is TransactionState.OPEN:
             link = PassedLink(connection, entry)
-            link.sent = job if first else None
+            link.sent, link.sent_at_ms = job, sent_at_ms
             return link
-        if first is not None:
-            # The holder's reply to the statement is still to come.
-            connection.close()
+        self._skip_reply(connection)
         self._release(connection)
         return outcome
 
+    def _skip_reply(self, connection: HolderConnection) -> None:
+        """Read the refusal of a statement whose transaction wasn't opened."""
+        if not connection.usable:
+            return
+        try:
+            reply = connection.reader.read(self._clock.now_ms() + GREETING_TIMEOUT_MS)
+        except (OSError, ValueError):
+            connection.close()
+            return
+        if reply.outcome != Outcome.REFUSED:
+            connection.close()
+
     def run_in_transaction(
         self, link: PassedLink, job: Job, request: Request
     ) -> PassedOutcome:
         """Run a statement, or the commit, of an open transaction."""
-        data = b"" if link.sent is job else encode_frame(request)
+        if link.sent is job:
+            # The instance may have run it before now, so the time of sending counts
+            # for what the answer tells of the instance.
+            data, sent_at_ms = b"", link.sent_at_ms
+        else:
+            data, sent_at_ms = encode_frame(request), None
         link.sent = None
-        outcome = self._exchange(link.connection, data, link.entry, job.deadline_ms)
+        outcome = self._exchange(
+            link.connection, data, link.entry, job.deadline_ms, sent_at_ms=sent_at_ms
+        )
         is_idle = isinstance(outcome, Answer) and outcome.state is TransactionState.IDLE
         link.in_transaction = not is_idle
         return outcome
@@ -189,6 +208,7 @@
         entry: InstanceEntry,
         deadline_ms: float,
         may_repeat: bool = False,
+        sent_at_ms: float | None = None,
     ) -> PassedOutcome:
         """Send a request, unless it was sent before, and return what became of it.
 
@@ -206,7 +226,8 @@
         if is_used_again:
             self._log.write_request("passing", "A holder is used again.", holder=holder)
         if isinstance(reply, Reply):
-            return self._read_reply(holder, reply, entry, call.began_ms)
+            sent_at_ms = call.began_ms if sent_at_ms is None else sent_at_ms
+            return self._read_reply(holder, reply, entry, sent_at_ms)
         fault = reply.fault.name.lower() if reply.fault else ""
         self._counters.count("passes", outcome=fault)
         self._close_idle(holder)
--- a/lab/passingmutations.py
+++ b/lab/passingmutations.py
@@ -70,6 +70,13 @@
         "if now_ms >= last_ms:",
         PASSING + "TestHolderFails",
     ),
+    Mutation(
+        "a statement sent along with BEGIN tells of the log as of its sending",
+        POOLER + "passingclient.py",
+        'data, sent_at_ms = b"", link.sent_at_ms',
+        'data, sent_at_ms = b"", None',
+        PASSING + "TestTransactions",
+    ),
     Mutation(
         "a holder says that it serves a connection before it gets anything",
         POOLER + "passingclient.py",
