Let few daemons of a large fleet load the store at their start

Cause: each daemon gets the whole configuration from the store (a value may be 1 MiB, 1.4 MB as it is sent), so that one round takes 3.4 s at 300. The watch that brings it is interrupted once a peer is 400 ms ahead or a poll finds the mirror behind, and a load is given up after 1.5 s; each then begins anew.

Ruled out: processor time, and the joins (a trial with a small configuration at 300 starts: 15 MB in watches, no call above 0.4 s).

Now the member list is read first, the first eight daemons of each failure domain load the store, and the others take a relay's mirror. A large mirror is handed on from daemon to daemon. A load, a watch and a mirror are given up only once no byte has come for a while, and nothing is asked for again while its answer arrives. Pauses after failed calls grow with the place of a daemon among those that ask.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from bronzerelay.env import ADVISED_SWITCH_INTERVAL_S
-from bronzerelay.pooler.catchup import MIRROR_PATH, CatchUp, read_after
+from bronzerelay.pooler.catchup import MIRROR_PATH, CatchUp, answer_query
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import Directory, PrimaryRecord
@@ -26,7 +26,7 @@
     PageServer,
 )
 from bronzerelay.pooler.links import LinkPool
-from bronzerelay.pooler.members import Members
+from bronzerelay.pooler.members import MEMBER_PREFIX, Members
 from bronzerelay.pooler.messages import LineCodec
 from bronzerelay.pooler.mirror import Item, Mirror, Store
 from bronzerelay.pooler.placement import Placement
@@ -39,6 +39,7 @@
 from bronzerelay.pooler.primaryguard import PrimaryGuard
 from bronzerelay.pooler.runner import Runner
 from bronzerelay.pooler.session import CallerSession, Services
+from bronzerelay.pooler.storestart import StoreStart
 from bronzerelay.runtime import (
     Address,
     Connection,
@@ -179,6 +180,7 @@
             self.gossip,
             settings.seeds,
             (settings.admin, settings.peer),
+            self.heartbeats.contacts,
             self.log,
         )
         self.poller = StorePoller(
@@ -224,7 +226,18 @@
         self.mirror.on_proof = self._add_store_proof
         self.mirror.follows_relay = self.heartbeats.has_relay
         self.mirror.on_change = self._handle_store_change
-        self.mirror.fetch = self.catch_up.fetch
+        self.mirror.fetch = self.catch_up.fetch_from_relay
+        self.mirror.find_place = self.heartbeats.contacts.find_store_place
+        self.mirror.is_receiving = plugins.store.is_receiving
+        start = StoreStart(
+            runtime,
+            self.mirror,
+            self.heartbeats.contacts,
+            lambda: self.mirror.load_part(MEMBER_PREFIX),
+            self.log,
+        )
+        self.mirror.before_load = start.prepare_load
+        self.mirror.before_watch = start.prepare_watch
         self.guard.on_idle = self.heartbeats.announce_idle
         self.reload_requested = False
         self.stopping: Signal = runtime.make_signal()
@@ -265,7 +278,7 @@
         if path == self._plugins.ready_path:
             return HttpResponse(200 if self.is_ready() else 503, b"")
         if path == MIRROR_PATH:
-            return HttpResponse(200, self.mirror.pack(read_after(query)))
+            return answer_query(self.mirror, query)
         if path == METRICS_PATH:
             return HttpResponse(200, self.counters.render(self._list_gauges()))
         return HttpResponse(404, b"")
--- a/bronzerelay/pooler/httpcalls.py
+++ b/bronzerelay/pooler/httpcalls.py
@@ -26,7 +26,15 @@
 # How long an idle connection to a page server stays open, in milliseconds.
 SERVER_IDLE_MS = 15_000
 CONNECT_TIMEOUT_MS = 500
-REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+# The longest time for a response whose bytes keep arriving, in milliseconds.
+MAX_RESPONSE_MS = 20_000
+NEVER_MS = -1e15
+REASONS = {
+    200: "OK",
+    303: "See Other",
+    404: "Not Found",
+    503: "Service Unavailable",
+}
 
 
 class HttpResponse(NamedTuple):
@@ -73,6 +81,12 @@
         self._address = address
         self._lock = runtime.make_lock()
         self._connection: Connection | None = None
+        # When the newest byte of the response that is under way arrived.
+        self._last_byte_ms = NEVER_MS
+
+    def is_receiving(self, stall_ms: float) -> bool:
+        """Return whether bytes of a response have arrived within `stall_ms`."""
+        return self._clock.now_ms() - self._last_byte_ms <= stall_ms
 
     def call(
         self,
@@ -82,9 +96,13 @@
         timeout_ms: float,
         headers: dict[str, str] | None = None,
         send_by_ms: float = math.inf,
+        stall_ms: float | None = None,
     ) -> HttpResponse:
         """Return the response, or raise HttpCallError within `timeout_ms`.
 
+        With `stall_ms`, a response whose bytes keep arriving may take longer: the call
+        fails when none has come for that long, or after MAX_RESPONSE_MS.
+
         The request isn't sent after `timeout_ms`, or after `send_by_ms` of the clock,
         for instance because the process was frozen while it connected.
         """
@@ -97,13 +115,15 @@
             try:
                 connection.set_timeout(timeout_ms)
                 connection.send(request)
-                answer, keep_alive = self._receive(connection, deadline_ms)
+                answer, keep_alive = self._receive(connection, deadline_ms, stall_ms)
             except (OSError, ValueError, httptools.HttpParserError) as error:
                 # A late response would be taken for the response to the next call, and
                 # a request that is held up would be executed when nobody expects it.
                 connection.abort()
                 self._connection = None
                 raise HttpCallError(f"{self._address}: {error}", True) from None
+            finally:
+                self._last_byte_ms = NEVER_MS
             if not keep_alive:
                 self._close_connection()
             return answer
@@ -137,10 +157,11 @@
         return head.encode() + b"\r\n" + body
 
     def _receive(
-        self, connection: Connection, deadline_ms: float
+        self, connection: Connection, deadline_ms: float, stall_ms: float | None
     ) -> tuple[HttpResponse, bool]:
         collector = _Collector()
         parser = httptools.HttpResponseParser(collector)
+        last_ms = self._clock.now_ms() + MAX_RESPONSE_MS
         while not collector.complete:
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0:
@@ -150,6 +171,10 @@
             if not data:
                 raise ConnectionLostError("the connection ended before the response")
             parser.feed_data(data)
+            self._last_byte_ms = self._clock.now_ms()
+            if stall_ms is not None:
+                late_ms = min(self._last_byte_ms + stall_ms, last_ms)
+                deadline_ms = max(deadline_ms, late_ms)
         answer = HttpResponse(parser.get_status_code(), bytes(collector.body))
         return answer, parser.should_keep_alive()
 
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from bronzerelay.load.storepace import find_retry_pause_ms
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.runtime import Address, Runtime
 
@@ -37,14 +38,17 @@
 # How long a daemon watches the store itself after a relay failed to give it updates, in
 # milliseconds: a relay's heartbeats may arrive while its link is too slow for a mirror.
 AVOID_RELAY_MS = 5_000
+# The interval of checks for a relay before the first load, in milliseconds.
+FIRST_RELAY_CHECK_MS = 30
 # The zlib level of a mirror for a peer, 1 (fastest) to 9.
 COMPRESSION = 1
 # The largest mirror that is accepted from a peer, in bytes after decompression.
 MAX_MIRROR_BYTES = 64 * 1024 * 1024
 # The most removed keys that are kept, to send a peer the updates since a revision.
 MAX_REMOVED_KEYS = 1_000
-# Backoff after failed calls, in milliseconds: short at first, as most outages are.
-RETRY_PAUSES_MS = (100, 200, 400, 700)
+# How long a peer that is on the way to a revision may keep its answer to another, in
+# milliseconds.
+HOLD_MS = 2_500
 NEVER_MS = -1e15
 
 
@@ -57,10 +61,15 @@
 
 
 class StoreItems(NamedTuple):
-    """All or only updated items of the store, and its revision at that time."""
+    """All or only updated items of the store, and its revision at that time.
+
+    `calls` and `bytes` say what it took to get them.
+    """
 
     items: list[Item]
     revision: int
+    calls: int = 1
+    bytes: int = 0
 
 
 class StoreError(Exception):
@@ -103,6 +112,9 @@
     def interrupt(self) -> None:
         """Interrupt the watch that is waiting now."""
 
+    def is_receiving(self) -> bool:
+        """Return whether the answer to a load or a watch is arriving now."""
+
 
 # Called with each item that was put or removed.
 HandleItem = Callable[[Item], None]
@@ -155,7 +167,7 @@
         self._relay = RelayRevision(0, None)
         self._avoid_relay_until_ms = 0.0
         # The last mirror encoded for a peer.
-        self._packed = Packed(0, 0, b"")
+        self._packed = Packed(0, -1, b"")
         self._failures = 0
         # All updates of the store up to this time are known here.
         self._current_as_of_ms = NEVER_MS
@@ -169,6 +181,17 @@
         self.follows_relay: Callable[[], bool] = lambda: False
         # Fetches and applies updates from a peer; returns whether that succeeded.
         self.fetch: Callable[[Address], bool] = lambda _: False
+        # Before the first load: waits for this daemon's turn, and returns whether to
+        # load now; if not, it is called again, or a member's mirror was taken.
+        self.before_load: Callable[[], bool] = lambda: True
+        # Before a watch: returns whether to watch now; if not, it is called again.
+        self.before_watch: Callable[[], bool] = lambda: True
+        # Returns this daemon's place among those that call the store.
+        self.find_place: Callable[[], int] = lambda: 0
+        # Whether the answer to a load or a watch is arriving now.
+        self.is_receiving: Callable[[], bool] = lambda: False
+        # Whether a part of the store was read before all of it was loaded.
+        self.has_part = False
         # Called when the mirror has reached a newer revision.
         self.on_change: Callable[[], None] = lambda: None
         # Whether the watch was interrupted on purpose, so that its end is no failure.
@@ -217,7 +240,7 @@
                 self._apply_item(item)
             self.revision = max(self.revision, update.revision)
         if self.revision > before:
-            self.on_change()
+            self._announce_change()
 
     def _apply_item(self, item: Item) -> None:
         known = self._items.get(item.key)
@@ -256,6 +279,11 @@
             self.loaded = True
             # The revisions at which the missing keys were removed aren't known.
             self._removed_from = revision
+        self._announce_change()
+
+    def _announce_change(self) -> None:
+        with self._condition:
+            self._condition.notify_all()
         self.on_change()
 
     # Following the store
@@ -266,10 +294,11 @@
             sent_at_ms = self._clock.now_ms()
             try:
                 if self._must_load:
-                    self._load(sent_at_ms)
+                    if self.loaded or self.before_load():
+                        self._load(sent_at_ms)
                 elif self._should_follow():
                     self._follow()
-                else:
+                elif self.before_watch():
                     self._watch(sent_at_ms)
             except HistoryLostError as error:
                 self._log.write(
@@ -291,9 +320,33 @@
             raise
         self._replace(snapshot.items, snapshot.revision)
         self._loaded_at_ms = self._clock.now_ms()
+        self._log.write(
+            "store",
+            "The store was loaded.",
+            items=len(snapshot.items),
+            calls=snapshot.calls,
+            bytes=snapshot.bytes,
+            took_ms=round(self._loaded_at_ms - sent_at_ms),
+            place=self.find_place(),
+            at=snapshot.revision,
+        )
         self._note_answer(sent_at_ms)
         self._pause_for_batch()
 
+    def load_part(self, prefix: str) -> int:
+        """Read the items under a prefix; return how many there are.
+
+        The rest of the store isn't known as of their revisions, so the mirror's
+        revision stays. Items that are newer than it are kept.
+        """
+        part = self._store.load(prefix, CALL_TIMEOUT_MS)
+        with self._lock:
+            for item in part.items:
+                self._apply_item(item)
+        self.has_part = True
+        self.on_change()
+        return len(part.items)
+
     def _watch(self, sent_at_ms: float) -> None:
         self.is_watching = True
         try:
@@ -329,12 +382,14 @@
         with self._condition:
             if revision > self._relay.revision:
                 self._relay = RelayRevision(revision, address)
-                self._condition.notify()
+                self._condition.notify_all()
 
     def _should_follow(self) -> bool:
-        return (
-            self._clock.now_ms() >= self._avoid_relay_until_ms and self.follows_relay()
-        )
+        return not self.avoids_relay() and self.follows_relay()
+
+    def avoids_relay(self) -> bool:
+        """Return whether a relay has failed lately to give this mirror its updates."""
+        return self._clock.now_ms() < self._avoid_relay_until_ms
 
     def _is_behind_relay(self) -> bool:
         return self._relay.revision > self.revision and self._should_follow()
@@ -359,6 +414,27 @@
             with self._condition:
                 self._relay = RelayRevision(self.revision, None)
 
+    def follow_first(self) -> bool:
+        """Take a relay's mirror in place of the first load; return whether that worked.
+
+        Without a relay, wait a little for one.
+        """
+        if not self._should_follow():
+            self._runtime.sleep_ms(FIRST_RELAY_CHECK_MS)
+            return False
+        self._follow()
+        if not self.loaded:
+            return False
+        self._must_load = False
+        return True
+
+    def wait_for_revision(self, revision: int) -> None:
+        """Wait until this mirror has a revision, at most HOLD_MS."""
+        with self._condition:
+            self._runtime.wait_for(
+                self._condition, lambda: self.revision >= revision, HOLD_MS
+            )
+
     def load_again(self) -> None:
         """Load the store anew, for updates that the watch or a relay has missed.
 
@@ -367,7 +443,7 @@
         with self._condition:
             self._must_load = True
             self._avoid_relay_until_ms = self._clock.now_ms() + AVOID_RELAY_MS
-            self._condition.notify()
+            self._condition.notify_all()
         self._interrupted = True
         self._store.interrupt()
 
@@ -400,9 +476,13 @@
                 age_ms=round(self.store_age_ms()),
                 at=self.revision,
             )
-        step = min(self._failures, len(RETRY_PAUSES_MS)) - 1
-        jitter = self._runtime.random.uniform(0.7, 1.3)
-        self._runtime.sleep_ms(RETRY_PAUSES_MS[step] * jitter)
+        pause_ms = find_retry_pause_ms(
+            self._failures,
+            self.find_place(),
+            self._clock.now_ms() - sent_at_ms,
+            self._runtime.random.random(),
+        )
+        self._runtime.sleep_ms(pause_ms)
 
     # Between daemons
 
