Load a small store at once, and poll for no proof without a configuration

A store's answer up to 64 KiB is now taken without asking whose turn it is, and a larger one isn't awaited.

--- a/bronzerelay/load/storepace.py
+++ b/bronzerelay/load/storepace.py
@@ -7,6 +7,9 @@
 them. The place of a daemon is its rank in its failure domain, which all compute alike.
 """
 
+# The largest answer of the store, in bytes, that each daemon takes at its start without
+# asking whose turn it is: hundreds of these are a fraction of a second of its link.
+SMALL_STORE_BYTES = 64 * 1024
 # Daemons of each failure domain that load the store at their start. They are the relays
 # and those that ask the relays directly.
 FIRST_LOADERS = 8
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -1,5 +1,6 @@
 """The pooler daemon: builds and runs its components, and stops gracefully."""
 
+import math
 import os
 import signal
 import sys
@@ -189,7 +190,7 @@
             self.mirror,
             min(settings.apply_within_ms, settings.evacuate_within_ms),
             self.heartbeats.find_turn,
-            self.guard.store_proof_due_ms,
+            self._find_store_proof_due_ms,
             self.counters,
             self.log,
         )
@@ -234,6 +235,7 @@
             self.mirror,
             self.heartbeats.contacts,
             lambda: self.mirror.load_part(MEMBER_PREFIX),
+            lambda: len(self.mirror.list_prefix(MEMBER_PREFIX)),
             self.log,
         )
         self.mirror.before_load = start.prepare_load
@@ -363,6 +365,15 @@
     def _add_store_proof(self, read_at_ms: float) -> None:
         self.guard.add_store_proof(read_at_ms, self.members.is_listed())
 
+    def _find_store_proof_due_ms(self) -> float:
+        """Return in how long a proof from the store is due.
+
+        Without a configuration nothing is served, and none is.
+        """
+        if self.directory.config is None:
+            return math.inf
+        return self.guard.store_proof_due_ms()
+
     def _handle_store_change(self) -> None:
         # Before others hear that this daemon has the new revision: a removed member
         # must get no more heartbeats from here by then.
--- a/bronzerelay/pooler/httpcalls.py
+++ b/bronzerelay/pooler/httpcalls.py
@@ -52,10 +52,19 @@
         self.may_have_run = may_have_run
 
 
+class BodyTooLargeError(ValueError):
+    """A body is over the limit; the rest of it wasn't awaited."""
+
+
+class ResponseTooLargeError(HttpCallError):
+    """The response's body is over the caller's limit."""
+
+
 class _Collector:
     """Collects one message from httptools' callbacks."""
 
-    def __init__(self):
+    def __init__(self, max_bytes: int = MAX_BODY_BYTES):
+        self._max_bytes = max_bytes
         self.body = bytearray()
         self.url = b""
         self.complete = False
@@ -63,15 +72,28 @@
     def on_url(self, url: bytes) -> None:
         self.url += url
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"content-length" and value.isdigit():
+            self._check_size(int(value))
+
     def on_body(self, body: bytes) -> None:
         self.body += body
-        if len(self.body) > MAX_BODY_BYTES:
-            raise ValueError(f"a body is over {MAX_BODY_BYTES} bytes")
+        self._check_size(len(self.body))
+
+    def _check_size(self, size: int) -> None:
+        if size > self._max_bytes:
+            raise BodyTooLargeError(f"a body is over {self._max_bytes} bytes")
 
     def on_message_complete(self) -> None:
         self.complete = True
 
 
+def _is_too_large(error: Exception) -> bool:
+    """Return whether a body was over the limit; httptools wraps what it is told."""
+    causes = (error, error.__cause__, error.__context__)
+    return any(isinstance(cause, BodyTooLargeError) for cause in causes)
+
+
 class HttpClient:
     """Calls one server over one connection, which is kept open between calls."""
 
@@ -97,9 +119,12 @@
         headers: dict[str, str] | None = None,
         send_by_ms: float = math.inf,
         stall_ms: float | None = None,
+        max_bytes: int = MAX_BODY_BYTES,
     ) -> HttpResponse:
         """Return the response, or raise HttpCallError within `timeout_ms`.
 
+        A body over `max_bytes` isn't awaited; ResponseTooLargeError is raised then.
+
         With `stall_ms`, a response whose bytes keep arriving may take longer: the call
         fails when none has come for that long, or after MAX_RESPONSE_MS.
 
@@ -115,13 +140,18 @@
             try:
                 connection.set_timeout(timeout_ms)
                 connection.send(request)
-                answer, keep_alive = self._receive(connection, deadline_ms, stall_ms)
+                answer, keep_alive = self._receive(
+                    connection, deadline_ms, stall_ms, max_bytes
+                )
             except (OSError, ValueError, httptools.HttpParserError) as error:
                 # A late response would be taken for the response to the next call, and
                 # a request that is held up would be executed when nobody expects it.
                 connection.abort()
                 self._connection = None
-                raise HttpCallError(f"{self._address}: {error}", True) from None
+                failure = HttpCallError
+                if _is_too_large(error):
+                    failure = ResponseTooLargeError
+                raise failure(f"{self._address}: {error}", True) from None
             finally:
                 self._last_byte_ms = NEVER_MS
             if not keep_alive:
@@ -157,9 +187,13 @@
         return head.encode() + b"\r\n" + body
 
     def _receive(
-        self, connection: Connection, deadline_ms: float, stall_ms: float | None
+        self,
+        connection: Connection,
+        deadline_ms: float,
+        stall_ms: float | None,
+        max_bytes: int,
     ) -> tuple[HttpResponse, bool]:
-        collector = _Collector()
+        collector = _Collector(max_bytes)
         parser = httptools.HttpResponseParser(collector)
         last_ms = self._clock.now_ms() + MAX_RESPONSE_MS
         while not collector.complete:
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -88,11 +88,18 @@
     """A key wasn't at the expected revision; the store was not changed."""
 
 
+class StoreTooLargeError(StoreError):
+    """A load was given up because its answer is over the limit."""
+
+
 class Store(Protocol):
     """The interface to the platform's store, which its adapter implements."""
 
-    def load(self, prefix: str, timeout_ms: float) -> StoreItems:
-        """Return all items whose key starts with `prefix`, or raise StoreError."""
+    def load(self, prefix: str, timeout_ms: float, max_bytes: int = 0) -> StoreItems:
+        """Return all items whose key starts with `prefix`, or raise StoreError.
+
+        Where `max_bytes` is given, raise StoreTooLargeError for a larger answer.
+        """
 
     def watch(self, prefix: str, after: int, wait_ms: float) -> StoreItems:
         """Return the updates after a revision, waiting up to `wait_ms` for one."""
@@ -318,6 +325,23 @@
         except StoreError:
             self._must_load = True
             raise
+        self._apply_load(snapshot, sent_at_ms)
+
+    def load_if_small(self, max_bytes: int) -> bool:
+        """Load the store if its answer is small; return whether it is.
+
+        A larger answer isn't awaited. Raise StoreError if there is none.
+        """
+        sent_at_ms = self._clock.now_ms()
+        try:
+            snapshot = self._store.load("", CALL_TIMEOUT_MS, max_bytes)
+        except StoreTooLargeError:
+            return False
+        self._must_load = False
+        self._apply_load(snapshot, sent_at_ms)
+        return True
+
+    def _apply_load(self, snapshot: StoreItems, sent_at_ms: float) -> None:
         self._replace(snapshot.items, snapshot.revision)
         self._loaded_at_ms = self._clock.now_ms()
         self._log.write(
--- a/bronzerelay/pooler/storestart.py
+++ b/bronzerelay/pooler/storestart.py
@@ -1,13 +1,18 @@
 """Decides at a daemon's start whether it loads the store or takes a member's mirror.
 
-The member list is small and is read first. In a small fleet each daemon then loads the
-store, as do the first daemons of each failure domain in a large one. The others wait
-for a relay's mirror, and load the store only if none comes.
+A store that holds little is loaded at once. If its answer turns out to be large, it
+isn't awaited, and the member list, which is small, is read. In a small fleet each
+daemon then loads the store, as do the first daemons of each failure domain in a large
+one. The others wait for a relay's mirror, and load the store only if none comes.
 """
 
 from collections.abc import Callable
 
-from bronzerelay.load.storepace import find_load_delay_ms, find_turn_ms
+from bronzerelay.load.storepace import (
+    SMALL_STORE_BYTES,
+    find_load_delay_ms,
+    find_turn_ms,
+)
 from bronzerelay.pooler.contacts import Contacts
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.mirror import FIRST_RELAY_CHECK_MS, Mirror
@@ -23,6 +28,7 @@
         mirror: Mirror,
         contacts: Contacts,
         read_members: Callable[[], int],
+        count_members: Callable[[], int],
         log: EventLog,
     ):
         self._runtime = runtime
@@ -31,6 +37,8 @@
         self._contacts = contacts
         # Reads the member list and returns its length; raises StoreError.
         self._read_members = read_members
+        # Returns the length of the list that is known.
+        self._count_members = count_members
         self._log = log
         # When this daemon loads or watches the store if no member informs it.
         self._due_ms: float | None = None
@@ -44,6 +52,9 @@
         Raise StoreError if the member list can't be read.
         """
         if self._due_ms is None:
+            if self._mirror.load_if_small(SMALL_STORE_BYTES):
+                self._is_first = self._count_members() == 0
+                return False
             self._is_first = self._read_members() == 0
             self._set_due()
         if self._is_first or self._clock.now_ms() >= self._due_ms:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,7 +13,12 @@
 from store_client import StoreClient
 
 from bronzerelay.pooler.httpcalls import HttpCallError, HttpClient
-from bronzerelay.pooler.mirror import ConflictError, HistoryLostError, StoreError
+from bronzerelay.pooler.mirror import (
+    ConflictError,
+    HistoryLostError,
+    StoreError,
+    StoreTooLargeError,
+)
 from bronzerelay.pooler.primarychanges import Promotion
 from bronzerelay.runtime import Address
 from standins.kvstore import PAGE_ITEMS, KvStore
@@ -119,6 +124,14 @@
             )
         assert not caught.value.may_have_run
 
+    def test_load_over_its_limit_is_not_awaited(self, runtime, store):
+        """Guards against a whole answer for each of many daemons that start."""
+        client = StoreClient(runtime, store.address)
+        store.put("k", b"x" * 500_000)
+        with pytest.raises(StoreTooLargeError):
+            client.load("", 1000, 100_000)
+        assert len(client.load("", 1000, 1_000_000).items) == 1
+
     def test_call_to_a_silent_store_times_out(self, runtime, store):
         store.silent = True
         started_ms = runtime.clock.now_ms()
--- a/tests/test_storestart.py
+++ b/tests/test_storestart.py
@@ -10,6 +10,7 @@
     PeerMirror,
     StoreError,
     StoreItems,
+    StoreTooLargeError,
 )
 from bronzerelay.pooler.storestart import StoreStart
 from bronzerelay.runtime import Address
@@ -29,10 +30,13 @@
         self.whole_loads = 0
         self.part_loads = 0
         self.fails = False
+        self.is_large = True
 
-    def load(self, prefix, timeout_ms):
+    def load(self, prefix, timeout_ms, max_bytes=0):
         if self.fails:
             raise StoreError("silent")
+        if max_bytes and self.is_large:
+            raise StoreTooLargeError("large")
         self.part_loads += bool(prefix)
         self.whole_loads += not prefix
         found = [item for item in self.items if item.key.startswith(prefix)]
@@ -69,6 +73,7 @@
             self.mirror,
             self.contacts,
             lambda: self.mirror.load_part(PREFIX),
+            lambda: len(self.mirror.list_prefix(PREFIX)),
             make_log(self.runtime),
         )
         self.started_ms = self.clock.now_ms()
@@ -106,6 +111,17 @@
     assert StartHarness(9, size=10).run() == 0
 
 
+def test_a_small_store_is_loaded_at_once_with_one_call():
+    """Guards against more calls or a later start than a small store needs."""
+    harness = StartHarness(50)
+    harness.store.is_large = False
+    assert harness.run() is None
+    assert harness.mirror._loaded_at_ms == harness.started_ms
+    assert (harness.store.whole_loads, harness.store.part_loads) == (1, 0)
+    assert harness.mirror.get("config").data == b"new"
+    assert not harness.mirror._must_load
+
+
 def test_a_daemon_takes_a_members_mirror_in_place_of_a_load():
     """Guards against one answer of the store for each daemon that starts."""
     harness = StartHarness(50)
