Let a holder read nothing from an instance that claims to be the primary

An origin that doesn't know of a primary change yet takes the old primary for the current one and passes a read on. The holder, which knows, took it for a replica and ran the read without its guard: it could have shown commits that are rolled back. Such an instance is left out where candidates are chosen; the holder now checks it too, before and after a read. Found by reading the code; the test fails without the check.

--- a/bronzerelay/pooler/passingserver.py
+++ b/bronzerelay/pooler/passingserver.py
@@ -186,6 +186,8 @@
         outcome = self._executor.run_single(job, target)
         if isinstance(outcome, Refusal):
             return self._reply_refusal(outcome, entry)
+        if not job.writes and self._may_have_diverged(entry):
+            return self._complete(Reply(Outcome.REPLACED), entry)
         return self._reply_answer(outcome[0], entry)
 
     def begin(self, request: Request) -> tuple[Reply, InstanceLink | None]:
@@ -243,9 +245,19 @@
         if not self._executor.is_used_as_primary(
             entry.service, entry.id, target.requirement
         ):
-            return None
+            return _refuse_diverged() if self._may_have_diverged(entry) else None
         return self._guard.check_use(entry.service, entry.id)
 
+    def _may_have_diverged(self, entry: InstanceEntry) -> bool:
+        """Return whether an instance claims to be the primary, and isn't.
+
+        The origin may know less of a primary change and take it for the primary; a read
+        there could see commits that are rolled back.
+        """
+        known = self._directory.instances.get(entry.id, entry)
+        primary = self._directory.find_primary(entry.service)
+        return known.claims_primary and (primary is None or primary.id != entry.id)
+
     def _reply_refusal(self, refusal: Refusal, entry: InstanceEntry) -> Reply:
         """Return the reply to a statement that wasn't sent to the instance."""
         if refusal.code in REPLACED_CODES:
@@ -272,6 +284,11 @@
         return reply
 
 
+def _refuse_diverged() -> Refusal:
+    message = "The instance isn't the primary, though it claims to be."
+    return Refusal(Code.PRIMARY_REPLACED, message, NOT_RUN, NO_PRIMARY_RETRY_MS)
+
+
 class PassedSession:
     """One connection of another daemon, and the transaction that is open on it."""
 
--- a/lab/passingmutations.py
+++ b/lab/passingmutations.py
@@ -77,6 +77,13 @@
         'data, sent_at_ms = b"", None',
         PASSING + "TestTransactions",
     ),
+    Mutation(
+        "a holder reads nothing from an instance that claims to be the primary",
+        POOLER + "passingserver.py",
+        "return known.claims_primary and (primary is None or primary.id != entry.id)",
+        "return False",
+        PASSING + "TestPrimaryGuard",
+    ),
     Mutation(
         "a holder says that it serves a connection before it gets anything",
         POOLER + "passingclient.py",
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -6,7 +6,7 @@
 from bronzerelay.codes import Code
 from bronzerelay.load import linkholders
 from bronzerelay.pooler import passingclient, passingserver
-from bronzerelay.pooler.messages import Answer, Fault, Position, TransactionState
+from bronzerelay.pooler.messages import Answer, Fault, Position, TransactionState, Verb
 from bronzerelay.pooler.passing import (
     Kind,
     Outcome,
@@ -21,7 +21,7 @@
 from bronzerelay.runtime import Clock
 from standins.lineplatform import AGED, OWN, SERVICE, STRICT
 from tests.builders_passing import PRIMARY, PassingFleet
-from tests.builders_pooler import open_session, run_ok
+from tests.builders_pooler import make_primary_record, open_session, run_ok
 
 
 @pytest.fixture
@@ -492,6 +492,40 @@
         monkeypatch.setattr(holder.guard, "proof_age_ms", lambda: LEASE_MS + 1)
         assert writing.result(5).error == "INDOUBT"
 
+    @pytest.mark.parametrize("when", ["before", "meanwhile"])
+    def test_a_read_sees_nothing_of_a_primary_that_was_replaced(
+        self, fleet, daemons, monkeypatch, when
+    ):
+        """Guards against a read that an origin behind on changes sends there."""
+        holder = daemons[0]
+        server = holder._passing_server
+        entry = holder.directory.instances[PRIMARY]
+        record = make_primary_record(9, settled=False, deposed=PRIMARY)
+        run = holder.executor.run_single
+
+        def run_while_replaced(*arguments):
+            outcome = run(*arguments)
+            holder.directory.set_primary_record(record)
+            return outcome
+
+        if when == "before":
+            holder.directory.set_primary_record(record)
+        monkeypatch.setattr(holder.executor, "run_single", run_while_replaced)
+        request = Request(
+            Kind.SINGLE,
+            "q1",
+            "FETCH a",
+            Verb.READ.value,
+            1000,
+            1000,
+            instance=PRIMARY,
+            born_ms=entry.born_ms,
+            workspace="north",
+            floor_term=1,
+        )
+        assert server.run_single(request).outcome == Outcome.REPLACED
+        assert len(fleet.runs) == (0 if when == "before" else 1)
+
     def test_a_planned_change_loses_no_passed_on_write(self, fleet, daemons):
         """Guards against writes that are lost as a primary is replaced."""
         callers = [open_at(fleet, daemon) for daemon in daemons]
