Follow the choice of the longest log in its mutation

The choice has moved to load/successors.py, so the text of the mutation was stale. It takes the shortest log as before, and the same tests catch it.

--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -163,9 +163,9 @@
     ),
     Mutation(
         "the replica that has received most of the log is promoted",
-        POOLER + "primarychanges.py",
-        "return max(candidates, key=lambda pair: pair[1].received, default=None)",
-        "return min(candidates, key=lambda pair: pair[1].received, default=None)",
+        "bronzerelay/load/successors.py",
+        "return max(\n        successors,",
+        "return min(\n        successors,",
         "tests/test_primarychanges.py::TestWhen",
     ),
     Mutation(
