--- a/bronzerelay/pooler/contacts.py
+++ b/bronzerelay/pooler/contacts.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from bronzerelay.load.storepace import find_parent_place
 from bronzerelay.rendezvous import rank
 from bronzerelay.runtime import Address
 
@@ -70,27 +69,6 @@
         """Return this daemon's place in the ranking of its failure domain."""
         return self._orders.get(self._domain, [self._name]).index(self._name)
 
-    def find_parent(self) -> Address | None:
-        """Return the address of the member that hands store updates on to this daemon.
-
-        A relay has none.
-        """
-        parent = find_parent_place(self.find_place())
-        if parent is None:
-            return None
-        return self._peers[self._orders[self._domain][parent]].address
-
-    def find_store_place(self) -> int:
-        """Return this daemon's place among those that call the store at the same time.
-
-        In a full mesh all are equal.
-        """
-        return 0 if self.is_mesh() else self.find_place()
-
-    def count_domain(self) -> int:
-        """Return the number of members of this daemon's failure domain."""
-        return len(self._orders.get(self._domain, [self._name]))
-
     def plan(self, is_silent: Callable[[str], bool], holds_lock: bool) -> Plan:
         """Return the contacts, given which members are silent.
 
--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -1,6 +1,5 @@
 """The pooler daemon: builds and runs its components, and stops gracefully."""
 
-import math
 import os
 import signal
 import sys
@@ -13,7 +12,7 @@
 from bronzerelay.env import ADVISED_SWITCH_INTERVAL_S
 from bronzerelay.load.linkholders import LinkHolders
 from bronzerelay.load.outliers import STEPS, AnswerRecord
-from bronzerelay.pooler.catchup import MIRROR_PATH, CatchUp, answer_query
+from bronzerelay.pooler.catchup import MIRROR_PATH, CatchUp, read_after
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import Directory, PrimaryRecord
@@ -30,7 +29,7 @@
     PageServer,
 )
 from bronzerelay.pooler.links import LinkPool
-from bronzerelay.pooler.members import MEMBER_PREFIX, Members
+from bronzerelay.pooler.members import Members
 from bronzerelay.pooler.messages import LineCodec
 from bronzerelay.pooler.mirror import Item, Mirror, Store
 from bronzerelay.pooler.passingclient import PassingClient
@@ -45,7 +44,6 @@
 from bronzerelay.pooler.primaryguard import PrimaryGuard
 from bronzerelay.pooler.runner import Passing, Runner
 from bronzerelay.pooler.session import CallerSession, Services
-from bronzerelay.pooler.storestart import StoreStart
 from bronzerelay.runtime import (
     Address,
     Connection,
@@ -190,7 +188,6 @@
             self.gossip,
             settings.seeds,
             (settings.admin, settings.peer),
-            self.heartbeats.contacts,
             self.log,
         )
         self.poller = StorePoller(
@@ -199,7 +196,7 @@
             self.mirror,
             min(settings.apply_within_ms, settings.evacuate_within_ms),
             self.heartbeats.find_turn,
-            self._find_store_proof_due_ms,
+            self.guard.store_proof_due_ms,
             self.counters,
             self.log,
         )
@@ -256,19 +253,7 @@
         self.mirror.on_proof = self._add_store_proof
         self.mirror.follows_relay = self.heartbeats.has_relay
         self.mirror.on_change = self._handle_store_change
-        self.mirror.fetch = self.catch_up.fetch_from_relay
-        self.mirror.find_place = self.heartbeats.contacts.find_store_place
-        self.mirror.is_receiving = plugins.store.is_receiving
-        start = StoreStart(
-            runtime,
-            self.mirror,
-            self.heartbeats.contacts,
-            lambda: self.mirror.load_part(MEMBER_PREFIX),
-            lambda: len(self.mirror.list_prefix(MEMBER_PREFIX)),
-            self.log,
-        )
-        self.mirror.before_load = start.prepare_load
-        self.mirror.before_watch = start.prepare_watch
+        self.mirror.fetch = self.catch_up.fetch
         self.guard.on_idle = self.heartbeats.announce_idle
         self._count_bytes()
         self.reload_requested = False
@@ -352,7 +337,7 @@
         if path == self._plugins.ready_path:
             return HttpResponse(200 if self.is_ready() else 503, b"")
         if path == MIRROR_PATH:
-            return answer_query(self.mirror, query)
+            return HttpResponse(200, self.mirror.pack(read_after(query)))
         if path == METRICS_PATH:
             return HttpResponse(200, self.counters.render(self._list_gauges()))
         return HttpResponse(404, b"")
@@ -461,15 +446,6 @@
     def _add_store_proof(self, read_at_ms: float) -> None:
         self.guard.add_store_proof(read_at_ms, self.members.is_listed())
 
-    def _find_store_proof_due_ms(self) -> float:
-        """Return in how long a proof from the store is due.
-
-        Without a configuration nothing is served, and none is.
-        """
-        if self.directory.config is None:
-            return math.inf
-        return self.guard.store_proof_due_ms()
-
     def _handle_store_change(self) -> None:
         # Before others hear that this daemon has the new revision: a removed member
         # must get no more heartbeats from here by then.
--- a/bronzerelay/pooler/freshness.py
+++ b/bronzerelay/pooler/freshness.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from bronzerelay.load.storepace import find_reload_delay_ms
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.mirror import BEHIND_MS, Mirror, Store, StoreError
@@ -115,11 +114,7 @@
         yet.
         """
         end_ms = self._clock.now_ms() + BEHIND_MS + took_ms
-        # The first daemons that load the store pass on what they find.
-        end_ms += find_reload_delay_ms(self._mirror.find_place())
-        while self._mirror.revision < revision and (
-            self._clock.now_ms() < end_ms or self._mirror.is_receiving()
-        ):
+        while self._mirror.revision < revision and self._clock.now_ms() < end_ms:
             if not self._runtime.sleep_ms(MIN_CHECK_MS):
                 return
         if self._mirror.revision >= revision:
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -256,7 +256,7 @@
         also are once all other members have told what they know since the start, and
         one of them has recovered or never restarted.
         """
-        if not self._has_recovered and self._mirror.revision > 0:
+        if not self._has_recovered:
             known_ms = self._clock.now_ms() - self._mirror.store_age_ms()
             since_ms = max(known_ms, self._find_all_told_ms())
             self._has_recovered = since_ms >= self._started_ms
@@ -454,9 +454,6 @@
     def _apply_proof(self, beat: Beat, proven_ms: float) -> None:
         if beat.store_revision <= 0 or not beat.has_all_records:
             return
-        # Before the store's items are known here, a proof would say nothing of them.
-        if self._mirror.revision <= 0:
-            return
         if beat.proof_age_ms is not None:
             self._guard.add_peer_proof(proven_ms - beat.proof_age_ms)
         heard_ms = [view.heard_up_to_ms for view in self._gossip.views.values()]
--- a/bronzerelay/pooler/httpcalls.py
+++ b/bronzerelay/pooler/httpcalls.py
@@ -26,15 +26,7 @@
 # How long an idle connection to a page server stays open, in milliseconds.
 SERVER_IDLE_MS = 15_000
 CONNECT_TIMEOUT_MS = 500
-# The longest time for a response whose bytes keep arriving, in milliseconds.
-MAX_RESPONSE_MS = 20_000
-NEVER_MS = -1e15
-REASONS = {
-    200: "OK",
-    303: "See Other",
-    404: "Not Found",
-    503: "Service Unavailable",
-}
+REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
 
 
 class HttpResponse(NamedTuple):
@@ -52,19 +44,10 @@
         self.may_have_run = may_have_run
 
 
-class BodyTooLargeError(ValueError):
-    """A body is over the limit; the rest of it wasn't awaited."""
-
-
-class ResponseTooLargeError(HttpCallError):
-    """The response's body is over the caller's limit."""
-
-
 class _Collector:
     """Collects one message from httptools' callbacks."""
 
-    def __init__(self, max_bytes: int = MAX_BODY_BYTES):
-        self._max_bytes = max_bytes
+    def __init__(self):
         self.body = bytearray()
         self.url = b""
         self.complete = False
@@ -72,28 +55,15 @@
     def on_url(self, url: bytes) -> None:
         self.url += url
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b"content-length" and value.isdigit():
-            self._check_size(int(value))
-
     def on_body(self, body: bytes) -> None:
         self.body += body
-        self._check_size(len(self.body))
-
-    def _check_size(self, size: int) -> None:
-        if size > self._max_bytes:
-            raise BodyTooLargeError(f"a body is over {self._max_bytes} bytes")
+        if len(self.body) > MAX_BODY_BYTES:
+            raise ValueError(f"a body is over {MAX_BODY_BYTES} bytes")
 
     def on_message_complete(self) -> None:
         self.complete = True
 
 
-def _is_too_large(error: Exception) -> bool:
-    """Return whether a body was over the limit; httptools wraps what it is told."""
-    causes = (error, error.__cause__, error.__context__)
-    return any(isinstance(cause, BodyTooLargeError) for cause in causes)
-
-
 class HttpClient:
     """Calls one server over one connection, which is kept open between calls."""
 
@@ -105,12 +75,6 @@
         self._connection: Connection | None = None
         # Counts the bytes of each call, sent and received.
         self.count_bytes: Callable[[int], None] = lambda count: None
-        # When the newest byte of the response that is under way arrived.
-        self._last_byte_ms = NEVER_MS
-
-    def is_receiving(self, stall_ms: float) -> bool:
-        """Return whether bytes of a response have arrived within `stall_ms`."""
-        return self._clock.now_ms() - self._last_byte_ms <= stall_ms
 
     def call(
         self,
@@ -120,16 +84,9 @@
         timeout_ms: float,
         headers: dict[str, str] | None = None,
         send_by_ms: float = math.inf,
-        stall_ms: float | None = None,
-        max_bytes: int = MAX_BODY_BYTES,
     ) -> HttpResponse:
         """Return the response, or raise HttpCallError within `timeout_ms`.
 
-        A body over `max_bytes` isn't awaited; ResponseTooLargeError is raised then.
-
-        With `stall_ms`, a response whose bytes keep arriving may take longer: the call
-        fails when none has come for that long, or after MAX_RESPONSE_MS.
-
         The request isn't sent after `timeout_ms`, or after `send_by_ms` of the clock,
         for instance because the process was frozen while it connected.
         """
@@ -143,20 +100,13 @@
                 connection.set_timeout(timeout_ms)
                 connection.send(request)
                 self.count_bytes(len(request))
-                answer, keep_alive = self._receive(
-                    connection, deadline_ms, stall_ms, max_bytes
-                )
+                answer, keep_alive = self._receive(connection, deadline_ms)
             except (OSError, ValueError, httptools.HttpParserError) as error:
                 # A late response would be taken for the response to the next call, and
                 # a request that is held up would be executed when nobody expects it.
                 connection.abort()
                 self._connection = None
-                failure = HttpCallError
-                if _is_too_large(error):
-                    failure = ResponseTooLargeError
-                raise failure(f"{self._address}: {error}", True) from None
-            finally:
-                self._last_byte_ms = NEVER_MS
+                raise HttpCallError(f"{self._address}: {error}", True) from None
             if not keep_alive:
                 self._close_connection()
             return answer
@@ -190,15 +140,10 @@
         return head.encode() + b"\r\n" + body
 
     def _receive(
-        self,
-        connection: Connection,
-        deadline_ms: float,
-        stall_ms: float | None,
-        max_bytes: int,
+        self, connection: Connection, deadline_ms: float
     ) -> tuple[HttpResponse, bool]:
-        collector = _Collector(max_bytes)
+        collector = _Collector()
         parser = httptools.HttpResponseParser(collector)
-        last_ms = self._clock.now_ms() + MAX_RESPONSE_MS
         while not collector.complete:
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0:
@@ -209,10 +154,6 @@
                 raise ConnectionLostError("the connection ended before the response")
             self.count_bytes(len(data))
             parser.feed_data(data)
-            self._last_byte_ms = self._clock.now_ms()
-            if stall_ms is not None:
-                late_ms = min(self._last_byte_ms + stall_ms, last_ms)
-                deadline_ms = max(deadline_ms, late_ms)
         answer = HttpResponse(parser.get_status_code(), bytes(collector.body))
         return answer, parser.should_keep_alive()
 
--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -174,8 +174,7 @@
         """Add this daemon to the list, and add it again if removed, until the stop."""
         key = MEMBER_PREFIX + self._own.name
         while not self._runtime.stopping:
-            knows_list = self._mirror.loaded or self._mirror.has_part
-            if knows_list and not self.is_stopping:
+            if self._mirror.loaded and not self.is_stopping:
                 known = self._mirror.get(key)
                 if known is None or known.data != self._own_data:
                     self._put(key, self._own_data, known)
@@ -212,9 +211,6 @@
         return others if changed else None
 
     def _note_removals(self, others: dict[str, Peer], revision: int) -> None:
-        if revision == 0:
-            # Only the list was read so far, and others may not know what it lacks.
-            return
         if self._removal_revision == 0 or self._others.keys() - others.keys():
             self._removal_revision = revision
             self._removal_known_since_ms = None
@@ -271,8 +267,6 @@
 
     def remove_silent(self) -> None:
         """Remove from the list one contact that has been silent for too long."""
-        if self._read_revision == 0:
-            return
         oldest_ms = self._clock.now_ms() - MEMBER_TIMEOUT_MS
         views = {
             name: view
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -12,7 +12,6 @@
 
 import msgspec
 
-from bronzerelay.load.storepace import find_retry_pause_ms
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.runtime import Address, Runtime
 
@@ -38,17 +37,14 @@
 # How long a daemon watches the store itself after a relay failed to give it updates, in
 # milliseconds: a relay's heartbeats may arrive while its link is too slow for a mirror.
 AVOID_RELAY_MS = 5_000
-# The interval of checks for a relay before the first load, in milliseconds.
-FIRST_RELAY_CHECK_MS = 30
 # The zlib level of a mirror for a peer, 1 (fastest) to 9.
 COMPRESSION = 1
 # The largest mirror that is accepted from a peer, in bytes after decompression.
 MAX_MIRROR_BYTES = 64 * 1024 * 1024
 # The most removed keys that are kept, to send a peer the updates since a revision.
 MAX_REMOVED_KEYS = 1_000
-# How long a peer that is on the way to a revision may keep its answer to another, in
-# milliseconds.
-HOLD_MS = 2_500
+# Backoff after failed calls, in milliseconds: short at first, as most outages are.
+RETRY_PAUSES_MS = (100, 200, 400, 700)
 NEVER_MS = -1e15
 
 
@@ -61,15 +57,10 @@
 
 
 class StoreItems(NamedTuple):
-    """All or only updated items of the store, and its revision at that time.
-
-    `calls` and `bytes` say what it took to get them.
-    """
+    """All or only updated items of the store, and its revision at that time."""
 
     items: list[Item]
     revision: int
-    calls: int = 1
-    bytes: int = 0
 
 
 class StoreError(Exception):
@@ -88,18 +79,11 @@
     """A key wasn't at the expected revision; the store was not changed."""
 
 
-class StoreTooLargeError(StoreError):
-    """A load was given up because its answer is over the limit."""
-
-
 class Store(Protocol):
     """The interface to the platform's store, which its adapter implements."""
 
-    def load(self, prefix: str, timeout_ms: float, max_bytes: int = 0) -> StoreItems:
-        """Return all items whose key starts with `prefix`, or raise StoreError.
-
-        Where `max_bytes` is given, raise StoreTooLargeError for a larger answer.
-        """
+    def load(self, prefix: str, timeout_ms: float) -> StoreItems:
+        """Return all items whose key starts with `prefix`, or raise StoreError."""
 
     def watch(self, prefix: str, after: int, wait_ms: float) -> StoreItems:
         """Return the updates after a revision, waiting up to `wait_ms` for one."""
@@ -122,9 +106,6 @@
     def count_bytes_with(self, count: Callable[[int], None]) -> None:
         """Have the bytes of all calls counted, sent and received."""
 
-    def is_receiving(self) -> bool:
-        """Return whether the answer to a load or a watch is arriving now."""
-
 
 # Called with each item that was put or removed.
 HandleItem = Callable[[Item], None]
@@ -177,7 +158,7 @@
         self._relay = RelayRevision(0, None)
         self._avoid_relay_until_ms = 0.0
         # The last mirror encoded for a peer.
-        self._packed = Packed(0, -1, b"")
+        self._packed = Packed(0, 0, b"")
         self._failures = 0
         # All updates of the store up to this time are known here.
         self._current_as_of_ms = NEVER_MS
@@ -191,17 +172,6 @@
         self.follows_relay: Callable[[], bool] = lambda: False
         # Fetches and applies updates from a peer; returns whether that succeeded.
         self.fetch: Callable[[Address], bool] = lambda _: False
-        # Before the first load: waits for this daemon's turn, and returns whether to
-        # load now; if not, it is called again, or a member's mirror was taken.
-        self.before_load: Callable[[], bool] = lambda: True
-        # Before a watch: returns whether to watch now; if not, it is called again.
-        self.before_watch: Callable[[], bool] = lambda: True
-        # Returns this daemon's place among those that call the store.
-        self.find_place: Callable[[], int] = lambda: 0
-        # Whether the answer to a load or a watch is arriving now.
-        self.is_receiving: Callable[[], bool] = lambda: False
-        # Whether a part of the store was read before all of it was loaded.
-        self.has_part = False
         # Called when the mirror has reached a newer revision.
         self.on_change: Callable[[], None] = lambda: None
         # Whether the watch was interrupted on purpose, so that its end is no failure.
@@ -250,7 +220,7 @@
                 self._apply_item(item)
             self.revision = max(self.revision, update.revision)
         if self.revision > before:
-            self._announce_change()
+            self.on_change()
 
     def _apply_item(self, item: Item) -> None:
         known = self._items.get(item.key)
@@ -289,11 +259,6 @@
             self.loaded = True
             # The revisions at which the missing keys were removed aren't known.
             self._removed_from = revision
-        self._announce_change()
-
-    def _announce_change(self) -> None:
-        with self._condition:
-            self._condition.notify_all()
         self.on_change()
 
     # Following the store
@@ -304,11 +269,10 @@
             sent_at_ms = self._clock.now_ms()
             try:
                 if self._must_load:
-                    if self.loaded or self.before_load():
-                        self._load(sent_at_ms)
+                    self._load(sent_at_ms)
                 elif self._should_follow():
                     self._follow()
-                elif self.before_watch():
+                else:
                     self._watch(sent_at_ms)
             except HistoryLostError as error:
                 self._log.write(
@@ -328,52 +292,11 @@
         except StoreError:
             self._must_load = True
             raise
-        self._apply_load(snapshot, sent_at_ms)
-
-    def load_if_small(self, max_bytes: int) -> bool:
-        """Load the store if its answer is small; return whether it is.
-
-        A larger answer isn't awaited. Raise StoreError if there is none.
-        """
-        sent_at_ms = self._clock.now_ms()
-        try:
-            snapshot = self._store.load("", CALL_TIMEOUT_MS, max_bytes)
-        except StoreTooLargeError:
-            return False
-        self._must_load = False
-        self._apply_load(snapshot, sent_at_ms)
-        return True
-
-    def _apply_load(self, snapshot: StoreItems, sent_at_ms: float) -> None:
         self._replace(snapshot.items, snapshot.revision)
         self._loaded_at_ms = self._clock.now_ms()
-        self._log.write(
-            "store",
-            "The store was loaded.",
-            items=len(snapshot.items),
-            calls=snapshot.calls,
-            bytes=snapshot.bytes,
-            took_ms=round(self._loaded_at_ms - sent_at_ms),
-            place=self.find_place(),
-            at=snapshot.revision,
-        )
         self._note_answer(sent_at_ms)
         self._pause_for_batch()
 
-    def load_part(self, prefix: str) -> int:
-        """Read the items under a prefix; return how many there are.
-
-        The rest of the store isn't known as of their revisions, so the mirror's
-        revision stays. Items that are newer than it are kept.
-        """
-        part = self._store.load(prefix, CALL_TIMEOUT_MS)
-        with self._lock:
-            for item in part.items:
-                self._apply_item(item)
-        self.has_part = True
-        self.on_change()
-        return len(part.items)
-
     def _watch(self, sent_at_ms: float) -> None:
         self.is_watching = True
         try:
@@ -409,14 +332,12 @@
         with self._condition:
             if revision > self._relay.revision:
                 self._relay = RelayRevision(revision, address)
-                self._condition.notify_all()
+                self._condition.notify()
 
     def _should_follow(self) -> bool:
-        return not self.avoids_relay() and self.follows_relay()
-
-    def avoids_relay(self) -> bool:
-        """Return whether a relay has failed lately to give this mirror its updates."""
-        return self._clock.now_ms() < self._avoid_relay_until_ms
+        return (
+            self._clock.now_ms() >= self._avoid_relay_until_ms and self.follows_relay()
+        )
 
     def _is_behind_relay(self) -> bool:
         return self._relay.revision > self.revision and self._should_follow()
@@ -441,27 +362,6 @@
             with self._condition:
                 self._relay = RelayRevision(self.revision, None)
 
-    def follow_first(self) -> bool:
-        """Take a relay's mirror in place of the first load; return whether that worked.
-
-        Without a relay, wait a little for one.
-        """
-        if not self._should_follow():
-            self._runtime.sleep_ms(FIRST_RELAY_CHECK_MS)
-            return False
-        self._follow()
-        if not self.loaded:
-            return False
-        self._must_load = False
-        return True
-
-    def wait_for_revision(self, revision: int) -> None:
-        """Wait until this mirror has a revision, at most HOLD_MS."""
-        with self._condition:
-            self._runtime.wait_for(
-                self._condition, lambda: self.revision >= revision, HOLD_MS
-            )
-
     def load_again(self) -> None:
         """Load the store anew, for updates that the watch or a relay has missed.
 
@@ -470,7 +370,7 @@
         with self._condition:
             self._must_load = True
             self._avoid_relay_until_ms = self._clock.now_ms() + AVOID_RELAY_MS
-            self._condition.notify_all()
+            self._condition.notify()
         self._interrupted = True
         self._store.interrupt()
 
@@ -503,13 +403,9 @@
                 age_ms=round(self.store_age_ms()),
                 at=self.revision,
             )
-        pause_ms = find_retry_pause_ms(
-            self._failures,
-            self.find_place(),
-            self._clock.now_ms() - sent_at_ms,
-            self._runtime.random.random(),
-        )
-        self._runtime.sleep_ms(pause_ms)
+        step = min(self._failures, len(RETRY_PAUSES_MS)) - 1
+        jitter = self._runtime.random.uniform(0.7, 1.3)
+        self._runtime.sleep_ms(RETRY_PAUSES_MS[step] * jitter)
 
     # Between daemons
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from bronzerelay.load.storepace import MAX_RELOAD_DELAY_MS, find_reload_delay_ms
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.freshness import (
     POLL_PART,
@@ -147,33 +146,6 @@
         harness.run(FIRST_MS + BEHIND_MS + 100)
         assert harness.store.interrupts == 0
 
-    def test_watch_whose_answer_is_arriving_isnt_interrupted(self):
-        """Guards against a load of each daemon beside the answer that it is getting."""
-        harness = PollerHarness()
-        harness.store.revision = 9
-        harness.mirror.is_receiving = lambda: harness.clock.now_ms() < end_ms
-        end_ms = harness.clock.now_ms() + FIRST_MS + 3 * BEHIND_MS
-        harness.on_sleep = lambda: (
-            harness.clock.now_ms() >= end_ms
-            and harness.mirror._replace([Item("a", b"2", 9)], 9)
-        )
-        harness.run(FIRST_MS + 4 * BEHIND_MS)
-        assert harness.store.interrupts == 0
-        assert harness.mirror.revision == 9
-
-    def test_a_daemon_far_behind_leaves_the_load_to_others(self):
-        """Guards against a load of each daemon for an update that a relay brings."""
-        harness = PollerHarness()
-        harness.store.revision = 9
-        harness.mirror.find_place = lambda: 40
-        times = []
-        harness.store.interrupt = lambda: times.append(harness.clock.now_ms())
-        due_ms = harness.clock.now_ms() + FIRST_MS + BEHIND_MS
-        harness.run(FIRST_MS + BEHIND_MS + MAX_RELOAD_DELAY_MS)
-        assert len(times) == 1
-        assert times[0] - due_ms >= find_reload_delay_ms(40) > 0
-        assert times[0] - due_ms <= MAX_RELOAD_DELAY_MS
-
     def test_daemon_behind_a_relay_that_lags_watches_the_store(self):
         # Guards against following a relay that is behind the store.
         harness = PollerHarness()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,12 +13,7 @@
 from store_client import StoreClient
 
 from bronzerelay.pooler.httpcalls import HttpCallError, HttpClient
-from bronzerelay.pooler.mirror import (
-    ConflictError,
-    HistoryLostError,
-    StoreError,
-    StoreTooLargeError,
-)
+from bronzerelay.pooler.mirror import ConflictError, HistoryLostError, StoreError
 from bronzerelay.pooler.primarychanges import Promotion
 from bronzerelay.runtime import Address
 from standins.kvstore import PAGE_ITEMS, KvStore
@@ -124,14 +119,6 @@
             )
         assert not caught.value.may_have_run
 
-    def test_load_over_its_limit_is_not_awaited(self, runtime, store):
-        """Guards against a whole answer for each of many daemons that start."""
-        client = StoreClient(runtime, store.address)
-        store.put("k", b"x" * 500_000)
-        with pytest.raises(StoreTooLargeError):
-            client.load("", 1000, 100_000)
-        assert len(client.load("", 1000, 1_000_000).items) == 1
-
     def test_call_to_a_silent_store_times_out(self, runtime, store):
         store.silent = True
         started_ms = runtime.clock.now_ms()
@@ -149,54 +136,6 @@
         assert not caught.value.may_have_run
 
 
-class SlowServer:
-    """Sends the parts of one response with a pause before each, then stalls."""
-
-    def __init__(self, runtime, parts, pause_ms):
-        self._runtime = runtime
-        self._parts = parts
-        self._pause_ms = pause_ms
-        self._listener = runtime.listen(Address(LOCAL, 0))
-        self.address = self._listener.address
-        runtime.start(self._serve)
-
-    def _serve(self):
-        connection = self._listener.accept()
-        connection.receive()
-        size = sum(map(len, self._parts))
-        connection.send(f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n".encode())
-        for part in self._parts:
-            self._runtime.sleep_ms(self._pause_ms)
-            if part is STALL:
-                self._runtime.sleep_ms(3_000)
-            connection.send(part)
-
-
-STALL = b"stall"
-
-
-class TestSlowResponses:
-    def test_response_whose_bytes_keep_arriving_is_not_given_up(self, runtime):
-        """Guards against a call begun anew at a full link, which then never empties."""
-        server = SlowServer(runtime, [b"x"] * 12, 60)
-        client = HttpClient(runtime, server.address)
-        assert client.call("GET", "/", b"", 200, stall_ms=400).body == b"x" * 12
-        assert not client.is_receiving(10_000)
-
-    def test_response_that_stalls_is_given_up(self, runtime):
-        server = SlowServer(runtime, [b"x", b"x", STALL], 20)
-        client = HttpClient(runtime, server.address)
-        started_ms = runtime.clock.now_ms()
-        with pytest.raises(HttpCallError):
-            client.call("GET", "/", b"", 200, stall_ms=300)
-        assert runtime.clock.now_ms() - started_ms < 2_500
-
-    def test_response_without_a_stall_limit_has_to_be_whole_in_time(self, runtime):
-        server = SlowServer(runtime, [b"x"] * 40, 60)
-        with pytest.raises(HttpCallError):
-            HttpClient(runtime, server.address).call("GET", "/", b"", 200)
-
-
 class TestFailoverCall:
     def test_outcomes(self):
         fleet = PoolerFleet()
