Take no log sample of the primary from an answer to a request before its change

A read that was sent to a replica could be answered after the replica had become the primary. Its position then counted as the primary's log as of the time of sending, though the replica lacked commits then, and a read with that floor could miss them. Found by review; statements that are passed on widen the window. The test fails on the code before.

--- a/bronzerelay/pooler/placement.py
+++ b/bronzerelay/pooler/placement.py
@@ -237,8 +237,12 @@
         view.position = position
         view.position_at_ms = sent_at_ms
         primary = self._directory.find_primary(entry.service)
-        if primary is not None and primary.id == entry.id:
-            self.positions_of(entry.service).add_own_sample(sent_at_ms, position)
+        positions = self.positions_of(entry.service)
+        # An answer to a request from before the last primary change may be that of a
+        # replica, which lacked commits at that time.
+        was_primary = sent_at_ms >= positions.reset_at_ms
+        if was_primary and primary is not None and primary.id == entry.id:
+            positions.add_own_sample(sent_at_ms, position)
 
     # Choosing
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -174,6 +174,21 @@
         assert reported == [(FIRST, step) for step in range(4)]
 
 
+class TestLogSamples:
+    def test_an_answer_from_before_a_change_is_no_sample_of_the_primary(
+        self, placement, clock
+    ):
+        """Guards against reads that lack commits, as a replica's log counts for all."""
+        entry = placement._directory.instances[PRIMARY]
+        sent_at_ms = clock.now_ms()
+        clock.sleep_ms(10)
+        placement.begin_primary(SERVICE, PRIMARY)
+        placement.record_position(entry, Position(1, 5), sent_at_ms)
+        assert placement.positions_of(SERVICE).newest() is None
+        placement.record_position(entry, Position(1, 6), clock.now_ms())
+        assert placement.positions_of(SERVICE).newest().position == Position(1, 6)
+
+
 class TestNearness:
     requirement = ReadRequirement(Position(1, 5), False)
 
