Mend what the review of link holders found

Four faults, each with a test that fails on the code before: - With all slots of an instance taken a holder ran the statement and then failed to tell the wait for a slot (the queue's fields were renamed in a merge), so that the connection ended without an answer: writes were in doubt, and an opened transaction kept its link for good. - A BEGIN without an answer was sent again, with its first statement, which could so run in two transactions. It is lost now. - A holder that doesn't get an answer from an instance refused the statements of all others, and their reports could make a healthy primary look dead. Origins go direct now, and avoid the holder for that instance for a while. - The reply to a rollback counted as an answer of the instance and erased the failures of a dead primary. Also: a call counts as in progress until its reply is sent.

--- a/bronzerelay/pooler/passingclient.py
+++ b/bronzerelay/pooler/passingclient.py
@@ -19,6 +19,7 @@
     encode_frame,
 )
 from bronzerelay.pooler.placement import Placement
+from bronzerelay.pooler.refusals import refuse_lost_transaction
 from bronzerelay.runtime import Address, Clock, Connection, Runtime
 
 # How long connecting to a holder, and its first frame, may take, in milliseconds. A
@@ -164,6 +165,10 @@
             link = PassedLink(connection, entry)
             link.sent, link.sent_at_ms = job, sent_at_ms
             return link
+        if isinstance(outcome, Answer) and not connection.usable:
+            # The holder may still run the statement, and then rolls it back. If it were
+            # sent again, it could run in two transactions.
+            return refuse_lost_transaction(outcome.detail)
         self._skip_reply(connection)
         self._release(connection)
         return outcome
@@ -210,7 +215,10 @@
         if link.usable and link.in_transaction:
             deadline_ms = self._clock.now_ms() + timeout_ms
             data = encode_frame(Request(Kind.ROLLBACK, left_ms=round(timeout_ms)))
-            self._exchange(link.connection, data, link.entry, deadline_ms)
+            # The reply tells nothing of the instance, which may not have been asked.
+            call = self._holders.begin_call(link.connection.holder)
+            reply = self._call(link.connection, data, deadline_ms, None)
+            self._holders.end_call(call, isinstance(reply, Reply))
         self._release(link.connection)
 
     def _exchange(
@@ -309,6 +317,8 @@
             if reply.is_silent:
                 self._placement.record_fault(entry, answer.fault or Fault.LOST)
                 self._placement.record_failure(entry, sent_at_ms)
+                # The instance may be reachable from here and not from the holder.
+                self._avoid(holder, entry.id, "the instance gave it no answer")
             else:
                 self._record_answer(entry, answer, sent_at_ms, objective_ms)
             return answer
--- a/bronzerelay/pooler/passingserver.py
+++ b/bronzerelay/pooler/passingserver.py
@@ -44,7 +44,7 @@
 # Refusals after which the origin is told to try again: the primary is being replaced.
 REPLACED_CODES = (Code.PRIMARY_REPLACED,)
 # Refusals that come from what this daemon lacks, so that the origin goes direct.
-LACKING_CODES = (Code.NO_PRIMARY, Code.ISOLATED)
+LACKING_CODES = (Code.NO_PRIMARY, Code.ISOLATED, Code.ENDPOINT_UNREACHABLE)
 
 
 class PassingServer:
@@ -234,7 +234,10 @@
         return Target((entry.id,), requirement, Choice(Way.SERVED))
 
     def _check(self, entry: InstanceEntry, target: Target) -> Refusal | None:
-        """Return why a statement isn't even queued: it could only be refused later."""
+        """Return why a statement isn't even queued: it could only be refused later.
+
+        An instance that doesn't respond to this daemon may respond to the origin.
+        """
         if self._executor.is_unresponsive(entry.id):
             return Refusal(
                 Code.ENDPOINT_UNREACHABLE,
@@ -312,9 +315,8 @@
         while reader.has_data() or self._wait(ended):
             request = reader.read(clock.now_ms() + FRAME_TIMEOUT_MS)
             self._in_call = True
-            reply = self._answer(request)
+            self._send(self._answer(request))
             self._in_call = False
-            self._send(reply)
 
     def _wait(self, ended: Signal) -> bool:
         idle_ms = IDLE_MS if self._link is None else self._server.find_rest_ms()
--- a/bronzerelay/slots.py
+++ b/bronzerelay/slots.py
@@ -540,7 +540,8 @@
                 return 0.0
             waiting = sum(
                 len(subqueue.waiters)
-                for queue in self._queues.values()
+                for ring in self._rings.values()
+                for queue in ring.queues.values()
                 for selector, subqueue in queue.subqueues.items()
                 if endpoint in selector
             )
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -249,6 +249,17 @@
         assert caller.query("STORE b 1").error == "ABORTED"
         assert fleet.primary.log == []
 
+    def test_a_begin_without_an_answer_isnt_sent_again(
+        self, fleet, daemons, monkeypatch
+    ):
+        """Guards against a first statement that runs in two transactions."""
+        caller = open_at(fleet, daemons[1])
+        run_ok(caller, "STORE a 1")
+        cut_before_reply(monkeypatch)
+        run_ok(caller, "BEGIN")
+        assert caller.query("STORE a 2").error == "ABORTED"
+        assert fleet.runs.count("STORE a 2") <= 1
+
     def test_a_commit_whose_holder_ends_is_in_doubt(self, fleet, daemons, monkeypatch):
         """Guards against a commit that is said not to have run, and did."""
         caller = open_at(fleet, daemons[1])
@@ -449,6 +460,40 @@
         assert set(daemons[1].placement.list_silent()) == {PRIMARY}
         fleet.primary.silent = False
 
+    def test_an_answer_is_returned_while_all_slots_are_taken(self, fleet, daemons):
+        """Guards against an answer that is lost as the wait for a slot is told."""
+        queue = daemons[0].executor.queue_of(SERVICE)
+        slots = queue._slots[PRIMARY]
+        for _ in range(slots - 1):
+            queue.acquire_endpoint("north", (PRIMARY,), queue._clock.now_ms() + 1_000)
+        caller = open_at(fleet, daemons[1])
+        answers = [run_ok(caller, f"STORE a {number}") for number in range(3)]
+        assert len(answers) == len(fleet.runs) == 3
+        assert count_passes(daemons[1], "answered") == 3
+        queue.acquire_endpoint("north", (PRIMARY,), queue._clock.now_ms() + 1_000)
+        assert queue.estimate_endpoint_wait(PRIMARY) > 0
+
+    def test_an_instance_that_only_the_holder_finds_silent_is_asked_directly(
+        self, fleet, daemons, monkeypatch
+    ):
+        """Guards against a healthy primary that a cut-off holder hides from all."""
+        caller = open_at(fleet, daemons[1])
+        run_ok(caller, "STORE a 1")
+        executor = daemons[0].executor
+        monkeypatch.setattr(executor, "is_unresponsive", lambda instance_id: True)
+        run_ok(caller, "STORE a 2")
+        assert daemons[1].pool.opened > 0
+
+    def test_a_rollback_says_nothing_of_the_instance(self, fleet, daemons):
+        """Guards against a dead primary whose failures are forgotten."""
+        caller = open_at(fleet, daemons[1])
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        view = daemons[1].placement.view_of(PRIMARY)
+        view.failures = 1
+        run_ok(caller, "ROLLBACK")
+        assert view.failures == 1
+
     def test_reads_pass_on_to_another_replica_when_one_is_full(
         self, fleet, daemons, monkeypatch
     ):
