--- a/lab/passingmutations.py
+++ b/lab/passingmutations.py
@@ -133,4 +133,25 @@
         "if True:",
         PASSING + "TestInstanceFails",
     ),
+    Mutation(
+        "a transaction whose opening got no answer isn't opened again",
+        POOLER + "passingclient.py",
+        "if isinstance(outcome, Answer) and not connection.usable:",
+        "if False:",
+        "tests/test_passing.py::TestTransactions",
+    ),
+    Mutation(
+        "an origin goes direct where only its holder finds an instance silent",
+        POOLER + "passingserver.py",
+        "(Code.NO_PRIMARY, Code.ISOLATED, Code.ENDPOINT_UNREACHABLE)",
+        "(Code.NO_PRIMARY, Code.ISOLATED)",
+        "tests/test_passing.py::TestInstanceFails",
+    ),
+    Mutation(
+        "an answer from before a primary change is no sample of the new primary",
+        POOLER + "placement.py",
+        "was_primary = sent_at_ms >= positions.reset_at_ms",
+        "was_primary = True",
+        "tests/test_placement.py::TestLogSamples",
+    ),
 )
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -265,7 +265,7 @@
     Mutation(
         "a burst at one daemon may use the tokens that are left",
         POOLER + "fleetrates.py",
-        "if self._covers_others(bucket, is_over_rate, now_ms):",
+        "if has_reserve and self._covers_others(bucket, is_over_rate, now_ms):",
         "if False:",
         "tests/test_fleetrates.py::TestBurst",
     ),
@@ -782,7 +782,7 @@
     ),
     Mutation(
         "the time of an error doesn't count as an instance's answer time",
-        POOLER + "runner.py",
+        POOLER + "execution.py",
         "self._placement.record_error(entry, answer.fault)",
         "self._placement.record_answer(entry, took_ms)",
         PATH + "TestFailingInstances",
