Give the first statement of a passed-on transaction the time that opening left

It is sent along with BEGIN, and its time counted from when the holder came to it: the holder could work on it after its origin had given up, which then avoided the holder for an instance that was slow. The test fails on the code before.

--- a/bronzerelay/pooler/passingserver.py
+++ b/bronzerelay/pooler/passingserver.py
@@ -312,8 +312,14 @@
         clock = self._server._clock
         reader = FrameReader(self._connection, clock, Request)
         self._send(Reply())
+        arrived_ms = clock.now_ms()
         while reader.has_data() or self._wait(ended):
+            if not reader.has_data():
+                arrived_ms = clock.now_ms()
             request = reader.read(clock.now_ms() + FRAME_TIMEOUT_MS)
+            # A statement that came along with BEGIN has waited for it.
+            waited_ms = int(clock.now_ms() - arrived_ms)
+            request.left_ms = max(0, request.left_ms - waited_ms)
             self._in_call = True
             self._send(self._answer(request))
             self._in_call = False
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -249,6 +249,28 @@
         assert caller.query("STORE b 1").error == "ABORTED"
         assert fleet.primary.log == []
 
+    def test_the_first_statement_has_the_time_that_opening_left(
+        self, fleet, daemons, monkeypatch
+    ):
+        """Guards against work for a caller that the origin has given up."""
+        server = daemons[0]._passing_server
+        begin, make_job, left_ms = server.begin, server.make_job, []
+
+        def begin_slowly(request):
+            fleet.runtime.clock.sleep_ms(100)
+            return begin(request)
+
+        def record_left(request, service, workspace):
+            left_ms.append(request.left_ms)
+            return make_job(request, service, workspace)
+
+        monkeypatch.setattr(server, "begin", begin_slowly)
+        monkeypatch.setattr(server, "make_job", record_left)
+        caller = open_at(fleet, daemons[1])
+        run_ok(caller, "BEGIN")
+        run_ok(caller, "STORE a 1")
+        assert left_ms[1] <= left_ms[0] - 100
+
     def test_a_begin_without_an_answer_isnt_sent_again(
         self, fleet, daemons, monkeypatch
     ):
