--- a/review/1/stop_busy_sessions.py
+++ b/review/1/stop_busy_sessions.py
@@ -102,9 +102,7 @@
         and term_s <= attempt.sent_s <= term_s + GRACE_S + 1
         and attempt.ended_s - attempt.sent_s < ROUTE_TIMEOUT_S
         and attempt.ended_s < term_s + GRACE_S * 5 / 6
-        and (
-            attempt.request in ran or attempt.ended_s - attempt.sent_s > LOSS_SLACK_S
-        )
+        and (attempt.request in ran or attempt.ended_s - attempt.sent_s > LOSS_SLACK_S)
     ]
 
 
