--- a/review/1/stop_busy_sessions.py
+++ b/review/1/stop_busy_sessions.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from review.deployment import GRACE_S, Consumer, Deployment, Record, now_s
+
 from standins.lineplatform import NORTH, OWN
 
 SESSIONS = 8
--- a/review/2/unreadable_entry.py
+++ b/review/2/unreadable_entry.py
@@ -20,9 +20,10 @@
     Record,
     now_s,
 )
+
 from standins.lineplatform import AGED, NORTH, SOUTH
 
-# The entry of another writer: nested text that breaks off, 12 KB; the store takes 1 MiB.
+# The entry of another writer: nested text that breaks off. The store takes 1 MiB.
 LEVELS = 2000
 ENTRY = b'{"labels":' * LEVELS
 REQUEST_TIMEOUT_S = 2.0
--- a/review/3/renamed_tenant.py
+++ b/review/3/renamed_tenant.py
@@ -1,7 +1,8 @@
 """A version gives a key to another tenant while a transaction of it is open.
 
-The check is the rule UNASKED: an instance runs no request whose tenant isn't the one that
-holds the consumer's key, here later than `config_apply_ms` after the acknowledgement.
+The check is the rule UNASKED: an instance runs no request whose tenant isn't the one
+that holds the consumer's key, here later than `config_apply_ms` after the
+acknowledgement.
 """
 
 import os
@@ -18,6 +19,7 @@
     Record,
     now_s,
 )
+
 from standins.lineplatform import NORTH, OWN
 
 KEY = NORTH.keys[0]
