--- /dev/null
+++ b/review/4/read_own_commit.py
@@ -0,0 +1,271 @@
+"""Primaries are replaced one after the other while replicas apply commits late.
+
+At each change another daemon is frozen for a third of a second. The check is the rule
+STALE for `read_your_writes`: a read sees each commit that was acknowledged to its
+session before, unless a promotion has rolled the commit back.
+"""
+
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from review.deployment import Consumer, Daemon, Deployment, Record, now_s
+from standins.lineplatform import AGED, NORTH, OWN, STRICT, LinePlatform, make_route
+
+DAEMONS = [f"vm-{number}" for number in range(1, 9)]
+SESSIONS = 64
+# How late replicas apply a commit: 60 ms, and 13 times as late while they fall behind.
+USUAL_LAG_MS = 60.0
+LAG_MS = 800.0
+PROMOTE_S = 0.3
+# How long after the new primary is recorded the frozen daemon wakes.
+THAW_S = 0.015
+MAX_STALENESS_MS = 2500
+RUN_S = 95.0
+# A session writes, reads the item some times a little later, and then rests.
+READ_AFTER_S = 0.4
+READ_UNTIL_S = 1.0
+READ_PAUSE_S = (0.05, 0.09)
+REST_S = (2.0, 4.0)
+REQUEST_TIMEOUT_S = 2.0
+DRAIN_S = 1.2
+BETWEEN_S = 0.8
+CHANGE_WAIT_S = 6.0
+LEAD_PREFIX = "bronzerelay/leads/"
+
+
+class Stale(NamedTuple):
+    """A read that lacks a commit of its own session."""
+
+    request: str
+    daemon: str
+    item: str
+    commit: str
+    position: str
+    after_s: float
+
+
+class Changes:
+    """Carries promotions out, and freezes a daemon meanwhile."""
+
+    def __init__(self, deployment: Deployment, record: Record, trouble: bool):
+        self._deployment = deployment
+        self._platform: LinePlatform = deployment.platform
+        self._record = record
+        self._trouble = trouble
+        self._frozen: Daemon | None = None
+        self._lock = threading.Lock()
+        self._promote_now = self._platform.group.promote
+        self._apply_now = self._platform.store._apply
+        # The stand-in calls these through its own attributes.
+        setattr(self._platform.group, "promote", self.promote)  # noqa: B010
+        setattr(self._platform.store, "_apply", self.apply)  # noqa: B010
+
+    def promote(self, name: str, holder: str, epoch: int) -> bool:
+        """Promote an instance after the usual time."""
+        if name not in self._platform.group.instances:
+            return False
+        self._record.write("promote", instance=name, holder=holder, epoch=epoch)
+        if self._trouble:
+            self._freeze(holder, epoch)
+        threading.Thread(
+            target=self._finish, args=(name, holder, epoch), daemon=True
+        ).start()
+        return True
+
+    def _finish(self, name: str, holder: str, epoch: int) -> None:
+        time.sleep(PROMOTE_S)
+        self._promote_now(name, holder, epoch)
+        for instance in self._platform.group.instances.values():
+            self._platform.register(instance)
+
+    def _freeze(self, holder: str, epoch: int) -> None:
+        with self._lock:
+            if self._frozen is not None:
+                return
+            others = [one for one in self._deployment.daemons if one.name != holder]
+            self._frozen = others[epoch % len(others)]
+            self._frozen.send_signal(signal.SIGSTOP)
+        self._record.write("freeze", daemon=self._frozen.name)
+
+    def apply(self, puts: dict[str, bytes], removed: list[str]) -> int:
+        """Apply a change of the store; a settled primary change ends a freeze."""
+        revision = self._apply_now(puts, removed)
+        for key, data in puts.items():
+            if key.startswith(LEAD_PREFIX) and json.loads(data)[5]:
+                threading.Thread(target=self.thaw, daemon=True).start()
+        return revision
+
+    def thaw(self) -> None:
+        """Wake the frozen daemon."""
+        time.sleep(THAW_S)
+        with self._lock:
+            frozen, self._frozen = self._frozen, None
+            if frozen is not None:
+                frozen.send_signal(signal.SIGCONT)
+                self._record.write("thaw", daemon=frozen.name)
+
+
+class Sessions:
+    """Consumers that write an item and read it again."""
+
+    def __init__(self, deployment: Deployment, record: Record):
+        self._deployment = deployment
+        self._record = record
+        self._lock = threading.Lock()
+        self.stopped = threading.Event()
+        self.stale: list[Stale] = []
+        self.writes = 0
+        self.reads = 0
+
+    def run(self, number: int) -> None:
+        """Write and read until the end; connect again after an error."""
+        daemons = self._deployment.daemons
+        daemon = daemons[number % len(daemons)]
+        round_number = 0
+        while not self.stopped.is_set():
+            try:
+                consumer = Consumer(daemon.frontend, OWN, NORTH.keys[0])
+                while not self.stopped.is_set():
+                    round_number += 1
+                    self._run_round(consumer, daemon, f"s{number}r{round_number}")
+                    time.sleep(random.uniform(*REST_S))
+            except OSError as error:
+                self._write("error", session=number, error=error)
+                time.sleep(0.1)
+
+    def _run_round(self, consumer: Consumer, daemon: Daemon, item: str) -> None:
+        lines = consumer.query(f"{item}w", f"STORE {item} new", REQUEST_TIMEOUT_S)
+        if not lines[0].startswith("COMPLETE"):
+            return
+        acked_s = now_s()
+        commit = lines[-1].split()[2]
+        self._write("committed", item=item, daemon=daemon.name, position=commit)
+        with self._lock:
+            self.writes += 1
+        count = 0
+        time.sleep(READ_AFTER_S)
+        while now_s() < acked_s + READ_UNTIL_S and not self.stopped.is_set():
+            time.sleep(random.uniform(*READ_PAUSE_S))
+            count += 1
+            request = f"{item}f{count}"
+            sent_s = now_s()
+            lines = consumer.query(request, f"FETCH {item}", REQUEST_TIMEOUT_S)
+            if not lines[0].startswith("DATAROW"):
+                continue
+            with self._lock:
+                self.reads += 1
+            if lines[0] != "DATAROW new" and self._is_kept(item):
+                position = lines[-1].split()[2]
+                after_s = round(sent_s - acked_s, 3)
+                found = Stale(request, daemon.name, item, commit, position, after_s)
+                self._write("STALE", **found._asdict(), lines=lines)
+                with self._lock:
+                    self.stale.append(found)
+
+    def _is_kept(self, item: str) -> bool:
+        """Return whether the primary's log has the commit of an item."""
+        group = self._deployment.platform.group
+        with group.condition:
+            return any(
+                (item, "new") in commit.changes
+                for instance in group.instances.values()
+                if instance.is_primary
+                for commit in instance.log
+            )
+
+    def _write(self, event: str, **fields: Any) -> None:
+        with self._lock:
+            self._record.write(event, **fields)
+
+
+def replace_primary(platform: LinePlatform, record: Record) -> bool:
+    """Drain the primary until another one leads; return whether that happened."""
+    group = platform.group
+    primary = next(one for one in group.instances.values() if one.is_primary)
+    primary.leaving = True
+    platform.register(primary)
+    record.write("draining", instance=primary.name)
+    end_s = now_s() + CHANGE_WAIT_S
+    while primary.is_primary and now_s() < end_s:
+        time.sleep(0.02)
+    replaced = not primary.is_primary
+    time.sleep(DRAIN_S)
+    # The instance that takes its place has its log.
+    primary.leaving = False
+    platform.register(primary)
+    return replaced
+
+
+def run(deployment: Deployment, record: Record, trouble: bool) -> int:
+    """Return the exit code of the case."""
+    platform = deployment.platform
+    platform.group.lag_ms = LAG_MS if trouble else USUAL_LAG_MS
+    platform.routes = [
+        make_route(STRICT, "primary"),
+        make_route(AGED, "bounded_staleness"),
+        make_route(OWN, "read_your_writes", max_staleness_ms=MAX_STALENESS_MS),
+    ]
+    platform.tenants = [NORTH._replace(rate=1000.0, burst=1000.0)]
+    platform.configure()
+    changes = Changes(deployment, record, trouble)
+    if not deployment.start():
+        return 2
+    sessions = Sessions(deployment, record)
+    threads = [
+        threading.Thread(target=sessions.run, args=(number,), daemon=True)
+        for number in range(SESSIONS)
+    ]
+    for thread in threads:
+        thread.start()
+    end_s = now_s() + RUN_S
+    replaced = 0
+    while now_s() < end_s:
+        time.sleep(BETWEEN_S)
+        replaced += replace_primary(platform, record)
+    sessions.stopped.set()
+    time.sleep(0.5)
+    changes.thaw()
+    for one in platform.group.runs:
+        record.write("ran", request=one.statement_id, instance=one.instance)
+    stale = len(sessions.stale)
+    record.write(
+        "result",
+        primaries_replaced=replaced,
+        writes=sessions.writes,
+        reads=sessions.reads,
+        stale=stale,
+    )
+    sys.stdout.write(
+        f"primaries replaced {replaced}, writes {sessions.writes}, "
+        f"reads {sessions.reads}, stale {stale}\n"
+    )
+    if not sessions.reads or not replaced:
+        return 2
+    return 1 if stale else 0
+
+
+def main() -> None:
+    """Run the case."""
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(Path(__file__).resolve().parent / "record.txt")
+    with tempfile.TemporaryDirectory(prefix="review-") as folder:
+        deployment = Deployment(Path(folder), DAEMONS)
+        code = 2
+        try:
+            code = run(deployment, record, trouble)
+        finally:
+            deployment.close()
+            record.close()
+    os._exit(code)
+
+
+if __name__ == "__main__":
+    main()
