--- a/review/4/read_own_commit.py
+++ b/review/2/read_own_commit.py
@@ -17,26 +17,44 @@
 from typing import Any, NamedTuple
 
 from review.deployment import Consumer, Daemon, Deployment, Record, now_s
-from standins.lineplatform import AGED, NORTH, OWN, STRICT, LinePlatform, make_route
+
+from bronzerelay.rendezvous import rank
+from standins.lineplatform import (
+    AGED,
+    NORTH,
+    OWN,
+    SERVICE,
+    STRICT,
+    LinePlatform,
+    make_route,
+)
 
 DAEMONS = [f"vm-{number}" for number in range(1, 9)]
-SESSIONS = 64
+# Consumers at each daemon that only write, and such that also read what they wrote. The
+# daemon that is frozen has few.
+WRITERS = 3
+READERS = 2
+WRITERS_AT_FROZEN = 2
 # How late replicas apply a commit: 60 ms, and 13 times as late while they fall behind.
 USUAL_LAG_MS = 60.0
 LAG_MS = 800.0
 PROMOTE_S = 0.3
 # How long after the new primary is recorded the frozen daemon wakes.
-THAW_S = 0.015
+THAW_S = (0.01, 0.05)
 MAX_STALENESS_MS = 2500
-RUN_S = 95.0
-# A session writes, reads the item some times a little later, and then rests.
-READ_AFTER_S = 0.4
-READ_UNTIL_S = 1.0
-READ_PAUSE_S = (0.05, 0.09)
-REST_S = (2.0, 4.0)
+RUN_S = 45.0
+# In each round a session writes an item at any time of this span, and reads it again
+# some times, until a replica that falls behind has applied it.
+WRITE_WITHIN_S = 0.35
+READERS_WRITE_FROM_S = 0.1
+READ_FROM_S = 0.74
+READ_UNTIL_S = 0.85
+READ_PAUSE_S = 0.03
 REQUEST_TIMEOUT_S = 2.0
 DRAIN_S = 1.2
-BETWEEN_S = 0.8
+BETWEEN_S = 0.6
+# The primary begins to drain this long after a round has begun.
+DRAIN_AFTER_S = 0.1
 CHANGE_WAIT_S = 6.0
 LEAD_PREFIX = "bronzerelay/leads/"
 
@@ -74,7 +92,7 @@
             return False
         self._record.write("promote", instance=name, holder=holder, epoch=epoch)
         if self._trouble:
-            self._freeze(holder, epoch)
+            self._freeze(holder)
         threading.Thread(
             target=self._finish, args=(name, holder, epoch), daemon=True
         ).start()
@@ -86,12 +104,15 @@
         for instance in self._platform.group.instances.values():
             self._platform.register(instance)
 
-    def _freeze(self, holder: str, epoch: int) -> None:
+    def _freeze(self, holder: str) -> None:
         with self._lock:
             if self._frozen is not None:
                 return
-            others = [one for one in self._deployment.daemons if one.name != holder]
-            self._frozen = others[epoch % len(others)]
+            name = find_frozen()
+            if name == holder:
+                return
+            daemons = self._deployment.daemons
+            self._frozen = next(one for one in daemons if one.name == name)
             self._frozen.send_signal(signal.SIGSTOP)
         self._record.write("freeze", daemon=self._frozen.name)
 
@@ -105,7 +126,7 @@
 
     def thaw(self) -> None:
         """Wake the frozen daemon."""
-        time.sleep(THAW_S)
+        time.sleep(random.uniform(*THAW_S))
         with self._lock:
             frozen, self._frozen = self._frozen, None
             if frozen is not None:
@@ -120,28 +141,47 @@
         self._deployment = deployment
         self._record = record
         self._lock = threading.Lock()
+        self._round = threading.Condition()
+        self._rounds = 0
         self.stopped = threading.Event()
         self.stale: list[Stale] = []
         self.writes = 0
         self.reads = 0
 
-    def run(self, number: int) -> None:
-        """Write and read until the end; connect again after an error."""
-        daemons = self._deployment.daemons
-        daemon = daemons[number % len(daemons)]
+    def begin_round(self) -> None:
+        """Let each session write and read an item."""
+        with self._round:
+            self._rounds += 1
+            self._round.notify_all()
+
+    def _wait_for_round(self, last: int) -> int:
+        with self._round:
+            self._round.wait_for(lambda: self._rounds > last, 1.0)
+            return self._rounds
+
+    def run(self, number: int, daemon: Daemon, reads: bool) -> None:
+        """Write and read in each round until the end; connect again after an error."""
         round_number = 0
         while not self.stopped.is_set():
             try:
                 consumer = Consumer(daemon.frontend, OWN, NORTH.keys[0])
                 while not self.stopped.is_set():
-                    round_number += 1
-                    self._run_round(consumer, daemon, f"s{number}r{round_number}")
-                    time.sleep(random.uniform(*REST_S))
+                    last, round_number = (
+                        round_number,
+                        self._wait_for_round(round_number),
+                    )
+                    if round_number > last:
+                        from_s = READERS_WRITE_FROM_S if reads else 0.0
+                        time.sleep(random.uniform(from_s, WRITE_WITHIN_S))
+                        item = f"s{number}r{round_number}"
+                        self._run_round(consumer, daemon, item, reads)
             except OSError as error:
                 self._write("error", session=number, error=error)
                 time.sleep(0.1)
 
-    def _run_round(self, consumer: Consumer, daemon: Daemon, item: str) -> None:
+    def _run_round(
+        self, consumer: Consumer, daemon: Daemon, item: str, reads: bool
+    ) -> None:
         lines = consumer.query(f"{item}w", f"STORE {item} new", REQUEST_TIMEOUT_S)
         if not lines[0].startswith("COMPLETE"):
             return
@@ -150,10 +190,12 @@
         self._write("committed", item=item, daemon=daemon.name, position=commit)
         with self._lock:
             self.writes += 1
+        if not reads:
+            return
         count = 0
-        time.sleep(READ_AFTER_S)
+        time.sleep(READ_FROM_S)
         while now_s() < acked_s + READ_UNTIL_S and not self.stopped.is_set():
-            time.sleep(random.uniform(*READ_PAUSE_S))
+            time.sleep(READ_PAUSE_S)
             count += 1
             request = f"{item}f{count}"
             sent_s = now_s()
@@ -186,6 +228,11 @@
             self._record.write(event, **fields)
 
 
+def find_frozen() -> str:
+    """Return the daemon that is the last to carry out a primary change."""
+    return rank(f"lead/{SERVICE}", DAEMONS)[-1]
+
+
 def replace_primary(platform: LinePlatform, record: Record) -> bool:
     """Drain the primary until another one leads; return whether that happened."""
     group = platform.group
@@ -219,9 +266,19 @@
     if not deployment.start():
         return 2
     sessions = Sessions(deployment, record)
+    frozen = find_frozen()
+    places = [
+        (daemon, reads)
+        for daemon in deployment.daemons
+        for reads in (
+            [False] * WRITERS_AT_FROZEN
+            if daemon.name == frozen
+            else [False] * WRITERS + [True] * READERS
+        )
+    ]
     threads = [
-        threading.Thread(target=sessions.run, args=(number,), daemon=True)
-        for number in range(SESSIONS)
+        threading.Thread(target=sessions.run, args=(number, *place), daemon=True)
+        for number, place in enumerate(places)
     ]
     for thread in threads:
         thread.start()
@@ -229,6 +286,8 @@
     replaced = 0
     while now_s() < end_s:
         time.sleep(BETWEEN_S)
+        sessions.begin_round()
+        time.sleep(DRAIN_AFTER_S)
         replaced += replace_primary(platform, record)
     sessions.stopped.set()
     time.sleep(0.5)
@@ -256,7 +315,7 @@
     """Run the case."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(__file__).resolve().parent / "record.txt")
-    with tempfile.TemporaryDirectory(prefix="review-") as folder:
+    with tempfile.TemporaryDirectory(prefix="review-2-") as folder:
         deployment = Deployment(Path(folder), DAEMONS)
         code = 2
         try:
--- a/review/2/unreadable_entry.py
+++ b/review/3/unreadable_entry.py
@@ -107,7 +107,7 @@
     """Run the case."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(__file__).resolve().parent / "record.txt")
-    with tempfile.TemporaryDirectory(prefix="review-2-") as folder:
+    with tempfile.TemporaryDirectory(prefix="review-3-") as folder:
         deployment = Deployment(Path(folder), ["vm-1", "vm-2"])
         code = 2
         try:
