--- a/review/1/stop_busy_sessions.py
+++ b/review/1/stop_busy_sessions.py
@@ -4,17 +4,15 @@
 may close a session between two operations. The check is the rule LOST.
 """
 
-import os
 import random
 import signal
 import sys
-import tempfile
 import threading
 import time
 from pathlib import Path
 from typing import NamedTuple
 
-from review.deployment import GRACE_S, Consumer, Deployment, Record, now_s
+from review.deployment import GRACE_S, Consumer, Deployment, Record, now_s, run_case
 
 from standins.lineplatform import NORTH, OWN
 
@@ -112,7 +110,7 @@
     group = deployment.platform.group
     for instance in group.instances.values():
         instance.work_ms = WORK_MS
-    if not deployment.start():
+    if not deployment.start(record):
         return 2
     consumers = Consumers(deployment, record)
     threads = [
@@ -153,20 +151,5 @@
     return 1 if lost else 0
 
 
-def main() -> None:
-    """Run the case."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(Path(__file__).resolve().parent / "record.txt")
-    with tempfile.TemporaryDirectory(prefix="review-1-") as folder:
-        deployment = Deployment(Path(folder), ["vm-1", "vm-2"])
-        code = 2
-        try:
-            code = run(deployment, record, trouble)
-        finally:
-            deployment.close()
-            record.close()
-    os._exit(code)
-
-
 if __name__ == "__main__":
-    main()
+    run_case(1, Path(__file__).resolve().parent, ["vm-1", "vm-2"], run)
--- a/review/2/read_own_commit.py
+++ b/review/2/read_own_commit.py
@@ -6,17 +6,15 @@
 """
 
 import json
-import os
 import random
 import signal
 import sys
-import tempfile
 import threading
 import time
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from review.deployment import Consumer, Daemon, Deployment, Record, now_s
+from review.deployment import Consumer, Daemon, Deployment, Record, now_s, run_case
 
 from bronzerelay.rendezvous import rank
 from standins.lineplatform import (
@@ -263,7 +261,7 @@
     platform.tenants = [NORTH._replace(rate=1000.0, burst=1000.0)]
     platform.configure()
     changes = Changes(deployment, record, trouble)
-    if not deployment.start():
+    if not deployment.start(record):
         return 2
     sessions = Sessions(deployment, record)
     frozen = find_frozen()
@@ -311,20 +309,5 @@
     return 1 if stale else 0
 
 
-def main() -> None:
-    """Run the case."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(Path(__file__).resolve().parent / "record.txt")
-    with tempfile.TemporaryDirectory(prefix="review-2-") as folder:
-        deployment = Deployment(Path(folder), DAEMONS)
-        code = 2
-        try:
-            code = run(deployment, record, trouble)
-        finally:
-            deployment.close()
-            record.close()
-    os._exit(code)
-
-
 if __name__ == "__main__":
-    main()
+    run_case(2, Path(__file__).resolve().parent, DAEMONS, run)
--- a/review/3/unreadable_entry.py
+++ b/review/3/unreadable_entry.py
@@ -5,9 +5,7 @@
 acknowledgement, is not run any more.
 """
 
-import os
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -19,6 +17,7 @@
     Deployment,
     Record,
     now_s,
+    run_case,
 )
 
 from standins.lineplatform import AGED, NORTH, SOUTH
@@ -46,7 +45,7 @@
 def run(deployment: Deployment, record: Record, trouble: bool) -> int:
     """Return the exit code of the case."""
     platform = deployment.platform
-    if not deployment.start():
+    if not deployment.start(record):
         return 2
     time.sleep(STABLE_WINDOW_MS / 1000)
     sessions = [
@@ -103,20 +102,5 @@
                 record.write("log", daemon=daemon.name, task_failed=last)
 
 
-def main() -> None:
-    """Run the case."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(Path(__file__).resolve().parent / "record.txt")
-    with tempfile.TemporaryDirectory(prefix="review-3-") as folder:
-        deployment = Deployment(Path(folder), ["vm-1", "vm-2"])
-        code = 2
-        try:
-            code = run(deployment, record, trouble)
-        finally:
-            deployment.close()
-            record.close()
-    os._exit(code)
-
-
 if __name__ == "__main__":
-    main()
+    run_case(3, Path(__file__).resolve().parent, ["vm-1", "vm-2"], run)
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -12,10 +12,14 @@
 import signal
 import socket
 import subprocess
+import sys
+import tempfile
 import time
 import tomllib
+import traceback
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 from bronzerelay.runtime import Runtime
 from standins.lineplatform import LinePlatform
@@ -157,6 +161,10 @@
         except OSError:
             return False
 
+    def read_tail(self) -> list[str]:
+        """Return the last lines of the log."""
+        return self._log.read_text(errors="replace").splitlines()[-5:]
+
     def read_events(self) -> list[dict[str, Any]]:
         """Return the log lines of the process."""
         lines = self._log.read_text(errors="replace").splitlines()
@@ -176,13 +184,23 @@
             for number, name in enumerate(names)
         ]
 
-    def start(self) -> bool:
-        """Start all daemons; return whether all became ready."""
+    def start(self, record: Record) -> bool:
+        """Start all daemons; return whether all became ready, and record why not."""
         for daemon in self.daemons:
             daemon.start()
-        return wait_until(
+        if wait_until(
             lambda: all(daemon.is_ready() for daemon in self.daemons), READY_WAIT_S
-        )
+        ):
+            return True
+        for daemon in self.daemons:
+            record.write(
+                "not started",
+                daemon=daemon.name,
+                ready=daemon.is_ready(),
+                exit_code=daemon.wait(0),
+                log=daemon.read_tail(),
+            )
+        return False
 
     def close(self) -> None:
         """End all processes."""
@@ -191,6 +209,33 @@
         self.platform.close()
 
 
+def run_case(
+    number: int,
+    folder: Path,
+    names: list[str],
+    run: Callable[[Deployment, Record, bool], int],
+) -> NoReturn:
+    """Run a case and end the process with its exit code, 2 if the case itself fails."""
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(folder / "record.txt")
+    code = 2
+    try:
+        with tempfile.TemporaryDirectory(prefix=f"review-{number}-") as temporary:
+            deployment = Deployment(Path(temporary), names)
+            try:
+                code = run(deployment, record, trouble)
+            finally:
+                deployment.close()
+    except Exception:
+        code = 2
+        text = traceback.format_exc()
+        sys.stderr.write(text)
+        record.write("failed", trace=text.splitlines())
+    record.close()
+    sys.stdout.flush()
+    os._exit(code)
+
+
 def wait_until(predicate: Any, timeout_s: float) -> bool:
     """Wait until the predicate holds; return whether it did."""
     end_s = now_s() + timeout_s
