--- a/review/2/read_own_commit.py
+++ b/review/2/read_own_commit.py
@@ -180,7 +180,7 @@
     def _run_round(
         self, consumer: Consumer, daemon: Daemon, item: str, reads: bool
     ) -> None:
-        lines = consumer.query(f"{item}w", f"STORE {item} new", REQUEST_TIMEOUT_S)
+        lines = self._ask(consumer, daemon, f"{item}w", f"STORE {item} new")
         if not lines[0].startswith("COMPLETE"):
             return
         acked_s = now_s()
@@ -197,7 +197,7 @@
             count += 1
             request = f"{item}f{count}"
             sent_s = now_s()
-            lines = consumer.query(request, f"FETCH {item}", REQUEST_TIMEOUT_S)
+            lines = self._ask(consumer, daemon, request, f"FETCH {item}")
             if not lines[0].startswith("DATAROW"):
                 continue
             with self._lock:
@@ -210,6 +210,14 @@
                 with self._lock:
                     self.stale.append(found)
 
+    def _ask(
+        self, consumer: Consumer, daemon: Daemon, request: str, text: str
+    ) -> list[str]:
+        self._write("sent", request=request, daemon=daemon.name, text=text)
+        lines = consumer.query(request, text, REQUEST_TIMEOUT_S)
+        self._write("answered", request=request, lines=lines)
+        return lines
+
     def _is_kept(self, item: str) -> bool:
         """Return whether the primary's log has the commit of an item."""
         group = self._deployment.platform.group
