Log what is prepared under which name, and the shape of each statement

The logs couldn't tell the incident's hypotheses apart: nothing said under which name a statement was prepared at an instance, on which connection, and which shape a caller or an origin had asked for. "links: A statement was prepared." says the first two for the request that caused it, the line of a sent statement the shape at origin and holder, and a counter how often it was done. No decision changes.

--- a/bronzerelay/pooler/execution.py
+++ b/bronzerelay/pooler/execution.py
@@ -65,6 +65,8 @@
 # How long a link holder keeps an idle link, in milliseconds. The least recently used
 # ones are closed first, so the time needs to limit only links that nobody uses.
 HELD_IDLE_CLOSE_MS = 45_000
+# How much of a prepared statement's shape a log line holds, in characters.
+LOGGED_SHAPE_LENGTH = 100
 # Consecutive failures after which an instance gets only one statement at a time.
 UNRESPONSIVE_FAILURES = 2
 # Why an instance under evacuation gets nothing.
@@ -446,12 +448,31 @@
             self._max_open_links(entry),
         )
         try:
-            link.apply_session_state(job.values, job.prepared)
+            self._apply_session_state(link, job)
         except LinkError:
             self._pool.release(link, 0)
             raise
         return link
 
+    def _apply_session_state(self, link: InstanceLink, job: Job) -> None:
+        """Set the job's session state on a link, and log a newly prepared statement."""
+        name = link.apply_session_state(job.values, job.prepared)
+        if name is None or job.prepared is None:
+            return
+        self._counters.count("statements_prepared")
+        self._log.write_request(
+            "links",
+            "A statement was prepared.",
+            request=job.statement.id,
+            workspace=job.workspace,
+            service=link.entry.service,
+            instance=link.entry.id,
+            connection=link.number,
+            name=name,
+            writes=job.prepared.writes,
+            shape=job.prepared.shape[:LOGGED_SHAPE_LENGTH],
+        )
+
     def _handle_link_error(
         self, entry: InstanceEntry, error: LinkError, began_ms: float
     ) -> Answer:
@@ -590,7 +611,7 @@
             link.close()
             return refuse_lost_transaction(EVACUATED_DETAIL)
         try:
-            link.apply_session_state(job.values, job.prepared)
+            self._apply_session_state(link, job)
         except LinkError as error:
             return refuse_lost_transaction(error.detail)
         answer = self._use_instance(
@@ -674,6 +695,7 @@
             workspace=job.workspace,
             database=job.route.database,
             verb=job.statement.verb.name,
+            shape=job.prepared.shape[:LOGGED_SHAPE_LENGTH] if job.prepared else "",
             level=job.level,
             waited_ms=round(waited_ms, 1),
             service=entry.service,
--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -79,7 +79,10 @@
         entry: InstanceEntry,
         workspace: str,
         count_bytes: CountBytes = ignore_bytes,
+        number: int = 0,
     ):
+        # Tells the connections of one daemon apart in its log.
+        self.number = number
         self._count_bytes = count_bytes
         self._clock = runtime.clock
         self._codec = codec
@@ -92,6 +95,8 @@
         self.idle_since_ms = 0.0
         self._values: dict[str, str] = {}
         self._prepared: set[str] = set()
+        # How many statements have been prepared on the connection.
+        self._prepared_count = 0
 
     def handshake(self, deadline_ms: float) -> Answer:
         """Send the startup message on a new connection; return the answer."""
@@ -168,14 +173,16 @@
 
     def apply_session_state(
         self, values: dict[str, str], needed: Prepared | None
-    ) -> None:
+    ) -> str | None:
         """Set the session's values and prepare the needed statement.
 
-        If that fails, close the link, since its state is unknown, and raise LinkError.
+        Return the name under which it was prepared, or None if it was before. If that
+        fails, close the link, since its state is unknown, and raise LinkError.
         """
+        prepared_before = self._prepared_count
         texts = self._list_setup_statements(values, needed)
         if not texts:
-            return
+            return None
         deadline_ms = self._clock.now_ms() + SESSION_STATE_TIMEOUT_MS
         data = b"".join(
             self._codec.encode_query(POOLER_STATEMENT_ID, text, None) for text in texts
@@ -189,6 +196,9 @@
             self.close()
             raise LinkError(answer.fault, f"the session can't be laid on: {answer}")
         self._values = dict(values)
+        if needed is None or self._prepared_count == prepared_before:
+            return None
+        return prepared_name(needed)
 
     def _read_next(self, deadline_ms: float) -> Answer:
         try:
@@ -215,6 +225,7 @@
             if name not in self._prepared:
                 texts.append(self._codec.format_prepare(name, needed))
                 self._prepared.add(name)
+                self._prepared_count += 1
         return texts
 
     def forget_prepared(self) -> None:
@@ -310,7 +321,13 @@
             self._count_closed(entry.id)
             raise LinkError(Fault.UNREACHABLE, str(error)) from None
         link = InstanceLink(
-            self._runtime, self._codec, connection, entry, workspace, self.count_bytes
+            self._runtime,
+            self._codec,
+            connection,
+            entry,
+            workspace,
+            self.count_bytes,
+            self.opened,
         )
         handshake_deadline_ms = min(deadline_ms, now_ms + HANDSHAKE_TIMEOUT_MS)
         answer = link.handshake(handshake_deadline_ms)
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -94,6 +94,25 @@
         shapes = {run.shape for run in fleet.platform.group.runs}
         assert shapes == {"FETCH qa", "STORE qb"}
 
+    def test_log_tells_what_was_prepared_on_which_connection(self, fleet, monkeypatch):
+        """Guards against a wrong shape at an instance that no log line explains."""
+        daemon = fleet.start_ready("d1")[0]
+        lines = []
+        monkeypatch.setattr(
+            daemon.log,
+            "write_request",
+            lambda part, message, **fields: lines.append((message, fields)),
+        )
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "PARSE s1 FETCH qa")
+        for _ in range(2):
+            run_ok(caller, "EXECUTE s1 row")
+        prepared = [fields for message, fields in lines if "was prepared" in message]
+        assert [fields["shape"] for fields in prepared] == ["qa"]
+        assert prepared[0]["name"] in fleet.platform.group.runs[0].text.split()
+        sent = [fields["shape"] for message, fields in lines if "was sent" in message]
+        assert sent == ["qa", "qa"]
+
     def test_values_of_one_session_dont_reach_another(self, fleet):
         # Callers take turns on one connection. Without a reset, the first caller's
         # session values would apply to the second caller's statement.
