Reproduce the incident: a shape with blanks is read as fields

Three tests that fail, listed: an instance runs a text that no caller sent, another caller's statement runs in another shape, and the same with a statement that is passed on to a link holder.

--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -107,6 +107,18 @@
         values = [run.values for run in fleet.platform.group.runs]
         assert values == [(("zone", "north"),), ()]
 
+    def test_shape_with_blanks_stays_whole_at_the_holder(self, fleet, daemons):
+        """Guards against an origin's shape that is read as fields at the instance."""
+        first, second = (open_at(fleet, origin) for origin in daemons[1:])
+        run_ok(first, "PARSE s FETCH q1")
+        run_ok(first, "EXECUTE s a")
+        run_ok(second, "PARSE s FETCH q1 FETCH q2")
+        run_ok(second, "EXECUTE s a")
+        run_ok(first, "EXECUTE s a")
+        shapes = [run.shape for run in fleet.platform.group.runs]
+        assert shapes == ["FETCH q1", "FETCH q1 FETCH q2", "FETCH q1"]
+        assert all(len(text.split()) == 3 for text in fleet.runs)
+
     def test_the_stand_by_leaves_the_connections_to_the_holder(self, fleet, daemons):
         """Guards against two daemons that keep more links than an instance accepts."""
         entry = daemons[0].directory.instances[PRIMARY]
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -94,6 +94,28 @@
         shapes = {run.shape for run in fleet.platform.group.runs}
         assert shapes == {"FETCH qa", "STORE qb"}
 
+    def test_shape_with_blanks_changes_no_text_that_an_instance_runs(self, fleet):
+        """Guards against words of a shape that an instance takes for a name's end."""
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        run_ok(caller, "PARSE s1 FETCH qa FETCH other")
+        run_ok(caller, "EXECUTE s1 row")
+        run = fleet.platform.group.runs[-1]
+        word, _, arguments = run.text.split(" ", 2)
+        assert (word, arguments) == ("EXECUTE", "row")
+        assert run.shape == "FETCH qa FETCH other"
+
+    def test_shape_with_blanks_redefines_no_other_callers_statement(self, fleet):
+        """Guards against a shape that gives another caller's statement a new one."""
+        fleet.start_ready("d1")
+        first, second = open_session(fleet, STRICT), open_session(fleet, STRICT)
+        run_ok(first, "PARSE s1 FETCH qa")
+        run_ok(first, "EXECUTE s1 row")
+        run_ok(second, "PARSE s1 FETCH qa FETCH other")
+        run_ok(second, "EXECUTE s1 row")
+        run_ok(first, "EXECUTE s1 row")
+        assert fleet.platform.group.runs[-1].shape == "FETCH qa"
+
     def test_log_tells_what_was_prepared_on_which_connection(self, fleet, monkeypatch):
         """Guards against a wrong shape at an instance that no log line explains."""
         daemon = fleet.start_ready("d1")[0]
