Give prepared statements names that hold no text of a caller

Cause: a statement was prepared at an instance under a name made of its kind and its shape. A shape is the last field of its line and may have blanks, a name is a field in the middle. The instance took the shape's first word for the end of the name and the rest for kind and shape, or for item and data in EXECUTE. Another caller's statement of that shorter name got the new shape.

Now a connection numbers the names that it gives and keeps the number for each statement. A name is one word whatever callers send, stands for one statement by construction, and isn't given a second time on its connection, not after a reset either. Callers still share what one of them has prepared. test_links asked for the name `r_q`; it asks the link now.

--- a/bronzerelay/pooler/execution.py
+++ b/bronzerelay/pooler/execution.py
@@ -16,7 +16,6 @@
     InstanceLink,
     LinkError,
     LinkPool,
-    prepared_name,
 )
 from bronzerelay.pooler.messages import (
     Answer,
@@ -487,7 +486,7 @@
         """Run the job's statement on a link and record the outcome for placement."""
         text = job.statement.text
         if job.prepared is not None:
-            name = prepared_name(job.prepared)
+            name = link.find_name(job.prepared)
             text = self._codec.format_execute(name, job.statement.arguments)
         sent_at_ms = self._clock.now_ms()
         answer = link.call(job.statement.id, text, floor, job.deadline_ms)
--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -51,15 +51,6 @@
         self.detail = detail
 
 
-def prepared_name(prepared: Prepared) -> str:
-    """Return the name under which a statement is prepared on every link.
-
-    Two callers may give the same name to different statements. Names derived from the
-    content can't conflict, and callers can share what one of them has prepared.
-    """
-    return f"{'w' if prepared.writes else 'r'}_{prepared.shape}"
-
-
 # Counts the bytes of an exchange with an instance, sent and received, by their kind.
 CountBytes = Callable[[InstanceEntry, str, int], None]
 
@@ -94,9 +85,11 @@
         self.in_transaction = False
         self.idle_since_ms = 0.0
         self._values: dict[str, str] = {}
-        self._prepared: set[str] = set()
-        # How many statements have been prepared on the connection.
-        self._prepared_count = 0
+        # The names of the statements that are prepared on the connection. Callers share
+        # them, whatever names they use themselves.
+        self._names: dict[Prepared, str] = {}
+        # How many names have been given on the connection; none is given twice.
+        self._names_given = 0
 
     def handshake(self, deadline_ms: float) -> Answer:
         """Send the startup message on a new connection; return the answer."""
@@ -179,7 +172,7 @@
         Return the name under which it was prepared, or None if it was before. If that
         fails, close the link, since its state is unknown, and raise LinkError.
         """
-        prepared_before = self._prepared_count
+        given_before = self._names_given
         texts = self._list_setup_statements(values, needed)
         if not texts:
             return None
@@ -196,9 +189,9 @@
             self.close()
             raise LinkError(answer.fault, f"the session can't be laid on: {answer}")
         self._values = dict(values)
-        if needed is None or self._prepared_count == prepared_before:
+        if needed is None or self._names_given == given_before:
             return None
-        return prepared_name(needed)
+        return self._names[needed]
 
     def _read_next(self, deadline_ms: float) -> Answer:
         try:
@@ -213,24 +206,35 @@
         """Return the statements that set the session's state on the connection."""
         texts = []
         surplus = any(name not in values for name in self._values)
-        if surplus or len(self._prepared) > PREPARED_LIMIT:
+        if surplus or len(self._names) > PREPARED_LIMIT:
             texts.append(self._codec.format_discard())
             self._values = {}
-            self._prepared = set()
+            self._names = {}
         for name, value in values.items():
             if self._values.get(name) != value:
                 texts.append(self._codec.format_set(name, value))
-        if needed is not None:
-            name = prepared_name(needed)
-            if name not in self._prepared:
-                texts.append(self._codec.format_prepare(name, needed))
-                self._prepared.add(name)
-                self._prepared_count += 1
+        if needed is not None and needed not in self._names:
+            texts.append(self._codec.format_prepare(self._give_name(needed), needed))
         return texts
 
+    def _give_name(self, prepared: Prepared) -> str:
+        """Return a new name for a statement.
+
+        No part of it comes from a caller, whose text the instance could read as several
+        fields.
+        """
+        self._names_given += 1
+        name = f"p{self._names_given}"
+        self._names[prepared] = name
+        return name
+
+    def find_name(self, prepared: Prepared) -> str:
+        """Return the name under which a statement is prepared on the connection."""
+        return self._names[prepared]
+
     def forget_prepared(self) -> None:
         """Forget the prepared statements, after the instance didn't know one."""
-        self._prepared = set()
+        self._names = {}
 
     def is_reusable(self) -> bool:
         """Return whether another session may use the link."""
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -220,6 +220,20 @@
         "if not link.usable:",
         "tests/test_links.py",
     ),
+    Mutation(
+        "the name of a prepared statement holds no text of a caller",
+        POOLER + "links.py",
+        'name = f"p{self._names_given}"',
+        'name = f"p_{prepared.shape}"',
+        PATH + "TestSessions",
+    ),
+    Mutation(
+        "a name on a connection isn't given twice",
+        POOLER + "links.py",
+        "self._names_given += 1",
+        "self._names_given = len(self._names) + 1",
+        "tests/test_links.py",
+    ),
     Mutation(
         "another session's values are cleared from a connection",
         POOLER + "links.py",
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -115,6 +115,19 @@
     def test_statement_is_prepared_once(self, group, pool):
         link = acquire(group, pool)
         link.apply_session_state(NOTHING, Prepared(False, "q"))
-        answer = call(group, link, "EXECUTE r_q x")
+        name = link.find_name(Prepared(False, "q"))
+        answer = call(group, link, f"EXECUTE {name} x")
         assert answer.fault is None
         assert link._list_setup_statements(NOTHING, Prepared(False, "q")) == []
+
+    def test_name_isnt_used_again_for_another_statement(self, group, pool):
+        """Guards against a name that stands for what was prepared before a reset."""
+        link = acquire(group, pool, values={"a": "1"})
+        first, second = Prepared(False, "q"), Prepared(True, "q")
+        link.apply_session_state({"a": "1"}, first)
+        name = link.find_name(first)
+        link.apply_session_state(NOTHING, second)
+        assert link.find_name(second) != name
+        link.forget_prepared()
+        link.apply_session_state(NOTHING, first)
+        assert link.find_name(first) != name
