--- a/standins/linegroup.py
+++ b/standins/linegroup.py
@@ -13,6 +13,7 @@
 
 LOCAL = "127.0.0.1"
 READ_TIMEOUT_MS = 60_000.0
+WORDS_WITHOUT_FIELDS = ("COMMIT", "ROLLBACK", "DISCARD", "STATUS")
 
 
 class Commit(NamedTuple):
@@ -39,6 +40,22 @@
     """A statement is answered with an error."""
 
 
+def _split_fields(text: str, count: int) -> list[str]:
+    """Return the fields of a text; only the last one may have spaces of its own."""
+    fields = text.split(" ", count - 1)
+    if len(fields) < count or not all(fields):
+        raise _RefusedError(f"PROTOERR {text!r} lacks a field")
+    return fields
+
+
+def _split_query(line: str) -> tuple[str, str]:
+    """Return the id and the text of a statement."""
+    word, statement_id, text = _split_fields(line, 3)
+    if word != "QUERY" or "\r" in line or "\n" in line:
+        raise _RefusedError("PROTOERR one line with QUERY is expected")
+    return statement_id, text
+
+
 class LineInstance:
     """One instance of a group, with a port of its own."""
 
@@ -159,13 +176,14 @@
         return f"READY {self._state} {instance.format_log_end(instance.applied())}"
 
     def _answer_query(self) -> bool:
-        _, statement_id, text = self._read().split(" ", 2)
+        line = self._read()
         instance = self._instance
         instance.last_query_ms = self._group.runtime.clock.now_ms()
         while instance.silent:
             if not self._group.runtime.sleep_ms(10):
                 return False
         try:
+            statement_id, text = _split_query(line)
             with self._group.condition:
                 lines = self._run(statement_id, text)
         except _RefusedError as error:
@@ -201,9 +219,12 @@
             "SET": self._set,
             "DISCARD": self._discard,
             "PARSE": self._prepare,
+            "CLOSE": self._close_name,
             "STATUS": self._status,
         }
         if word in handlers:
+            if word in WORDS_WITHOUT_FIELDS and text != word:
+                raise _RefusedError(f"PROTOERR {word} has no fields")
             if word == "COMMIT":
                 self._record_run(statement_id, text, "")
             return handlers[word](rest)
@@ -224,6 +245,8 @@
         self._group.runs.append(run)
 
     def _begin(self, rest: str) -> list[str]:
+        if rest not in ("", "FETCH"):
+            raise _RefusedError("PROTOERR BEGIN takes FETCH alone")
         self._read_write = rest != "FETCH"
         if self._read_write and not self._instance.is_primary:
             raise _RefusedError("READONLY this is a replica")
@@ -251,7 +274,7 @@
         return ["COMPLETE -"]
 
     def _set(self, rest: str) -> list[str]:
-        name, _, value = rest.partition(" ")
+        name, value = _split_fields(rest, 2)
         self._settings[name] = value
         return ["COMPLETE -"]
 
@@ -260,8 +283,14 @@
         return ["COMPLETE -"]
 
     def _prepare(self, rest: str) -> list[str]:
-        name, _, shape = rest.partition(" ")
-        self._prepared[name] = shape
+        name, kind, shape = _split_fields(rest, 3)
+        if kind not in ("FETCH", "STORE"):
+            raise _RefusedError(f"PROTOERR {kind} can't be prepared")
+        self._prepared[name] = f"{kind} {shape}"
+        return ["COMPLETE -"]
+
+    def _close_name(self, rest: str) -> list[str]:
+        self._prepared.pop(rest, None)
         return ["COMPLETE -"]
 
     def _status(self, _: str) -> list[str]:
@@ -277,13 +306,15 @@
     ) -> list[str]:
         shape = ""
         if word == "EXECUTE":
-            name, _, rest = rest.partition(" ")
+            name, rest = _split_fields(rest, 2)
             if name not in self._prepared:
                 raise _RefusedError("NOPREP no such name")
             shape = self._prepared[name]
             word = shape.split(" ")[0]
         self._check_primary()
         item, _, data = rest.partition(" ")
+        if not item or (word == "STORE" and not data):
+            raise _RefusedError(f"PROTOERR {text!r} lacks a field")
         if word == "FETCH":
             self._record_run(statement_id, text, shape)
             values = dict(
