Send no field that the other side would read as several

A line ends at CR LF, and a caller's text was passed on with a CR or an LF of its own in it: an instance that ends lines at one of these alone would read a second statement that was hidden in the first. Such a line is refused as malformed.

As the last barrier the encoders raise ValueError for a field in the middle that isn't one word, and for a line break anywhere: names of services, workspaces and instances come from the store, where other writers write too. A workspace named `north i-9` would have been told to an instance as `north`, and an instance id with a line break would have started a statement. A link then isn't opened and the statement is answered as failed; it doesn't count against the instance.

--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -91,11 +91,9 @@
         # How many names have been given on the connection; none is given twice.
         self._names_given = 0
 
-    def handshake(self, deadline_ms: float) -> Answer:
+    def handshake(self, startup: bytes, deadline_ms: float) -> Answer:
         """Send the startup message on a new connection; return the answer."""
-        entry = self.entry
-        data = self._codec.encode_startup(entry.service, self.workspace, entry.id)
-        return self._exchange(data, deadline_ms, is_handshake=True)
+        return self._exchange(startup, deadline_ms, is_handshake=True)
 
     def call(
         self, statement_id: str, text: str, floor: Position | None, deadline_ms: float
@@ -105,7 +103,11 @@
         A link is closed if its answer is incomplete, since a late answer would be taken
         for the answer to the next statement.
         """
-        data = self._codec.encode_query(statement_id, text, floor)
+        try:
+            data = self._codec.encode_query(statement_id, text, floor)
+        except ValueError as error:
+            self.close()
+            return Answer(fault=Fault.REJECTED, detail=str(error))
         answer = self._exchange(data, deadline_ms)
         self.in_transaction = answer.state is not TransactionState.IDLE
         return answer
@@ -173,13 +175,18 @@
         fails, close the link, since its state is unknown, and raise LinkError.
         """
         given_before = self._names_given
-        texts = self._list_setup_statements(values, needed)
+        try:
+            texts = self._list_setup_statements(values, needed)
+            data = b"".join(
+                self._codec.encode_query(POOLER_STATEMENT_ID, text, None)
+                for text in texts
+            )
+        except ValueError as error:
+            self.close()
+            raise LinkError(Fault.REJECTED, str(error)) from None
         if not texts:
             return None
         deadline_ms = self._clock.now_ms() + SESSION_STATE_TIMEOUT_MS
-        data = b"".join(
-            self._codec.encode_query(POOLER_STATEMENT_ID, text, None) for text in texts
-        )
         answer = self._exchange(data, deadline_ms)
         for _ in texts[1:]:
             if answer.fault is not None or not self.usable:
@@ -316,6 +323,10 @@
         timeout_ms = min(CONNECT_TIMEOUT_MS, deadline_ms - now_ms)
         if timeout_ms <= 0:
             raise LinkError(Fault.UNREACHABLE, "no time left to connect")
+        try:
+            startup = self._codec.encode_startup(entry.service, workspace, entry.id)
+        except ValueError as error:
+            raise LinkError(Fault.REJECTED, str(error)) from None
         with self._lock:
             self._open[entry.id] = self._open.get(entry.id, 0) + 1
             self.opened += 1
@@ -334,7 +345,7 @@
             self.opened,
         )
         handshake_deadline_ms = min(deadline_ms, now_ms + HANDSHAKE_TIMEOUT_MS)
-        answer = link.handshake(handshake_deadline_ms)
+        answer = link.handshake(startup, handshake_deadline_ms)
         if answer.fault is None:
             return link
         self._discard(link)
--- a/tests/test_line_codec.py
+++ b/tests/test_line_codec.py
@@ -80,6 +80,12 @@
         for text in ("STATUS", "STEPDOWN 9", "PAUSE 9", "WAITLSN 1.1 FETCH a"):
             assert isinstance(decode(f"QUERY i {text}"), Malformed)
 
+    @pytest.mark.parametrize("line_break", ["\r", "\n", "\r\r", "\n\r"])
+    @pytest.mark.parametrize("text", ["FETCH a{}QUERY x STORE b c", "SET a b{}", "{}"])
+    def test_line_with_a_line_break_of_its_own_is_malformed(self, text, line_break):
+        """Guards against a second statement that is hidden in the text of the first."""
+        assert isinstance(decode("QUERY i " + text.format(line_break)), Malformed)
+
     @given(st.binary(max_size=200), st.booleans())
     def test_any_bytes_are_decoded(self, data, started):
         message = decode_caller(data, started)
@@ -108,6 +114,39 @@
         )
         assert encode_query("i", "FETCH a", None) == b"QUERY i FETCH a\r\n"
 
+    @pytest.mark.parametrize(
+        "encode",
+        [
+            lambda: CODEC.encode_startup("s", "north i-9", "i-1"),
+            lambda: CODEC.encode_startup("s", "", "i-1"),
+            lambda: CODEC.encode_startup("s", "w", "i-1\r\nQUERY x STORE a b"),
+            lambda: encode_query("a b", "FETCH a", None),
+            lambda: encode_query("a", "FETCH a\nQUERY x STORE a b", None),
+            lambda: CODEC.format_set("a b", "c"),
+            lambda: CODEC.format_prepare("a b", Prepared(False, "q")),
+            lambda: CODEC.format_execute("a b", "row"),
+        ],
+    )
+    def test_field_that_would_be_read_as_several_isnt_sent(self, encode):
+        """Guards against text of one field that the other side takes for the next."""
+        with pytest.raises(ValueError):
+            encode()
+
+    @given(st.text(), st.text(), st.text())
+    def test_fields_are_read_as_they_were_written(self, name, value, statement_id):
+        """Guards against any text that changes the fields of a line around it."""
+        try:
+            text = CODEC.format_set(name, value)
+            line = encode_query(statement_id, text, None)
+        except ValueError:
+            return
+        _, read_id, word, read_name, read_value = (
+            line.decode().removesuffix("\r\n").split(" ", 4)
+        )
+        assert (read_id, word) == (statement_id, "SET")
+        assert (read_name, read_value) == (name, value)
+        assert line.count(b"\r") == line.count(b"\n") == 1
+
     def test_position(self):
         assert parse_position("3.7") == Position(3, 7)
         assert parse_position("-") is None
