Take a caller's text for what its fields say

`CLOSE s x` closed the statement `s`: its name is the line's last field, so that it names `s x`. The caller's next EXECUTE was refused as unknown though its preparing had been acknowledged. `COMMIT ` with a blank behind it was passed on as a commit that an instance need not know, and ended in doubt; `SET a` without a value was acknowledged and failed each later statement of the session at the instance, which costs a connection each time. Both are refused at once now.

--- a/tests/test_line_codec.py
+++ b/tests/test_line_codec.py
@@ -86,6 +86,15 @@
         """Guards against a second statement that is hidden in the text of the first."""
         assert isinstance(decode("QUERY i " + text.format(line_break)), Malformed)
 
+    @pytest.mark.parametrize("text", ["COMMIT ", "ROLLBACK x", "BEGIN  FETCH", "SET a"])
+    def test_text_with_other_fields_than_its_word_has_is_malformed(self, text):
+        """Guards against a text that is passed on and that an instance must refuse."""
+        assert isinstance(decode(f"QUERY i {text}"), Malformed)
+
+    def test_name_to_close_extends_to_the_end_of_the_line(self):
+        """Guards against closing another prepared statement than the caller named."""
+        assert decode("QUERY i CLOSE s x").name == "s x"
+
     @given(st.binary(max_size=200), st.booleans())
     def test_any_bytes_are_decoded(self, data, started):
         message = decode_caller(data, started)
