--- a/tests/test_line_codec.py
+++ b/tests/test_line_codec.py
@@ -86,6 +86,10 @@
         """Guards against a second statement that is hidden in the text of the first."""
         assert isinstance(decode("QUERY i " + text.format(line_break)), Malformed)
 
+    def test_callers_cannot_use_the_poolers_own_id(self):
+        """Guards against a caller's statement that looks like one of the pooler's."""
+        assert isinstance(decode("QUERY - FETCH a"), Malformed)
+
     @pytest.mark.parametrize("text", ["COMMIT ", "ROLLBACK x", "BEGIN  FETCH", "SET a"])
     def test_text_with_other_fields_than_its_word_has_is_malformed(self, text):
         """Guards against a text that is passed on and that an instance must refuse."""
