--- a/standins/linegroup.py
+++ b/standins/linegroup.py
@@ -34,6 +34,8 @@
     text: str
     values: tuple[tuple[str, str], ...]
     shape: str
+    # Which of the group's transactions it ran in, 0 outside of one.
+    transaction: int = 0
 
 
 class _RefusedError(Exception):
@@ -130,6 +132,7 @@
         self._settings: dict[str, str] = {}
         self._prepared: dict[str, str] = {}
         self._state = "I"
+        self._transaction = 0
         self._read_write = False
         self._term = 0
         self._changes: list[tuple[str, str]] = []
@@ -240,7 +243,13 @@
     def _record_run(self, statement_id: str, text: str, shape: str) -> None:
         values = tuple(sorted(self._settings.items()))
         run = Run(
-            self._instance.name, self._workspace, statement_id, text, values, shape
+            self._instance.name,
+            self._workspace,
+            statement_id,
+            text,
+            values,
+            shape,
+            self._transaction if self._state == "T" else 0,
         )
         self._group.runs.append(run)
 
@@ -251,6 +260,8 @@
         if self._read_write and not self._instance.is_primary:
             raise _RefusedError("READONLY this is a replica")
         self._state, self._term, self._changes = "T", self._instance.term, []
+        self._group.begun += 1
+        self._transaction = self._group.begun
         return ["COMPLETE -"]
 
     def _check_primary(self) -> None:
@@ -352,6 +363,8 @@
         self.slots = 3
         self.condition = runtime.make_condition()
         self.runs: list[Run] = []
+        # How many transactions were begun.
+        self.begun = 0
         self.promotions: list[tuple[str, str, int]] = []
         self.instances: dict[str, LineInstance] = {}
         for number in range(3):
--- a/tests/builders_texts.py
+++ b/tests/builders_texts.py
@@ -6,24 +6,12 @@
 from standins.linecaller import LineCaller, LineReply
 from standins.linegroup import LineGroup, Run
 
-WORDS = (
-    *("FETCH", "STORE", "EXECUTE", "PARSE", "SET", "COMMIT", "BEGIN", "DISCARD"),
-    *("QUERY", "WAITLSN", "1.1", "-", "q1", "q2", "r_q1", "w_q1", "p1", "p2", "p3"),
-    *(
-        "\t",
-        "\u2028",
-        "\x85",
-        "é",
-        "'",
-        '"',
-        "\\",
-        "\x00",
-        "a:b",
-        "a/b",
-        "{}",
-        "%0d%0a",
-    ),
+PROTOCOL_WORDS = (
+    "FETCH STORE EXECUTE PARSE SET COMMIT BEGIN DISCARD QUERY WAITLSN 1.1 -"
 )
+NAMES = "q1 q2 r_q1 w_q1 p1 p2 p3 a:b a/b {} %0d%0a é ' \" \\"
+CONTROL_CHARACTERS = ("\t", "\x00", "\x85", "\u2028")
+WORDS = (*PROTOCOL_WORDS.split(), *NAMES.split(), *CONTROL_CHARACTERS)
 
 
 class Sent(NamedTuple):
@@ -34,6 +22,8 @@
     # The prepared statement that the text executes, with its kind; empty if none.
     shape: str
     values: tuple[tuple[str, str], ...]
+    # Tells the caller's transactions apart; empty outside of one.
+    transaction: str
 
 
 class TextCaller:
@@ -46,6 +36,7 @@
         self._count = 0
         self._values: dict[str, str] = {}
         self._shapes: dict[str, str] = {}
+        self._transaction = ""
         self.sent: list[Sent] = []
         self.refused: list[str] = []
 
@@ -77,6 +68,18 @@
         if not self._query(f"CLOSE {name}").error:
             self._shapes.pop(name, None)
 
+    def begin_or_end(self) -> None:
+        """Begin a transaction, or end the one that is open."""
+        if not self._transaction:
+            if not self._query("BEGIN").error:
+                self._transaction = f"{self._name}t{self._count}"
+        elif self._rng.random() < 0.3:
+            self._query("ROLLBACK")
+            self._transaction = ""
+        else:
+            self._send("COMMIT", "")
+            self._transaction = ""
+
     def run(self) -> None:
         """Send a read or a write, prepared or not."""
         item, data = self._rng.choice(WORDS), self._make_phrase(3)
@@ -97,7 +100,7 @@
             return
         values = tuple(sorted(self._values.items()))
         statement_id = f"{self._name}n{self._count}"
-        self.sent.append(Sent(statement_id, text, shape, values))
+        self.sent.append(Sent(statement_id, text, shape, values, self._transaction))
 
 
 def play(sessions: list[LineCaller], steps: int, seed: int) -> list[TextCaller]:
@@ -109,8 +112,14 @@
     ]
     for _ in range(steps):
         caller = runtime.random.choice(callers)
-        actions = (caller.prepare, caller.set_value, caller.close_name, caller.run)
-        runtime.random.choices(actions, (3, 1, 1, 6))[0]()
+        actions = (
+            caller.prepare,
+            caller.set_value,
+            caller.close_name,
+            caller.begin_or_end,
+            caller.run,
+        )
+        runtime.random.choices(actions, (4, 1, 1, 2, 8))[0]()
     runtime.close(0)
     return callers
 
@@ -124,14 +133,20 @@
 def list_differences(group: LineGroup, callers: list[TextCaller]) -> list[str]:
     """Return what instances have run otherwise than a caller has sent it."""
     runs: dict[str, Run] = {run.statement_id: run for run in group.runs}
+    # The caller's transaction of each transaction at an instance.
+    transactions = {0: ""}
     found = []
-    for caller in callers:
-        for sent in caller.sent:
-            run = runs.pop(sent.statement_id, None)
-            if run is None:
-                found.append(f"{sent} didn't run")
-                continue
-            ran = Sent(run.statement_id, drop_name(run.text), run.shape, run.values)
-            if ran != sent._replace(text=drop_name(sent.text)):
-                found.append(f"{sent} ran as {ran}")
+    for sent in [sent for caller in callers for sent in caller.sent]:
+        run = runs.pop(sent.statement_id, None)
+        if run is None:
+            found.append(f"{sent} didn't run")
+            continue
+        transaction = transactions.setdefault(run.transaction, sent.transaction)
+        ran = Sent(
+            run.statement_id, drop_name(run.text), run.shape, run.values, transaction
+        )
+        if ran != sent._replace(text=drop_name(sent.text)):
+            found.append(f"{sent} ran as {ran}")
+    if len(set(transactions.values())) < len(transactions):
+        found.append(f"a transaction ran as several: {transactions}")
     return found + [f"{run} was sent by nobody" for run in runs.values()]
