Redact keys in a log line's texts, not in the encoded line

What callers and operators would have seen: whoever can reach the front, without any valid key, could make its own lines in the log unreadable or rename their fields. A refused request with the key "1" was logged as {"time": "2026-[hidden]2-06 ...", ..., "code": [hidden]0[hidden], ...}, which is no JSON; the key "n" broke escapes ("a\[hidden]b"), and the key "level" renamed the field level. A reader of the log skips such a line.

Cause: the caller's key was replaced in the whole encoded line, so that its characters were taken for parts of numbers, names of fields, escapes and times. The pattern for authorization headers could eat a closing quote in the same way.

Evidence: test_a_short_key_leaves_a_line_readable failed on the code before with all of its four keys (two lines that aren't JSON, two without the field), and test_an_authorization_field_is_redacted_whatever_it_holds failed as well.

Fix: keys are redacted in each text of the decoded line, and a field whose name ends in "authorization" as a whole. The time, level, part and request id, which hold nothing of a caller but an id that was checked against its key, stay as they are.

--- a/bronzerelay/logs.py
+++ b/bronzerelay/logs.py
@@ -1,12 +1,13 @@
 """The log: one JSON line per event, with callers' keys redacted."""
 
+import json
 import logging
 import re
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
-from typing import TextIO
+from typing import Any, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -18,8 +19,12 @@
 RENAMED_FIELDS = {"asctime": "time", "levelname": "level"}
 BEARER = re.compile(r"(?i)(bearer(?:\s|\\[tnr])+)[^\s\"'\\,;]+")
 AUTHORIZATION = re.compile(
-    r"(?i)(authorization[\\\"']*+\s*+[:=][\s\\\"']*+)(?!bearer\s)[^\"',\\]+"
+    r"(?i)(authorization[\\\"']*+\s*+[:=][\s\\\"']*+)(?!bearer\s)[^\"',\\\r\n]+"
 )
+# Fields whose names end so hold credentials.
+CREDENTIALS = "authorization"
+# The fields that hold nothing of a caller but an id that was checked.
+SAFE_FIELDS = frozenset({"time", "level", "part", "request_id"})
 
 # The key of the request that the current task is running; each task has its own value.
 _current_key: ContextVar[str] = ContextVar("current_key", default="")
@@ -44,6 +49,25 @@
     return AUTHORIZATION.sub(rf"\1{REDACTED}", text)
 
 
+def _redact_value(value: Any) -> Any:
+    """Return a field's value with the keys in all of its texts redacted."""
+    if isinstance(value, str):
+        return redact_keys(value)
+    if isinstance(value, list):
+        return [_redact_value(item) for item in value]
+    if isinstance(value, dict):
+        return {
+            redact_keys(name): _redact_field(name, item) for name, item in value.items()
+        }
+    return value
+
+
+def _redact_field(name: str, value: Any) -> Any:
+    if name.lower().endswith(CREDENTIALS):
+        return REDACTED
+    return value if name in SAFE_FIELDS else _redact_value(value)
+
+
 class PartFilter(logging.Filter):
     """Prefixes each message with the name of a part, and sets the field `part`."""
 
@@ -68,9 +92,13 @@
 
         A key can get into a line through its message, a field or the text of an
         exception, and anybody who reads the log could then act as that caller. Keys
-        are therefore redacted in the complete line, which contains all of these.
+        are therefore redacted in all texts of the complete line. They are redacted one
+        by one, since a caller may send a key such as "1" or "n", and without it the
+        line would no longer be JSON.
         """
-        return redact_keys(super().format(record))
+        fields = json.loads(super().format(record))
+        redacted = {name: _redact_field(name, value) for name, value in fields.items()}
+        return json.dumps(redacted)
 
 
 def make_handler(stream: TextIO) -> logging.Handler:
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -689,6 +689,13 @@
         "return wait_ms",
         "tests/test_urgency.py::test_return_times_are_ordered_by_level",
     ),
+    Mutation(
+        "an invented key leaves the log's lines readable",
+        "bronzerelay/logs.py",
+        "return json.dumps(redacted)",
+        "return redact_keys(json.dumps(fields))",
+        "tests/test_logs.py::test_a_short_key_leaves_a_line_readable",
+    ),
 )
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -55,3 +55,31 @@
     assert redact_keys("plain text, authorization is missing") == (
         "plain text, authorization is missing"
     )
+
+
+@pytest.mark.parametrize("key", ["1", "n", "e", "level"])
+def test_a_short_key_leaves_a_line_readable(key):
+    """Guards against a caller whose invented key makes its own log lines no JSON."""
+    stream = io.StringIO()
+    extra = {"request_id": "e1n", "code": 101, "reason": f"a\nb {key}", "omitted": 0}
+    with hide_key(key):
+        open_log("kernel", stream).info("A line.", extra=extra)
+    line = json.loads(stream.getvalue())
+    assert line["reason"].endswith(" [hidden]")
+    assert line["time"].startswith("2")
+    assert (line["level"], line["part"]) == ("INFO", "kernel")
+    assert (line["request_id"], line["code"], line["omitted"]) == ("e1n", 101, 0)
+
+
+def test_an_authorization_field_is_redacted_whatever_it_holds():
+    """Guards against a line that is cut up where a value looks like a header."""
+    stream = io.StringIO()
+    headers = {"Proxy-Authorization": f"Basic {KEY}", "more": ["authorization:"]}
+    fields = {"authorization": {"scheme": KEY}}
+    extra = {"headers": headers, "fields": fields}
+    with hide_key(KEY):
+        open_log("front", stream).info("authorization: x\nNext line.", extra=extra)
+    assert KEY not in stream.getvalue()
+    line = json.loads(stream.getvalue())
+    assert line["headers"]["more"] == ["authorization:"]
+    assert line["message"].endswith("\nNext line.")
