Check a daemon's pages before the operators' commands read them

What operators would have seen: one daemon's answer, or that of another service at its address, ended the command for the whole fleet. A status page that is nested 50,000 levels deep ended the process with a segmentation fault (5,000 levels do as well), a page of metrics that isn't UTF-8 or no metrics with a traceback.

Cause: fleet.py decoded the status with a decoder for values of any type, in a task with a small stack, without the check of the nesting that the clients of the platform and of endpoints have. The metrics were parsed outside of any handling of errors.

Evidence: test_no_page_of_a_daemon_ends_the_operators_command ended pytest with a segmentation fault (return code 139) on the code before; its cases "binary" and "text", run without the deep ones, failed with UnicodeDecodeError and ValueError. 200,000 random pages made the parser raise ValueError and IndexError and nothing else.

Fix: the nesting is checked first, as in keyvalue.py. A page of metrics that can't be read, or has no samples, counts as no answer of that daemon.

--- a/bronzerelay/fleet.py
+++ b/bronzerelay/fleet.py
@@ -10,8 +10,10 @@
 import urllib3
 from expression import Ok, Result
 from prometheus_client.parser import text_string_to_metric_families
+from prometheus_client.samples import Sample
 
 from bronzerelay.codes import Code, Refusal, refuse
+from bronzerelay.nesting import ANSWER_NESTING, check_nesting
 from bronzerelay.runtime import Address, Runtime
 
 STATUS_PATH = "/status"
@@ -148,6 +150,9 @@
         response = self._get(address, STATUS_PATH)
         if response.is_error():
             return DaemonState(address, problem=response.error.message)
+        if not check_nesting(response.ok, ANSWER_NESTING):
+            problem = "its status can't be read: it is nested too deeply"
+            return DaemonState(address, problem=problem)
         try:
             raw_status = msgspec.json.decode(response.ok, type=dict[str, Any])
             status = msgspec.convert(raw_status, StatusBody)
@@ -155,8 +160,10 @@
             return DaemonState(address, problem=f"its status can't be read: {error}")
         return DaemonState(address, status, raw_status)
 
-    def _read_metrics(self, address: Address) -> tuple[Address, Result[bytes, Refusal]]:
-        return address, self._get(address, METRICS_PATH)
+    def _read_metrics(
+        self, address: Address
+    ) -> tuple[Address, Result[list[Sample], Refusal]]:
+        return address, self._get(address, METRICS_PATH).bind(_parse_samples)
 
     def _get(self, address: Address, path: str) -> Result[bytes, Refusal]:
         timeout = urllib3.Timeout(total=REQUEST_TIMEOUT_MS / 1000)
@@ -215,27 +222,38 @@
     return tuple(sorted(alive - asked))
 
 
-def _sum_counters(bodies: list[bytes], silent: list[str]) -> Counters:
+def _parse_samples(page: bytes) -> Result[list[Sample], Refusal]:
+    """Return the samples of a page of metrics, or refuse one that can't be read."""
+    try:
+        families = list(text_string_to_metric_families(page.decode()))
+    # The parser raises IndexError for some lines that are cut short.
+    except (ValueError, IndexError) as error:
+        return refuse(Code.PEER_UNREACHABLE, f"its metrics can't be read: {error}")
+    samples = [sample for family in families for sample in family.samples]
+    if not samples:
+        return refuse(Code.PEER_UNREACHABLE, "its metrics are empty")
+    return Ok(samples)
+
+
+def _sum_counters(pages: list[list[Sample]], silent: list[str]) -> Counters:
     sums = Counters({}, {}, {}, tuple(silent))
-    for body in bodies:
-        for family in text_string_to_metric_families(body.decode()):
-            for sample in family.samples:
-                _add_sample(sums, sample.name, sample.labels, sample.value)
+    for page in pages:
+        for sample in page:
+            _add_sample(sums, sample)
     return sums
 
 
-def _add_sample(
-    sums: Counters, name: str, labels: dict[str, str], value: float
-) -> None:
-    if name == REFUSALS_METRIC:
-        table, key = sums.refusals, f"{labels['code']} {labels['name']}"
-    elif name == RETRIES_METRIC:
-        table, key = sums.retries, labels["reason"]
-    elif name == EVENTS_METRIC:
-        table, key = sums.events, labels["event"]
+def _add_sample(sums: Counters, sample: Sample) -> None:
+    labels = sample.labels
+    if sample.name == REFUSALS_METRIC:
+        table, key = sums.refusals, f"{labels.get('code')} {labels.get('name')}"
+    elif sample.name == RETRIES_METRIC:
+        table, key = sums.retries, labels.get("reason", "")
+    elif sample.name == EVENTS_METRIC:
+        table, key = sums.events, labels.get("event", "")
     else:
         return
-    table[key] = table.get(key, 0) + value
+    table[key] = table.get(key, 0) + sample.value
 
 
 def _format_reason(error: Exception) -> str:
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -696,6 +696,13 @@
         "return redact_keys(json.dumps(fields))",
         "tests/test_logs.py::test_a_short_key_leaves_a_line_readable",
     ),
+    Mutation(
+        "a status page is checked for nesting before it is decoded",
+        "bronzerelay/fleet.py",
+        "if not check_nesting(response.ok, ANSWER_NESTING):",
+        "if False:",
+        "tests/test_nesting.py::test_no_page_of_a_daemon_ends_the_operators_command",
+    ),
 )
 
 
--- a/tests/test_nesting.py
+++ b/tests/test_nesting.py
@@ -6,6 +6,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from bronzerelay.fleet import Fleet
 from bronzerelay.keyvalue import KeyValueClient, KeyValueSettings
 from bronzerelay.nesting import MAX_NESTING, check_nesting
 from bronzerelay.runtime import Address
@@ -78,6 +79,22 @@
     assert all(result.is_ok() or result.error.message for result in results)
 
 
+@pytest.mark.parametrize(
+    "body",
+    [b'{"more": ' + DEEP + b"}", DEEP, b"\xff", b"{} x"],
+    ids=["deep", "list", "binary", "text"],
+)
+def test_no_page_of_a_daemon_ends_the_operators_command(platform, body):
+    """Guards against a command that crashes because of one daemon's answer."""
+    runtime, speaker, _ = platform
+    speaker.answer = frame(body)
+    address = speaker.listener.address
+    fleet = Fleet(runtime, [address])
+    (state,) = fleet.read_states()
+    assert "status can't be read" in state.problem
+    assert fleet.read_counters().silent == (str(address),)
+
+
 def test_a_deep_answer_of_an_endpoint_closes_its_link_only():
     """A row holds a value nested thousands of levels deep, not written by a daemon.
 
