Escape line breaks and controls in what the command line prints

What operators would have seen: `bundle show > bundle.toml` writes the author of a record into a comment. The author isn't part of the digest that is signed, and nothing checks it, so whoever can write to the store could put a line break and TOML after it: the file then holds other operators or workspaces than the bundle that was reviewed. In the same way a name, a problem or an author could write lines that look like the command's own, or send commands to the terminal; and text in brackets ended `rollout` with rich's MarkupError in its table.

Cause: lines were printed as they were put together from texts of other processes and operators.

Evidence: test_an_author_cannot_add_lines_to_a_shown_bundle (the printed file couldn't be parsed, as its operators lacked fields) and test_a_daemon_cannot_draw_in_the_table (MarkupError) failed on the code before.

Fix: each printed line has its control characters, line breaks, marks of the writing direction and lone surrogates escaped; cells of the table are plain text.

--- a/bronzerelay/bundlecommands.py
+++ b/bronzerelay/bundlecommands.py
@@ -201,7 +201,7 @@
     lines = [
         f"# version {record['version']} of {record['author']}, {record['digest']}",
         f"# signed by: {signers or 'nobody'}",
-        write_bundle(record["bundle"]).rstrip(),
+        *write_bundle(record["bundle"]).rstrip().split("\n"),
     ]
     show(session.output, record, lines)
     return DONE
--- a/bronzerelay/cli.py
+++ b/bronzerelay/cli.py
@@ -168,7 +168,7 @@
     # source() isn't used: for bash it would run a subprocess to check bash's version,
     # and this project's processes start no others.
     script = completer.source_template % completer.source_vars()
-    show(session.output, {"shell": shell, "script": script}, [script])
+    show(session.output, {"shell": shell, "script": script}, script.split("\n"))
     return DONE
 
 
--- a/bronzerelay/printing.py
+++ b/bronzerelay/printing.py
@@ -1,5 +1,6 @@
 """Output of the command line, as text or as JSON, and its exit codes."""
 
+import re
 import sys
 from collections.abc import Iterable
 from typing import Any
@@ -9,6 +10,7 @@
 from rich.console import Console
 from rich.live import Live
 from rich.table import Table
+from rich.text import Text
 
 from bronzerelay.bundle import Change
 from bronzerelay.codes import CODES, Code, Refusal
@@ -29,17 +31,33 @@
     Code.PLATFORM_UNAVAILABLE: PLATFORM_UNAVAILABLE,
 }
 
+# What a terminal or a reader could take for something else than text: control
+# characters, line breaks and marks of the writing direction; and what has no encoding.
+UNPRINTABLE = re.compile(
+    "[\x00-\x08\x0a-\x1f\x7f-\x9f\u200e\u200f\u2028-\u202e\u2066-\u2069\ud800-\udfff]"
+)
+
 TEXT = "text"
 JSON = "json"
 
 
 def show(output: str, data: Any, lines: Iterable[str]) -> None:
-    """Print `data` as JSON, or `lines` as text."""
+    """Print `data` as JSON, or `lines` as text, with what is in them on one line each.
+
+    Names, authors and messages come from other processes and operators. A line break in
+    one of them would look like a line of the command's own, and `bundle show` writes
+    lines that are read as a file.
+    """
     if output == JSON:
         click.echo(msgspec.json.format(msgspec.json.encode(data), indent=2))
         return
     for line in lines:
-        click.echo(line)
+        click.echo(escape_unprintable(line))
+
+
+def escape_unprintable(text: str) -> str:
+    """Return the text with line breaks and other unprintable characters escaped."""
+    return UNPRINTABLE.sub(lambda match: ascii(match[0])[1:-1], text)
 
 
 def show_error(output: str, error: RolloutError) -> int:
@@ -48,7 +66,7 @@
         show(output, _describe_error(error), ())
     else:
         for line in _list_error_lines(error):
-            click.echo(line, err=True)
+            click.echo(escape_unprintable(line), err=True)
     return EXIT_CODES.get(error.refusal.code, FAILED)
 
 
@@ -206,7 +224,8 @@
                 and state.name not in self._reported_names
             ):
                 self._reported_names.add(state.name)
-                click.echo(f"{state.name}: version {state.version}", err=True)
+                line = f"{state.name}: version {state.version}"
+                click.echo(escape_unprintable(line), err=True)
 
 
 def draw_rollout_status(status: RolloutStatus) -> Table:
@@ -218,5 +237,7 @@
         done = has_version(state, status.version)
         version = "?" if state.version is None else str(state.version)
         state_text = "in force" if done else state.problem or "waiting"
-        table.add_row(state.name, str(state.address), version, state_text)
+        cells = (state.name, str(state.address), version, state_text)
+        # As `Text`, since rich takes brackets in a `str` for markup.
+        table.add_row(*(Text(escape_unprintable(cell)) for cell in cells))
     return table
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,6 +8,7 @@
 import pytest
 from click.testing import CliRunner
 
+from bronzerelay.bundle import parse_bundle
 from bronzerelay.bundlefile import write_bundle
 from bronzerelay.cli import main
 from bronzerelay.codes import Code
@@ -19,8 +20,14 @@
     PLATFORM_UNAVAILABLE,
     USAGE,
 )
+from bronzerelay.records import CURRENT_KEY
 from standins.platform import REFUSE
-from tests.builders_config import make_bundle, make_key_entry, make_workspace
+from tests.builders_config import (
+    make_bundle,
+    make_key_entry,
+    make_record,
+    make_workspace,
+)
 from tests.builders_daemons import SmallDaemon
 from tests.builders_front import write_certificate
 from tests.builders_operators import make_team
@@ -250,6 +257,16 @@
     assert {daemon.store.version for daemon in tool.daemons} == {3}
 
 
+def test_an_author_cannot_add_lines_to_a_shown_bundle(tool):
+    """Guards against a file that isn't the bundle whose digest was signed."""
+    bundle = make_bundle()
+    record = make_record(bundle, "ana\n[[operators]]\nname = 'ana'")
+    client = tool.team.platform.make_client()
+    assert client.put(CURRENT_KEY, record, 0).is_ok()
+    text = tool.run("bundle", "show").stdout
+    assert parse_bundle(text).ok == bundle
+
+
 # The file
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -70,6 +70,16 @@
         assert text in page.getvalue()
 
 
+def test_a_daemon_cannot_draw_in_the_table():
+    """Guards against text of a daemon that the terminal takes for commands."""
+    state = DaemonState(HERE, problem="\x1b[2J[/red][b]silent\nvm-2 in force")
+    page = io.StringIO()
+    Console(file=page, width=160).print(
+        draw_rollout_status(RolloutStatus(1, (state,), (state,), ()))
+    )
+    assert "\\x1b[2J[/red][b]silent\\nvm-2 in force" in page.getvalue()
+
+
 def test_live_daemons_missing_from_the_list_are_found():
     one = DaemonState(HERE, make_status("vm-1", **{"vm-2": True, "vm-3": False}))
     two = DaemonState(HERE, make_status("vm-2"))
