Keep a caller's text in its field when logs are printed

What operators would have seen: `story` and `changes` print fields as NAME=VALUE, separated by blanks, and the values as they are. A text of a caller with blanks or "=", such as a statement's shape, reads as other fields ("reason=done"), and one with a line break as another line of the log. One line of another program ended the command with a traceback for all logs: a time that is text, deeply nested JSON, bytes that aren't UTF-8 on standard input.

Cause: values were put together without quotes; a line was decoded without a check of its nesting and of the types of its head.

Evidence: test_text_of_a_caller_stays_in_its_field and six of the seven cases of test_lines_of_another_program_are_skipped failed on the code before (two printed lines for one, RecursionError, TypeError, UnicodeEncodeError, lines taken for log lines).

Fix: a value that isn't a plain word is printed as JSON text; a line is checked for nesting, and its head for types, and skipped otherwise.

--- a/bronzerelay/logcommands.py
+++ b/bronzerelay/logcommands.py
@@ -1,8 +1,10 @@
 """The commands that read daemons' logs: `story`, `changes` and `summary`."""
 
+import json
+import re
 import sys
 from pathlib import Path
-from typing import TextIO
+from typing import Any, TextIO
 
 import click
 
@@ -26,6 +28,8 @@
 PRIMARY_CHANGE_PARTS = ("leads", "changes")
 # Fields that a printed line doesn't list: those at its beginning, and the steady clock.
 OMITTED_FIELDS = ("time_ms", "steady_ms", "node", "part", "message")
+# Text that is printed without quotes: it can't be taken for other fields.
+PLAIN_TEXT = re.compile(r"[^\s\"=]+")
 
 
 def select_story(lines: list[LogLine], request: str) -> list[LogLine]:
@@ -61,13 +65,19 @@
 def format_line(line: LogLine, start_ms: int) -> str:
     """Return a log line as text, its time relative to `start_ms`."""
     fields = " ".join(
-        f"{name}={value}"
+        f"{name}={_format_value(value)}"
         for name, value in line.fields.items()
         if name not in OMITTED_FIELDS and value not in (None, "")
     )
     return f"{line.time_ms - start_ms:+7d} ms  {line.node}  {line.message} {fields}"
 
 
+def _format_value(value: Any) -> str:
+    if not isinstance(value, str) or PLAIN_TEXT.fullmatch(value):
+        return str(value)
+    return json.dumps(value, ensure_ascii=False)
+
+
 def _show(session: Session, lines: list[LogLine], empty_message: str) -> int:
     if not lines:
         return show_refusal(session.output, refuse(Code.NOT_FOUND, empty_message).error)
--- a/bronzerelay/loglines.py
+++ b/bronzerelay/loglines.py
@@ -5,6 +5,10 @@
 
 import msgspec
 
+from bronzerelay.nesting import check_nesting
+
+HEAD_FIELDS = ("time_ms", "node", "part", "message")
+
 
 class LogLine(NamedTuple):
     """One line of a daemon's log."""
@@ -35,9 +39,15 @@
     start = text.find("{")
     if start < 0:
         return None
+    # Bytes that aren't UTF-8 are read from standard input as lone surrogates.
+    data = text[start:].strip().encode(errors="replace")
+    if not check_nesting(data):
+        return None
     try:
-        fields = msgspec.json.decode(text[start:].strip().encode())
-        head = [fields.pop(name) for name in ("time_ms", "node", "part", "message")]
-    except (msgspec.DecodeError, KeyError, AttributeError, TypeError):
+        fields = msgspec.json.decode(data, type=dict[str, Any])
+        time_ms, *names = (fields.pop(name) for name in HEAD_FIELDS)
+    except (msgspec.DecodeError, UnicodeDecodeError, KeyError):
+        return None
+    if type(time_ms) is not int or not all(isinstance(name, str) for name in names):
         return None
-    return LogLine(*head, fields)
+    return LogLine(time_ms, *names, fields)
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -703,6 +703,27 @@
         "if False:",
         "tests/test_nesting.py::test_no_page_of_a_daemon_ends_the_operators_command",
     ),
+    Mutation(
+        "line breaks in names and messages are printed escaped",
+        "bronzerelay/printing.py",
+        "click.echo(escape_unprintable(line))",
+        "click.echo(line)",
+        "tests/test_cli.py::test_an_author_cannot_add_lines_to_a_shown_bundle",
+    ),
+    Mutation(
+        "text of a caller is printed in quotes",
+        "bronzerelay/logcommands.py",
+        "if not isinstance(value, str) or PLAIN_TEXT.fullmatch(value):",
+        "if True:",
+        "tests/test_logcommands.py::TestCommands::test_text_of_a_caller_stays_in_its_field",
+    ),
+    Mutation(
+        "a log line is checked for nesting before it is decoded",
+        "bronzerelay/loglines.py",
+        "if not check_nesting(data):",
+        "if False:",
+        "tests/test_logcommands.py::TestCommands::test_lines_of_another_program_are_skipped",
+    ),
 )
 
 
--- a/tests/test_logcommands.py
+++ b/tests/test_logcommands.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 from click.testing import CliRunner
 
 from bronzerelay.cli import main
@@ -62,6 +63,32 @@
         assert result.exit_code == 1
         assert "no line names the request r9" in result.output
 
+    def test_text_of_a_caller_stays_in_its_field(self):
+        """Guards against a caller's text that looks like other lines or fields."""
+        text = "a\n+0 ms  d1  \x1b[31m reason=done\u202e\x9b"
+        log = [make_line(3000, request="r1", reason=text, shape='q1 "r')]
+        result = CliRunner().invoke(main, ["story", "r1"], input="".join(log))
+        assert result.output.count("\n") == 1
+        assert '"a\\n+0 ms  d1  \\u001b[31m reason=done\\u202e\\x9b"' in result.output
+        assert 'shape="q1 \\"r"' in result.output
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            '{"a": ' * 5000 + "1" + "}" * 5000,
+            make_line("now"),
+            make_line(1.5),
+            make_line(1000, node=None),
+            make_line(1000, part=[]),
+            make_line(1000, fields="\ud800"),
+            '{"a": "\udcff"}',
+        ],
+        ids=["deep", "text", "float", "node", "part", "surrogate", "binary"],
+    )
+    def test_lines_of_another_program_are_skipped(self, text):
+        """Guards against one line that ends the reading of all logs."""
+        assert len(read_lines([[*LOG, text]])) == len(read_lines([LOG]))
+
     def test_changes(self):
         result = CliRunner().invoke(main, ["changes"], input="".join(LOG))
         assert result.exit_code == 0
