Bound the age that a read accepts

What callers saw: a read with a `max_age_ms` above some 1.8e308, which the protocol allows ("number, 0 or more"), was answered 500 INTERNAL_ERROR, or 503 through another daemon, whose link was closed, and each of three daemons ran it in vain.

Cause: the number is an integer of any size; a time in milliseconds minus such a number raises OverflowError.

Evidence: test_a_read_that_accepts_data_of_any_age_is_served failed on the code before with OverflowError: int too large to convert to float.

Fix: ages above 2**53 ms are read as 2**53 ms; no data is older.

--- a/bronzerelay/reads.py
+++ b/bronzerelay/reads.py
@@ -21,6 +21,8 @@
 REPLICA_MAJORITY = 2
 # The retry-after time of a refusal because no instance can serve the read.
 READ_RETRY_MS = 300
+# No data is older. A float holds it, which isn't true of every integer in a request.
+LONGEST_AGE_MS = 2**53
 
 
 class Reader:
@@ -123,7 +125,8 @@
         return refuse(Code.TOO_STALE, message, READ_RETRY_MS)
 
     def _max_age_ms(self, work: Work) -> float:
-        return work.request.get("max_age_ms", self._watch.spec.max_age_ms)
+        max_age_ms = work.request.get("max_age_ms", self._watch.spec.max_age_ms)
+        return min(max_age_ms, LONGEST_AGE_MS)
 
     def _acquire_slot(self, work: Work, need: Position) -> Result[str, Refusal]:
         max_age_ms = self._max_age_ms(work)
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -3,7 +3,7 @@
 from bronzerelay.codes import NOT_RUN, Code
 from bronzerelay.retries import MAX_ATTEMPTS
 from tests.builders_group import make_server, make_work
-from tests.endpoints import add, open_group, put, wait_until
+from tests.endpoints import add, get, open_group, put, wait_until
 from tests.nodes import open_deployment
 
 SERVICE_MS = 900
@@ -34,6 +34,14 @@
         assert other.result().is_ok()
 
 
+def test_a_read_that_accepts_data_of_any_age_is_served():
+    """Guards against a read that fails because no float holds its age."""
+    with open_group() as group:
+        server = make_server(group.runtime, group)
+        work = make_work(group.runtime, get("tray"), max_age_ms=10**400)
+        assert server.read(work).is_ok()
+
+
 def test_two_daemons_that_serve_a_group_refuse_no_write_as_busy():
     """Guards against queues that are refused while another daemon uses the slots."""
     with open_group(slots=2, service_ms=SHARED_SERVICE_MS) as group:
