Pass an amount on with all its digits

Cause: the type of the field was float, so each whole number was converted on the way.

Evidence: test_numbers_reach_the_endpoint_as_they_were_sent failed on the code before for 2**53 + 1, -(2**64) - 1, 10**300 + 1 and 1 (sent on as 1.0).

Fix: the field holds an integer or a float, here and where a daemon passes the request on. An amount that no float holds was refused as out of range by the conversion, and still is: an endpoint may have to add it to a float.

--- a/bronzerelay/statements.py
+++ b/bronzerelay/statements.py
@@ -1,5 +1,6 @@
 """Decodes and checks the body of a caller's request to run a statement."""
 
+import sys
 from typing import Any, get_type_hints
 
 import msgspec
@@ -88,6 +89,9 @@
         return f"The verb `{verb}` needs the field `{min(missing)}` - at `$.statement`."
     if not statement["row"]:
         return "The row has no name - at `$.statement.row`."
+    # The endpoint may have to add the amount to a float.
+    if abs(statement.get("amount", 0)) > sys.float_info.max:
+        return "The amount is out of range - at `$.statement.amount`."
     return ""
 
 
--- a/bronzerelay/types.py
+++ b/bronzerelay/types.py
@@ -123,7 +123,7 @@
     verb: Literal["get", "put", "add", "append", "delete"]
     row: str
     value: NotRequired[Any]
-    amount: NotRequired[float]
+    amount: NotRequired[int | float]
 
 
 class StatementRequest(TypedDict):
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -724,6 +724,27 @@
         "if False:",
         "tests/test_logcommands.py::TestCommands::test_lines_of_another_program_are_skipped",
     ),
+    Mutation(
+        "an amount is passed on with all its digits",
+        "bronzerelay/types.py",
+        "amount: NotRequired[int | float]",
+        "amount: NotRequired[float]",
+        "tests/test_statements.py::test_numbers_reach_the_endpoint_as_they_were_sent",
+    ),
+    Mutation(
+        "an amount that no float holds is refused",
+        "bronzerelay/statements.py",
+        'if abs(statement.get("amount", 0)) > sys.float_info.max:',
+        "if False:",
+        "tests/test_statements.py::test_an_amount_that_no_float_holds_is_refused",
+    ),
+    Mutation(
+        "the age that a read accepts is bounded",
+        "bronzerelay/reads.py",
+        "return min(max_age_ms, LONGEST_AGE_MS)",
+        "return max_age_ms",
+        "tests/test_group.py::test_a_read_that_accepts_data_of_any_age_is_served",
+    ),
 )
 
 
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -2,11 +2,13 @@
 
 import json
 
+import msgspec
 import pytest
 
 from bronzerelay.codes import Code
 from bronzerelay.runtime import Runtime
 from bronzerelay.statements import MAX_NESTING, decode_request
+from bronzerelay.types import StatementRequest
 
 GET = {"verb": "get", "row": "a"}
 PUT = {"verb": "put", "row": "a", "value": 1}
@@ -75,6 +77,27 @@
     assert runtime.close(1000)
 
 
+@pytest.mark.parametrize("number", [2**53 + 1, -(2**64) - 1, 10**300 + 1, 0.1, 1])
+def test_numbers_reach_the_endpoint_as_they_were_sent(number):
+    """Guards against an addition that adds another amount than the caller sent."""
+    statement = {"verb": "add", "row": "a", "amount": number, "value": number}
+    decoded = decode(statement=statement).ok
+    for received in (
+        decoded,
+        msgspec.json.Decoder(StatementRequest).decode(msgspec.json.encode(decoded)),
+    ):
+        amounts = (received["statement"]["amount"], received["statement"]["value"])
+        assert [repr(amount) for amount in amounts] == [repr(number)] * 2
+
+
+@pytest.mark.parametrize("number", ["9" * 400, "-" + "9" * 400])
+def test_an_amount_that_no_float_holds_is_refused(number):
+    """Guards against an endpoint that fails when it adds the amount to a float."""
+    body = b'{"group":"g","statement":{"verb":"add","row":"a","amount":%s}}'
+    refusal = decode_request(body % number.encode()).error
+    assert refusal.code == Code.INVALID_STATEMENT
+
+
 def test_brackets_that_do_not_nest_are_accepted():
     value = ["[{" * 200, '\\"[[' * 50, *[[{}]] * 200]
     statement = {**PUT, "value": value}
