Bound a caller's text in the log of refusals

What operators would have seen: a caller with any valid key that names a group of a million letters, which is within the limit of a body, makes log lines of a megabyte (six with escapes), four a second for each workspace, each written under the log's lock; the name is also hashed with each member's to find the group's daemon.

Cause: the refusal's message, which quotes the name, was logged whole; nothing bounded the name.

Evidence: test_a_huge_text_of_a_caller_makes_no_huge_line and the new case of test_a_mistake_is_reported failed on the code before.

Fix: a logged reason is cut off after 400 characters, and a group's name above the 63 characters that a bundle allows is refused as INVALID_STATEMENT.

--- a/bronzerelay/refusallog.py
+++ b/bronzerelay/refusallog.py
@@ -12,6 +12,9 @@
 # for the others while one of them is refused hundreds of requests a second.
 WORKSPACE_LINES = 4
 TOTAL_LINES = 40
+# How much of a reason is logged. It may hold a name that a caller made up, or an
+# endpoint's message.
+REASON_LENGTH = 400
 
 
 class RefusedRequest(NamedTuple):
@@ -56,7 +59,7 @@
             "waited_ms": round(self._clock.now_ms() - request.began_ms),
             "code": int(refusal.code),
             "ran": refusal.ran,
-            "reason": refusal.message,
+            "reason": _cut(refusal.message),
             "retry_after_ms": refusal.retry_after_ms,
             **describe(),
             "omitted": omitted,
@@ -75,3 +78,7 @@
             return False
         self._lines[workspace] += 1
         return True
+
+
+def _cut(text: str) -> str:
+    return text if len(text) <= REASON_LENGTH else text[:REASON_LENGTH] + "..."
--- a/bronzerelay/statements.py
+++ b/bronzerelay/statements.py
@@ -11,6 +11,8 @@
 from bronzerelay.types import Statement, StatementRequest
 
 IDEMPOTENCY_KEY_LENGTH = 200
+# No group of a bundle has a longer name.
+GROUP_NAME_LENGTH = 63
 # The fields that each verb requires, besides `row`.
 VERB_FIELDS = {
     "get": set(),
@@ -96,6 +98,8 @@
 
 
 def _find_range_mistake(request: dict[str, Any]) -> str:
+    if len(request["group"]) > GROUP_NAME_LENGTH:
+        return f"`group` is longer than {GROUP_NAME_LENGTH} characters - at `$.group`."
     if request.get("max_age_ms", 0) < 0:
         return "`max_age_ms` is less than 0 - at `$.max_age_ms`."
     if request.get("deadline_ms", 1) < 1:
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -745,6 +745,20 @@
         "return max_age_ms",
         "tests/test_group.py::test_a_read_that_accepts_data_of_any_age_is_served",
     ),
+    Mutation(
+        "a logged reason is cut off when it is long",
+        "bronzerelay/refusallog.py",
+        "if len(text) <= REASON_LENGTH",
+        "if True",
+        "tests/test_refusallog.py::test_a_huge_text_of_a_caller_makes_no_huge_line",
+    ),
+    Mutation(
+        "a group's name is bounded",
+        "bronzerelay/statements.py",
+        'if len(request["group"]) > GROUP_NAME_LENGTH:',
+        "if False:",
+        "tests/test_statements.py::test_a_mistake_is_reported",
+    ),
 )
 
 
--- a/tests/test_refusallog.py
+++ b/tests/test_refusallog.py
@@ -7,6 +7,7 @@
 from bronzerelay.codes import NOT_RUN, Code, Refusal
 from bronzerelay.refusallog import (
     PERIOD_MS,
+    REASON_LENGTH,
     TOTAL_LINES,
     WORKSPACE_LINES,
     RefusalLog,
@@ -57,3 +58,15 @@
     runtime.sleep_ms(PERIOD_MS)
     trial.record("late")
     assert trial.read_lines()[-1]["workspace"] == "late"
+
+
+def test_a_huge_text_of_a_caller_makes_no_huge_line(runtime):
+    """Guards against a caller that fills the log and memory with a name it made up."""
+    trial = Trial(runtime)
+    refusal = REFUSAL._replace(message="no group '" + "x" * 1_000_000 + "'")
+    request = RefusedRequest("r1", "north", runtime.clock.now_ms())
+    trial.log.record("Refused.", request, refusal, dict)
+    trial.record("small")
+    first, second = trial.read_lines()
+    assert first["reason"] == refusal.message[:REASON_LENGTH] + "..."
+    assert second["reason"] == REFUSAL.message
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -38,6 +38,7 @@
     [
         ({}, "needs the field `statement`"),
         ({"statement": GET, "group": 1}, "Expected `str`, got `int` - at `$.group`"),
+        ({"statement": GET, "group": "g" * 64}, "`group` is longer than 63 characters"),
         ({"statement": {"verb": "get"}}, "missing required field `row`"),
         ({"statement": {"verb": "drop", "row": "a"}}, "Invalid enum value 'drop'"),
         ({"statement": {**GET, "verb": "put"}}, "`put` needs the field `value`"),
