Split an endpoint's answers at line feeds only

What callers would have seen: an endpoint that writes a carriage return between the values of an answer, which JSON allows and docs/ENDPOINT.md doesn't forbid, had its link closed after each answer, and each write went through settle, or had an unknown outcome.

Cause: the received bytes were split by `splitlines`, which splits at a carriage return as well. The rest of the answer was then read as another answer.

Fix: the bytes are split at line feeds.

--- a/bronzerelay/dialect.py
+++ b/bronzerelay/dialect.py
@@ -11,6 +11,7 @@
 from bronzerelay.runtime import Connection, Runtime
 from bronzerelay.types import EndpointSpec, Statement
 
+LINE_END = b"\n"
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # How long to wait for the rest of a repeated answer, in milliseconds.
 REPEATED_ANSWER_MS = 100
@@ -303,7 +304,7 @@
         if not self.is_usable():
             return EndpointError(UNREACHABLE, "the link was closed before the request")
         self._last_id += 1
-        request = _encoder.encode({"id": self._last_id, **fields}) + b"\n"
+        request = _encoder.encode({"id": self._last_id, **fields}) + LINE_END
         try:
             answer = self._exchange(request, timeout_ms)
         except (OSError, BrokenLinkError, msgspec.MsgspecError) as error:
@@ -326,7 +327,7 @@
         try:
             while not self.closed and not self._connection.is_quiet():
                 end_ms = self._clock.now_ms() + REPEATED_ANSWER_MS
-                for line in self._receive_lines(end_ms).splitlines(keepends=True):
+                for line in self._receive_lines(end_ms):
                     self._read_answer(line)
                 self._got_repeated_answer = True
         except (OSError, BrokenLinkError, msgspec.MsgspecError):
@@ -337,7 +338,7 @@
         self._connection.set_timeout(max(timeout_ms, 1))
         self._connection.send(request)
         while True:
-            *previous, last = self._receive_lines(end_ms).splitlines(keepends=True)
+            *previous, last = self._receive_lines(end_ms)
             # With two answers to this request, the right one can't be determined.
             if any(self._read_answer(line)["id"] == self._last_id for line in previous):
                 raise BrokenLinkError("two answers came at once")
@@ -369,23 +370,26 @@
         except BlockingIOError:
             raise TimeoutError("timed out") from None
 
-    def _receive_lines(self, end_ms: float) -> bytes:
-        """Return the received bytes once they end with a line feed."""
-        line = b""
-        while not line.endswith(b"\n"):
+    def _receive_lines(self, end_ms: float) -> list[bytes]:
+        """Return the received lines once the bytes end with a line feed.
+
+        A carriage return ends no line: JSON allows it between values.
+        """
+        data = b""
+        while not data.endswith(LINE_END):
             left_ms = end_ms - self._clock.now_ms()
             # Receives at least once, as the answer may have come while this process
             # was paused.
-            if left_ms <= 0 and line:
+            if left_ms <= 0 and data:
                 raise TimeoutError("timed out")
             self._connection.set_timeout(max(left_ms, 0))
             chunk = self._receive()
             if not chunk:
                 raise BrokenLinkError("the endpoint closed the connection")
-            line += chunk
-            if len(line) > MAX_ANSWER_BYTES:
+            data += chunk
+            if len(data) > MAX_ANSWER_BYTES:
                 raise BrokenLinkError("the answer is too long")
-        return line
+        return data.split(LINE_END)[:-1]
 
 
 def _make_lost_error(message: str) -> EndpointError:
--- a/tests/test_dialect.py
+++ b/tests/test_dialect.py
@@ -208,6 +208,17 @@
         check_lost(link, read(link))
 
 
+def test_a_carriage_return_in_an_answer_ends_no_line():
+    """Guards against a write whose outcome is unknown though its answer arrived."""
+
+    def reply(connection, line):
+        connection.send(VALID_ANSWER.replace(b",", b",\r").replace(b"\n", b"\r\n"))
+
+    with open_scripted_endpoint(reply) as (_, link):
+        assert read(link).ok.value == 7
+        assert not link.closed
+
+
 def test_slowly_received_bytes_do_not_extend_the_timeout():
     """The endpoint sends single bytes and never a whole answer. The caller still gets
     an error at the timeout, not minutes later.
