Split a bundle file at line feeds only

What operators would have seen: an edit of a file with U+0085, U+2028 or U+2029 in a comment wrote the whole file anew and lost all comments.

Cause: `splitlines` ends a line at these characters, TOML doesn't. The rest of the comment became a line of its own, so that the edited text was no valid file; the check that an edit comes to the same as on the bundle kept it from doing worse.

Evidence: test_an_edit_preserves_a_comment_with_any_character failed for each of the three characters on the code before.

Fix: the text is split at line feeds.

--- a/bronzerelay/bundlefile.py
+++ b/bronzerelay/bundlefile.py
@@ -159,7 +159,8 @@
     """Return the blocks of a file, in order."""
     blocks = [Block("", ())]
     pending_comments: list[str] = []
-    for line in text.splitlines():
+    # Not `splitlines`: it would split comments at marks that end no line in TOML.
+    for line in text.removesuffix("\n").split("\n"):
         match = HEADER_LINE.fullmatch(line)
         if match:
             blocks.append(Block(match[1], (*pending_comments, line)))
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -759,6 +759,20 @@
         "if False:",
         "tests/test_statements.py::test_a_mistake_is_reported",
     ),
+    Mutation(
+        "an endpoint's answers are split at line feeds only",
+        "bronzerelay/dialect.py",
+        "return data.split(LINE_END)[:-1]",
+        "return data.splitlines()",
+        "tests/test_dialect.py::test_a_carriage_return_in_an_answer_ends_no_line",
+    ),
+    Mutation(
+        "a bundle file is split at line feeds only",
+        "bronzerelay/bundlefile.py",
+        'for line in text.removesuffix("\\n").split("\\n"):',
+        "for line in text.splitlines():",
+        "tests/test_bundlefile.py::test_an_edit_preserves_a_comment_with_any_character",
+    ),
 )
 
 
--- a/tests/test_bundlefile.py
+++ b/tests/test_bundlefile.py
@@ -48,6 +48,17 @@
         assert edited.rewritten
 
 
+@pytest.mark.parametrize("mark", ["\x85", "\u2028", "\u2029"])
+def test_an_edit_preserves_a_comment_with_any_character(mark):
+    """Guards against an edit that loses all comments because of a mark in one."""
+    comment = f"# one{mark} two{mark}[[workspaces]]"
+    text = write_bundle(make_bundle()).replace("[[groups]]", f"{comment}\n[[groups]]")
+    for edit in EDITS:
+        edited = edit_text(text, edit).ok
+        assert comment in edited.text.split("\n")
+        assert not edited.rewritten
+
+
 def test_an_edit_handles_a_string_over_several_lines():
     """A string value spans several lines. An edit of the lines must change the right
     entry, or the file must be written anew.
