Check a roster and a peer's record before they are used

What operators would have seen: a roster whose epoch doesn't fit into 64 bits was put in force, after which no heartbeat could be sent or answered (OverflowError in thrift); one with an address that can't be read was put in force half: its epoch, but the addresses of the one before, so that a later good roster with that epoch was ignored. A configuration from a peer that is nested 50,000 levels deep ended the process, and one that is no JSON, like a roster that is none, ended the heartbeat that fetched it. Daemons write neither; it takes a change of the store by hand, a fault in it, or a peer of another version.

Cause: the roster was set before its addresses were read, its epoch was taken as it came, and the record was decoded by a decoder for values of any type without a check of the nesting.

Fix: the roster is checked whole before any of it is set; gossip logs what it can't use and goes on. The record's nesting is checked first.

--- a/bronzerelay/gossip.py
+++ b/bronzerelay/gossip.py
@@ -6,7 +6,9 @@
 import msgspec
 
 from bronzerelay.configuration import ConfigurationStore
+from bronzerelay.decoding import decode
 from bronzerelay.membership import PAUSE_MS, Membership
+from bronzerelay.nesting import ANSWER_NESTING, check_nesting
 from bronzerelay.peerlink.ttypes import Beat, Record
 from bronzerelay.peers import PeerLinks
 from bronzerelay.runtime import Address, Runtime, TaskLimitError
@@ -18,9 +20,17 @@
 # How often the liveness of peers is checked, to drop the links to silent ones.
 LIVENESS_CHECK_MS = 50
 
+_record_decoder = msgspec.json.Decoder()
 _roster_decoder = msgspec.json.Decoder(Roster)
 
 
+def _decode_record(data: bytes) -> Any:
+    """Return the decoded record; raise ValueError if it can't be read."""
+    if not check_nesting(data, ANSWER_NESTING):
+        raise ValueError("it is nested too deeply")
+    return decode(_record_decoder, data)
+
+
 class GossipSettings(NamedTuple):
     """The interval between heartbeats to a peer, and the timeout of one."""
 
@@ -60,7 +70,13 @@
 
     def accept_roster(self, roster: Roster) -> None:
         """Accept a roster from the platform or a peer, if it is newer."""
-        if not self._membership.accept_roster(roster):
+        try:
+            accepted = self._membership.accept_roster(roster)
+        except ValueError as error:
+            extra = {"reason": str(error)}
+            self._log.warning("A roster can't be put in force.", extra=extra)
+            return
+        if not accepted:
             return
         self._log.info("The roster changed.", extra={"epoch": roster["epoch"]})
         self._start_heartbeats()
@@ -124,14 +140,26 @@
     def _fetch_config(self, address: Address) -> None:
         version = self._store.version
         result = self._links.call(address, "fetch_config", version, FETCH_TIMEOUT_MS)
-        if result.is_ok() and result.ok.value:
-            self._store.accept(msgspec.json.decode(result.ok.value))
+        if not result.is_ok() or not result.ok.value:
+            return
+        try:
+            self._store.accept(_decode_record(result.ok.value))
+        except ValueError as error:
+            extra = {"peer": str(address), "reason": str(error)}
+            self._log.warning("A peer's configuration can't be read.", extra=extra)
 
     def _fetch_roster(self, address: Address) -> None:
         epoch = self._membership.roster["epoch"]
         result = self._links.call(address, "fetch_roster", epoch, FETCH_TIMEOUT_MS)
-        if result.is_ok() and result.ok.value:
-            self.accept_roster(_roster_decoder.decode(result.ok.value))
+        if not result.is_ok() or not result.ok.value:
+            return
+        try:
+            roster = decode(_roster_decoder, result.ok.value)
+        except ValueError as error:
+            extra = {"peer": str(address), "reason": str(error)}
+            self._log.warning("A peer's roster can't be read.", extra=extra)
+            return
+        self.accept_roster(roster)
 
     def fetch_from_seed(self, address: Address) -> bool:
         """Fetch roster and configuration from a peer that the settings name.
--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -10,6 +10,8 @@
 
 # The age of an event that never happened; it fits into the heartbeat's i64.
 NEVER_MS = 10**12
+# The highest epoch of a roster; it fits into the heartbeat's i64 with room to grow.
+MAX_EPOCH = 2**53
 # If this much time lies between two calls of `note_running`, this daemon was paused.
 PAUSE_MS = 250
 # After a pause of this share of `suspect_ms` peers may have counted this daemon as
@@ -262,8 +264,14 @@
     def accept_roster(self, roster: Roster) -> bool:
         """Put `roster` in force if its epoch is higher, or if it is newly settled.
 
-        Return whether it was put in force.
+        Return whether it was put in force. Raise ValueError if it can't be used.
         """
+        if not 0 <= roster["epoch"] <= MAX_EPOCH:
+            raise ValueError(f"the roster's epoch {roster['epoch']} is out of range")
+        members = roster["members"]
+        addresses = {
+            member["name"]: parse_address(member["address"]) for member in members
+        }
         with self._lock:
             known = self._roster
             if roster["epoch"] < known["epoch"]:
@@ -272,10 +280,7 @@
             if roster["epoch"] == known["epoch"] and not newly_settled:
                 return False
             self._roster = roster
-            members = roster["members"]
-            self._addresses = {
-                member["name"]: parse_address(member["address"]) for member in members
-            }
+            self._addresses = addresses
             for name in set(self._views) - set(self._addresses):
                 del self._views[name]
                 self._missed_at_ms.pop(name, None)
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -773,6 +773,20 @@
         "for line in text.splitlines():",
         "tests/test_bundlefile.py::test_an_edit_preserves_a_comment_with_any_character",
     ),
+    Mutation(
+        "a roster whose epoch fits no heartbeat is rejected",
+        "bronzerelay/membership.py",
+        'if not 0 <= roster["epoch"] <= MAX_EPOCH:',
+        "if False:",
+        "tests/test_membership.py::test_a_roster_that_cannot_be_used_changes_nothing",
+    ),
+    Mutation(
+        "a peer's configuration is checked for nesting before it is decoded",
+        "bronzerelay/gossip.py",
+        "if not check_nesting(data, ANSWER_NESTING):",
+        "if False:",
+        "tests/test_daemon_gossip.py::test_a_configuration_that_cannot_be_read_is_not_put_in_force",
+    ),
 )
 
 
--- a/tests/test_daemon_gossip.py
+++ b/tests/test_daemon_gossip.py
@@ -48,17 +48,18 @@
 
 
 class FakeLinks:
-    """Links to a peer with version 2, which it may not let others fetch."""
+    """Links to a peer with version 2 and epoch 1, which may let nobody fetch these."""
 
-    def __init__(self, serves_config):
+    def __init__(self, serves_config, value=b'{"version": 2}'):
         self._serves_config = serves_config
+        self._value = value
 
     def call(self, address, method, argument, timeout_ms):
         if method == "beat":
             return Ok(Beat("vm-2", 1, 2, []))
         if not self._serves_config:
             return Error(None)
-        return Ok(Record(version=2, value=b'{"version": 2}'))
+        return Ok(Record(version=2, value=self._value))
 
 
 @pytest.mark.parametrize(("serves_config", "merged_at"), [(True, [2]), (False, [])])
@@ -80,6 +81,48 @@
     assert membership.merged_at == merged_at
 
 
+@pytest.mark.parametrize("value", [b"[" * 50_000 + b"]" * 50_000, b"{", b"\xff"])
+def test_a_configuration_that_cannot_be_read_is_not_put_in_force(value):
+    """Guards against a daemon that ends because of what a peer has sent."""
+    stream = io.StringIO()
+    with open_runtime(10) as runtime:
+        store = FakeStore()
+        membership = FakeMembership(store)
+        links = FakeLinks(True, value)
+        log = open_log("gossip", stream)
+        gossip = Gossip(runtime, GossipSettings(), membership, store, links, log)
+        assert runtime.start(gossip.send_heartbeat, "vm-2", PEER).result()
+    assert (store.version, membership.merged_at) == (1, [])
+    assert "can't be read" in stream.getvalue()
+
+
+@pytest.mark.parametrize("value", [b'{"x":' * 50_000, b"{", b"\xff", b"[]"])
+def test_a_roster_that_cannot_be_read_is_not_put_in_force(value):
+    """Guards against heartbeats that end because of what a peer has sent."""
+    stream = io.StringIO()
+    with open_runtime(10) as runtime:
+        membership = Membership(runtime, MembershipSettings("vm-1"))
+        store = FakeStore()
+        store.version = 2
+        links, log = FakeLinks(True, value), open_log("gossip", stream)
+        gossip = Gossip(runtime, GossipSettings(), membership, store, links, log)
+        assert runtime.start(gossip.send_heartbeat, "vm-2", PEER).result()
+        assert membership.roster["epoch"] == 0
+    assert "can't be read" in stream.getvalue()
+
+
+def test_a_roster_that_cannot_be_used_is_logged():
+    """Guards against heartbeats that end because of one malformed roster."""
+    stream = io.StringIO()
+    with open_runtime(10) as runtime:
+        membership = Membership(runtime, MembershipSettings("vm-1"))
+        log = open_log("gossip", stream)
+        gossip = Gossip(runtime, GossipSettings(), membership, None, None, log)
+        gossip.accept_roster({"epoch": 2**63, "members": []})
+        assert membership.roster["epoch"] == 0
+    assert "can't be put in force" in stream.getvalue()
+
+
 class MarkingMembership(FakeMembership):
     """Records which members are marked as unreachable."""
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -138,3 +138,22 @@
     trio.send_heartbeat("vm-1", "vm-2")
     assert "vm-2" not in trio.members["vm-1"].alive_names()
     assert trio.members["vm-2"].alive_names() == ["vm-1", "vm-3"]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"epoch": 2**63},
+        {"members": [{"name": "vm-9", "address": "10.0.0.1", "failure_domain": "a"}]},
+    ],
+)
+def test_a_roster_that_cannot_be_used_changes_nothing(trio, changes):
+    """Guards against a daemon that can send no heartbeat with the roster's epoch, or
+    knows the epoch of one roster and the addresses of another.
+    """
+    member = trio.members["vm-1"]
+    with pytest.raises(ValueError, match="roster|address"):
+        member.accept_roster({**make_roster(3, NAMES[:2]), **changes})
+    assert member.roster["epoch"] == 1
+    assert member.member_names() == list(NAMES)
+    trio.exchange_heartbeats()
