Split the paths of the platform's stand-in before decoding them

What a test would have missed: the stand-in took an encoded slash for one that separates parts of the path, so a client that quotes the id of a lease wrongly renewed another lease, or reached another path, without an error.

Cause: the whole path was decoded before it was split.

Evidence: test_an_encoded_slash_separates_no_parts_of_a_path failed on the code before (POST /v1/leases/ID%2Frenew renewed the lease with 200).

Fix: the path is kept as it came, and each name in it is decoded by itself.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -83,7 +83,10 @@
 
 
 class Request(NamedTuple):
-    """One HTTP request, with its path and query decoded."""
+    """One HTTP request, with its query decoded and its path as it came.
+
+    An encoded slash in the path belongs to a name.
+    """
 
     method: str
     path: str
@@ -142,7 +145,7 @@
         query = parse_qs((url.query or b"").decode("latin-1"), keep_blank_values=True)
         request = Request(
             method=self._parser.get_method().decode("ascii"),
-            path=unquote(url.path.decode("latin-1")),
+            path=url.path.decode("latin-1"),
             query={name: values[-1] for name, values in query.items()},
             caller=self._caller,
             body=b"".join(self._body),
@@ -347,7 +350,8 @@
         except (KeyError, ValueError, msgspec.MsgspecError) as error:
             return Answer(400, {"error": str(error)})
 
-    def _get(self, request: Request, key: str) -> Answer:
+    def _get(self, request: Request, rest: str) -> Answer:
+        key = unquote(rest)
         if not request.is_watch:
             entry: Entry | None = self.store.get(key)
         else:
@@ -359,7 +363,8 @@
             return Answer(404, {"error": "absent"})
         return Answer(200, make_entry_body(entry))
 
-    def _put(self, request: Request, key: str) -> Answer:
+    def _put(self, request: Request, rest: str) -> Answer:
+        key = unquote(rest)
         body = msgspec.json.decode(request.body, type=PutBody)
         stored, entry = self.store.put(
             key, body["value"], body["expected_revision"], body.get("lease")
@@ -368,7 +373,8 @@
             return Answer(409, make_entry_body(entry))
         return Answer(200, {"revision": entry.revision})
 
-    def _delete(self, request: Request, key: str) -> Answer:
+    def _delete(self, request: Request, rest: str) -> Answer:
+        key = unquote(rest)
         expected = int(request.query["expected_revision"])
         deleted, entry = self.store.delete(key, expected)
         return Answer(200, {}) if deleted else Answer(409, make_entry_body(entry))
@@ -384,11 +390,11 @@
         lease, _, action = rest.partition("/")
         if action != "renew":
             return Answer(404, {"error": "unknown path"})
-        self.store.renew_lease(lease)
+        self.store.renew_lease(unquote(lease))
         return Answer(200, {})
 
-    def _end_lease(self, request: Request, lease: str) -> Answer:
-        self.store.end_lease(lease)
+    def _end_lease(self, request: Request, rest: str) -> Answer:
+        self.store.end_lease(unquote(rest))
         return Answer(200, {})
 
     def _list_vms(self, request: Request, _: str) -> Answer:
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -45,6 +45,18 @@
     return {"value": value, "expected_revision": expected, **more}
 
 
+def test_an_encoded_slash_separates_no_parts_of_a_path(caller):
+    """Guards against a stand-in that hides a client's mistake in quoting names."""
+    _, lease = caller.ask("POST", "/v1/leases", {"ttl_ms": 5000})
+    path = f"/v1/leases/{lease['lease']}"
+    assert caller.ask("POST", f"{path}%2Frenew")[0] == 404
+    assert caller.ask("GET", "/v1%2Fvms")[0] == 404
+    assert caller.ask("GET", "/admin%2Fcalls")[0] == 404
+    assert caller.ask("POST", f"{path}/renew")[0] == 200
+    assert caller.ask("PUT", "/v1/values/a%2Fb", put(1, 0))[0] == 200
+    assert caller.ask("GET", "/v1/values/a/b")[1]["value"] == 1
+
+
 def test_down_has_no_effect_and_gives_no_answer(platform, caller):
     """The platform is down for one caller, whose write times out, while another caller
     is served. The write that timed out must not take effect after the outage.
