Refuse a sum that no number holds in the endpoint's stand-in

What a test would have missed, or taken for a fault of the daemon: `add` of two large floats was answered `null` and stored as infinity, and of a float to an integer above 1.8e308 ended the connection without an answer.

Evidence: test_a_sum_that_no_number_holds_is_refused failed on the code before in all three cases (a success, a lost link, a success).

Fix: such an addition is answered invalid_statement, and the row stays as it is.

--- a/standins/instance.py
+++ b/standins/instance.py
@@ -1,5 +1,6 @@
 """The state of one database instance: its log, rows, term and transactions."""
 
+import math
 from bisect import bisect_right
 from operator import itemgetter
 from typing import Any, Literal, NamedTuple, TypedDict
@@ -68,6 +69,17 @@
     return row
 
 
+def add_numbers(first: float, second: float) -> float:
+    """Return the sum; refuse one that is too large for its type."""
+    try:
+        total = first + second
+    except OverflowError:
+        total = math.inf
+    if isinstance(total, float) and not math.isfinite(total):
+        raise RefusedError("invalid_statement", "the sum is out of range")
+    return total
+
+
 def compute_write(statement: dict, current: Any) -> tuple[Any, Any]:
     """Return the answer to a write statement and the new value of its row."""
     match statement:
@@ -76,7 +88,7 @@
         case {"verb": "add", "amount": int() | float() as amount}:
             if not isinstance(current, int | float | None):
                 raise RefusedError("invalid_statement", "the row holds no number")
-            total = (current or 0) + amount
+            total = add_numbers(current or 0, amount)
             return total, total
         case {"verb": "append", "value": value}:
             if not isinstance(current, list | None):
--- a/tests/test_standin_endpoint.py
+++ b/tests/test_standin_endpoint.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -50,6 +51,19 @@
         assert (again.value, again.duplicate) == (4, True)
 
 
+@pytest.mark.parametrize(
+    ("value", "amount"), [(1e308, 1e308), (10**400, 0.5), (10**308, 1e308)]
+)
+def test_a_sum_that_no_number_holds_is_refused(value, amount):
+    """Guards against a sum that is answered as `null`, or that ends a connection."""
+    with open_group() as group:
+        link = group.link("orders-1")
+        assert write(link, "w1", put("count", value)).is_ok()
+        error = write(link, "w2", add("count", amount)).error
+        assert (error.kind, link.closed) == ("invalid_statement", False)
+        assert read_value(link, "count") == value
+
+
 def test_only_one_of_two_fences_with_one_term_is_accepted():
     """Two daemons suspect the primary at the same time and fence with the same term.
     If both fences were accepted, both would promote, and writes would be lost.
