Bound the retry-after time of a tiny rate

What callers would have seen: a workspace with a rate below 1000 / 1.8e308, which a bundle allows (above 0), was answered 500 INTERNAL_ERROR with an unknown outcome whenever it was over its rate, and one with a rate of 1e-18 a Retry-After of 18 digits.

Cause: 1000 / rate is infinite and has no integer.

--- a/bronzerelay/shares.py
+++ b/bronzerelay/shares.py
@@ -23,6 +23,8 @@
 # same configuration. After that it becomes ready without and relies on loans, because
 # a dead VM may stay in the roster for long.
 SPECS_WAIT_MS = 2000
+# The longest retry-after time: a tiny rate gives an infinite one.
+MAX_RETRY_AFTER_MS = 24 * 60 * 60 * 1000
 
 
 class Shares:
@@ -204,6 +206,7 @@
 
 def _refuse_rate(account: Account) -> Result[None, Refusal]:
     spec = account.spec
-    retry_after_ms = max(BORROW_BACKOFF_MS, int(1000 / spec.rate))
+    token_ms = min(1000 / spec.rate, MAX_RETRY_AFTER_MS)
+    retry_after_ms = max(BORROW_BACKOFF_MS, int(token_ms))
     message = f"{spec.name} is over its rate of {spec.rate:g} requests a second."
     return refuse(Code.RATE_EXCEEDED, message, retry_after_ms)
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -787,6 +787,13 @@
         "if False:",
         "tests/test_daemon_gossip.py::test_a_configuration_that_cannot_be_read_is_not_put_in_force",
     ),
+    Mutation(
+        "the retry-after time of a tiny rate is bounded",
+        "bronzerelay/shares.py",
+        "token_ms = min(1000 / spec.rate, MAX_RETRY_AFTER_MS)",
+        "token_ms = 1000 / spec.rate",
+        "tests/test_shares.py::test_a_refusal_at_a_tiny_rate_says_when_to_retry",
+    ),
 )
 
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,11 +1,13 @@
 """Tests of the shares of a workspace's rate, and of loans between them."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from bronzerelay.buckets import LOAN_LIFE_MS, Bucket, Share
 from bronzerelay.codes import Code
 from bronzerelay.holders import list_holders
+from bronzerelay.shares import MAX_RETRY_AFTER_MS
 from tests.fleet import (
     STEP_MS,
     WORKSPACE,
@@ -125,6 +127,18 @@
     assert refusal.retry_after_ms > 0
 
 
+@pytest.mark.parametrize("rate", [5e-324, 1e-300, 1e-18])
+def test_a_refusal_at_a_tiny_rate_says_when_to_retry(rate):
+    """Guards against a refusal that fails because its time is infinite."""
+    fleet = open_fleet(count=1, rate=30, burst=1)
+    fleet.set_spec(make_spec(rate, 1))
+    fleet.learn("vm-1")
+    fleet.spend("vm-1", 4)
+    refusal = fleet.members["vm-1"].shares.spend(WORKSPACE).error
+    assert refusal.code == Code.RATE_EXCEEDED
+    assert refusal.retry_after_ms == MAX_RETRY_AFTER_MS
+
+
 def test_a_daemon_without_a_roster_does_not_refuse_for_the_rate():
     """A daemon that has just started gets requests before it has a roster. A refusal
     with RATE_EXCEEDED would make callers slow down for no reason.
