Write what libraries log as lines of the daemon's log

What operators would have seen: an exception in the handler of a peer's call, which thrift's generated code logs, and urllib3's warnings came as plain text between the JSON lines, with keys unredacted; a line break in the exception's text made the rest of it look like a line of the log.

Cause: no handler was set for loggers outside of the daemon's own, so Python wrote them to standard error in its default form.

Evidence: test_what_a_library_logs_is_a_redacted_line_too failed on the code before; its script wrote 'ValueError: bearer KEY' and below it '{"level": "INFO", "message": "forged"}' as a line of its own.

Fix: warnings and errors of libraries go through the same formatter, as the part "library". How many there may be is not bounded.

--- a/bronzerelay/logs.py
+++ b/bronzerelay/logs.py
@@ -15,6 +15,8 @@
 LEVELS = ("debug", "info", "warning", "error")
 DEBUG = logging.DEBUG
 REDACTED = "[hidden]"
+# The part that lines of libraries belong to.
+LIBRARY = "library"
 RECORD_FORMAT = "{asctime}{levelname}{message}"
 RENAMED_FIELDS = {"asctime": "time", "levelname": "level"}
 BEARER = re.compile(r"(?i)(bearer(?:\s|\\[tnr])+)[^\s\"'\\,;]+")
@@ -127,8 +129,22 @@
 
 
 def set_level(level: str) -> None:
-    """Make the loggers to stderr write events of `level` (one of LEVELS) and above."""
+    """Make the loggers to stderr write events of `level` (one of LEVELS) and above.
+
+    What libraries log from warnings on is written there as well. Without a handler,
+    Python would write it as plain text, and the text of an exception may look like
+    lines of the log.
+    """
     _prepare_root().setLevel(level.upper())
+    libraries = logging.getLogger()
+    if not any(_is_own(handler) for handler in libraries.handlers):
+        handler = make_handler(sys.stderr)
+        handler.addFilter(PartFilter(LIBRARY))
+        libraries.addHandler(handler)
+
+
+def _is_own(handler: logging.Handler) -> bool:
+    return isinstance(handler.formatter, RedactingFormatter)
 
 
 def _prepare_root() -> logging.Logger:
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -794,6 +794,13 @@
         "token_ms = 1000 / spec.rate",
         "tests/test_shares.py::test_a_refusal_at_a_tiny_rate_says_when_to_retry",
     ),
+    Mutation(
+        "what libraries log is written as lines of the log",
+        "bronzerelay/logs.py",
+        "libraries.addHandler(handler)",
+        "pass",
+        "tests/test_logs.py::test_what_a_library_logs_is_a_redacted_line_too",
+    ),
 )
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,8 @@
 
 import io
 import json
+import subprocess
+import sys
 
 import pytest
 
@@ -83,3 +85,30 @@
     line = json.loads(stream.getvalue())
     assert line["headers"]["more"] == ["authorization:"]
     assert line["message"].endswith("\nNext line.")
+
+
+LIBRARY = """
+import logging
+from bronzerelay import logs
+logs.set_level("info")
+try:
+    raise ValueError('bearer KEY\\n{"level": "INFO", "message": "forged"}')
+except ValueError:
+    logging.exception("Unexpected exception in handler")
+logging.getLogger("urllib3").warning("A pool is full.")
+logging.getLogger("urllib3").debug("Nobody needs this.")
+logs.open_log("pool").info("A line of the daemon.")
+"""
+
+
+def test_what_a_library_logs_is_a_redacted_line_too():
+    """Guards against a traceback whose text looks like lines of the daemon's log."""
+    command = [sys.executable, "-c", LIBRARY]
+    ended = subprocess.run(command, capture_output=True, text=True, check=True)
+    lines = [json.loads(line) for line in ended.stderr.splitlines()]
+    assert [line["message"] for line in lines] == [
+        "library: Unexpected exception in handler",
+        "library: A pool is full.",
+        "pool: A line of the daemon.",
+    ]
+    assert "bearer [hidden]\n{" in lines[0]["exc_info"]
