--- a/bronzerelay/statements.py
+++ b/bronzerelay/statements.py
@@ -1,5 +1,6 @@
 """Decodes and checks the body of a caller's request to run a statement."""
 
+import sys
 from typing import Any, get_type_hints
 
 import msgspec
@@ -10,6 +11,8 @@
 from bronzerelay.types import Statement, StatementRequest
 
 IDEMPOTENCY_KEY_LENGTH = 200
+# No group of a bundle has a longer name.
+GROUP_NAME_LENGTH = 63
 # The fields that each verb requires, besides `row`.
 VERB_FIELDS = {
     "get": set(),
@@ -88,10 +91,15 @@
         return f"The verb `{verb}` needs the field `{min(missing)}` - at `$.statement`."
     if not statement["row"]:
         return "The row has no name - at `$.statement.row`."
+    # The endpoint may have to add the amount to a float.
+    if abs(statement.get("amount", 0)) > sys.float_info.max:
+        return "The amount is out of range - at `$.statement.amount`."
     return ""
 
 
 def _find_range_mistake(request: dict[str, Any]) -> str:
+    if len(request["group"]) > GROUP_NAME_LENGTH:
+        return f"`group` is longer than {GROUP_NAME_LENGTH} characters - at `$.group`."
     if request.get("max_age_ms", 0) < 0:
         return "`max_age_ms` is less than 0 - at `$.max_age_ms`."
     if request.get("deadline_ms", 1) < 1:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,8 @@
 
 import io
 import json
+import subprocess
+import sys
 
 import pytest
 
@@ -55,3 +57,58 @@
     assert redact_keys("plain text, authorization is missing") == (
         "plain text, authorization is missing"
     )
+
+
+@pytest.mark.parametrize("key", ["1", "n", "e", "level"])
+def test_a_short_key_leaves_a_line_readable(key):
+    """Guards against a caller whose invented key makes its own log lines no JSON."""
+    stream = io.StringIO()
+    extra = {"request_id": "e1n", "code": 101, "reason": f"a\nb {key}", "omitted": 0}
+    with hide_key(key):
+        open_log("kernel", stream).info("A line.", extra=extra)
+    line = json.loads(stream.getvalue())
+    assert line["reason"].endswith(" [hidden]")
+    assert line["time"].startswith("2")
+    assert (line["level"], line["part"]) == ("INFO", "kernel")
+    assert (line["request_id"], line["code"], line["omitted"]) == ("e1n", 101, 0)
+
+
+def test_an_authorization_field_is_redacted_whatever_it_holds():
+    """Guards against a line that is cut up where a value looks like a header."""
+    stream = io.StringIO()
+    headers = {"Proxy-Authorization": f"Basic {KEY}", "more": ["authorization:"]}
+    fields = {"authorization": {"scheme": KEY}}
+    extra = {"headers": headers, "fields": fields}
+    with hide_key(KEY):
+        open_log("front", stream).info("authorization: x\nNext line.", extra=extra)
+    assert KEY not in stream.getvalue()
+    line = json.loads(stream.getvalue())
+    assert line["headers"]["more"] == ["authorization:"]
+    assert line["message"].endswith("\nNext line.")
+
+
+LIBRARY = """
+import logging
+from bronzerelay import logs
+logs.set_level("info")
+try:
+    raise ValueError('bearer KEY\\n{"level": "INFO", "message": "forged"}')
+except ValueError:
+    logging.exception("Unexpected exception in handler")
+logging.getLogger("urllib3").warning("A pool is full.")
+logging.getLogger("urllib3").debug("Nobody needs this.")
+logs.open_log("pool").info("A line of the daemon.")
+"""
+
+
+def test_what_a_library_logs_is_a_redacted_line_too():
+    """Guards against a traceback whose text looks like lines of the daemon's log."""
+    command = [sys.executable, "-c", LIBRARY]
+    ended = subprocess.run(command, capture_output=True, text=True, check=True)
+    lines = [json.loads(line) for line in ended.stderr.splitlines()]
+    assert [line["message"] for line in lines] == [
+        "library: Unexpected exception in handler",
+        "library: A pool is full.",
+        "pool: A line of the daemon.",
+    ]
+    assert "bearer [hidden]\n{" in lines[0]["exc_info"]
