--- a/lab/passingmutations.py
+++ b/lab/passingmutations.py
@@ -149,9 +149,9 @@
     ),
     Mutation(
         "an answer from before a primary change is no sample of the new primary",
-        POOLER + "placement.py",
-        "was_primary = sent_at_ms >= positions.reset_at_ms",
-        "was_primary = True",
+        POOLER + "positions.py",
+        "if at_ms < self.reset_at_ms:",
+        "if False:",
         "tests/test_placement.py::TestLogSamples",
     ),
 )
