Promise that a statement which can't be sent has not run

Callers saw: a write of a workspace whose name the protocol can't carry was answered FAILED, "unknown whether it ran", though nothing had been sent; so it was with every statement that the encoders refuse.

Such a statement has a fault of its own now, which says that it hasn't run, tries no other instance and names no time to come back, since another attempt can't be sent either. It doesn't count against the instance. The test failed before with FAILED. The text of a setup that fails is worded anew.

--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -107,7 +107,7 @@
             data = self._codec.encode_query(statement_id, text, floor)
         except ValueError as error:
             self.close()
-            return Answer(fault=Fault.REJECTED, detail=str(error))
+            return Answer(fault=Fault.UNSENDABLE, detail=str(error))
         answer = self._exchange(data, deadline_ms)
         self.in_transaction = answer.state is not TransactionState.IDLE
         return answer
@@ -183,7 +183,7 @@
             )
         except ValueError as error:
             self.close()
-            raise LinkError(Fault.REJECTED, str(error)) from None
+            raise LinkError(Fault.UNSENDABLE, str(error)) from None
         if not texts:
             return None
         deadline_ms = self._clock.now_ms() + SESSION_STATE_TIMEOUT_MS
@@ -194,7 +194,7 @@
             answer = self._read_next(deadline_ms)
         if answer.fault is not None:
             self.close()
-            raise LinkError(answer.fault, f"the session can't be laid on: {answer}")
+            raise LinkError(answer.fault, f"the session's state can't be set: {answer}")
         self._values = dict(values)
         if needed is None or self._names_given == given_before:
             return None
@@ -326,7 +326,7 @@
         try:
             startup = self._codec.encode_startup(entry.service, workspace, entry.id)
         except ValueError as error:
-            raise LinkError(Fault.REJECTED, str(error)) from None
+            raise LinkError(Fault.UNSENDABLE, str(error)) from None
         with self._lock:
             self._open[entry.id] = self._open.get(entry.id, 0) + 1
             self.opened += 1
--- a/bronzerelay/pooler/messages.py
+++ b/bronzerelay/pooler/messages.py
@@ -94,6 +94,7 @@
     TIMED_OUT = enum.auto()  # may have run
     LOST = enum.auto()  # may have run: the link ended before the answer
     REJECTED = enum.auto()  # any other error; unknown whether it ran
+    UNSENDABLE = enum.auto()  # not run: the protocol has no way to write it
 
 
 # Faults after which the statement has certainly not run.
@@ -106,6 +107,7 @@
         Fault.WRONG_INSTANCE,
         Fault.TOO_MANY_LINKS,
         Fault.UNREACHABLE,
+        Fault.UNSENDABLE,
     ]
 )
 
--- a/bronzerelay/pooler/refusals.py
+++ b/bronzerelay/pooler/refusals.py
@@ -23,6 +23,7 @@
     Fault.TIMED_OUT: Code.STATEMENT_TIMED_OUT,
     Fault.LOST: Code.OUTCOME_UNKNOWN,
     Fault.REJECTED: Code.STATEMENT_FAILED,
+    Fault.UNSENDABLE: Code.ENDPOINT_UNREACHABLE,
 }
 
 
@@ -30,6 +31,9 @@
     """Return the refusal for a fault; it says "not run" only if that is certain."""
     fault = answer.fault or Fault.REJECTED
     code = FAULT_CODES[fault]
+    if fault is Fault.UNSENDABLE:
+        # Without a time to retry, since another attempt can't be sent either.
+        return Refusal(code, answer.detail, NOT_RUN)
     if fault in NOT_RUN_FAULTS:
         return Refusal(code, answer.detail or code.name, NOT_RUN, BUSY_RETRY_MS)
     if fault is Fault.ABORTED:
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -48,6 +48,8 @@
 # The interval at which a statement looks for a primary during a switchover, in
 # milliseconds.
 SWITCHOVER_POLL_MS = 12
+# Faults of a single statement after which another attempt is of no use.
+FINAL_FAULTS = (Fault.FAILED, Fault.REJECTED, Fault.UNSENDABLE)
 # Refusals of one instance after which a read tries the next one.
 SPILLING_CODES = (
     Code.QUEUE_FULL,
@@ -120,7 +122,7 @@
                 if self._may_repeat_failed(job, requirement, tried):
                     failed = failure
                     continue
-            if not may_repeat or answer.fault in (Fault.FAILED, Fault.REJECTED):
+            if not may_repeat or answer.fault in FINAL_FAULTS:
                 return failure
             if not self._has_time_left(job):
                 return failure
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -23,7 +23,7 @@
 from bronzerelay.runtime import Address
 from standins.linecaller import LineCaller
 from standins.linegroup import LOCAL
-from standins.lineplatform import AGED, NORTH, OWN, SERVICE, STRICT
+from standins.lineplatform import AGED, NORTH, OWN, SERVICE, STRICT, Tenant
 from tests.builders_pooler import (
     READY_PATH,
     WAIT_MS,
@@ -310,6 +310,16 @@
         run_ok(open_session(fleet), "FETCH a")
         assert {run.workspace for run in fleet.platform.group.runs} == {"north"}
 
+    def test_statement_that_cant_be_sent_is_refused_as_not_run(self, fleet):
+        """Guards against a write in doubt though no instance can have got it."""
+        fleet.platform.tenants = [Tenant("north east", ("east-key",)), NORTH]
+        fleet.platform.configure()
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT, "east-key")
+        assert caller.query("STORE a b").error == "RETRY"
+        run_ok(open_session(fleet, STRICT), "STORE a c")
+        assert [run.text for run in fleet.platform.group.runs] == ["STORE a c"]
+
     def test_workspace_over_its_rate_is_told_when_to_retry(self, fleet):
         fleet.platform.tenants = [NORTH._replace(rate=5.0, burst=5.0)]
         fleet.platform.configure()
