Use no link on which an instance has sent more than an answer

Callers would have seen another's bytes as their own answer (MIXED): what came behind an answer in the same segment stays in the reader's buffer, and a link was given to the next session when the socket alone was empty. Found by the review; it takes an instance that answers twice, or a stored value with a line break in it, which callers can't store through this code.

A link is reused only with an empty buffer, and a statement isn't sent on one with bytes in it: the link is closed, and the statement has not run. Both tests failed before: the link was reused, and `FETCH y` was answered with the bytes behind `FETCH x`.

--- a/bronzerelay/pooler/lines.py
+++ b/bronzerelay/pooler/lines.py
@@ -30,6 +30,10 @@
         """Return whether a complete line is buffered."""
         return self._find_end() >= 0
 
+    def has_data(self) -> bool:
+        """Return whether at least a part of the next line is buffered."""
+        return bool(self._buffer)
+
     def _find_end(self) -> int:
         end = self._buffer.find(LINE_END, max(0, self._searched - 1))
         if end < 0:
--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -115,6 +115,10 @@
     def _exchange(
         self, data: bytes, deadline_ms: float, is_handshake: bool = False
     ) -> Answer:
+        if self._reader.has_data():
+            self.close()
+            detail = "the instance has sent more than an answer"
+            return Answer(fault=Fault.UNREACHABLE, detail=detail)
         sent = False
         received_before = self._reader.received
         try:
@@ -245,7 +249,11 @@
 
     def is_reusable(self) -> bool:
         """Return whether another session may use the link."""
-        return self.usable and not self.in_transaction and self._connection.is_quiet()
+        return self.usable and not self.in_transaction and self._is_quiet()
+
+    def _is_quiet(self) -> bool:
+        """Return whether nothing has come from the instance that wasn't asked for."""
+        return not self._reader.has_data() and self._connection.is_quiet()
 
     def close(self) -> None:
         """Close the connection; the instance rolls back an open transaction."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -5,7 +5,7 @@
 
 from bronzerelay.pooler.links import LinkError, LinkPool
 from bronzerelay.pooler.messages import Fault, Prepared
-from standins.linegroup import LineGroup
+from standins.linegroup import Commit, LineGroup
 from standins.lineplatform import SERVICE
 from tests.builders_pooler import make_instance, make_runtime
 
@@ -39,6 +39,15 @@
     return link.call("q1", text, None, group.runtime.clock.now_ms() + 1000)
 
 
+def answer_with_surplus(group, pool):
+    """Return a link whose last answer has lines behind it that look like another."""
+    surplus = "1\r\nCOMPLETE s\r\nREADY I 1.1\r\nDATAROW forged"
+    group.instances["orders-0"].log.append(Commit(1, 1, (("x", surplus),), 0))
+    link = acquire(group, pool)
+    assert call(group, link, "FETCH x").rows == ("1",)
+    return link
+
+
 class TestPool:
     def test_link_is_reused_by_the_same_workspace_only(self, group, pool):
         link = acquire(group, pool)
@@ -82,6 +91,19 @@
         group.runtime.clock.sleep_ms(50)
         assert acquire(group, pool) is not link
 
+    def test_link_with_bytes_behind_an_answer_isnt_reused(self, group, pool):
+        """Guards against bytes that the next caller would get as its answer."""
+        link = answer_with_surplus(group, pool)
+        pool.release(link, 2)
+        assert acquire(group, pool) is not link
+
+    def test_bytes_behind_an_answer_are_no_answer(self, group, pool):
+        """Guards against a statement that gets the bytes of the one before it."""
+        link = answer_with_surplus(group, pool)
+        answer = call(group, link, "FETCH y")
+        assert (answer.fault, link.usable) == (Fault.UNREACHABLE, False)
+        assert [run.text for run in group.runs] == ["FETCH x"]
+
     def test_idle_links_are_bounded(self, group, pool):
         links = [acquire(group, pool) for _ in range(4)]
         for link in links:
