Take an answer without COMPLETE or ERROR for a lost one

Callers would have seen a success with `COMPLETE -` that no instance had signed (MIXED): READY ended an answer whatever came before it. Found by the review; it takes an instance that leaves the line out. The answer counts as lost, so that a read is tried elsewhere and a write is in doubt.

--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -147,6 +147,7 @@
         """
         rows: list[str] = []
         signature = ""
+        is_done = is_handshake
         fault = None
         detail = ""
         while True:
@@ -154,11 +155,13 @@
             if line.part is AnswerPart.ROW:
                 rows.append(line.text)
             elif line.part is AnswerPart.DONE:
-                signature = line.text
+                signature, is_done = line.text, True
             elif line.part is AnswerPart.FAULT:
                 fault, detail = line.fault, line.text
                 if is_handshake:
                     return Answer(fault=fault, detail=detail)
+            elif fault is None and not is_done:
+                raise ValueError("an answer ends without its outcome")
             else:
                 return Answer(
                     tuple(rows), signature, fault, detail, line.state, line.position
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -5,7 +5,7 @@
 
 from bronzerelay.pooler.links import LinkError, LinkPool
 from bronzerelay.pooler.messages import Fault, Prepared
-from standins.linegroup import Commit, LineGroup
+from standins.linegroup import Commit, LineGroup, _Link
 from standins.lineplatform import SERVICE
 from tests.builders_pooler import make_instance, make_runtime
 
@@ -104,6 +104,12 @@
         assert (answer.fault, link.usable) == (Fault.UNREACHABLE, False)
         assert [run.text for run in group.runs] == ["FETCH x"]
 
+    def test_answer_without_its_outcome_is_no_success(self, group, pool, monkeypatch):
+        """Guards against a success that no instance has signed."""
+        monkeypatch.setattr(_Link, "_run_data", lambda *_: ["DATAROW half"])
+        answer = call(group, acquire(group, pool), "FETCH x")
+        assert answer.fault is Fault.LOST
+
     def test_idle_links_are_bounded(self, group, pool):
         links = [acquire(group, pool) for _ in range(4)]
         for link in links:
