Give connections that are opened at once numbers of their own in the log

Operators would have seen two connections as one, and so one name with two shapes: the number was read after dialling and without the lock, so that links opened at once had the same. The test failed before: one number for three links.

--- a/bronzerelay/pooler/links.py
+++ b/bronzerelay/pooler/links.py
@@ -341,6 +341,7 @@
         with self._lock:
             self._open[entry.id] = self._open.get(entry.id, 0) + 1
             self.opened += 1
+            number = self.opened
         try:
             connection = self._runtime.dial(entry.address, timeout_ms)
         except OSError as error:
@@ -353,7 +354,7 @@
             entry,
             workspace,
             self.count_bytes,
-            self.opened,
+            number,
         )
         handshake_deadline_ms = min(deadline_ms, now_ms + HANDSHAKE_TIMEOUT_MS)
         answer = link.handshake(startup, handshake_deadline_ms)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -110,6 +110,21 @@
         answer = call(group, acquire(group, pool), "FETCH x")
         assert answer.fault is Fault.LOST
 
+    def test_links_opened_at_once_have_numbers_of_their_own(self, group, pool):
+        """Guards against a log in which two connections look like one."""
+        dial = group.runtime.dial
+        dialing = []
+
+        def dial_when_all_do(*arguments):
+            dialing.append(arguments)
+            while len(dialing) < 3:
+                group.runtime.sleep_ms(1)
+            return dial(*arguments)
+
+        group.runtime.dial = dial_when_all_do
+        tasks = [group.runtime.start(acquire, group, pool) for _ in range(3)]
+        assert len({task.result(2).number for task in tasks}) == 3
+
     def test_idle_links_are_bounded(self, group, pool):
         links = [acquire(group, pool) for _ in range(4)]
         for link in links:
