See a statement that ran twice in the test of callers' texts; one name for an id

The test kept one run for each id, so that a second run could hide a wrong first one; each run is compared now. Found by the review.

--- a/tests/builders_texts.py
+++ b/tests/builders_texts.py
@@ -4,7 +4,7 @@
 
 from bronzerelay.runtime import Runtime
 from standins.linecaller import LineCaller, LineReply
-from standins.linegroup import LineGroup, Run
+from standins.linegroup import LineGroup
 
 PROTOCOL_WORDS = (
     "FETCH STORE EXECUTE PARSE SET COMMIT BEGIN DISCARD QUERY WAITLSN 1.1 -"
@@ -132,21 +132,20 @@
 
 def list_differences(group: LineGroup, callers: list[TextCaller]) -> list[str]:
     """Return what instances have run otherwise than a caller has sent it."""
-    runs: dict[str, Run] = {run.statement_id: run for run in group.runs}
+    sent = {one.statement_id: one for caller in callers for one in caller.sent}
     # The caller's transaction of each transaction at an instance.
     transactions = {0: ""}
     found = []
-    for sent in [sent for caller in callers for sent in caller.sent]:
-        run = runs.pop(sent.statement_id, None)
-        if run is None:
-            found.append(f"{sent} didn't run")
+    for run in group.runs:
+        wanted = sent.pop(run.statement_id, None)
+        if wanted is None:
+            found.append(f"{run} was sent by nobody, or ran twice")
             continue
-        transaction = transactions.setdefault(run.transaction, sent.transaction)
-        ran = Sent(
-            run.statement_id, drop_name(run.text), run.shape, run.values, transaction
-        )
-        if ran != sent._replace(text=drop_name(sent.text)):
-            found.append(f"{sent} ran as {ran}")
+        transaction = transactions.setdefault(run.transaction, wanted.transaction)
+        text = drop_name(run.text)
+        ran = Sent(run.statement_id, text, run.shape, run.values, transaction)
+        if ran != wanted._replace(text=drop_name(wanted.text)):
+            found.append(f"{wanted} ran as {ran}")
     if len(set(transactions.values())) < len(transactions):
         found.append(f"a transaction ran as several: {transactions}")
-    return found + [f"{run} was sent by nobody" for run in runs.values()]
+    return found + [f"{wanted} didn't run" for wanted in sent.values()]
