Raise OSError for each address that can't be used

A session whose statement was sent to an instance with such an address ended without an answer, and a member with such an address ended each round of heartbeats.

Cause: for a host with a label over 63 characters or an empty one, a null character, or a port out of range, the socket module raises UnicodeError, TypeError or OverflowError. All callers expect OSError alone.

--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -18,7 +18,7 @@
 import time
 import traceback
 import weakref
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 if TYPE_CHECKING:
@@ -360,6 +360,18 @@
         self._sock.close()
 
 
+@contextlib.contextmanager
+def _raise_as_os_error(address: Address) -> Iterator[None]:
+    """Raise OSError for an address that can't be used, as callers expect it.
+
+    For a host or a port of a wrong form the socket module raises other errors.
+    """
+    try:
+        yield
+    except (ValueError, TypeError, OverflowError) as error:
+        raise OSError(f"{address} can't be used: {error}") from None
+
+
 class DatagramSocket:
     """A UDP socket; any task may call its methods."""
 
@@ -369,7 +381,8 @@
 
     def send_to(self, data: bytes, address: Address) -> None:
         """Send one datagram, or raise OSError; it may be lost on the way."""
-        self._sock.sendto(data, address)
+        with _raise_as_os_error(address):
+            self._sock.sendto(data, address)
 
     def receive(self, limit: int) -> bytes:
         """Return the next datagram; raise TimeoutError after DATAGRAM_WAIT_MS."""
@@ -544,7 +557,8 @@
         server_name: str = "",
     ) -> Connection:
         """Return a connection to `address`, or raise OSError within the timeout."""
-        sock = socket.create_connection(address, timeout_ms / 1000)
+        with _raise_as_os_error(address):
+            sock = socket.create_connection(address, timeout_ms / 1000)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         _keep_alive(sock)
         if tls is not None:
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -223,6 +223,30 @@
         listener.close()
 
 
+ODD_ADDRESSES = [
+    Address(f"{'a' * 64}.example", 80),
+    Address("a..b", 80),
+    Address(f"{LOCAL}\0", 80),
+    Address(LOCAL, 65536),
+    Address(LOCAL, -1),
+    Address(LOCAL, 10**30),
+]
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+class TestOddAddresses:
+    def test_connecting_raises_os_error(self, runtime, address):
+        """Guards against errors that nobody expects from an unreachable address."""
+        with pytest.raises(OSError):
+            runtime.dial(address, 1000)
+
+    def test_sending_raises_os_error(self, runtime, address):
+        sender = runtime.open_datagram_socket(Address(LOCAL, 0))
+        with pytest.raises(OSError):
+            sender.send_to(b"x", address)
+        sender.close()
+
+
 class TestTasks:
     def test_task_that_was_cancelled_before_it_began_has_ended(self):
         """Guards against a process that waits at its end for a task that never ran."""
