Use no instance whose entry holds values out of range

One odd entry of another writer, and sessions of the whole service ended without an answer to a statement.

Cause: the decoder reads whole numbers of hundreds of digits, so that `slots * 1.5` raised OverflowError for each statement of the service; a `born` beyond 64 bits fits into no message between daemons; names of hosts were accepted and would be looked up; an id or a service with blanks or line ends became further fields or lines of a connection's first message; texts of a megabyte went into log lines.

Evidence: of the 44 forms in tests/builders_odd.py, played one at a time through a daemon on stand-ins, 20 named an instance before, as did all 8 ids that aren't one word. Callers of the other instances lost their sessions with a capacity of 400 digits and with host names that have a long or an empty label.

--- a/bronzerelay/bundle.py
+++ b/bronzerelay/bundle.py
@@ -1,7 +1,6 @@
 """The configuration bundle: reading, checking, comparing and compiling it."""
 
 import hashlib
-import ipaddress
 import json
 import tomllib
 from collections.abc import Iterator
@@ -11,7 +10,7 @@
 from expression import Error, Ok, Result
 
 from bronzerelay.codes import Code, Refusal, refuse
-from bronzerelay.runtime import Address, parse_address
+from bronzerelay.runtime import parse_ip_address
 from bronzerelay.schema import (
     Field,
     Mistake,
@@ -58,19 +57,6 @@
     new: Any
 
 
-def parse_ip_address(text: str) -> Address:
-    """Return the IPv4 address and port in `text`, or raise ValueError.
-
-    Only the canonical form is accepted: otherwise one endpoint, written in two ways,
-    would count as two towards a majority.
-    """
-    address = parse_address(text)
-    ipaddress.IPv4Address(address.host)
-    if str(address) != text or address.port == 0:
-        raise ValueError(f"{text!r} isn't in canonical form")
-    return address
-
-
 NAME = check_text(
     r"[a-z0-9][a-z0-9._-]{0,62}",
     "1 to 63 of a-z, 0-9, '.', '_', '-', the first a letter or a digit",
--- a/bronzerelay/runtime.py
+++ b/bronzerelay/runtime.py
@@ -68,6 +68,27 @@
     return Address(host, int(port))
 
 
+def parse_ip_address(text: str) -> Address:
+    """Return the IPv4 address and port in `text`, or raise ValueError.
+
+    Only the canonical form is accepted: otherwise one instance, written in two ways,
+    would count as two. Names are not accepted, as a task would wait for their lookup.
+    """
+    address = parse_address(text)
+    if str(address) != text or address.port == 0 or not _is_ipv4(address.host):
+        raise ValueError(f"{text!r} isn't an IPv4 address and port in canonical form")
+    return address
+
+
+def _is_ipv4(host: str) -> bool:
+    """Return whether the host is an IPv4 address."""
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
 class ConnectionLostError(OSError):
     """The connection ended before the expected bytes arrived."""
 
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,115 @@
+"""Odd entries of other writers: callers of the other instances are served."""
+
+import pytest
+from records import decode_instance
+
+from bronzerelay.pooler.events import EventLog
+from standins.lineplatform import AGED, SERVICE, STRICT
+from tests.builders_odd import (
+    ODD_ENTRIES,
+    ODD_FAMILIES,
+    ODD_IDS,
+    make_odd,
+)
+from tests.builders_pooler import (
+    PoolerFleet,
+    open_session,
+    run_ok,
+)
+
+OWN_IDS = [f"{SERVICE}-{number}" for number in range(3)]
+READS = 12
+
+
+@pytest.fixture
+def fleet():
+    fleet = PoolerFleet()
+    yield fleet
+    fleet.close()
+
+
+@pytest.fixture
+def traces(monkeypatch):
+    """Return the traces that daemons log, instead of ending or skipping something."""
+    found = []
+    write = EventLog.write
+
+    def collect(log, part, message, **fields):
+        if "trace" in fields:
+            found.append(fields["trace"])
+        write(log, part, message, **fields)
+
+    monkeypatch.setattr(EventLog, "write", collect)
+    return found
+
+
+def collect_failures(daemon, traces):
+    daemon._runtime.report_failure = traces.append
+
+
+def check_serving(fleet, daemon, traces):
+    """Check that callers are served, and that later changes are followed."""
+    version = fleet.platform.configure()
+    fleet.wait(lambda: daemon.directory.version == version, "the next configuration")
+    fleet.platform.register(fleet.platform.group.instances[OWN_IDS[1]])
+    revision = fleet.store.revision
+    fleet.wait(lambda: daemon.mirror.revision >= revision, "the next entry")
+    name = daemon._settings.name
+    writer, reader = (
+        open_session(fleet, database, name=name) for database in (STRICT, AGED)
+    )
+    run_ok(writer, "STORE a 1")
+    for number in range(READS):
+        run_ok(reader, "FETCH a")
+        run_ok(writer, f"STORE a {number}")
+    assert traces == []
+    assert daemon._runtime.restarts == 0
+    assert sorted(daemon.directory.instances) == OWN_IDS
+
+
+class TestOddEntries:
+    @pytest.mark.parametrize("data", ODD_ENTRIES.values(), ids=ODD_ENTRIES.keys())
+    def test_odd_entry_is_refused(self, data):
+        with pytest.raises(ValueError):
+            decode_instance("odd", data, {})
+
+    @pytest.mark.parametrize("odd_id", ODD_IDS, ids=ascii)
+    def test_id_that_isnt_one_word_is_refused(self, odd_id):
+        with pytest.raises(ValueError):
+            decode_instance(odd_id, make_odd(), {})
+
+    def test_entry_of_the_same_form_is_read(self):
+        assert decode_instance("odd", make_odd(), {}).slots == 3
+
+    @pytest.mark.parametrize("family", ODD_FAMILIES, ids=lambda one: next(iter(one)))
+    def test_odd_entries_name_no_instance(self, fleet, traces, family):
+        # Sessions of the whole service ended without an answer.
+        daemon = fleet.start_ready("d1")[0]
+        collect_failures(daemon, traces)
+        for number, data in enumerate(family.values()):
+            fleet.store.put(f"servers/odd-{number}", data)
+        check_serving(fleet, daemon, traces)
+
+    def test_ids_that_arent_one_word_name_no_instance(self, fleet, traces):
+        # The id of an entry ended up as a line of its own on a connection.
+        daemon = fleet.start_ready("d1")[0]
+        collect_failures(daemon, traces)
+        for odd_id in ODD_IDS:
+            fleet.store.put(f"servers/{odd_id}", make_odd())
+        check_serving(fleet, daemon, traces)
+
+    def test_many_odd_entries_at_start_leave_the_others_in_use(self, fleet, traces):
+        for number, data in enumerate(ODD_ENTRIES.values()):
+            fleet.store.put(f"servers/odd-{number}", data)
+        daemon = fleet.start_ready("d1")[0]
+        collect_failures(daemon, traces)
+        check_serving(fleet, daemon, traces)
+
+    def test_entry_that_turns_odd_and_back_is_used_again(self, fleet, traces):
+        daemon = fleet.start_ready("d1")[0]
+        collect_failures(daemon, traces)
+        for data in ODD_ENTRIES.values():
+            fleet.store.put(f"servers/{OWN_IDS[2]}", data)
+        fleet.wait(lambda: OWN_IDS[2] not in daemon.directory.instances, "not used")
+        fleet.platform.register(fleet.platform.group.instances[OWN_IDS[2]])
+        check_serving(fleet, daemon, traces)
