Leave odd entries out of the member list

An odd entry among those of the members ended each round of heartbeats, and the daemons' messages to all members after it.

Cause: an entry's address could be a host name or port 0, and its name another one than its key's, so that nobody removed it from the list.

Evidence: the test failed before: all six odd entries were members, and for a host with a null character the task that sends heartbeats failed with TypeError again and again.

Fix: an IPv4 address and port, one word as a name, which is the key's.

--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
-from bronzerelay.decoding import decode
+from bronzerelay.decoding import Label, Word, decode
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.gossip import Gossip
 from bronzerelay.pooler.mirror import Item, Mirror, StoreError
 from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
-from bronzerelay.runtime import Runtime, parse_address
+from bronzerelay.runtime import Runtime, parse_ip_address
 
 MEMBER_PREFIX = "bronzerelay/members/"
 # The interval of checks that this daemon is on the list, in milliseconds.
@@ -30,10 +30,10 @@
 class Member(NamedTuple):
     """A daemon's entry in the list, with its address for peers as HOST:PORT."""
 
-    name: str
-    address: str
+    name: Word
+    address: Label
     # Its failure domain.
-    domain: str = ""
+    domain: Label = ""
 
 
 _member_decoder = msgspec.json.Decoder(Member)
@@ -249,7 +249,9 @@
         for item in items:
             try:
                 member = decode(_member_decoder, item.data or b"")
-                address = parse_address(member.address)
+                address = parse_ip_address(member.address)
+                if item.key != MEMBER_PREFIX + member.name:
+                    raise ValueError(f"it is the entry of {member.name!r}")
                 others[member.name] = Peer(address, member.domain)
             except ValueError as error:
                 self._log.write(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,11 +1,17 @@
 """Odd entries of other writers: callers of the other instances are served."""
 
+import msgspec
 import pytest
 from records import decode_instance
 
+from bronzerelay.pooler.daemon import UPKEEP_MS
 from bronzerelay.pooler.events import EventLog
+from bronzerelay.pooler.members import MEMBER_PREFIX, Member
+from standins.linegroup import LOCAL
 from standins.lineplatform import AGED, SERVICE, STRICT
 from tests.builders_odd import (
+    LONG_LABEL,
+    MEBIBYTE,
     ODD_ENTRIES,
     ODD_FAMILIES,
     ODD_IDS,
@@ -67,6 +73,17 @@
     assert sorted(daemon.directory.instances) == OWN_IDS
 
 
+# What another writer may leave under a key of a member.
+ODD_MEMBERS = {
+    "odd-1": Member("odd-1", f"{LONG_LABEL}.example:80"),
+    "odd-2": Member("odd-2", "localhost:80"),
+    "odd-3": Member("odd-3", f"{LOCAL}\0:80"),
+    "odd-4": Member("odd-4", f"{LOCAL}:0"),
+    "odd-5": Member("odd-5", f"{LOCAL}:1", "z" * MEBIBYTE),
+    "odd-6": Member("other", f"{LOCAL}:1"),
+}
+
+
 class TestOddEntries:
     @pytest.mark.parametrize("data", ODD_ENTRIES.values(), ids=ODD_ENTRIES.keys())
     def test_odd_entry_is_refused(self, data):
@@ -113,3 +130,16 @@
         fleet.wait(lambda: OWN_IDS[2] not in daemon.directory.instances, "not used")
         fleet.platform.register(fleet.platform.group.instances[OWN_IDS[2]])
         check_serving(fleet, daemon, traces)
+
+
+class TestOddRecords:
+    def test_odd_members_arent_on_the_list(self, fleet, traces):
+        # One address that couldn't be used ended each round of heartbeats.
+        daemon = fleet.start_ready("d1")[0]
+        collect_failures(daemon, traces)
+        for name, member in ODD_MEMBERS.items():
+            fleet.store.put(MEMBER_PREFIX + name, msgspec.json.encode(member))
+        check_serving(fleet, daemon, traces)
+        fleet.runtime.clock.sleep_ms(2 * UPKEEP_MS)
+        assert daemon.members.list_names() == ["d1"]
+        assert traces == []
