Apply no record of a primary that fits into no message

An odd record among those of the primaries ended each round of heartbeats of the daemons that had applied it, without which no daemon has a proof that a primary is current (read from the code; callers weren't played).

Cause: a heartbeat carries the records that its receiver lacks. An epoch or term of 30 digits raises OverflowError when it is encoded, and one with a text of a megabyte is too long for a datagram. The record's service could be another one than its key's.

Evidence: the eight forms of the test were applied before, one at a time; with an epoch or a term of 30 digits the task that sends heartbeats failed again and again.

Fix: bounded types in the record; its service is the key's.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -384,7 +384,8 @@
                 self._apply_config(records.read_config(item))
                 return
             if item.key.startswith(PRIMARY_RECORD_PREFIX) and item.data is not None:
-                self._apply_primary_record(decode_primary_record(item.data))
+                service = item.key.removeprefix(PRIMARY_RECORD_PREFIX)
+                self._apply_primary_record(decode_primary_record(service, item.data))
                 return
             domain = records.find_evacuated_domain(item.key)
             if domain is not None:
--- a/bronzerelay/pooler/directory.py
+++ b/bronzerelay/pooler/directory.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bronzerelay.decoding import decode
+from bronzerelay.decoding import Label, Whole, Word, decode
 from bronzerelay.pooler.evacuations import Evacuations
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.fleetconfig import FleetConfig, InstanceEntry, Route
@@ -26,13 +26,13 @@
     `epoch` is the change's fencing token and `holder` the daemon that holds its lock.
     """
 
-    service: str
-    instance: str
-    term: int
-    epoch: int
-    holder: str
+    service: Word
+    instance: Label
+    term: Whole
+    epoch: Whole
+    holder: Label
     settled: bool
-    deposed: str
+    deposed: Label
     # A switchover gives statements that run at the old primary time to end.
     planned: bool
 
@@ -40,9 +40,12 @@
 _record_decoder = msgspec.json.Decoder(PrimaryRecord)
 
 
-def decode_primary_record(data: bytes) -> PrimaryRecord:
-    """Return the record in an item of the store, or raise ValueError."""
-    return decode(_record_decoder, data)
+def decode_primary_record(service: str, data: bytes) -> PrimaryRecord:
+    """Return the record in a service's item of the store, or raise ValueError."""
+    record = decode(_record_decoder, data)
+    if record.service != service:
+        raise ValueError(f"it is a record of {record.service!r}")
+    return record
 
 
 class Directory:
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -355,7 +355,7 @@
 def _find_newest_version(record: PrimaryRecord, item: Item) -> PrimaryRecord:
     """Return the record as the store has it, which may name a later choice."""
     try:
-        stored = decode_primary_record(item.data or b"")
+        stored = decode_primary_record(record.service, item.data or b"")
     except ValueError:
         return record
     return stored if stored.epoch == record.epoch else record
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,7 +6,9 @@
 
 from bronzerelay.pooler.daemon import UPKEEP_MS
 from bronzerelay.pooler.events import EventLog
+from bronzerelay.pooler.heartbeats import SILENT_PEER_MS
 from bronzerelay.pooler.members import MEMBER_PREFIX, Member
+from bronzerelay.pooler.primarychanges import PRIMARY_RECORD_PREFIX
 from standins.linegroup import LOCAL
 from standins.lineplatform import AGED, SERVICE, STRICT
 from tests.builders_odd import (
@@ -19,6 +21,7 @@
 )
 from tests.builders_pooler import (
     PoolerFleet,
+    make_primary_record,
     open_session,
     run_ok,
 )
@@ -73,7 +76,7 @@
     assert sorted(daemon.directory.instances) == OWN_IDS
 
 
-# What another writer may leave under a key of a member.
+# What another writer may leave under a key of a member or of a primary's record.
 ODD_MEMBERS = {
     "odd-1": Member("odd-1", f"{LONG_LABEL}.example:80"),
     "odd-2": Member("odd-2", "localhost:80"),
@@ -82,6 +85,18 @@
     "odd-5": Member("odd-5", f"{LOCAL}:1", "z" * MEBIBYTE),
     "odd-6": Member("other", f"{LOCAL}:1"),
 }
+RECORD = make_primary_record(1, service="odd")
+NUMBER = 777
+ODD_RECORDS = [
+    RECORD._replace(epoch=NUMBER),
+    RECORD._replace(epoch=2**63),
+    RECORD._replace(epoch=-1),
+    RECORD._replace(term=NUMBER),
+    RECORD._replace(instance="i" * MEBIBYTE),
+    RECORD._replace(holder="h" * MEBIBYTE),
+    RECORD._replace(service="other"),
+    RECORD._replace(service="other x"),
+]
 
 
 class TestOddEntries:
@@ -143,3 +158,18 @@
         fleet.runtime.clock.sleep_ms(2 * UPKEEP_MS)
         assert daemon.members.list_names() == ["d1"]
         assert traces == []
+
+    def test_odd_primary_records_arent_passed_on(self, fleet, traces):
+        # A record that fits in no heartbeat kept all heartbeats from being sent.
+        daemons = fleet.start_ready("d1", "d2")
+        for daemon in daemons:
+            collect_failures(daemon, traces)
+        for record in ODD_RECORDS:
+            data = msgspec.json.encode(record).replace(b"%d" % NUMBER, b"9" * 30)
+            fleet.store.put(f"{PRIMARY_RECORD_PREFIX}odd", data)
+        for daemon in daemons:
+            check_serving(fleet, daemon, traces)
+            assert daemon.directory.primary_records == {}
+        fleet.runtime.clock.sleep_ms(2 * SILENT_PEER_MS)
+        assert not daemons[0].heartbeats.is_leaving("d2")
+        assert traces == []
