Change no primary of a service that isn't configured

An entry of an unknown service had each daemon try, again and again, to give that service a primary, with calls to the store that count toward the limit of all daemons.

Cause: the services to check were those of the entries.

Evidence: the test failed before: a change of the unknown service was recorded.

Fix: only services of the configuration are checked.

--- a/bronzerelay/pooler/directory.py
+++ b/bronzerelay/pooler/directory.py
@@ -178,6 +178,11 @@
         """Return the listed instances of a service."""
         return self._by_service.get(service, ())
 
+    def list_services(self) -> list[str]:
+        """Return the services of the configuration that have listed instances."""
+        configured = self.config.services if self.config else {}
+        return [name for name in self._by_service if name in configured]
+
     def is_listed(self, entry: InstanceEntry) -> bool:
         """Return whether the same run of the instance is still listed."""
         known = self.instances.get(entry.id)
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -176,8 +176,7 @@
 
     def start_due_changes(self) -> None:
         """Check all services and start the changes that are due at this daemon."""
-        services = {entry.service for entry in self._directory.instances.values()}
-        for service in services:
+        for service in self._directory.list_services():
             basis = self._read_basis(service)
             reason = self._find_reason(service, basis)
             if reason is None:
--- a/tests/builders_coordinator.py
+++ b/tests/builders_coordinator.py
@@ -16,6 +16,7 @@
 from standins.lineplatform import SERVICE
 from tests.builders_pooler import (
     ManualClock,
+    make_config,
     make_directory,
     make_instance,
     make_log,
@@ -63,6 +64,7 @@
         self.runtime.sleep_ms = self.sleep_ms
         self.runtime.start = lambda function, *args: function(*args)
         self.directory = make_directory(self.runtime)
+        self.directory.set_config(make_config(1), "store")
         self.placement = Placement(self.runtime, self.directory)
         self.mirror = FakeMirror()
         self.names = ["d1", "d2", "d3"]
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -125,6 +125,13 @@
         harness.run_for(NO_PRIMARY_MS + 2000)
         assert harness.promotions == [(SECOND, 1)]
 
+    def test_service_that_isnt_configured_gets_none(self, harness):
+        # An entry of another writer named it, and each change wrote to the store.
+        odd = make_instance("odd", service="ghost")
+        harness.directory.set_instance(odd)
+        harness.run_for(2 * NO_PRIMARY_MS)
+        assert "ghost" not in harness.directory.primary_records
+
     def test_unlisted_primary_is_recorded_as_the_replaced_one(self, harness):
         # Guards against a record that names the primary before the last one as
         # replaced, so that the last one seems usable again.
