--- a/tests/test_line_codec.py
+++ b/tests/test_line_codec.py
@@ -114,6 +114,16 @@
         with pytest.raises(ValueError):
             parse_position("x")
 
+    @pytest.mark.parametrize(
+        "number", ["9" * 19, "9" * 400, "-1", "+1", "1_0", "٨", ""]
+    )
+    def test_number_that_other_messages_cant_hold_is_refused(self, number):
+        # Each heartbeat with such a position failed.
+        for text in (f"{number}.1", f"1.{number}"):
+            with pytest.raises(ValueError):
+                parse_position(text)
+        assert parse_status(f"primary {number or 'x'} 3.1 0 1 2 3") is None
+
     def test_status(self):
         status = parse_status("replica 3 3.1209 0 12 2 17")
         assert (status.is_primary, status.term, status.received) == (
