Refuse heartbeats with times that aren't finite

Such a time reached the receiver's views, and its own heartbeats, which give rounded ages of it, could then fail each time.

Cause: the message format has infinite numbers and NaN, and `round` raises an error for both.

Evidence: all 18 odd heartbeats were applied before: times that aren't finite, a position and a record beyond 63 bits, a record with a long text. That heartbeats fail afterwards follows from the code and wasn't played.

--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from bronzerelay.decoding import decode
+from bronzerelay.decoding import Finite, Whole, decode
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.directory import PrimaryRecord
 from bronzerelay.pooler.events import EventLog
@@ -58,7 +58,7 @@
     each with the shortened incarnation of the process that said so.
     """
 
-    heard: dict[str, float]
+    heard: dict[str, Finite]
     known_revision: int
     acknowledged: dict[str, tuple[int, dict[str, int]]]
 
@@ -88,15 +88,15 @@
     echo_incarnation: int
     stopping: bool
     store_revision: int
-    store_age_ms: float
+    store_age_ms: Finite
     report: Report
-    positions: dict[str, tuple[int, int, float]]
-    silent: dict[str, dict[str, float]]
+    positions: dict[str, tuple[Whole, Whole, Finite]]
+    silent: dict[str, dict[str, Finite]]
     primary_records: list[PrimaryRecord]
     has_all_records: bool
     unsettled: dict[str, int]
     acknowledged: dict[str, int]
-    proof_age_ms: float | None
+    proof_age_ms: Finite | None
     relaying: bool
     relayed: Relayed | None
     recovered: bool
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -1,5 +1,8 @@
 """Heartbeats in small fleets, where all exchange them, and through relays."""
 
+import math
+
+import msgspec
 import pytest
 
 from bronzerelay.pooler.fleetrates import DEMAND_WINDOW_MS, FleetRates
@@ -38,6 +41,39 @@
 MAX_WAIT_MS = 100.0
 
 
+RECORD = make_primary_record(1)
+ODD_FIELDS = [
+    *(
+        fields
+        for odd in (math.nan, math.inf, -math.inf)
+        for fields in (
+            {"store_age_ms": odd},
+            {"positions": {SERVICE: (1, 1, odd)}},
+            {"silent": {"d0": {"orders-0": odd}}},
+            {"proof_age_ms": odd},
+            {"relayed": Relayed({"d1": odd}, 1, {})},
+        )
+    ),
+    {"positions": {SERVICE: (2**64 - 1, 1, 0.0)}},
+    {"primary_records": [RECORD._replace(epoch=2**64 - 1)]},
+    {"primary_records": [RECORD._replace(instance="i" * 10_000)]},
+]
+
+
+@pytest.mark.parametrize("fields", ODD_FIELDS, ids=str)
+def test_heartbeat_that_cant_be_passed_on_is_refused(fields):
+    """Guards against heartbeats that fail at each daemon that has applied one."""
+    fleet = HeartbeatFleet(2)
+    fleet.run(1000)
+    sender, receiver = fleet.daemons.values()
+    beat = sender.heartbeats.build_beat()._replace(number=1_000_000, **fields)
+    handled = []
+    receiver.gossip._handle(
+        msgspec.msgpack.encode(beat), lambda *given: handled.append(given)
+    )
+    assert handled == []
+
+
 class TestLogSamples:
     @pytest.fixture
     def daemons(self):
