Refuse replies of a link holder that say nothing known

A process that isn't a link holder at its address, and a session whose statement was passed on there would end without an answer (read from the code; only the decoding was played).

Cause: numbers of outcomes, states, faults and codes were looked up after the reply was read, where nothing expects an error.

Evidence: all eight odd replies were accepted by the decoder before. The fix refuses them there, as any reply that can't be read.

--- a/bronzerelay/pooler/passing.py
+++ b/bronzerelay/pooler/passing.py
@@ -8,13 +8,13 @@
 
 import enum
 import struct
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from bronzerelay.codes import NOT_RUN, RAN, UNKNOWN, Code, Refusal
-from bronzerelay.decoding import decode
+from bronzerelay.decoding import Whole, decode
 from bronzerelay.pooler.messages import (
     Answer,
     Fault,
@@ -98,21 +98,21 @@
     what came with the instance's fault.
     """
 
-    outcome: int = 0
+    outcome: Annotated[int, Meta(ge=0, le=len(Outcome) - 1)] = 0
     wait_ms: int = 0
     # Whether the holder is about to stop.
     is_stopping: int = 0
     signature: str = ""
     rows: tuple[str, ...] = ()
-    term: int = 0
-    number: int = 0
-    state: int = 0
-    fault: int = 0
+    term: Whole = 0
+    number: Whole = 0
+    state: Annotated[int, Meta(ge=0, lt=len(STATES))] = 0
+    fault: Annotated[int, Meta(ge=0, le=len(Fault))] = 0
     detail: str = ""
     is_silent: int = 0
-    code: int = 0
-    ran: int = 0
-    retry_after_ms: int = 0
+    code: Code = Code.OK
+    ran: Annotated[int, Meta(ge=0, lt=len(RAN_WORDS))] = 0
+    retry_after_ms: Whole = 0
 
     def find_answer(self) -> Answer:
         """Return the instance's answer."""
@@ -127,8 +127,7 @@
 
     def find_refusal(self) -> Refusal:
         """Return the refusal for the caller."""
-        code = Code(self.code)
-        return Refusal(code, self.detail, RAN_WORDS[self.ran], self.retry_after_ms)
+        return Refusal(self.code, self.detail, RAN_WORDS[self.ran], self.retry_after_ms)
 
 
 def make_answer_reply(answer: Answer, is_silent: bool) -> Reply:
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from bronzerelay import decoding
 from bronzerelay.codes import Code
 from bronzerelay.load import linkholders
 from bronzerelay.pooler import passingclient, passingserver
@@ -50,6 +51,25 @@
     return fleet.start_sharing("d1", "d2", "d3")
 
 
+ODD_REPLIES = [
+    [9],
+    [-1],
+    [0, 0, 0, "", [], 2**64 - 1],
+    [0, 0, 0, "", [], 1, 1, 9],
+    [0, 0, 0, "", [], 1, 1, 0, 99],
+    [1, 0, 0, "", [], 0, 0, 0, 0, "", 0, 99_999],
+    [1, 0, 0, "", [], 0, 0, 0, 0, "", 0, 101, 9],
+    [1, 0, 0, "", [], 0, 0, 0, 0, "", 0, 101, 0, -1],
+]
+
+
+@pytest.mark.parametrize("fields", ODD_REPLIES)
+def test_reply_that_says_nothing_known_is_refused(fields):
+    """Guards against sessions that end without an answer, by an error in their task."""
+    with pytest.raises(ValueError):
+        decoding.decode(msgspec.msgpack.Decoder(Reply), msgspec.msgpack.encode(fields))
+
+
 def open_at(fleet, daemon, database=STRICT):
     return open_session(fleet, database, name=fleet.name_of(daemon))
 
