Read no deeply nested status in the operators' command

The command that asks all daemons ended with a segmentation fault if one address answered with deeply nested JSON.

Cause: the status is decoded without a type, for which the decoder recurses beyond the stack of a task.

Fix: the nesting is checked first, as for other answers.

--- a/bronzerelay/fleet.py
+++ b/bronzerelay/fleet.py
@@ -12,6 +12,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from bronzerelay.codes import Code, Refusal, refuse
+from bronzerelay.nesting import check_nesting
 from bronzerelay.runtime import Address, Runtime
 
 STATUS_PATH = "/status"
@@ -148,6 +149,9 @@
         response = self._get(address, STATUS_PATH)
         if response.is_error():
             return DaemonState(address, problem=response.error.message)
+        # The decoder of values of any type would end the process.
+        if not check_nesting(response.ok):
+            return DaemonState(address, problem="its status nests too deep")
         try:
             raw_status = msgspec.json.decode(response.ok, type=dict[str, Any])
             status = msgspec.convert(raw_status, StatusBody)
--- a/tests/test_nesting.py
+++ b/tests/test_nesting.py
@@ -6,6 +6,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from bronzerelay.fleet import Fleet
 from bronzerelay.keyvalue import KeyValueClient, KeyValueSettings
 from bronzerelay.nesting import MAX_NESTING, check_nesting
 from bronzerelay.runtime import Address
@@ -92,3 +93,11 @@
         result = read.result()
         assert result.error.kind == "lost"
         assert link.closed
+
+
+def test_nested_status_of_a_daemon_doesnt_end_the_command(platform):
+    """The command that asks all daemons ended with a segmentation fault."""
+    runtime, speaker, _ = platform
+    speaker.answer = frame(b'{"name": ' + DEEP + b"}")
+    (state,) = Fleet(runtime, [speaker.listener.address]).read_states()
+    assert (state.status, state.problem) == (None, "its status nests too deep")
