Leave a stored roster that can't be used out

An odd value under the roster's key ended the tasks of all daemons that join and clean the roster, again and again, and an address in it that can't be read left the roster in force by half, with the addresses of before.

Cause: the keeper used the stored value without checking its type, and addresses were read after the roster was set. An epoch beyond 63 bits fits into no heartbeat between daemons.

Evidence: four of four odd rosters failed the test before, one with KeyError, one with ValueError; the other two were taken for rosters.

Fix: a value that is no roster is logged and stays as it is.

--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -262,7 +262,8 @@
     def accept_roster(self, roster: Roster) -> bool:
         """Put `roster` in force if its epoch is higher, or if it is newly settled.
 
-        Return whether it was put in force.
+        Return whether it was put in force; raise ValueError if an address in it can't
+        be read.
         """
         with self._lock:
             known = self._roster
@@ -271,11 +272,13 @@
             newly_settled = roster.get("settled") and not known.get("settled")
             if roster["epoch"] == known["epoch"] and not newly_settled:
                 return False
-            self._roster = roster
-            members = roster["members"]
-            self._addresses = {
-                member["name"]: parse_address(member["address"]) for member in members
+            # Read first: after an error the roster must not be in force in part.
+            addresses = {
+                member["name"]: parse_address(member["address"])
+                for member in roster["members"]
             }
+            self._roster = roster
+            self._addresses = addresses
             for name in set(self._views) - set(self._addresses):
                 del self._views[name]
                 self._missed_at_ms.pop(name, None)
--- a/bronzerelay/roster.py
+++ b/bronzerelay/roster.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from expression import Ok, Result
 
 from bronzerelay.codes import Code
@@ -82,13 +83,21 @@
         """Store the roster that `edit` returns; return whether it is stored.
 
         If another daemon stores one in between, the roster is read and edited again.
+        A stored value that is no roster stays as it is.
         """
         for _ in range(MAX_CAS_ATTEMPTS):
             stored = self._read()
             if not stored.is_ok():
                 return False
-            self._gossip.accept_roster(stored.ok.value)
-            edited = edit(stored.ok.value)
+            try:
+                roster = msgspec.convert(stored.ok.value, Roster)
+                self._gossip.accept_roster(roster)
+            except (msgspec.ValidationError, ValueError) as error:
+                self._log.warning(
+                    "The stored roster can't be used.", extra={"why": str(error)}
+                )
+                return False
+            edited = edit(roster)
             if edited is None:
                 return True
             put = self._key_value.put(ROSTER_KEY, edited, stored.ok.revision)
--- a/bronzerelay/types.py
+++ b/bronzerelay/types.py
@@ -2,6 +2,7 @@
 
 from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
 
+from bronzerelay.decoding import Whole
 from bronzerelay.runtime import Address
 
 # Configuration that operators write: the bundle, as decoded from TOML.
@@ -95,7 +96,7 @@
     other proof that no member still uses a larger share from an older epoch.
     """
 
-    epoch: int
+    epoch: Whole
     members: list[MemberEntry]
     settled: NotRequired[bool]
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -179,3 +179,24 @@
     assert setup.keeper.leave()
     setup.keeper.join()
     assert names_of(setup.stored()) == ["vm-2"]
+
+
+ODD_ROSTERS = [
+    "no roster",
+    {"epoch": 2**63, "members": []},
+    {"epoch": 9, "members": [{"name": "vm-2"}]},
+    {"epoch": 9, "members": [{"name": "x", "address": "x", "failure_domain": ""}]},
+]
+
+
+@pytest.mark.parametrize("odd", ODD_ROSTERS)
+def test_odd_stored_roster_is_left_out(platform, odd):
+    """It ended the tasks that join and clean the roster, again and again."""
+    setup = KeeperSetup(platform)
+    setup.put(make_roster(4, NAMES))
+    revision = setup.client.get(ROSTER_KEY).ok.revision
+    assert setup.client.put(ROSTER_KEY, odd, revision).is_ok()
+    assert not setup.keeper.leave()
+    assert setup.stored() == odd
+    assert setup.membership.roster == make_roster(4, NAMES)
+    assert setup.membership.member_names() == list(NAMES)
