Refuse positions of an endpoint beyond 63 bits

Such a position was taken, and messages between daemons can't hold it.

Evidence: two answers, with a position beyond 63 bits and a term below zero, were accepted before; now the link is closed, as after other answers that can't be read.

--- a/bronzerelay/dialect.py
+++ b/bronzerelay/dialect.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 
 from bronzerelay import registry
+from bronzerelay.decoding import Whole
 from bronzerelay.nesting import ANSWER_NESTING, check_nesting
 from bronzerelay.runtime import Connection, Runtime
 from bronzerelay.types import EndpointSpec, Statement
@@ -114,15 +115,15 @@
 class WireAnswer(TypedDict, total=False):
     """Any answer, as it is received."""
 
-    id: Required[int]
+    id: Required[Whole]
     ok: Required[bool]
     error: str
     message: str
     instance: str
-    term: int
+    term: Whole
     role: Literal["primary", "replica"]
-    log_term: int
-    position: int
+    log_term: Whole
+    position: Whole
     value: Any
     duplicate: bool
     outcome: Literal["ran", "cancelled"]
--- a/tests/test_dialect.py
+++ b/tests/test_dialect.py
@@ -193,6 +193,8 @@
         b'{"id":2,"ok":true,"value":7,"log_term":"1","position":3}\n',
         b'{"id":2,"ok":true,"value":7,"log_term":1}\n',
         b'{"id":2,"ok":false}\n',
+        b'{"id":2,"ok":true,"value":7,"log_term":1,"position":9223372036854775808}\n',
+        b'{"id":2,"ok":true,"value":7,"log_term":-1,"position":3}\n',
     ],
 )
 def test_an_invalid_answer_closes_the_link(answer):
