Test that a configuration with values out of range isn't applied

The bounded types of the entries hold for the configuration, too: a time that no task can wait for, or a name that would end a line, is refused as a whole, and the version before stays in force. Eleven of the twelve odd configurations were accepted before these types (JSON has no infinity). What callers would have seen wasn't played, as the store accepts only valid ones.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,8 +1,11 @@
 """Odd entries of other writers: callers of the other instances are served."""
 
+import json
+import math
+
 import msgspec
 import pytest
-from records import decode_instance
+from records import decode_config, decode_instance
 
 from bronzerelay.pooler.daemon import UPKEEP_MS
 from bronzerelay.pooler.events import EventLog
@@ -10,7 +13,7 @@
 from bronzerelay.pooler.members import MEMBER_PREFIX, Member
 from bronzerelay.pooler.primarychanges import PRIMARY_RECORD_PREFIX
 from standins.linegroup import LOCAL
-from standins.lineplatform import AGED, SERVICE, STRICT
+from standins.lineplatform import AGED, SERVICE, STRICT, make_route
 from tests.builders_odd import (
     LONG_LABEL,
     MEBIBYTE,
@@ -147,6 +150,54 @@
         check_serving(fleet, daemon, traces)
 
 
+def make_config(route, tenant, **fields):
+    """Return a configuration with a route, a tenant and limits that may be odd."""
+    config = {
+        "version": 1,
+        "routes": [make_route(STRICT, "primary", **route)],
+        "services": [{"name": SERVICE, "max_conns": 21}],
+        "limits": {"tx_idle_ms": 3000},
+        "tenants": [
+            {
+                "name": "north",
+                "api_keys": ["north-key"],
+                "rate_per_s": 50,
+                "burst": 50,
+                **tenant,
+            }
+        ],
+        **fields,
+    }
+    return json.dumps(config).encode()
+
+
+class TestOddConfiguration:
+    def test_configuration_of_the_same_form_is_read(self):
+        assert decode_config(make_config({}, {})).version == 1
+
+    @pytest.mark.parametrize(
+        ("route", "tenant", "fields"),
+        [
+            ({}, {}, {"version": 2**63}),
+            ({}, {}, {"version": -1}),
+            ({}, {}, {"limits": {"tx_idle_ms": 1e300}}),
+            ({}, {}, {"services": [{"name": SERVICE, "max_conns": 10**30}]}),
+            ({"timeout_ms": 1e300}, {}, {}),
+            ({"timeout_ms": -1}, {}, {}),
+            ({"target_latency_ms": 1e300}, {}, {}),
+            ({"max_staleness_ms": 1e300}, {}, {}),
+            ({"service": "a b"}, {}, {}),
+            ({}, {"rate_per_s": 1e300}, {}),
+            ({}, {"burst": math.inf}, {}),
+            ({}, {"name": "north\r\nQUERY"}, {}),
+        ],
+    )
+    def test_odd_configuration_is_refused(self, route, tenant, fields):
+        # No task can wait for such a time, and each statement of the route failed.
+        with pytest.raises(ValueError):
+            decode_config(make_config(route, tenant, **fields))
+
+
 class TestOddRecords:
     def test_odd_members_arent_on_the_list(self, fleet, traces):
         # One address that couldn't be used ended each round of heartbeats.
