Log an odd entry of a member once

Each daemon logged a line for it four times a second for as long as it was there.

Cause: the whole member list is decoded in each round of upkeep.

Evidence: the test failed before; now it counts one line an entry.

--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -68,6 +68,8 @@
         # all others have known it. Removals from before the first reading aren't known.
         self._removal_revision = 0
         self._removal_known_since_ms: float | None = None
+        # The revision of each entry that couldn't be read.
+        self._unreadable: dict[str, int] = {}
         self.is_stopping = False
 
     def list_names(self) -> list[str]:
@@ -254,15 +256,22 @@
                     raise ValueError(f"it is the entry of {member.name!r}")
                 others[member.name] = Peer(address, member.domain)
             except ValueError as error:
-                self._log.write(
-                    "members",
-                    "A member's entry can't be read.",
-                    key=item.key,
-                    error=str(error),
-                )
+                self._note_unreadable(item, error)
         others.pop(self._own.name, None)
         return others
 
+    def _note_unreadable(self, item: Item, error: ValueError) -> None:
+        """Log that a member's entry can't be read, once for each of its revisions."""
+        if self._unreadable.get(item.key) == item.revision:
+            return
+        self._unreadable[item.key] = item.revision
+        self._log.write(
+            "members",
+            "A member's entry can't be read.",
+            key=item.key,
+            error=str(error),
+        )
+
     def _hears_majority(self) -> bool:
         """Return whether most members were heard lately and know the current list.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -210,6 +210,20 @@
         assert daemon.members.list_names() == ["d1"]
         assert traces == []
 
+    def test_odd_member_is_logged_once(self, fleet, monkeypatch):
+        # A line for each entry was logged several times a second.
+        daemon = fleet.start_ready("d1")[0]
+        logged = []
+        monkeypatch.setattr(
+            daemon.log, "write", lambda *given, **_: logged.append(given)
+        )
+        for name, member in ODD_MEMBERS.items():
+            fleet.store.put(MEMBER_PREFIX + name, msgspec.json.encode(member))
+        fleet.runtime.clock.sleep_ms(6 * UPKEEP_MS)
+        assert logged.count(("members", "A member's entry can't be read.")) == len(
+            ODD_MEMBERS
+        )
+
     def test_odd_primary_records_arent_passed_on(self, fleet, traces):
         # A record that fits in no heartbeat kept all heartbeats from being sent.
         daemons = fleet.start_ready("d1", "d2")
