--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -18,6 +18,7 @@
 
 POOLER = "bronzerelay/pooler/"
 PATH = "tests/test_pooler_path.py::"
+ODD = "tests/test_odd_entries.py::"
 
 POOLER_MUTATIONS = (
     Mutation(
@@ -983,4 +984,116 @@
         "if one.is_near]",
         "tests/test_placement.py::TestNearness",
     ),
+    Mutation(
+        "an address that can't be used raises what callers expect",
+        "bronzerelay/runtime.py",
+        "except (ValueError, TypeError, OverflowError) as error:",
+        "except ZeroDivisionError as error:",
+        "tests/test_runtime.py::TestOddAddresses",
+    ),
+    Mutation(
+        "an odd entry's number is bounded",
+        "platform/records.py",
+        "    capacity: Annotated[int, Meta(ge=1, le=MAX_COUNT)]\n",
+        "    capacity: int\n",
+        ODD + "TestOddEntries",
+    ),
+    Mutation(
+        "an odd entry's address is an IP address",
+        "bronzerelay/runtime.py",
+        " or not _is_ipv4(address.host):",
+        ":",
+        ODD + "TestOddEntries",
+    ),
+    Mutation(
+        "an odd entry's id is one word",
+        "platform/records.py",
+        "    check_word(instance_id)\n",
+        "",
+        ODD + "TestOddEntries",
+    ),
+    Mutation(
+        "an odd configuration's times are bounded",
+        "platform/records.py",
+        "    timeout_ms: Milliseconds\n",
+        "    timeout_ms: float\n",
+        ODD + "TestOddConfiguration",
+    ),
+    Mutation(
+        "an odd member has the name of its key",
+        POOLER + "members.py",
+        "if item.key != MEMBER_PREFIX + member.name:",
+        "if False:",
+        ODD + "TestOddRecords",
+    ),
+    Mutation(
+        "an odd member is logged once",
+        POOLER + "members.py",
+        "if self._unreadable.get(item.key) == item.revision:",
+        "if False:",
+        ODD + "TestOddRecords",
+    ),
+    Mutation(
+        "an odd record has the service of its key",
+        POOLER + "directory.py",
+        "if record.service != service:",
+        "if False:",
+        ODD + "TestOddRecords",
+    ),
+    Mutation(
+        "an odd record's epoch is bounded",
+        POOLER + "directory.py",
+        "    epoch: Whole\n",
+        "    epoch: int\n",
+        ODD + "TestOddRecords",
+    ),
+    Mutation(
+        "an odd service, which isn't configured, gets no primary",
+        POOLER + "directory.py",
+        "for name in self._by_service if name in configured]",
+        "for name in self._by_service]",
+        "tests/test_primarychanges.py::TestWhen",
+    ),
+    Mutation(
+        "an odd position of an instance is refused",
+        "platform/line_codec.py",
+        "if not (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS):",
+        "if False:",
+        "tests/test_line_codec.py::TestInstances",
+    ),
+    Mutation(
+        "an odd time in a heartbeat is refused",
+        POOLER + "gossip.py",
+        "proof_age_ms: Finite | None",
+        "proof_age_ms: float | None",
+        "tests/test_heartbeats.py::test_heartbeat_that_cant_be_passed_on_is_refused",
+    ),
+    Mutation(
+        "an odd reply of a link holder is refused",
+        POOLER + "passing.py",
+        "    outcome: Annotated[int, Meta(ge=0, le=len(Outcome) - 1)] = 0\n",
+        "    outcome: int = 0\n",
+        "tests/test_passing.py::test_reply_that_says_nothing_known_is_refused",
+    ),
+    Mutation(
+        "an odd status of a daemon doesn't end the command",
+        "bronzerelay/fleet.py",
+        "if not check_nesting(response.ok):",
+        "if False:",
+        "tests/test_nesting.py::test_nested_status_of_a_daemon_doesnt_end_the_command",
+    ),
+    Mutation(
+        "an odd stored roster is left out",
+        "bronzerelay/roster.py",
+        "roster = msgspec.convert(stored.ok.value, Roster)",
+        "roster = stored.ok.value",
+        "tests/test_roster.py::test_odd_stored_roster_is_left_out",
+    ),
+    Mutation(
+        "an odd position of an endpoint is refused",
+        "bronzerelay/dialect.py",
+        "    position: Whole\n",
+        "    position: int\n",
+        "tests/test_dialect.py::test_an_invalid_answer_closes_the_link",
+    ),
 )
