Count an address that belongs to another instance as a failed contact

An entry of another writer that claims to be primary at the address of another instance: a daemon that found it at its start refused all callers of the service for as long as the entry was there.

Cause: the answer that another instance runs at the address isn't a failure of contact, so the claimed primary never counted as dead, and no change of primary began.

Fix: that answer counts as a failed contact.

--- a/bronzerelay/pooler/execution.py
+++ b/bronzerelay/pooler/execution.py
@@ -106,6 +106,10 @@
         return self.statement.verb is Verb.WRITE
 
 
+# Faults of a new link that say that the instance doesn't run at its address.
+ABSENT_FAULTS = frozenset([Fault.UNREACHABLE, Fault.WRONG_INSTANCE])
+
+
 def limit_statements(slots: int, daemons: int) -> int:
     """Return how many statements one daemon may have at an instance at once."""
     return min(slots, max(1, math.ceil(STATEMENTS_PER_SLOT * slots / daemons)))
@@ -476,7 +480,7 @@
         self, entry: InstanceEntry, error: LinkError, began_ms: float
     ) -> Answer:
         self._placement.record_fault(entry, error.fault)
-        if error.fault is Fault.UNREACHABLE:
+        if error.fault in ABSENT_FAULTS:
             self._placement.record_failure(entry, began_ms)
         if error.fault is Fault.TOO_MANY_LINKS:
             self._pool.close_idle(entry.id, CLOSED_IF_FULL)
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -1019,6 +1019,13 @@
         "    timeout_ms: float\n",
         ODD + "TestOddConfiguration",
     ),
+    Mutation(
+        "an odd entry at the address of another instance is no primary for long",
+        POOLER + "execution.py",
+        "frozenset([Fault.UNREACHABLE, Fault.WRONG_INSTANCE])",
+        "frozenset([Fault.UNREACHABLE])",
+        ODD + "TestOddEntries",
+    ),
     Mutation(
         "an odd member has the name of its key",
         POOLER + "members.py",
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,7 +11,7 @@
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.heartbeats import SILENT_PEER_MS
 from bronzerelay.pooler.members import MEMBER_PREFIX, Member
-from bronzerelay.pooler.primarychanges import PRIMARY_RECORD_PREFIX
+from bronzerelay.pooler.primarychanges import DEAD_AFTER_MS, PRIMARY_RECORD_PREFIX
 from standins.linegroup import LOCAL
 from standins.lineplatform import AGED, SERVICE, STRICT, make_route
 from tests.builders_odd import (
@@ -31,6 +31,9 @@
 
 OWN_IDS = [f"{SERVICE}-{number}" for number in range(3)]
 READS = 12
+# How long a primary that answers nobody is used at most, in milliseconds, with time
+# for the change.
+APPEARS_DEAD_MS = DEAD_AFTER_MS + 3_000
 
 
 @pytest.fixture
@@ -133,6 +136,25 @@
             fleet.store.put(f"servers/{odd_id}", make_odd())
         check_serving(fleet, daemon, traces)
 
+    @pytest.mark.parametrize("owner", [None, *OWN_IDS])
+    def test_entry_at_the_address_of_another_is_no_primary_for_long(self, fleet, owner):
+        # The answer "another instance" counted as one of a running primary, and
+        # callers of the service were refused for as long as the entry was there.
+        instances = fleet.platform.group.instances
+        address = str(instances[owner].address) if owner else f"{LOCAL}:1"
+        odd = make_odd(address=address, current_role="primary")
+        fleet.store.put("servers/a", odd)
+        daemon = fleet.start_ready("d1")[0]
+
+        def is_served():
+            caller = open_session(fleet, STRICT)
+            error = caller.query("STORE a 1").error
+            caller.connection.close()
+            return error == ""
+
+        fleet.wait(is_served, "a write", APPEARS_DEAD_MS)
+        assert daemon.directory.find_primary(SERVICE).id in OWN_IDS
+
     def test_many_odd_entries_at_start_leave_the_others_in_use(self, fleet, traces):
         for number, data in enumerate(ODD_ENTRIES.values()):
             fleet.store.put(f"servers/odd-{number}", data)
