--- a/bronzerelay/membership.py
+++ b/bronzerelay/membership.py
@@ -266,12 +266,7 @@
 
         Return whether it was put in force. Raise ValueError if it can't be used.
         """
-        if not 0 <= roster["epoch"] <= MAX_EPOCH:
-            raise ValueError(f"the roster's epoch {roster['epoch']} is out of range")
-        members = roster["members"]
-        addresses = {
-            member["name"]: parse_address(member["address"]) for member in members
-        }
+        addresses = read_addresses(roster)
         with self._lock:
             known = self._roster
             if roster["epoch"] < known["epoch"]:
@@ -459,6 +454,15 @@
         )
 
 
+def read_addresses(roster: Roster) -> dict[str, Address]:
+    """Return the members' addresses, or raise ValueError if a roster can't be used."""
+    if not 0 <= roster["epoch"] <= MAX_EPOCH:
+        raise ValueError(f"the roster's epoch {roster['epoch']} is out of range")
+    return {
+        member["name"]: parse_address(member["address"]) for member in roster["members"]
+    }
+
+
 def names_of(roster: Roster) -> list[str]:
     """Return the names of a roster's members."""
     return [member["name"] for member in roster["members"]]
--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
-from bronzerelay.decoding import decode
+from bronzerelay.decoding import Label, Word, decode
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.gossip import Gossip
 from bronzerelay.pooler.mirror import Item, Mirror, StoreError
 from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
-from bronzerelay.runtime import Runtime, parse_address
+from bronzerelay.runtime import Runtime, parse_ip_address
 
 MEMBER_PREFIX = "bronzerelay/members/"
 # The interval of checks that this daemon is on the list, in milliseconds.
@@ -30,10 +30,10 @@
 class Member(NamedTuple):
     """A daemon's entry in the list, with its address for peers as HOST:PORT."""
 
-    name: str
-    address: str
+    name: Word
+    address: Label
     # Its failure domain.
-    domain: str = ""
+    domain: Label = ""
 
 
 _member_decoder = msgspec.json.Decoder(Member)
@@ -68,6 +68,8 @@
         # all others have known it. Removals from before the first reading aren't known.
         self._removal_revision = 0
         self._removal_known_since_ms: float | None = None
+        # The revision of each entry that couldn't be read.
+        self._unreadable: dict[str, int] = {}
         self.is_stopping = False
 
     def list_names(self) -> list[str]:
@@ -249,18 +251,27 @@
         for item in items:
             try:
                 member = decode(_member_decoder, item.data or b"")
-                address = parse_address(member.address)
+                address = parse_ip_address(member.address)
+                if item.key != MEMBER_PREFIX + member.name:
+                    raise ValueError(f"it is the entry of {member.name!r}")
                 others[member.name] = Peer(address, member.domain)
             except ValueError as error:
-                self._log.write(
-                    "members",
-                    "A member's entry can't be read.",
-                    key=item.key,
-                    error=str(error),
-                )
+                self._note_unreadable(item, error)
         others.pop(self._own.name, None)
         return others
 
+    def _note_unreadable(self, item: Item, error: ValueError) -> None:
+        """Log that a member's entry can't be read, once for each of its revisions."""
+        if self._unreadable.get(item.key) == item.revision:
+            return
+        self._unreadable[item.key] = item.revision
+        self._log.write(
+            "members",
+            "A member's entry can't be read.",
+            key=item.key,
+            error=str(error),
+        )
+
     def _hears_majority(self) -> bool:
         """Return whether most members were heard lately and know the current list.
 
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -176,8 +176,7 @@
 
     def start_due_changes(self) -> None:
         """Check all services and start the changes that are due at this daemon."""
-        services = {entry.service for entry in self._directory.instances.values()}
-        for service in services:
+        for service in self._directory.list_services():
             basis = self._read_basis(service)
             reason = self._find_reason(service, basis)
             if reason is None:
@@ -355,7 +354,7 @@
 def _find_newest_version(record: PrimaryRecord, item: Item) -> PrimaryRecord:
     """Return the record as the store has it, which may name a later choice."""
     try:
-        stored = decode_primary_record(item.data or b"")
+        stored = decode_primary_record(record.service, item.data or b"")
     except ValueError:
         return record
     return stored if stored.epoch == record.epoch else record
