--- a/tests/builders_odd.py
+++ b/tests/builders_odd.py
@@ -39,6 +39,8 @@
 
 # Entries that name no instance to use, by what is odd about them.
 ODD_SHAPES = {
+    "version of another type": make_odd(version=1),
+    "warm-up of another type": make_odd(warmup_left_ms="0"),
     "no JSON": b"\xff\xfe",
     "nothing": b"",
     "another type": b"[]",
