Bound the bytes of a caller's texts that its session keeps

Callers would have seen: one session may keep 500 values and 500 shapes of up to 1 MiB each, and a key of 1 MiB, so that one caller ends a daemon of 300 MB and the sessions of all others. Three values of 1 MB were enough to make link holders look failing: the values travel with each statement that is passed on, the holder refuses the frame as longer than MAX_FRAME_BYTES and cuts the connection, and the origin avoids that holder for every caller, then the next one.

Cause: MAX_SESSION_NAMES bounds the count of what a caller's text leaves behind, and nothing bounds its size.

Now a session counts the bytes of its database, key, names, values and shapes, and refuses at once what would go beyond MAX_SESSION_BYTES, as it refuses too many names. What is replaced or closed leaves room.

--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -41,6 +41,10 @@
 # The most session values, and the most prepared names, of one session. More are refused
 # to bound its memory.
 MAX_SESSION_NAMES = 500
+# The most bytes of texts that one session may keep: its database and key, its names,
+# values and shapes. All sessions of a daemon together keep about 60 MB at most, and
+# the values fit into one frame with a statement that is passed on.
+MAX_SESSION_BYTES = 64 * 1024
 # How long sending an answer to a slow caller may take, in milliseconds.
 SEND_TIMEOUT_MS = 5_000
 # How long a session must be idle before it is closed while the daemon stops, in
@@ -129,6 +133,8 @@
         self._database = ""
         self._values: dict[str, str] = {}
         self._prepared: dict[str, Prepared] = {}
+        # How many bytes of the caller's texts the session keeps.
+        self._kept_bytes = 0
         self._own_commits: dict[str, Position] = {}
         self._transaction: Transaction | None = None
         # When the last statement's answer was sent, if it ended an operation.
@@ -181,6 +187,11 @@
         if not isinstance(message, Startup):
             self._send(self._codec.encode_refusal(_refuse_protocol("no STARTUP")))
             return False
+        self._kept_bytes = _count_bytes(message.database, message.key)
+        if self._kept_bytes > MAX_SESSION_BYTES:
+            refusal = _refuse_protocol("the database and the key are too long")
+            self._send(self._codec.encode_refusal(refusal))
+            return False
         self._database, self._key = message.database, message.key
         self._wait_for_config()
         admitted = self._admit()
@@ -399,6 +410,7 @@
         if verb is Verb.PREPARE:
             return self._store_name(self._prepared, statement.name, statement.prepared)
         if verb is Verb.DEALLOCATE:
+            self._kept_bytes -= _count_kept(self._prepared, statement.name)
             self._prepared.pop(statement.name, None)
             return Reply(Answer())
         return None
@@ -406,6 +418,11 @@
     def _store_name(self, table: dict[str, Any], name: str, value: Any) -> Reply:
         if name not in table and len(table) >= MAX_SESSION_NAMES:
             return Reply(_refuse_protocol(f"more than {MAX_SESSION_NAMES} names"))
+        added = _count_kept({name: value}, name) - _count_kept(table, name)
+        if self._kept_bytes + added > MAX_SESSION_BYTES:
+            reason = f"the session would keep more than {MAX_SESSION_BYTES} bytes"
+            return Reply(_refuse_protocol(reason))
+        self._kept_bytes += added
         table[name] = value
         return Reply(Answer())
 
@@ -607,5 +624,18 @@
         )
 
 
+def _count_bytes(*texts: str) -> int:
+    return sum(len(text.encode()) for text in texts)
+
+
+def _count_kept(table: dict[str, Any], name: str) -> int:
+    """Return how many bytes of texts a table keeps for a name; 0 without it."""
+    value = table.get(name)
+    if value is None:
+        return 0
+    text = value.shape if isinstance(value, Prepared) else value
+    return _count_bytes(name, text)
+
+
 def _refuse_protocol(reason: str) -> Refusal:
     return Refusal(Code.INVALID_STATEMENT, f"Not understood: {reason}.", NOT_RUN)
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -1137,5 +1137,17 @@
         "    position: Whole\n",
         "    position: int\n",
         "tests/test_dialect.py::test_an_invalid_answer_closes_the_link",
+        "a session keeps few bytes of its caller's texts",
+        POOLER + "session.py",
+        "if self._kept_bytes + added > MAX_SESSION_BYTES:",
+        "if False:",
+        PATH + "TestBadInput",
+    ),
+    Mutation(
+        "a key that is too long is refused",
+        POOLER + "session.py",
+        "if self._kept_bytes > MAX_SESSION_BYTES:",
+        "if False:",
+        PATH + "TestBadInput",
     ),
 )
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -139,6 +139,16 @@
         assert shapes == ["FETCH q1", "FETCH q1 FETCH q2", "FETCH q1"]
         assert all(len(text.split()) == 3 for text in fleet.runs)
 
+    def test_long_session_values_make_no_holder_look_failing(self, fleet, daemons):
+        """Guards against a frame that the holder refuses for its size."""
+        holder, _, origin = daemons
+        caller = open_at(fleet, origin)
+        for number in range(3):
+            caller.query(f"SET v{number} {'x' * 1_000_000}")
+        run_ok(caller, "FETCH row")
+        assert count_passes(origin, "lost") == 0
+        assert count_passes(origin, "answered") == 1
+
     def test_the_stand_by_leaves_the_connections_to_the_holder(self, fleet, daemons):
         """Guards against two daemons that keep more links than an instance accepts."""
         entry = daemons[0].directory.instances[PRIMARY]
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -20,6 +20,7 @@
 from bronzerelay.pooler.primaryguard import LEASE_MS
 from bronzerelay.pooler.retrypolicy import BUSY_PAUSE_MS
 from bronzerelay.pooler.runner import SLOT_WAIT_FRACTION
+from bronzerelay.pooler.session import MAX_SESSION_BYTES
 from bronzerelay.runtime import Address
 from standins.linecaller import LineCaller
 from standins.linegroup import LOCAL
@@ -1163,3 +1164,38 @@
         caller = open_session(fleet)
         errors = {caller.query(f"SET v{n} x").error for n in range(600)}
         assert errors == {"", "PROTOERR"}
+
+    @pytest.mark.parametrize("text", ["SET v{} {}", "PARSE v{} FETCH {}"])
+    def test_long_texts_of_a_session_are_refused(self, fleet, text):
+        """Guards against a caller that uses up the memory by few long texts."""
+        fleet.start_ready("d1")
+        caller = open_session(fleet)
+        long = "x" * (MAX_SESSION_BYTES // 4)
+        replies = [caller.query(text.format(n, long)) for n in range(5)]
+        assert [reply.error for reply in replies] == [
+            "",
+            "",
+            "",
+            "PROTOERR",
+            "PROTOERR",
+        ]
+        run_ok(caller, "FETCH a")
+
+    def test_replaced_and_closed_texts_leave_room(self, fleet):
+        """Guards against counting texts that a session doesn't keep any more."""
+        fleet.start_ready("d1")
+        caller = open_session(fleet)
+        long = "x" * (MAX_SESSION_BYTES // 2)
+        for _ in range(3):
+            run_ok(caller, f"SET v {long}")
+        run_ok(caller, "SET v 1")
+        for _ in range(3):
+            run_ok(caller, f"PARSE s FETCH {long}")
+            run_ok(caller, "CLOSE s")
+
+    def test_long_key_is_refused(self, fleet):
+        """Guards against sessions that keep a key of up to 1 MiB each."""
+        fleet.start_ready("d1")
+        caller = LineCaller(fleet.runtime, fleet.address("d1"))
+        reply = caller.start(OWN, "k" * MAX_SESSION_BYTES)
+        assert reply.startswith("ERROR PROTOERR")
