Refuse a statement that gets too long on its way to an instance

Callers would have seen: one caller whose line has nearly 1 MiB makes an instance look failing, for all callers. The pooler adds WAITLSN and a position to a read, and its own name for a prepared statement to EXECUTE. The instance closes the connection on a line over 1 MiB, the statement counts as one without an answer, and two of them at the primary begin a primary change; at a link holder the same.

Cause: the limit holds for what a caller sends, and nothing checks what is made of it.

Evidence: with the reader of lines corrected and the check taken out, 4 tests fail: FETCH after a write, EXECUTE alone and in a transaction, and EXECUTE through a holder end as FAILED at the caller instead of PROTOERR.

Now the daemon that has the caller refuses such a statement as not run, before it looks for an instance. Short statements cost one comparison of lengths. Lines are counted with their end where they are sent and without it where they are read, as the protocol can be read both ways; a test sends the longest line that still runs.

--- a/bronzerelay/pooler/execution.py
+++ b/bronzerelay/pooler/execution.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 
-from bronzerelay.codes import Refusal
+from bronzerelay.codes import NOT_RUN, Code, Refusal
 from bronzerelay.load.linkholders import LOCAL, Choice, LinkHolders
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import Directory
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.fleetconfig import InstanceEntry, Regions, Route
+from bronzerelay.pooler.lines import MAX_LINE_BYTES
 from bronzerelay.pooler.links import (
     IDLE_CLOSE_MS,
     POOLER_STATEMENT_ID,
@@ -66,6 +67,11 @@
 HELD_IDLE_CLOSE_MS = 45_000
 # How much of a prepared statement's shape a log line holds, in characters.
 LOGGED_SHAPE_LENGTH = 100
+# Statements of more characters than this are measured before they are sent. A character
+# takes up to four bytes; the rest is for what the pooler adds to a line.
+MEASURED_LENGTH = MAX_LINE_BYTES // 4 - 100
+# A name as long as any under which a link prepares a statement.
+LONGEST_NAME = "p" * 12
 # Consecutive failures after which an instance gets only one statement at a time.
 UNRESPONSIVE_FAILURES = 2
 # Why an instance under evacuation gets nothing.
@@ -346,6 +352,25 @@
         )
         return HELD_IDLE_CLOSE_MS if is_holder else IDLE_CLOSE_MS
 
+    # Long statements
+
+    def refuse_if_too_long(self, job: Job, floor: Position | None) -> Refusal | None:
+        """Return the refusal for a statement that is too long to be sent, or None.
+
+        An instance closes the connection when a line is too long, and would look as if
+        it had failed.
+        """
+        statement = job.statement
+        if len(statement.id) + len(statement.text) <= MEASURED_LENGTH:
+            return None
+        text = statement.text
+        if job.prepared is not None:
+            text = self._codec.format_execute(LONGEST_NAME, statement.arguments)
+        if len(self._codec.encode_query(statement.id, text, floor)) <= MAX_LINE_BYTES:
+            return None
+        message = "The statement is too long to be sent to an instance."
+        return Refusal(Code.INVALID_STATEMENT, message, NOT_RUN)
+
     # Single statements
 
     def run_single(
--- a/bronzerelay/pooler/lines.py
+++ b/bronzerelay/pooler/lines.py
@@ -3,7 +3,8 @@
 from bronzerelay.runtime import Clock, Connection, ConnectionLostError
 
 LINE_END = b"\r\n"
-# The longest line that either side may send, in bytes. Each message is one line.
+# The longest line that either side may send, in bytes. Each message is one line. One
+# without its end may be read, but none with its end may be sent that is longer.
 MAX_LINE_BYTES = 1024 * 1024
 # How long the rest of a line may take after its first byte has arrived, in
 # milliseconds. Without a limit, a caller that sends half a line would occupy a task
@@ -48,13 +49,14 @@
         """
         while True:
             end = self._find_end()
+            length = end if end >= 0 else len(self._buffer)
+            if length > MAX_LINE_BYTES:
+                raise LineTooLongError(f"a line is over {MAX_LINE_BYTES} bytes")
             if end >= 0:
                 line = bytes(self._buffer[:end])
                 del self._buffer[: end + len(LINE_END)]
                 self._searched = 0
                 return line
-            if len(self._buffer) > MAX_LINE_BYTES:
-                raise LineTooLongError(f"a line is over {MAX_LINE_BYTES} bytes")
             self._receive(deadline_ms)
 
     def _receive(self, deadline_ms: float) -> None:
--- a/bronzerelay/pooler/runner.py
+++ b/bronzerelay/pooler/runner.py
@@ -177,6 +177,9 @@
         pass_on: Callable[[InstanceEntry, Target], OpenOutcome | NotTaken],
     ) -> OpenOutcome:
         """Run a job here or pass it on, at the best candidate that takes it."""
+        too_long = self._executor.refuse_if_too_long(job, requirement.floor)
+        if too_long is not None:
+            return too_long
         candidates = self._wait_for_candidates(job, requirement, tried)
         if not candidates or self._is_unresponsive(candidates):
             return refuse_no_primary()
@@ -366,6 +369,9 @@
         self, link: TransactionLink, job: Job, as_primary: bool
     ) -> Answer | Refusal:
         """Run one statement, or the commit, of the transaction on `link`."""
+        too_long = self._executor.refuse_if_too_long(job, None)
+        if too_long is not None:
+            return too_long
         if isinstance(link, InstanceLink):
             return self._executor.run_in_transaction(link, job, as_primary)
         if link.sent is not job and not link.is_open():
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -1150,4 +1150,18 @@
         "if False:",
         PATH + "TestBadInput",
     ),
+    Mutation(
+        "a statement that is too long for an instance isn't sent",
+        POOLER + "execution.py",
+        "if len(statement.id) + len(statement.text) <= MEASURED_LENGTH:",
+        "if True:",
+        PATH + "TestBadInput",
+    ),
+    Mutation(
+        "a line over the limit is refused though its end has come",
+        POOLER + "lines.py",
+        "if length > MAX_LINE_BYTES:",
+        "if end < 0 and length > MAX_LINE_BYTES:",
+        "tests/test_lines.py",
+    ),
 )
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bronzerelay.pooler.lines import LineReader
+from bronzerelay.pooler.lines import LineReader, LineTooLongError
 from bronzerelay.runtime import Address
 from tests.endpoints import open_runtime
 
@@ -40,3 +40,16 @@
     reader = LineReader(near, runtime.clock)
     with pytest.raises(TimeoutError):
         reader.read_line(runtime.clock.now_ms() + 20)
+
+
+def test_a_line_over_the_limit_is_refused_though_its_end_has_come(ends, monkeypatch):
+    """Guards against a limit that holds only for lines whose end comes later."""
+    monkeypatch.setattr("bronzerelay.pooler.lines.MAX_LINE_BYTES", 100)
+    near, far, runtime = ends
+    far.send(b"x" * 100 + b"\r\n" + b"x" * 101 + b"\r\n")
+    assert near.wait_readable(LONG_MS)
+    reader = LineReader(near, runtime.clock)
+    deadline_ms = runtime.clock.now_ms() + LONG_MS
+    assert reader.read_line(deadline_ms) == b"x" * 100
+    with pytest.raises(LineTooLongError):
+        reader.read_line(deadline_ms)
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -8,6 +8,7 @@
 from bronzerelay.load import linkholders
 from bronzerelay.pooler import passingclient, passingserver
 from bronzerelay.pooler.daemon import END_FRACTION
+from bronzerelay.pooler.lines import MAX_LINE_BYTES
 from bronzerelay.pooler.messages import Answer, Fault, Position, TransactionState, Verb
 from bronzerelay.pooler.passing import (
     Kind,
@@ -149,6 +150,18 @@
         assert count_passes(origin, "lost") == 0
         assert count_passes(origin, "answered") == 1
 
+    def test_long_statement_makes_no_holder_avoid_its_instance(self, fleet, daemons):
+        """Guards against a caller that makes an instance look failing at its holder."""
+        holder, _, origin = daemons
+        caller = open_at(fleet, origin)
+        run_ok(caller, "PARSE s FETCH q")
+        prefix = "QUERY x EXECUTE s "
+        caller.send(prefix + "x" * (MAX_LINE_BYTES - len(prefix)))
+        assert caller.read_reply().error == "PROTOERR"
+        run_ok(caller, "FETCH row")
+        assert holder.placement.view_of(PRIMARY).failures == 0
+        assert count_passes(origin, "answered") == 1
+
     def test_the_stand_by_leaves_the_connections_to_the_holder(self, fleet, daemons):
         """Guards against two daemons that keep more links than an instance accepts."""
         entry = daemons[0].directory.instances[PRIMARY]
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -12,6 +12,7 @@
 from bronzerelay.pooler.execution import limit_statements
 from bronzerelay.pooler.gossip import BEAT_MS
 from bronzerelay.pooler.httpcalls import HttpCallError, HttpClient
+from bronzerelay.pooler.lines import LINE_END, MAX_LINE_BYTES
 from bronzerelay.pooler.members import MEMBER_PREFIX
 from bronzerelay.pooler.mirror import BATCH_PAUSE_MS
 from bronzerelay.pooler.passingserver import PassingServer
@@ -1199,3 +1200,41 @@
         caller = LineCaller(fleet.runtime, fleet.address("d1"))
         reply = caller.start(OWN, "k" * MAX_SESSION_BYTES)
         assert reply.startswith("ERROR PROTOERR")
+
+    @pytest.mark.parametrize(
+        ("prefix", "begin"),
+        [
+            ("QUERY x FETCH ", False),
+            ("QUERY x EXECUTE s ", False),
+            ("QUERY x EXECUTE s ", True),
+        ],
+    )
+    def test_statement_that_gets_too_long_makes_no_instance_look_failing(
+        self, fleet, prefix, begin
+    ):
+        """Guards against lines that an instance refuses for what the pooler adds."""
+        daemon = fleet.start_ready("d1")[0]
+        caller = open_session(fleet)
+        run_ok(caller, "STORE a 1")
+        run_ok(caller, "PARSE s FETCH q")
+        if begin:
+            run_ok(caller, "BEGIN")
+            run_ok(caller, "FETCH a")
+        caller.send(prefix + "x" * (MAX_LINE_BYTES - len(prefix)))
+        reply = caller.read_reply()
+        assert reply.error == "PROTOERR"
+        views = [
+            daemon.placement.view_of(one) for one in fleet.platform.group.instances
+        ]
+        assert [view.failing_since_ms for view in views if view.failures] == []
+        if begin:
+            run_ok(caller, "ROLLBACK")
+        run_ok(caller, "FETCH a")
+
+    def test_longest_statement_runs(self, fleet):
+        """Guards against refusing what an instance accepts."""
+        fleet.start_ready("d1")
+        caller = open_session(fleet, STRICT)
+        prefix = "QUERY x STORE a "
+        caller.send(prefix + "x" * (MAX_LINE_BYTES - len(prefix) - len(LINE_END)))
+        assert caller.read_reply().error == ""
