Bound the texts and the queue of the log, and log what can't be encoded

Users would have seen: a daemon of 300 MB that ends by itself as its log is read too slowly, or for the moment between two writes: 120 lines a second may hold a caller's database, statement id or an instance's detail of up to 1 MiB each, several in one line, and 2,000 lines may wait. And a session, or a task of the daemon, that ends while it logs a text with a lone surrogate, which Python uses for file names that aren't text.

Cause: the queue is bounded in lines only, and a field holds whatever it is given; a field that the encoder refuses raises in the task that logs.

Now a field's text is cut in the middle beyond 2,000 characters, lines beyond 4 MiB are dropped and counted like those beyond 2,000, and a line that can't be encoded is written with its fields escaped. The count of bytes is set anew at each write of the queue, as tasks add to it without a lock.

--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -1164,4 +1164,25 @@
         "if end < 0 and length > MAX_LINE_BYTES:",
         "tests/test_lines.py",
     ),
+    Mutation(
+        "a text in the log is cut",
+        POOLER + "events.py",
+        "if isinstance(value, str):",
+        "if False:",
+        "tests/test_events.py",
+    ),
+    Mutation(
+        "the log's queue is bounded in bytes",
+        POOLER + "events.py",
+        "if is_full or self._queued_bytes >= MAX_QUEUED_BYTES:",
+        "if is_full:",
+        "tests/test_events.py",
+    ),
+    Mutation(
+        "a value that can't be encoded ends no task that logs it",
+        POOLER + "events.py",
+        "except (ValueError, TypeError):",
+        "except KeyError:",
+        "tests/test_events.py",
+    ),
 )
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -3,7 +3,15 @@
 import json
 import os
 
-from bronzerelay.pooler.events import MAX_QUEUED_LINES, REQUEST_LINES_PER_S, EventLog
+import pytest
+
+from bronzerelay.pooler.events import (
+    MAX_FIELD_LENGTH,
+    MAX_QUEUED_BYTES,
+    MAX_QUEUED_LINES,
+    REQUEST_LINES_PER_S,
+    EventLog,
+)
 from tests.builders_pooler import ManualClock, make_runtime
 
 
@@ -45,3 +53,41 @@
         for _ in range(MAX_QUEUED_LINES + 10):
             log.write("front", "Something happened.")
         assert log.dropped == 10
+
+    def test_long_text_is_cut_in_the_middle(self):
+        """Guards against lines of several MiB that hold a caller's text."""
+        log, _ = make_pipe_log(ManualClock())
+        log.write("session", "A caller was refused.", detail="a" * 1_000_000 + "z")
+        line = json.loads(log._lines[0])
+        assert len(line["detail"]) < 2 * MAX_FIELD_LENGTH
+        assert (line["detail"][0], line["detail"][-1]) == ("a", "z")
+
+    def test_long_lines_are_bounded_in_sum(self):
+        """Guards against a queue that takes the memory of the process."""
+        log, _ = make_pipe_log(ManualClock())
+        fields = {f"field{n}": "x" * MAX_FIELD_LENGTH for n in range(10)}
+        for _ in range(MAX_QUEUED_LINES):
+            log.write("session", "A caller was refused.", **fields)
+        queued = sum(len(line) for line in log._lines)
+        assert queued < MAX_QUEUED_BYTES + 30 * MAX_FIELD_LENGTH
+        assert log.dropped == MAX_QUEUED_LINES - len(log._lines)
+
+    def test_written_lines_leave_room(self):
+        """Guards against a log that ends once its first bytes are written."""
+        log, _ = make_pipe_log(ManualClock())
+        log._descriptor = os.open(os.devnull, os.O_WRONLY)
+        fields = {f"field{n}": "x" * MAX_FIELD_LENGTH for n in range(10)}
+        for _ in range(3 * MAX_QUEUED_BYTES // (10 * MAX_FIELD_LENGTH)):
+            log.write("session", "A caller was refused.", **fields)
+            log.flush()
+        assert log.dropped == 0
+
+    @pytest.mark.parametrize("value", ["\ud800 no file", object()])
+    def test_value_that_cant_be_encoded_ends_no_task(self, value):
+        """Guards against a log line that ends the task which writes it."""
+        log, reading = make_pipe_log(ManualClock())
+        log.write("config", "Something happened.", error=value, version=3)
+        log.flush()
+        (line,) = read_lines(reading)
+        assert line["message"] == "config: Something happened."
+        assert line["error"] in ("\\ud800 no file", repr(value))
