Cut what a refusal repeats of a caller's text

Callers would have seen: an answer as long as what they have sent, which goes beyond the 1 MiB of a message where control characters are written out: a word of 300,000 bytes of 0x01 comes back as a line of 1.2 MB, on which a caller that holds to the limit breaks its session off.

Cause: the texts of refusals are put together from a database's name, a statement's name or word, and an instance's detail, whole.

Evidence: 3 new tests fail on the commit before: answers of 300,040 and 32,813 characters, and LineTooLongError at the caller.

Now a session cuts a refusal's text in the middle beyond 600 characters. The log cuts its fields by itself.

--- a/bronzerelay/pooler/session.py
+++ b/bronzerelay/pooler/session.py
@@ -36,6 +36,7 @@
     refuse_stopping,
 )
 from bronzerelay.pooler.runner import SLOT_WAIT_FRACTION, Runner, TransactionLink
+from bronzerelay.pooler.texts import shorten
 from bronzerelay.runtime import Connection, Runtime, Signal
 
 # The most session values, and the most prepared names, of one session. More are refused
@@ -45,6 +46,9 @@
 # values and shapes. All sessions of a daemon together keep about 60 MB at most, and
 # the values fit into one frame with a statement that is passed on.
 MAX_SESSION_BYTES = 64 * 1024
+# The longest text of a refusal, in characters. It may repeat what the caller has sent,
+# or what an instance has answered.
+MAX_REFUSAL_LENGTH = 600
 # How long sending an answer to a slow caller may take, in milliseconds.
 SEND_TIMEOUT_MS = 5_000
 # How long a session must be idle before it is closed while the daemon stops, in
@@ -173,6 +177,10 @@
         self._connection.set_timeout(SEND_TIMEOUT_MS)
         self._connection.send(data)
 
+    def _encode_refusal(self, refusal: Refusal) -> bytes:
+        message = shorten(refusal.message, MAX_REFUSAL_LENGTH)
+        return self._codec.encode_refusal(refusal._replace(message=message))
+
     def _linger(self) -> None:
         """Let the caller receive the last answer before the connection is closed.
 
@@ -185,19 +193,19 @@
     def _start(self) -> bool:
         message = self._read_message(False)
         if not isinstance(message, Startup):
-            self._send(self._codec.encode_refusal(_refuse_protocol("no STARTUP")))
+            self._send(self._encode_refusal(_refuse_protocol("no STARTUP")))
             return False
         self._kept_bytes = _count_bytes(message.database, message.key)
         if self._kept_bytes > MAX_SESSION_BYTES:
             refusal = _refuse_protocol("the database and the key are too long")
-            self._send(self._codec.encode_refusal(refusal))
+            self._send(self._encode_refusal(refusal))
             return False
         self._database, self._key = message.database, message.key
         self._wait_for_config()
         admitted = self._admit()
         if isinstance(admitted, Refusal):
             self._count_refusal("startup", "-", "", admitted, 0)
-            self._send(self._codec.encode_refusal(admitted))
+            self._send(self._encode_refusal(admitted))
             return False
         self._send(self._codec.encode_ready(TransactionState.IDLE, None))
         return True
@@ -321,7 +329,7 @@
     def _send_reply(self, reply: Reply) -> None:
         state = self._transaction_state()
         if isinstance(reply.outcome, Refusal):
-            data = self._codec.encode_refusal(reply.outcome)
+            data = self._encode_refusal(reply.outcome)
             data += self._codec.encode_ready(state, reply.position)
         else:
             data = self._codec.encode_answer(reply.outcome, state, reply.position)
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -1185,4 +1185,11 @@
         "except KeyError:",
         "tests/test_events.py",
     ),
+    Mutation(
+        "a refusal repeats only a part of a long text",
+        POOLER + "session.py",
+        "message = shorten(refusal.message, MAX_REFUSAL_LENGTH)",
+        "message = refusal.message",
+        PATH + "TestBadInput",
+    ),
 )
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -9,6 +9,7 @@
 from bronzerelay.load.outliers import MAX_TOKENS
 from bronzerelay.pooler import contacts, session
 from bronzerelay.pooler.daemon import END_FRACTION, UPKEEP_MS
+from bronzerelay.pooler.events import MAX_FIELD_LENGTH
 from bronzerelay.pooler.execution import limit_statements
 from bronzerelay.pooler.gossip import BEAT_MS
 from bronzerelay.pooler.httpcalls import HttpCallError, HttpClient
@@ -21,7 +22,8 @@
 from bronzerelay.pooler.primaryguard import LEASE_MS
 from bronzerelay.pooler.retrypolicy import BUSY_PAUSE_MS
 from bronzerelay.pooler.runner import SLOT_WAIT_FRACTION
-from bronzerelay.pooler.session import MAX_SESSION_BYTES
+from bronzerelay.pooler.session import MAX_REFUSAL_LENGTH, MAX_SESSION_BYTES
+from bronzerelay.pooler.texts import OMISSION
 from bronzerelay.runtime import Address
 from standins.linecaller import LineCaller
 from standins.linegroup import LOCAL
@@ -1238,3 +1240,21 @@
         prefix = "QUERY x STORE a "
         caller.send(prefix + "x" * (MAX_LINE_BYTES - len(prefix) - len(LINE_END)))
         assert caller.read_reply().error == ""
+
+    @pytest.mark.parametrize("text", ["EXECUTE {} a", "{} a"], ids=["name", "word"])
+    def test_refusals_dont_repeat_long_texts(self, fleet, text):
+        """Guards against answers that are as long as what a caller has sent."""
+        fleet.start_ready("d1")
+        caller = open_session(fleet)
+        reply = caller.query(text.format("\1" * 300_000))
+        assert reply.error == "PROTOERR"
+        assert len(reply.text) <= MAX_REFUSAL_LENGTH + len(OMISSION)
+
+    def test_refusal_of_a_long_database_is_short(self, fleet):
+        """Guards against a log and an answer that repeat a database's name."""
+        daemon = fleet.start_ready("d1")[0]
+        caller = LineCaller(fleet.runtime, fleet.address("d1"))
+        reply = caller.start("b" * (MAX_SESSION_BYTES // 2), "north-key")
+        assert reply.startswith("ERROR NODB")
+        assert len(reply) <= MAX_REFUSAL_LENGTH + 50
+        assert all(len(line) < 4 * MAX_FIELD_LENGTH for line in daemon.log._lines)
