Check the numbers that other daemons send, and bound a holder's replies

Two faults of one message, found together.

Callers would have seen: (1) a session that ends without an answer when a holder of another version answers with a state, fault or code that this daemon doesn't know (IndexError or ValueError in the session's task), and another state than was meant for a negative number; a request of an unknown kind runs as a statement of the open transaction. (2) a holder that is avoided by all of an origin's callers as one read has an answer of over 2 MiB: the origin breaks the connection off, counts it as lost, reads again at the next holder, and then direct.

Cause: numbers index tuples and enums without a check, and the limit of a frame was reckoned for one line, while an answer may have several.

Now the types of the messages carry the ranges, so that a frame with another number is refused as unreadable, as other malformed frames are. A reply may have 16 MiB, as the origin would read the same rows on a link of its own, and a longer one travels as a fault that says it was too long; whether it ran isn't promised. Such a read used to succeed on the direct way, after two holders had been avoided for it.

--- a/bronzerelay/pooler/passing.py
+++ b/bronzerelay/pooler/passing.py
@@ -21,15 +21,20 @@
     Position,
     Prepared,
     TransactionState,
+    Verb,
 )
 from bronzerelay.runtime import Clock, Connection, ConnectionLostError
 
-# The longest frame that either side may send, in bytes: that of the longest line of a
-# caller or an instance, and what is added to it.
+# The longest frame of a request, in bytes: that of the longest line of a caller, and
+# what is added to it.
 MAX_FRAME_BYTES = 2 * 1024 * 1024
+# The longest frame of a reply, in bytes. An answer may have several rows of 1 MiB.
+MAX_REPLY_BYTES = 16 * 1024 * 1024
 LENGTH = struct.Struct(">I")
 RAN_WORDS = (NOT_RUN, RAN, UNKNOWN)
 STATES = tuple(TransactionState)
+# Why the answer of an instance isn't sent to the origin.
+TOO_LONG_DETAIL = "its answer is too long to be passed on"
 
 
 class Kind(enum.IntEnum):
@@ -51,6 +56,14 @@
     REPLACED = 3  # not run, as the primary is being replaced
 
 
+# Numbers of other daemons, which may be of another version, are checked as they are
+# decoded. One out of range would mean something else, or end the task that uses it.
+VerbNumber = Annotated[int, Meta(ge=0, le=len(Verb))]
+StateNumber = Annotated[int, Meta(ge=0, lt=len(STATES))]
+FaultNumber = Annotated[int, Meta(ge=0, le=len(Fault))]
+RanNumber = Annotated[int, Meta(ge=0, lt=len(RAN_WORDS))]
+
+
 class Request(Struct, array_like=True):
     """One statement for a holder; fields that are often empty come last.
 
@@ -59,10 +72,10 @@
     transaction the instance and the workspace are those of its first statement.
     """
 
-    kind: int
+    kind: Kind
     id: str = ""
     text: str = ""
-    verb: int = 0
+    verb: VerbNumber = 0
     left_ms: int = 0
     slot_left_ms: int = 0
     needs_primary: int = 0
@@ -73,7 +86,7 @@
     floor_number: int = 0
     level: int = 0
     # 0 if nothing is prepared, 1 for a statement that reads, 2 for one that writes.
-    prepared: int = 0
+    prepared: Annotated[int, Meta(ge=0, le=2)] = 0
     shape: str = ""
     values: dict[str, str] = {}
 
@@ -98,7 +111,7 @@
     what came with the instance's fault.
     """
 
-    outcome: Annotated[int, Meta(ge=0, le=len(Outcome) - 1)] = 0
+    outcome: Outcome = Outcome.ANSWERED
     wait_ms: int = 0
     # Whether the holder is about to stop.
     is_stopping: int = 0
@@ -106,12 +119,12 @@
     rows: tuple[str, ...] = ()
     term: Whole = 0
     number: Whole = 0
-    state: Annotated[int, Meta(ge=0, lt=len(STATES))] = 0
-    fault: Annotated[int, Meta(ge=0, le=len(Fault))] = 0
+    state: StateNumber = 0
+    fault: FaultNumber = 0
     detail: str = ""
     is_silent: int = 0
     code: Code = Code.OK
-    ran: Annotated[int, Meta(ge=0, lt=len(RAN_WORDS))] = 0
+    ran: RanNumber = 0
     retry_after_ms: Whole = 0
 
     def find_answer(self) -> Answer:
@@ -156,6 +169,25 @@
     )
 
 
+def encode_reply(reply: Reply) -> bytes:
+    """Return the frame of a reply; a fault takes the place of rows that are too long.
+
+    The origin would break the connection off, and avoid this daemon.
+    """
+    frame = encode_frame(reply)
+    if len(frame) <= MAX_REPLY_BYTES:
+        return frame
+    return encode_frame(
+        msgspec.structs.replace(
+            reply,
+            signature="",
+            rows=(),
+            fault=Fault.REJECTED.value,
+            detail=TOO_LONG_DETAIL,
+        )
+    )
+
+
 def encode_frame(message: Struct) -> bytes:
     """Return the frame of a message."""
     fields: list[Any] = list(msgspec.structs.astuple(message))
@@ -168,7 +200,14 @@
 class FrameReader:
     """Reads frames of one type from one connection."""
 
-    def __init__(self, connection: Connection, clock: Clock, message_type: type):
+    def __init__(
+        self,
+        connection: Connection,
+        clock: Clock,
+        message_type: type,
+        max_bytes: int = MAX_FRAME_BYTES,
+    ):
+        self._max_bytes = max_bytes
         self._connection = connection
         self._clock = clock
         self._decoder = msgspec.msgpack.Decoder(message_type)
@@ -186,8 +225,8 @@
         """
         self._fill(LENGTH.size, deadline_ms)
         (length,) = LENGTH.unpack_from(self._buffer)
-        if length > MAX_FRAME_BYTES:
-            raise ConnectionLostError(f"a frame is over {MAX_FRAME_BYTES} bytes")
+        if length > self._max_bytes:
+            raise ConnectionLostError(f"a frame is over {self._max_bytes} bytes")
         end = LENGTH.size + length
         self._fill(end, deadline_ms)
         message = decode(self._decoder, bytes(self._buffer[LENGTH.size : end]))
--- a/bronzerelay/pooler/passingclient.py
+++ b/bronzerelay/pooler/passingclient.py
@@ -11,6 +11,7 @@
 from bronzerelay.pooler.fleetconfig import InstanceEntry
 from bronzerelay.pooler.messages import Answer, Fault, Position, TransactionState
 from bronzerelay.pooler.passing import (
+    MAX_REPLY_BYTES,
     FrameReader,
     Kind,
     Outcome,
@@ -59,7 +60,7 @@
         self, connection: Connection, clock: Clock, holder: str, address: Address
     ):
         self.connection = connection
-        self.reader = FrameReader(connection, clock, Reply)
+        self.reader = FrameReader(connection, clock, Reply, MAX_REPLY_BYTES)
         self.holder = holder
         self.address = address
         self.idle_since_ms = 0.0
--- a/bronzerelay/pooler/passingserver.py
+++ b/bronzerelay/pooler/passingserver.py
@@ -15,6 +15,7 @@
     Reply,
     Request,
     encode_frame,
+    encode_reply,
     make_answer_reply,
     make_refusal_reply,
 )
@@ -342,7 +343,7 @@
 
     def _send(self, reply: Reply) -> None:
         self._connection.set_timeout(FRAME_TIMEOUT_MS)
-        self._connection.send(encode_frame(reply))
+        self._connection.send(encode_reply(reply))
 
     def _answer(self, request: Request) -> Reply:
         if self._server.has_ended() and request.kind != Kind.ROLLBACK:
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -1192,4 +1192,25 @@
         "message = refusal.message",
         PATH + "TestBadInput",
     ),
+    Mutation(
+        "the numbers of a passed-on request are checked",
+        POOLER + "passing.py",
+        "VerbNumber = Annotated[int, Meta(ge=0, le=len(Verb))]",
+        "VerbNumber = int",
+        "tests/test_passing.py::TestMessages",
+    ),
+    Mutation(
+        "the numbers of a holder's reply are checked",
+        POOLER + "passing.py",
+        "StateNumber = Annotated[int, Meta(ge=0, lt=len(STATES))]",
+        "StateNumber = int",
+        "tests/test_passing.py::TestMessages",
+    ),
+    Mutation(
+        "a reply that is too long is sent as a fault",
+        POOLER + "passing.py",
+        "if len(frame) <= MAX_REPLY_BYTES:",
+        "if True:",
+        "tests/test_passing.py::TestWarmLinks::test_long_answer_makes_no_holder_look_failing",
+    ),
 )
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -98,6 +98,31 @@
         refusal = refuse_no_primary()
         assert decode(make_refusal_reply(refusal)).find_refusal() == refusal
 
+    @pytest.mark.parametrize(
+        "reply",
+        [
+            [9],
+            [0, 0, 0, "", [], 0, 0, 9],
+            [0, 0, 0, "", [], 0, 0, -1],
+            [0, 0, 0, "", [], 0, 0, 0, 99],
+            [1, 0, 0, "", [], 0, 0, 0, 0, "", 0, 9999],
+            [1, 0, 0, "", [], 0, 0, 0, 0, "", 0, 0, -1],
+        ],
+        ids=["outcome", "state", "negative state", "fault", "code", "ran"],
+    )
+    def test_numbers_of_a_reply_out_of_range_are_refused(self, reply):
+        """Guards against a number that ends a caller's session or means another."""
+        with pytest.raises(msgspec.ValidationError):
+            msgspec.msgpack.decode(msgspec.msgpack.encode(reply), type=Reply)
+
+    @pytest.mark.parametrize(
+        "request_data", [[9], [3, "i", "FETCH a", 99], [0, "i", "t", -1]]
+    )
+    def test_numbers_of_a_request_out_of_range_are_refused(self, request_data):
+        """Guards against an unknown request that runs as a statement."""
+        with pytest.raises(msgspec.ValidationError):
+            msgspec.msgpack.decode(msgspec.msgpack.encode(request_data), type=Request)
+
 
 def decode(reply: Reply) -> Reply:
     return msgspec.msgpack.decode(encode_frame(reply)[4:], type=Reply)
@@ -162,6 +187,28 @@
         assert holder.placement.view_of(PRIMARY).failures == 0
         assert count_passes(origin, "answered") == 1
 
+    @pytest.mark.parametrize(("count", "error"), [(3, ""), (17, "FAILED")])
+    def test_long_answer_makes_no_holder_look_failing(
+        self, fleet, daemons, monkeypatch, count, error
+    ):
+        """Guards against a holder that is avoided for the rows of one answer."""
+        holder, _, origin = daemons
+        caller = open_at(fleet, origin)
+        run_ok(caller, "FETCH row")
+        rows = tuple("x" * 1_000_000 for _ in range(count))
+        monkeypatch.setattr(
+            passingserver,
+            "make_answer_reply",
+            lambda answer, is_silent: make_answer_reply(
+                answer._replace(rows=rows), is_silent
+            ),
+        )
+        assert caller.query("FETCH row").error == error
+        monkeypatch.undo()
+        run_ok(caller, "FETCH row")
+        assert count_passes(origin, "answered") == 3
+        assert count_passes(origin, "lost") == 0
+
     def test_the_stand_by_leaves_the_connections_to_the_holder(self, fleet, daemons):
         """Guards against two daemons that keep more links than an instance accepts."""
         entry = daemons[0].directory.instances[PRIMARY]
