Keep the parts of an HTTP message apart

Users would have seen: (1) a daemon whose name in the settings file has a line end sends headers of its own choice with a promotion, such as a second X-Fencing-Token; one with a blank at its end passes for the daemon without it, as servers trim a header's value. (2) two requests that arrive at a page server in one piece are taken for one, whose path is both paths, so that a ready daemon answers 404 and is taken out; a path without an end takes the memory of the process. (3) two responses in one piece become one body.

Cause: a head is put together from texts without a look at them, and the collector of a parser that has ended its message goes on adding to it.

Now a call whose head would be misread isn't sent and says so, and a connection on which a second message comes before it was asked for ends. Letters beyond ASCII and blanks inside a name are sent as before.

--- a/bronzerelay/pooler/httpcalls.py
+++ b/bronzerelay/pooler/httpcalls.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import re
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -26,6 +27,12 @@
 # How long an idle connection to a page server stays open, in milliseconds.
 SERVER_IDLE_MS = 15_000
 CONNECT_TIMEOUT_MS = 500
+# The longest path of a request to a page server, in bytes.
+MAX_PATH_BYTES = 4096
+# What would end a part of a request's head or isn't read as a part of it, such as
+# blanks around a header's value.
+UNSAFE_IN_PATH = re.compile(r"[^!-~]")
+UNSAFE_IN_HEADER = re.compile(r"[\x00-\x1f\x7f]|^ | $")
 REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
 
 
@@ -45,15 +52,25 @@
 
 
 class _Collector:
-    """Collects one message from httptools' callbacks."""
+    """Collects one message from httptools' callbacks.
+
+    They raise ValueError for a message that is too long, and for one that follows
+    before it was asked for. Its parts would be added to those of the first one.
+    """
 
     def __init__(self):
         self.body = bytearray()
         self.url = b""
         self.complete = False
 
+    def on_message_begin(self) -> None:
+        if self.complete:
+            raise ValueError("a second message follows at once")
+
     def on_url(self, url: bytes) -> None:
         self.url += url
+        if len(self.url) > MAX_PATH_BYTES:
+            raise ValueError(f"a path is over {MAX_PATH_BYTES} bytes")
 
     def on_body(self, body: bytes) -> None:
         self.body += body
@@ -91,9 +108,9 @@
         for instance because the process was frozen while it connected.
         """
         deadline_ms = self._clock.now_ms() + timeout_ms
+        request = self._encode(method, path, body, headers or {})
         with self._lock:
             connection = self._connect(timeout_ms)
-            request = self._encode(method, path, body, headers or {})
             if self._clock.now_ms() > min(deadline_ms, send_by_ms):
                 raise HttpCallError(f"{self._address}: too late to send", False)
             try:
@@ -131,6 +148,12 @@
     def _encode(
         self, method: str, path: str, body: bytes, headers: dict[str, str]
     ) -> bytes:
+        """Return the request; raise HttpCallError if its head would be misread."""
+        if UNSAFE_IN_PATH.search(path):
+            raise HttpCallError(f"{path!r} can't be a path", False)
+        for name, value in headers.items():
+            if UNSAFE_IN_HEADER.search(value):
+                raise HttpCallError(f"{value!r} can't be the value of {name}", False)
         head = f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         if body:
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -1213,4 +1213,32 @@
         "if True:",
         "tests/test_passing.py::TestWarmLinks::test_long_answer_makes_no_holder_look_failing",
     ),
+    Mutation(
+        "a header's value can't add another header",
+        POOLER + "httpcalls.py",
+        "if UNSAFE_IN_HEADER.search(value):",
+        "if False:",
+        "tests/test_platform_adapter.py::TestFailoverCall",
+    ),
+    Mutation(
+        "a path can't end a request's head",
+        POOLER + "httpcalls.py",
+        "if UNSAFE_IN_PATH.search(path):",
+        "if False:",
+        "tests/test_platform_adapter.py::TestHttpClient",
+    ),
+    Mutation(
+        "two HTTP messages aren't joined",
+        POOLER + "httpcalls.py",
+        "if self.complete:",
+        "if False:",
+        "tests/test_platform_adapter.py::TestPageServer",
+    ),
+    Mutation(
+        "a page server bounds the length of a path",
+        POOLER + "httpcalls.py",
+        "if len(self.url) > MAX_PATH_BYTES:",
+        "if False:",
+        "tests/test_platform_adapter.py::TestPageServer",
+    ),
 )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,7 +12,12 @@
 from failover_call import FailoverCall
 from store_client import StoreClient
 
-from bronzerelay.pooler.httpcalls import HttpCallError, HttpClient
+from bronzerelay.pooler.httpcalls import (
+    HttpCallError,
+    HttpClient,
+    HttpResponse,
+    PageServer,
+)
 from bronzerelay.pooler.mirror import ConflictError, HistoryLostError, StoreError
 from bronzerelay.pooler.primarychanges import Promotion
 from bronzerelay.runtime import Address
@@ -135,6 +140,66 @@
             HttpClient(runtime, closed.address).call("GET", "/", b"", 500)
         assert not caught.value.may_have_run
 
+    @pytest.mark.parametrize("path", ["/a b", "/a\r\nX: 1", "/\u00e9", "/a\x00"])
+    def test_path_that_would_be_misread_isnt_sent(self, runtime, path):
+        """Guards against a path that ends the request's head."""
+        listener = runtime.listen(Address(LOCAL, 0))
+        with pytest.raises(HttpCallError) as caught:
+            HttpClient(runtime, listener.address).call("GET", path, b"", 200)
+        assert not caught.value.may_have_run
+        listener.close()
+
+    def test_two_responses_at_once_arent_joined(self, runtime):
+        """Guards against a body that is put together from two responses."""
+        listener = runtime.listen(Address(LOCAL, 0))
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+
+        def answer():
+            accepted = listener.accept()
+            accepted.receive()
+            accepted.send(response + b"1" + response + b"2")
+
+        runtime.start(answer)
+        with pytest.raises(HttpCallError) as caught:
+            HttpClient(runtime, listener.address).call("GET", "/", b"", 2000)
+        assert caught.value.may_have_run
+        listener.close()
+
+
+class TestPageServer:
+    def ask(self, runtime, data):
+        """Return the paths that a server was asked for by the data of a client."""
+        paths = []
+
+        def page(path):
+            paths.append(path)
+            return HttpResponse(200, b"")
+
+        ending = runtime.make_signal()
+        server = PageServer(runtime, Address(LOCAL, 0), page, ending)
+        runtime.start(server.run)
+        client = runtime.dial(server.address, 1000)
+        client.set_timeout(2000)
+        client.send(data)
+        with contextlib.suppress(OSError):
+            client.finish_sending()
+            while client.receive():
+                pass
+        client.close()
+        ending.set()
+        return paths
+
+    def test_paths_of_two_requests_arent_joined(self, runtime):
+        """Guards against a daemon that counts as unready for a path nobody asked."""
+        request = b"GET /-/readyz HTTP/1.1\r\n\r\n"
+        assert "/-/readyz/-/readyz" not in self.ask(runtime, request * 2)
+        assert self.ask(runtime, request) == ["/-/readyz"]
+
+    def test_endless_path_is_refused(self, runtime):
+        """Guards against a path that takes the memory of the process."""
+        data = b"GET /" + b"x" * 100_000 + b" HTTP/1.1\r\n\r\n"
+        assert self.ask(runtime, data) == []
+
 
 class TestFailoverCall:
     def test_outcomes(self):
@@ -151,6 +216,24 @@
         finally:
             fleet.close()
 
+    @pytest.mark.parametrize("name", ["d1\r\nX-Fencing-Token: 99", "d1 ", "d\x001"])
+    def test_holder_that_would_be_misread_isnt_sent(self, runtime, name):
+        """Guards against a daemon's name that adds a header or reads as another."""
+        listener = runtime.listen(Address(LOCAL, 0))
+        call = FailoverCall(runtime, listener.address)
+        outcome = call(SERVICE, "orders-1", name, 3, 300, math.inf)
+        assert outcome is Promotion.NOT_SENT
+        listener.close()
+
+    def test_holder_may_have_blanks_and_other_letters(self, runtime):
+        """Guards against a daemon that can never promote because of its name."""
+        listener = runtime.listen(Address(LOCAL, 0))
+        call = FailoverCall(runtime, listener.address)
+        call(SERVICE, "orders-1", "d\u00e9 1", 3, 100, math.inf)
+        sent = listener.accept().receive()
+        assert "X-Lock-Holder: d\u00e9 1\r\n".encode() in sent
+        listener.close()
+
     def test_request_without_an_answer_is_withdrawn(self, runtime):
         # The request is held up by a partition. Unless the connection is reset, it
         # arrives when the partition heals, and replaces a primary that is in use.
