Keep members' names apart from failure domains among the sources of reports

Users would have seen: operations of a daemon called 'DOMAIN z1' that its relay doesn't count where the failure domain z1 reports too, so that workspaces get more than their rate.

Cause: the key of a domain's reports was put together from a word and its name, in the same dictionary as the names of members.

Evidence: on the commit before the relay's groups hold 28 members of 29.

Now the key of a domain, and that of the whole fleet, is a tuple, which no name equals.

--- a/bronzerelay/pooler/fleetrates.py
+++ b/bronzerelay/pooler/fleetrates.py
@@ -23,6 +23,7 @@
     Scope,
     Source,
     SourceGroup,
+    SourceKey,
     Tally,
     TallySum,
 )
@@ -128,7 +129,7 @@
         self._name = name
         self._buckets: dict[str, Bucket] = {}
         self._reports: dict[tuple[str, Scope], PeerReports] = {}
-        self._sources: dict[str, Source] = {}
+        self._sources: dict[SourceKey, Source] = {}
         # The applied tallies of the other daemons of this failure domain, and of the
         # other domains.
         self._sums: dict[Scope, dict[str, TallySum]] = {Scope.OWN: {}, Scope.DOMAIN: {}}
@@ -157,7 +158,7 @@
         others = [name for name in names if name != self._name]
         self.set_sources({name: SourceGroup(Scope.OWN, (name,)) for name in others})
 
-    def set_sources(self, groups: dict[str, SourceGroup]) -> None:
+    def set_sources(self, groups: dict[SourceKey, SourceGroup]) -> None:
         """Set who reports for whom; each other member belongs to exactly one group."""
         now_ms = self._clock.now_ms()
         with self._lock:
--- a/bronzerelay/pooler/heartbeats.py
+++ b/bronzerelay/pooler/heartbeats.py
@@ -26,7 +26,7 @@
 from bronzerelay.pooler.mirror import Mirror
 from bronzerelay.pooler.placement import Placement
 from bronzerelay.pooler.primaryguard import LEASE_MS, PrimaryGuard
-from bronzerelay.pooler.sources import EMPTY_REPORT, Scope, SourceGroup
+from bronzerelay.pooler.sources import EMPTY_REPORT, Scope, SourceGroup, SourceKey
 from bronzerelay.rendezvous import rank
 from bronzerelay.runtime import Runtime
 
@@ -41,8 +41,6 @@
 SILENT_PEER_MS = 1_000
 # The most observers whose reports on silent instances a relay passes on.
 MAX_OBSERVERS = 8
-# The key of the source group of a daemon behind relays, which report the whole fleet.
-FLEET = "fleet"
 # How much later a daemon learns what another one knows, in milliseconds. In a full mesh
 # information counts from the heartbeat before the last one; relays answer at once.
 MESH_LAG_MS = 2 * BEAT_MS + 100
@@ -178,16 +176,17 @@
         if self._plan.relaying:
             self._gossip.send_now()
 
-    def list_sources(self, serving: list[str]) -> dict[str, SourceGroup]:
+    def list_sources(self, serving: list[str]) -> dict[SourceKey, SourceGroup]:
         """Return which peers report the operations of the `serving` members."""
         if self.contacts.is_mesh():
             return {name: SourceGroup(Scope.OWN, (name,)) for name in serving}
         plan = self._plan
         if not plan.relaying:
             relays = plan.relays.get(self._domain, ())
-            return {FLEET: SourceGroup(Scope.FLEET, relays, len(serving))}
+            group = SourceGroup(Scope.FLEET, relays, len(serving))
+            return {(Scope.FLEET, ""): group}
         same_domain = set(self.contacts.list_domain(self._domain))
-        groups = {
+        groups: dict[SourceKey, SourceGroup] = {
             name: SourceGroup(Scope.OWN, (name,))
             for name in serving
             if name in same_domain
@@ -195,8 +194,9 @@
         for domain, relays in plan.relays.items():
             members = len(set(serving) & set(self.contacts.list_domain(domain)))
             if domain != self._domain and members:
-                key = f"{Scope.DOMAIN.name} {domain}"
-                groups[key] = SourceGroup(Scope.DOMAIN, relays, members)
+                groups[Scope.DOMAIN, domain] = SourceGroup(
+                    Scope.DOMAIN, relays, members
+                )
         return groups
 
     # Sending
--- a/bronzerelay/pooler/sources.py
+++ b/bronzerelay/pooler/sources.py
@@ -70,6 +70,11 @@
 EMPTY_REPORT = Report(False, {})
 
 
+# The key of a group: a daemon's name for its own operations, else the scope and the
+# failure domain. As one text, a daemon's name could be the key of a domain.
+SourceKey = str | tuple[Scope, str]
+
+
 class SourceGroup(NamedTuple):
     """Daemons of which one at a time reports the operations of `members` daemons."""
 
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -740,6 +740,29 @@
         assert {daemon.mirror.revision for daemon in fleet.list_alive()} == {9}
 
 
+class TestSources:
+    def test_name_of_a_member_is_no_key_of_a_domain(self):
+        """Guards against a member whose operations aren't counted at its relay."""
+        fleet = HeartbeatFleet(LARGE)
+        fleet.run(SETTLING_MS)
+        relay = fleet.list_relays()[0]
+        peers = {name: one.peer for name, one in fleet.daemons.items()}
+        del peers[relay.name]
+        renamed, other = (
+            next(
+                one.name
+                for one in fleet.daemons.values()
+                if one not in fleet.list_relays()
+                and (one.peer.domain == relay.peer.domain) is is_same
+            )
+            for is_same in (True, False)
+        )
+        peers[f"DOMAIN {peers[other].domain}"] = peers.pop(renamed)
+        relay.heartbeats.contacts.set_peers(peers)
+        groups = relay.heartbeats.list_sources(list(peers))
+        assert sum(group.members for group in groups.values()) == len(peers)
+
+
 class TestRelayedRates:
     RATE = 100.0
 
