Read heartbeats of any size that a datagram can have

Users would have seen: daemons that count each other as silent once the names of the members, services and workspaces that a heartbeat holds take more than 8 KiB, such as after a configuration with some hundred long names: no proofs of primaries, and rates cut to the daemons heard of.

Cause: a datagram was read into 8,192 bytes, the kernel cuts the rest off, and what is left can't be decoded. Only heartbeats to other failure domains are compressed.

The test's receiver now reads as many bytes as the product's.

Now the buffer has the size of the largest datagram.

--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -32,7 +32,9 @@
 # Urgent heartbeats also go to peers heard within this time, in milliseconds. It is as
 # long as a primary proof is valid.
 RECENT_PEER_MS = 1_000
-MAX_DATAGRAM_BYTES = 8192
+# The largest datagram that UDP carries, in bytes. The names of many members, services
+# and workspaces take several thousand, and one that is cut can't be read at all.
+MAX_DATAGRAM_BYTES = 65_507
 # Heartbeats of this size or more are compressed for other failure domains: names of
 # members and workspaces make up most of them.
 MIN_COMPRESSED_BYTES = 150
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -1276,4 +1276,11 @@
         'groups[f"DOMAIN {domain}"] = SourceGroup(',
         "tests/test_heartbeats.py::TestSources",
     ),
+    Mutation(
+        "a heartbeat of any size is read whole",
+        POOLER + "gossip.py",
+        "MAX_DATAGRAM_BYTES = 65_507",
+        "MAX_DATAGRAM_BYTES = 8192",
+        "tests/test_gossip.py",
+    ),
 )
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bronzerelay.pooler.contacts import Peer
-from bronzerelay.pooler.gossip import NEVER_MS, Beat, Gossip
+from bronzerelay.pooler.gossip import MAX_DATAGRAM_BYTES, NEVER_MS, Beat, Gossip
 from bronzerelay.pooler.sources import EMPTY_REPORT, Report, Tally
 from bronzerelay.runtime import Address
 from standins.linegroup import LOCAL
@@ -62,7 +62,7 @@
         return beat
 
     def receive(self, receiver):
-        data = receiver._sock.receive(8192)
+        data = receiver._sock.receive(MAX_DATAGRAM_BYTES)
         receiver._handle(
             data, lambda beat, view, proven_ms: self.handled.append(proven_ms)
         )
@@ -173,3 +173,10 @@
         pair.clock.sleep_ms(300)
         pair.first.send_round(make_beat(pair.first, "a"), pair.complete)
         assert pair.reported_since == [None, None, received_ms, received_ms]
+
+
+def test_heartbeat_with_many_long_names_is_read(pair):
+    """Guards against daemons that fall silent by the names in a configuration."""
+    tallies = {f"workspace-{'x' * 100}-{n}": Tally(1, 1) for n in range(300)}
+    pair.send(pair.first, pair.second, "a", report=Report(True, tallies))
+    assert len(pair.handled) == 1
