--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -1283,4 +1283,25 @@
         "MAX_DATAGRAM_BYTES = 8192",
         "tests/test_gossip.py",
     ),
+    Mutation(
+        "a primary record counts for the service in its key",
+        POOLER + "daemon.py",
+        "if item.key != PRIMARY_RECORD_PREFIX + record.service:",
+        "if False:",
+        PATH + "TestAdmission::test_items_count_for_the_name_in_their_key_only",
+    ),
+    Mutation(
+        "a member's entry counts for the name in its key",
+        POOLER + "members.py",
+        "if item.key != MEMBER_PREFIX + member.name:",
+        "if False:",
+        PATH + "TestAdmission::test_items_count_for_the_name_in_their_key_only",
+    ),
+    Mutation(
+        "a blank in a key is read alike by all servers",
+        "platform/store_client.py",
+        "urlencode(query, quote_via=quote)",
+        "urlencode(query)",
+        "tests/test_platform_adapter.py::TestStoreClient",
+    ),
 )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -132,6 +132,16 @@
         assert runtime.clock.now_ms() - started_ms < 2000
         store.silent = False
 
+    def test_key_with_a_blank_is_read_alike_by_all_servers(self, runtime):
+        """Guards against a name whose record isn't found, as a "+" stays a "+"."""
+        listener = runtime.listen(Address(LOCAL, 0))
+        client = StoreClient(runtime, listener.address)
+        with pytest.raises(StoreError):
+            client.load("bronzerelay/leads/a b+c&d=\u00e9", 100)
+        head = listener.accept().receive().split(b"\r\n")[0]
+        assert head.endswith(b"%2Fa%20b%2Bc%26d%3D%C3%A9 HTTP/1.1")
+        listener.close()
+
 
 class TestHttpClient:
     def test_call_to_a_closed_port_has_not_run(self, runtime):
