Refuse a daemon's name that the platform would misread

Users would have seen: a daemon whose name has a line end, a blank at an end, or more bytes than a key of the store has room for, runs and is never ready, or takes the lock of a service and can't promote, as its name isn't sent as a header.

Cause: the name of the settings file becomes a part of a key and a header's value, and wasn't looked at.

Now the daemon says at its start what is wrong with its name. Blanks inside, slashes and letters beyond ASCII are fine.

--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -1304,4 +1304,11 @@
         "urlencode(query)",
         "tests/test_platform_adapter.py::TestStoreClient",
     ),
+    Mutation(
+        "a daemon's name can be a header and a key",
+        "platform/settings_file.py",
+        "    _check_name(body.node_name)",
+        "",
+        "tests/test_settings_file.py",
+    ),
 )
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -62,6 +62,20 @@
         with pytest.raises(ValueError):
             read_settings(TEXT.replace(before, after), None)
 
+    @pytest.mark.parametrize(
+        "name", ["", "d1 ", "d1\\r\\nX: 1", "d" * 151, "\u00e9" * 76]
+    )
+    def test_name_that_the_platform_would_misread_is_rejected(self, name):
+        """Guards against a daemon that takes a lock and can never promote."""
+        with pytest.raises(ValueError, match="name"):
+            read_settings(TEXT.replace("edge-1", name), None)
+
+    @pytest.mark.parametrize("name", ["vm 1", "a/b", "\u00e9" * 75])
+    def test_name_may_have_other_letters(self, name):
+        """Guards against refusing a name that works."""
+        settings = read_settings(TEXT.replace("edge-1", name), None)
+        assert settings.pooler.name == name
+
 
 class TestChanges:
     def test_changed_file_is_read_again(self, tmp_path):
