--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from bronzerelay.decoding import Label, Word, decode
+from bronzerelay.decoding import Label, decode
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.gossip import Gossip
@@ -30,7 +30,7 @@
 class Member(NamedTuple):
     """A daemon's entry in the list, with its address for peers as HOST:PORT."""
 
-    name: Word
+    name: Label
     address: Label
     # Its failure domain.
     domain: Label = ""
