--- a/bronzerelay/pooler/execution.py
+++ b/bronzerelay/pooler/execution.py
@@ -72,6 +72,8 @@
 MEASURED_LENGTH = MAX_LINE_BYTES // 4 - 100
 # A name as long as any under which a link prepares a statement.
 LONGEST_NAME = "p" * 12
+# Faults of a new link that say that the instance doesn't run at its address.
+ABSENT_FAULTS = frozenset([Fault.UNREACHABLE, Fault.WRONG_INSTANCE])
 # Consecutive failures after which an instance gets only one statement at a time.
 UNRESPONSIVE_FAILURES = 2
 # Why an instance under evacuation gets nothing.
@@ -112,10 +114,6 @@
         return self.statement.verb is Verb.WRITE
 
 
-# Faults of a new link that say that the instance doesn't run at its address.
-ABSENT_FAULTS = frozenset([Fault.UNREACHABLE, Fault.WRONG_INSTANCE])
-
-
 def limit_statements(slots: int, daemons: int) -> int:
     """Return how many statements one daemon may have at an instance at once."""
     return min(slots, max(1, math.ceil(STATEMENTS_PER_SLOT * slots / daemons)))
--- a/standins/kvstore.py
+++ b/standins/kvstore.py
@@ -11,7 +11,9 @@
 from bronzerelay.runtime import Address, Runtime
 from standins.linegroup import LOCAL, LineGroup
 
+# The most items of a page, and the bytes of data after which it ends.
 PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 
 
 class StoredItem(NamedTuple):
@@ -22,6 +24,18 @@
     revision: int
 
 
+def _cut_page(items: list[StoredItem]) -> list[StoredItem]:
+    """Return the items that the first page holds."""
+    page = []
+    left = PAGE_BYTES
+    for item in items[:PAGE_ITEMS]:
+        page.append(item)
+        left -= len(item.data or b"")
+        if left <= 0:
+            break
+    return page
+
+
 class KvStore:
     """Keys with revisions and a history, on a port of its own.
 
@@ -130,8 +144,9 @@
             keys = sorted(
                 key for key in self.items if key.startswith(prefix) and key > after
             )
-            items = [self._encode_item(self.items[key]) for key in keys[:PAGE_ITEMS]]
-            has_more = len(keys) > PAGE_ITEMS
+            page = _cut_page([self.items[key] for key in keys])
+            items = [self._encode_item(item) for item in page]
+            has_more = len(keys) > len(page)
             return 200, {"items": items, "has_more": has_more, "at": self.revision}
 
     def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -29,6 +29,9 @@
     run_ok,
 )
 
+# How soon after its acknowledgement a configuration must be in force, in milliseconds,
+# by the users' requirements.
+APPLY_WITHIN_MS = 3_000
 OWN_IDS = [f"{SERVICE}-{number}" for number in range(3)]
 READS = 12
 # How long a primary that answers nobody is used at most, in milliseconds, with time
@@ -219,6 +222,20 @@
 
 
 class TestOddRecords:
+    def test_many_long_entries_hold_up_nothing(self, fleet):
+        """Guards against changes that no daemon sees behind a watch's long answer."""
+        daemon = fleet.start_ready("d1")[0]
+        fleet.wait(lambda: daemon.mirror.is_watching, "the daemon watches the store")
+        with fleet.store.condition:
+            for number in range(10):
+                fleet.store.put(f"servers/long-{number}", b"x" * MEBIBYTE)
+            version = fleet.platform.configure()
+        fleet.wait(
+            lambda: daemon.directory.version == version,
+            "the configuration behind the entries",
+            APPLY_WITHIN_MS,
+        )
+
     def test_odd_members_arent_on_the_list(self, fleet, traces):
         # One address that couldn't be used ended each round of heartbeats.
         daemon = fleet.start_ready("d1")[0]
