--- a/review/fleet.py
+++ b/review/fleet.py
@@ -213,11 +213,15 @@
     numbers = iter(range(1, 10**9))
     record: Record
 
-    def ask(self, text: str) -> Sent:
-        """Run one statement; without an answer the reply is None."""
+    def ask(self, text: str, hidden: str = "") -> Sent:
+        """Run one statement; without an answer the reply is None.
+
+        The record shows only the length of the hidden part.
+        """
         statement = f"c{next(Caller.numbers)}"
         sent = self.record.now()
-        self.record.note(f"SENT {statement} {text}")
+        shown = text.replace(hidden, f"<{len(hidden)} bytes>") if hidden else text
+        self.record.note(f"SENT {statement} {shown}")
         reply: LineReply | None = None
         try:
             self.send(f"QUERY {statement} {text}")
@@ -227,7 +231,7 @@
         except OSError as error:
             self.record.note(f"NO ANSWER {statement} {error}")
         answered = None if reply is None else self.record.now()
-        return Sent(statement, text, sent, answered, reply)
+        return Sent(statement, shown, sent, answered, reply)
 
 
 class Fleet:
@@ -241,6 +245,7 @@
         self.provider = str(self.store.address)
         self.store.groups[service.name] = service  # type: ignore[assignment]
         self.max_conns = 21
+        self.rate = 2000
         self.version = 0
         # How many daemons are started at first.
         self.first = 2
@@ -294,8 +299,8 @@
             "name": "north",
             "api_keys": [KEY],
             "priority": 1,
-            "rate_per_s": 2000,
-            "burst": 2000,
+            "rate_per_s": self.rate,
+            "burst": self.rate,
         }
         self.store.put_json(
             "op/config",
