--- a/review/4/case.py
+++ b/review/4/case.py
@@ -84,8 +84,8 @@
     before = record.now()
     primary = next(iter(service.instances.values()))
     if has_trouble():
-        record.note(f"DARK {primary.name} for {DARK_S} s, and all processes are killed")
-        primary.dark = True
+        record.note(f"{primary.name} is dark for {DARK_S} s, all processes are killed")
+        fleet.put_out(primary, "dark")
         for name in serving:
             fleet.daemons[name].kill()
         time.sleep(DOWN_S)
@@ -93,8 +93,7 @@
             record.note(f"START {name}")
             fleet.daemons[name].start()
         time.sleep(DARK_S - DOWN_S)
-        record.note(f"BACK {primary.name}")
-        primary.dark = False
+        fleet.bring_back(primary)
     back = before + DOWN_S
     time.sleep(AFTER_S + BOUNDS["recovery_s"] - DARK_S)
     stop.set()
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -24,6 +24,9 @@
 # The deploy file gives the port to the program.
 METRICS_PORT = 9464
 START_S = 20.0
+HEARTBEAT_S = 1.2
+# How long after it reaches the new primary an old one continues.
+STEP_DOWN_S = 1.0
 KEY = "north-key"
 # The settings of the small site vianda-core.
 BOUNDS = {
@@ -264,6 +267,7 @@
         ]
         for instance in service.instances.values():
             self.register(instance)
+        service.on_change = self.register
         self.configure()
 
     def make_route(
@@ -284,6 +288,32 @@
         }
         return {**route, "max_staleness_ms": stale} if stale else route
 
+    def put_out(self, instance: Instance, how: str) -> None:
+        """Crash an instance, or make it dark; its entry expires some seconds later."""
+        self.record.note(f"{how.upper()} {instance.name}")
+        if how == "crash":
+            instance.crash()
+        else:
+            instance.dark = True
+
+        def expire() -> None:
+            if instance.dark or instance.crashed:
+                self.store.remove(f"servers/{instance.name}")
+
+        self._later(3 * HEARTBEAT_S, expire)
+
+    def bring_back(self, instance: Instance) -> None:
+        """End the darkness of an instance; a replaced primary steps down."""
+        self.record.note(f"BACK {instance.name}")
+        instance.dark = False
+        self.register(instance)
+        self._later(STEP_DOWN_S, lambda: self.service.step_down(instance))
+
+    def _later(self, after_s: float, action: Callable[[], None]) -> None:
+        timer = threading.Timer(after_s, action)
+        timer.daemon = True
+        timer.start()
+
     def configure(self) -> None:
         """Write the next version of the configuration."""
         self.version += 3
@@ -372,6 +402,8 @@
 def run_case(case: Callable[[Record], tuple[Fleet, Callable[[], int]]], file: str):
     """Run a case and exit with its code; end all processes before."""
     record = Record(Path(file).resolve().parent)
+    # So that the processes are ended also if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     code = NOT_RUN
     fleet = None
     try:
--- a/review/service.py
+++ b/review/service.py
@@ -279,6 +279,8 @@
         self.committed: dict[str, tuple[int, int]] = {}
         # Called with the instance that takes over, before its log replaces the others.
         self.on_promote: Callable[[Instance], Any] = lambda _: None
+        # Called with each instance that says something new of itself.
+        self.on_change: Callable[[Instance], Any] = lambda _: None
         self.condition = threading.Condition()
         self.instances = {
             f"{name}-{number}": Instance(self, f"{name}-{number}", number == 0)
@@ -327,4 +329,17 @@
                     other.is_primary, other.term = False, term
                     other.deaf, other.log = False, list(chosen.log)
             chosen.is_primary, chosen.term = True, term
+        for one in self.instances.values():
+            if not (one.crashed or one.dark):
+                self.on_change(one)
         return True
+
+    def step_down(self, instance: Instance) -> None:
+        """Make an instance a replica of the primary of the newest term, if it isn't."""
+        with self.condition:
+            newest = max(self.instances.values(), key=lambda one: one.term)
+            if instance.dark or newest.term <= instance.term:
+                return
+            instance.is_primary, instance.term = False, newest.term
+            instance.log = list(newest.log)
+        self.on_change(instance)
