--- a/review/fleet.py
+++ b/review/fleet.py
@@ -14,7 +14,7 @@
 from typing import Any, NamedTuple
 
 from bronzerelay.runtime import Address, Runtime
-from review.service import Instance, Service
+from review.service import STEP_DOWN_S, Instance, Service
 from standins.kvstore import KvStore
 from standins.linecaller import LineCaller, LineReply
 
@@ -25,8 +25,6 @@
 METRICS_PORT = 9464
 START_S = 20.0
 HEARTBEAT_S = 1.2
-# How long after it reaches the new primary an old one continues.
-STEP_DOWN_S = 1.0
 KEY = "north-key"
 # The settings of the small site vianda-core.
 BOUNDS = {
--- a/review/service.py
+++ b/review/service.py
@@ -16,6 +16,8 @@
 HANDSHAKE_MS = 12.0
 PROMOTE_MS = 300.0
 SYNC_WAIT_MS = 5_000.0
+# How long after it reaches the new primary an old one continues.
+STEP_DOWN_S = 1.0
 # Texts that occupy no slot.
 FREE_WORDS = ("BEGIN", "ROLLBACK", "SET", "DISCARD", "PARSE", "CLOSE")
 
@@ -275,8 +277,10 @@
         self.work_ms = work_ms
         self.lag_ms = lag_ms
         self.sync_replicas = sync_replicas
-        # Where each statement was committed.
-        self.committed: dict[str, tuple[int, int]] = {}
+        # When each statement was committed.
+        self.committed_at: dict[str, float] = {}
+        # When each term's promotion took effect.
+        self.promoted_at: dict[int, float] = {}
         # Called with the instance that takes over, before its log replaces the others.
         self.on_promote: Callable[[Instance], Any] = lambda _: None
         # Called with each instance that says something new of itself.
@@ -299,11 +303,12 @@
             now = time.monotonic()
             entry = Entry(primary.term, number, statement, changes, now)
             primary.log.append(entry)
-            self.committed[statement] = (entry.term, number)
+            self.committed_at[statement] = now
             receivers = [
                 other
                 for other in self.instances.values()
                 if other is not primary
+                and other.term == primary.term
                 and not (other.deaf or other.crashed or other.is_primary)
             ]
             for other in receivers:
@@ -325,15 +330,25 @@
             self.on_promote(chosen)
             term = max(one.term for one in self.instances.values()) + 1
             for other in self.instances.values():
-                if other is not chosen and not (other.crashed or other.dark):
-                    other.is_primary, other.term = False, term
-                    other.deaf, other.log = False, list(chosen.log)
+                if other is chosen or other.crashed or other.dark:
+                    continue
+                if other.is_primary:
+                    self._end_later(other)
+                    continue
+                other.deaf, other.term, other.log = False, term, list(chosen.log)
             chosen.is_primary, chosen.term = True, term
+            self.promoted_at[term] = time.monotonic()
         for one in self.instances.values():
             if not (one.crashed or one.dark):
                 self.on_change(one)
         return True
 
+    def _end_later(self, instance: Instance) -> None:
+        """Let an old primary continue until a second after it reaches the new one."""
+        timer = threading.Timer(STEP_DOWN_S, self.step_down, (instance,))
+        timer.daemon = True
+        timer.start()
+
     def step_down(self, instance: Instance) -> None:
         """Make an instance a replica of the primary of the newest term, if it isn't."""
         with self.condition:
