--- a/review/fleet.py
+++ b/review/fleet.py
@@ -242,6 +242,8 @@
         self.record = record
         self.runtime = Runtime(task_limit=400)
         self.store = KvStore(self.runtime)
+        # A daemon that is killed resets its connections; that isn't worth a traceback.
+        self.store._server.handle_error = lambda *_: None  # type: ignore[method-assign]
         self.service = service
         self.provider = str(self.store.address)
         self.store.groups[service.name] = service  # type: ignore[assignment]
