Say in the log why a change of the primary found no quorum

A change that was given up said only "most daemons haven't acknowledged the change".

A change that is given up names the obstacle, the number of members and those that are missing (20 at most); silent members that have to stay on the list are logged with the reason, once for each. `explain_no_quorum` holds the decision that `is_quorum` held; what counts as a quorum is unchanged.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -243,7 +243,7 @@
             FleetView(
                 self.members.list_names,
                 self.heartbeats.list_acknowledged,
-                self.members.is_quorum,
+                self.members.explain_no_quorum,
                 self.members.is_current,
                 self.members.may_have_outsiders,
                 self.heartbeats.list_silent_since,
--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -11,6 +11,7 @@
 from bronzerelay.pooler.gossip import Gossip
 from bronzerelay.pooler.mirror import Item, Mirror, StoreError
 from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
+from bronzerelay.pooler.texts import list_some
 from bronzerelay.runtime import Runtime, parse_ip_address
 
 MEMBER_PREFIX = "bronzerelay/members/"
@@ -68,6 +69,8 @@
         # all others have known it. Removals from before the first reading aren't known.
         self._removal_revision = 0
         self._removal_known_since_ms: float | None = None
+        # Why silent members stay on the list, as last logged.
+        self._kept_because = ""
         # The revision of each entry that couldn't be read.
         self._unreadable: dict[str, int] = {}
         self.is_stopping = False
@@ -90,7 +93,11 @@
         return self._clock.now_ms() - view.received_at_ms > STOPPED_AFTER_MS
 
     def is_quorum(self, members: set[str]) -> bool:
-        """Return whether the daemons outside `members` can't be a majority.
+        """Return whether the daemons outside `members` can't be a majority."""
+        return not self.explain_no_quorum(members)
+
+    def explain_no_quorum(self, members: set[str]) -> str:
+        """Return why the daemons outside `members` may be a majority, "" if they can't.
 
         Exactly half of all members are enough while the others have the same list: no
         majority of it is without one of `members`. With a list from before a member
@@ -99,19 +106,23 @@
         of which they are a majority.
         """
         names = self.list_names()
+        if len(members) * 2 < len(names):
+            return "they are less than half of the members"
         if self._are_majority_of_earlier_list(members):
-            return False
-        if len(members) * 2 != len(names):
-            return len(members) * 2 > len(names)
+            return "the other members may be a majority of an earlier list"
+        if len(members) * 2 > len(names):
+            return ""
         items = self._mirror.list_prefix(MEMBER_PREFIX)
         joined_revision = max(item.revision for item in items)
         changed_revision = max(joined_revision, self._changed_revision)
         views = self._gossip.views
         others = [views.get(name) for name in names if name not in members]
-        return all(
+        if all(
             view is not None and view.store_revision >= changed_revision
             for view in others
-        )
+        ):
+            return ""
+        return "the other half of the members may know another list"
 
     def _are_majority_of_earlier_list(self, members: set[str]) -> bool:
         """Return whether daemons outside `members` may be a majority that they know of.
@@ -288,6 +299,28 @@
         ]
         return (1 + len(heard)) * 2 > len(self.list_names())
 
+    def _explain_no_removal(self, silent: set[str]) -> str:
+        """Return why silent members have to stay on the list, "" if they haven't."""
+        if not self._hears_majority():
+            return "most members aren't heard, or don't know the current list"
+        # Off the list, nothing would wait for their proofs any more.
+        if self._are_majority_of_earlier_list(set(self.list_names()) - silent):
+            return "they may be a majority of an earlier list"
+        return ""
+
+    def _note_kept(self, silent: list[str], obstacle: str) -> None:
+        """Log that silent members stay on the list, once for each reason."""
+        if obstacle and obstacle != self._kept_because:
+            self._log.write(
+                "members",
+                "Silent members stay on the list.",
+                obstacle=obstacle,
+                count=len(silent),
+                silent=list_some(silent),
+                members=len(self.list_names()),
+            )
+        self._kept_because = obstacle
+
     def remove_silent(self) -> None:
         """Remove from the list one contact that has been silent for too long."""
         oldest_ms = self._clock.now_ms() - MEMBER_TIMEOUT_MS
@@ -302,10 +335,9 @@
             if max(view.received_at_ms, view.listed_at_ms, view.contact_since_ms)
             < oldest_ms
         ]
-        if not silent or not self._hears_majority():
-            return
-        # Off the list, nothing would wait for their proofs any more.
-        if self._are_majority_of_earlier_list(set(self.list_names()) - set(silent)):
+        obstacle = self._explain_no_removal(set(silent)) if silent else ""
+        self._note_kept(silent, obstacle)
+        if not silent or obstacle:
             return
         name = silent[0]
         views[name].listed_at_ms = self._clock.now_ms()
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -26,6 +26,7 @@
 from bronzerelay.pooler.mirror import Item, Mirror, StoreError
 from bronzerelay.pooler.placement import Placement
 from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
+from bronzerelay.pooler.texts import list_some
 from bronzerelay.rendezvous import rank
 from bronzerelay.runtime import Runtime, TaskLimitError
 
@@ -112,8 +113,9 @@
     # The members that know of a change and have no statement in progress at the old
     # primary, by service and epoch.
     acknowledged: Callable[[str, int], set[str]]
-    # Whether the members outside this set can't give each other a valid primary proof.
-    is_quorum: Callable[[set[str]], bool]
+    # Why the members outside this set may give each other a valid primary proof, "" if
+    # they can't.
+    explain_no_quorum: Callable[[set[str]], str]
     # Whether the member list is as of a store revision or a later one.
     is_current: Callable[[int], bool]
     # Whether a daemon that isn't a member may have a valid primary proof.
@@ -487,7 +489,11 @@
                     waited_ms=round(waited_ms),
                 )
                 return waited_ms
-            if not (is_current and fleet.is_quorum(known)):
+            if is_current:
+                obstacle = fleet.explain_no_quorum(known)
+            else:
+                obstacle = "the member list is older than the change"
+            if obstacle:
                 # A daemon that restarted has forgotten the change, and may have helped
                 # another one to a new proof, whose lease starts only now.
                 quorum_since_ms = None
@@ -501,6 +507,14 @@
                 )
                 return now_ms - started_ms
             if now_ms - started_ms > 2 * TAKEOVER_MS:
+                self._log(
+                    "Too few daemons acknowledged the change.",
+                    obstacle=obstacle,
+                    members=len(names),
+                    missing_count=len(names - known),
+                    missing=list_some(names - known),
+                    waited_ms=round(now_ms - started_ms),
+                )
                 raise _ChangeAbandonedError(
                     "most daemons haven't acknowledged the change"
                 )
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -94,7 +94,7 @@
     Mutation(
         "a majority of an earlier list isn't removed",
         POOLER + "members.py",
-        "if self._are_majority_of_earlier_list(set(self.list_names()) - set(silent)):",
+        "if self._are_majority_of_earlier_list(set(self.list_names()) - silent):",
         "if False:",
         "tests/test_members.py::TestRemoving",
     ),
--- a/tests/builders_coordinator.py
+++ b/tests/builders_coordinator.py
@@ -94,7 +94,7 @@
             FleetView(
                 lambda: self.names,
                 lambda service, epoch: self.acknowledged,
-                lambda known: len(known) * 2 > len(self.names),
+                self.explain_no_quorum,
                 lambda revision: self.list_revision >= revision,
                 lambda: self.has_outsiders,
                 lambda instance_id: self.silent_since_ms.get(instance_id, []),
@@ -106,6 +106,9 @@
             make_log(self.runtime),
         )
 
+    def explain_no_quorum(self, known):
+        return "" if len(known) * 2 > len(self.names) else "too few"
+
     def sleep_ms(self, duration_ms):
         self.clock.sleep_ms(duration_ms)
         self.on_sleep()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -165,6 +165,22 @@
         members._gossip.views["d4"].known_by_all = 3
         assert not members.is_quorum({"d1", "d4", "d5", "d6"})
 
+    @pytest.mark.parametrize(
+        ("members", "told", "obstacle"),
+        [
+            ({"d1"}, {"d2": 9, "d3": 9, "d4": 9}, "less than half"),
+            ({"d1", "d2"}, {"d3": 8}, "the other half"),
+            ({"d3", "d4"}, {}, "an earlier list"),
+            ({"d1", "d2", "d3"}, {}, ""),
+        ],
+    )
+    def test_why_there_is_no_quorum_is_told(self, members, told, obstacle):
+        """Guards against a log that can't tell why no primary can be changed."""
+        listed = make_members({"d1": 1, "d2": 2, "d3": 3, "d4": 9}, told)
+        found = listed.explain_no_quorum(members)
+        assert obstacle in found
+        assert listed.is_quorum(members) is (found == "")
+
     def test_member_that_is_gone_for_good_prevents_no_change(self):
         # A daemon last told of a list of two and hasn't been heard since.
         joined = dict.fromkeys(["d3", "d4", "d5"], 8)
