Use a primary again that was never replaced, though no quorum acknowledges

Afterwards nothing was served for as long as one waited, though store, daemons and instances were well.

Cause, first of two: the record of a change that is under way keeps every daemon from the primary, also when the change can't be completed and the old primary leads again. The lock holder gave up and began anew, with one epoch more each time.

Change: while it has no quorum the lock holder asks the old primary each second. If it leads in the recorded term and no other instance was asked to lead under this change, the change ends with it. It is the primary for those that know of the change and for those that don't, so nobody has to acknowledge anything; the choice of an instance is recorded before it is asked.

The test failed before: TestSafety::test_primary_that_is_back_is_used_though_too_few_daemons_are AssertionError: (False, 'orders-0', ...) == (True, 'orders-0', '') Two more guard the limits of it; each of three mutations is caught. That daemons which are gone for good prevent a quorum is the second cause, and isn't fixed here.

--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -64,6 +64,9 @@
 # primary is dead, in milliseconds. A wait this long points to a network partition that
 # has healed, not to a crash.
 LONG_WAIT_MS = 2 * LEASE_MS
+# How often a lock holder that waits for other daemons asks the old primary whether it
+# leads after all, in milliseconds.
+ASK_OLD_MS = 1_000
 # How long an instance that was partitioned from the store may take to be listed again,
 # in milliseconds: the platform promises about two seconds.
 RELISTING_MS = 2_500
@@ -414,8 +417,7 @@
         self._log("A primary change starts.", reason=self._reason, old=self._old_id)
         try:
             self._write()
-            waited_ms = self._wait_for_daemons()
-            survivor = self._find_surviving_primary(waited_ms)
+            survivor = self._wait_for_daemons()
             chosen, term = survivor or self._promote_replica()
             self._settle(chosen, term)
         except (_ChangeAbandonedError, StoreError) as error:
@@ -466,13 +468,15 @@
 
     # The other daemons
 
-    def _wait_for_daemons(self) -> float:
-        """Wait until no daemon can use the old primary; return how long that took.
+    def _wait_for_daemons(self) -> tuple[InstanceEntry, int] | None:
+        """Wait until no daemon can use the old primary any more.
 
-        Only a member list that is as of the change's record counts: a daemon that joins
-        later has read the record.
+        Return the old primary and its term if it stays, else None. Only a member list
+        that is as of the change's record counts: a daemon that joins later has read the
+        record.
         """
         started_ms = self._clock.now_ms()
+        asked_old_ms = started_ms
         recorded_at = self._revision
         fleet = self._coordinator._fleet
         quorum_since_ms = None
@@ -488,7 +492,7 @@
                     "All daemons have acknowledged the change.",
                     waited_ms=round(waited_ms),
                 )
-                return waited_ms
+                return self._find_surviving_primary(waited_ms)
             if is_current:
                 obstacle = fleet.explain_no_quorum(known)
             else:
@@ -505,7 +509,12 @@
                     missing=sorted(names - known),
                     has_outsiders=has_outsiders,
                 )
-                return now_ms - started_ms
+                return self._find_surviving_primary(now_ms - started_ms)
+            if obstacle and now_ms - asked_old_ms > ASK_OLD_MS:
+                asked_old_ms = now_ms
+                unreplaced = self._find_unreplaced_primary()
+                if unreplaced is not None:
+                    return unreplaced
             if now_ms - started_ms > 2 * TAKEOVER_MS:
                 self._log(
                     "Too few daemons acknowledged the change.",
@@ -525,6 +534,27 @@
         if not self._coordinator._runtime.sleep_ms(POLL_MS):
             raise _ChangeAbandonedError("the daemon is stopping")
 
+    def _find_unreplaced_primary(self) -> tuple[InstanceEntry, int] | None:
+        """Return the old primary and its term if it was never replaced, else None.
+
+        It is the primary for those that know of the change and for those that don't, so
+        this needs no acknowledgement. A change that can't be completed would otherwise
+        keep a healthy primary out of use.
+        """
+        if self._record.instance != self._old_id:
+            return None
+        directory = self._coordinator._directory
+        entry = directory.instances.get(self._old_id)
+        if entry is None or directory.is_leaving(entry):
+            return None
+        status = self._ask(entry)
+        if status is None or not status.is_primary:
+            return None
+        if self._record.term not in (0, status.term):
+            return None
+        self._log("The primary answers again and stays.", instance=entry.id)
+        return entry, status.term
+
     # The new primary
 
     def _find_surviving_primary(
--- a/lab/poolermutations.py
+++ b/lab/poolermutations.py
@@ -70,6 +70,27 @@
         "is_current = True",
         "tests/test_primarychanges.py::TestSafety",
     ),
+    Mutation(
+        "a primary that was never replaced is used again without a quorum",
+        POOLER + "primarychanges.py",
+        "if unreplaced is not None:",
+        "if False:",
+        "tests/test_primarychanges.py::TestSafety",
+    ),
+    Mutation(
+        "a primary isn't used again once another instance was asked to lead",
+        POOLER + "primarychanges.py",
+        "        if self._record.instance != self._old_id:\n            return None\n",
+        "",
+        "tests/test_primarychanges.py::TestSafety",
+    ),
+    Mutation(
+        "a primary is used again only in the term that it led",
+        POOLER + "primarychanges.py",
+        "if self._record.term not in (0, status.term):",
+        "if False:",
+        "tests/test_primarychanges.py::TestSafety",
+    ),
     Mutation(
         "a removed daemon may have a proof until all members know of the removal",
         POOLER + "members.py",
--- a/tests/builders_coordinator.py
+++ b/tests/builders_coordinator.py
@@ -74,6 +74,8 @@
         self.has_outsiders = False
         self.received = {FIRST: Position(1, 5), SECOND: Position(1, 9)}
         self.primaries: set[str] = set()
+        # The terms of instances that aren't those that a promotion brings.
+        self.terms: dict[str, int] = {}
         # By instance, since when it hasn't answered each peer.
         self.silent_since_ms: dict[str, list[float]] = {}
         self.promotions = []
@@ -122,7 +124,8 @@
         if received is None:
             return None
         is_primary = entry.id in self.primaries
-        return InstanceStatus(is_primary, 2 if is_primary else 1, received)
+        term = self.terms.get(entry.id, 2 if is_primary else 1)
+        return InstanceStatus(is_primary, term, received)
 
     def promote(self, service, instance, holder, epoch, timeout_ms, send_by_ms):
         self.on_connect()
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -283,6 +283,62 @@
         assert (record.settled, record.instance, record.deposed) == (True, PRIMARY, "")
         assert harness.directory.find_primary(SERVICE).id == PRIMARY
 
+    def start_without_a_quorum(self, harness):
+        """Begin a change that too few daemons acknowledge, and be in it for a while."""
+        harness.acknowledged = {"d1"}
+        self.start(harness)
+        assert not harness.directory.primary_records[SERVICE].settled
+
+    def bring_primary_back(self, harness):
+        harness.received[PRIMARY] = Position(1, 30)
+        harness.primaries.add(PRIMARY)
+        harness.terms[PRIMARY] = 1
+
+    def test_primary_that_is_back_is_used_though_too_few_daemons_are(self, harness):
+        """Guards against a service whose healthy primary nobody may use for ever."""
+        self.start_without_a_quorum(harness)
+        self.bring_primary_back(harness)
+        harness.run_for(3 * TAKEOVER_MS)
+        assert harness.promotions == []
+        record = harness.directory.primary_records[SERVICE]
+        assert (record.settled, record.instance, record.deposed) == (True, PRIMARY, "")
+        assert harness.directory.find_primary(SERVICE).id == PRIMARY
+
+    def test_primary_that_another_instance_may_replace_isnt_used(self, harness):
+        """Guards against a primary that an earlier request for promotion replaces."""
+        harness.outcome = Promotion.UNKNOWN
+        harness.on_promote = lambda: setattr(harness, "acknowledged", {"d1"})
+        real = harness.changes._promote
+
+        def lose(service, instance, *args):
+            outcome = real(service, instance, *args)
+            harness.primaries.discard(instance)
+            return outcome
+
+        harness.changes._promote = lose
+        self.start(harness)
+        assert harness.promotions
+        self.bring_primary_back(harness)
+        harness.run_for(6 * TAKEOVER_MS)
+        assert not harness.directory.primary_records[SERVICE].settled
+
+    @pytest.mark.parametrize("obstacle", ["term", "leaving", "replica"])
+    def test_primary_that_doesnt_lead_any_more_isnt_taken_back(self, harness, obstacle):
+        """Guards against settling a change with an instance that doesn't lead."""
+        record = make_primary_record(3, instance=PRIMARY, term=1, deposed="")
+        harness.directory.set_primary_record(record)
+        harness.mirror.items[KEY] = Item(KEY, msgspec.json.encode(record), 3)
+        self.start_without_a_quorum(harness)
+        self.bring_primary_back(harness)
+        if obstacle == "term":
+            harness.terms[PRIMARY] = 2
+        elif obstacle == "leaving":
+            harness.directory.set_instance(make_instance(PRIMARY, leaving=True))
+        else:
+            harness.primaries.discard(PRIMARY)
+        harness.run_for(6 * TAKEOVER_MS)
+        assert not harness.directory.primary_records[SERVICE].settled
+
     def test_lost_answer_of_the_store_is_read_back(self, harness):
         harness.mirror.lost_answers = 1
         self.start(harness)
