Have a daemon that stops take itself off the member list

Cause: a daemon that stops stayed on the list until a majority had heard nothing of it for 5 s. With most of the list gone there was no such majority, and no quorum for a change either, though nothing had to be waited for: they had ended in order.

Change: at the end of a stop the daemon gives up its proof for good, tells what it has admitted in a last heartbeat, sends no further one, and removes its own entry, trying again until 0.95 of the grace period. What others have from it is as of a time before that, and a change that goes by the shorter list waits for a lease. Two more writes for each restart by SIGTERM.

test_daemon_that_stops_leaves_the_member_list and TestLeaving fail with the part switched off; five mutations, all caught.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -68,10 +68,11 @@
 # one callers are served as usual, since the load balancer sends them elsewhere only
 # after two failed health checks, a second apart. After that, sessions are closed as
 # they are answered. From the second one on nothing new is accepted. By the third one
-# the process exits, also if statements are still running.
+# statements that are still running are given up, and by the last one the process exits.
 SERVE_FRACTION = 0.42
 END_FRACTION = 0.75
 EXIT_FRACTION = 0.9
+LEAVE_FRACTION = 0.95
 STOP_POLL_MS = 50
 
 
@@ -638,6 +639,7 @@
         self._wait_until_unused(started_ms + END_FRACTION * grace_ms)
         self._stop_signals.ended.set()
         self._wait_until_unused(started_ms + EXIT_FRACTION * grace_ms)
+        self._leave(started_ms + LEAVE_FRACTION * grace_ms)
         self.log.write(
             "daemon",
             "The daemon has stopped.",
@@ -647,6 +649,18 @@
         )
         self.log.flush()
 
+    def _leave(self, deadline_ms: float) -> None:
+        """Leave the member list, so that no primary change waits for this daemon.
+
+        The last heartbeat tells what has been admitted here.
+        """
+        self.guard.close()
+        self.gossip.run_round(
+            self.heartbeats.begin_round, self.heartbeats.complete_beat, urgent=True
+        )
+        self.gossip.fall_silent()
+        self.members.leave(deadline_ms)
+
     def _wait_until_unused(self, deadline_ms: float) -> None:
         while self._is_in_use() and self._clock.now_ms() < deadline_ms:
             self._runtime.sleep_ms(STOP_POLL_MS)
--- a/bronzerelay/pooler/gossip.py
+++ b/bronzerelay/pooler/gossip.py
@@ -192,6 +192,7 @@
         self._next_receiver = 0
         self._condition = runtime.make_condition()
         self._urgent = False
+        self._is_silent = False
         self._decoder = msgspec.msgpack.Decoder(Beat)
         self._encoder = msgspec.msgpack.Encoder()
         self.views: dict[str, PeerView] = {}
@@ -233,6 +234,10 @@
             if urgent:
                 self._runtime.sleep_ms(MIN_INTERVAL_MS)
 
+    def fall_silent(self) -> None:
+        """Send no heartbeat any more."""
+        self._is_silent = True
+
     def send_now(self) -> None:
         """Send the next heartbeat at once, because others wait for its content."""
         with self._condition:
@@ -313,6 +318,8 @@
         ]
 
     def _send(self, beat: Beat, view: PeerView, number: int, echo: Echo) -> None:
+        if self._is_silent:
+            return
         packed = self._encoder.encode(
             beat._replace(
                 number=number, echo=echo.number, echo_incarnation=echo.incarnation
--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -9,7 +9,7 @@
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.gossip import Gossip
-from bronzerelay.pooler.mirror import Item, Mirror, StoreError
+from bronzerelay.pooler.mirror import ConflictError, Item, Mirror, StoreError
 from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
 from bronzerelay.pooler.texts import list_some
 from bronzerelay.rendezvous import rank
@@ -27,6 +27,10 @@
 CONFIRM_STAGGER_MS = 500
 # The interval of checks that this daemon is on the list, in milliseconds.
 JOIN_CHECK_MS = 300
+# The timeout of a stopping daemon's call to take itself off the list, and the pause
+# before it tries again, in milliseconds.
+LEAVE_TIMEOUT_MS = 700
+LEAVE_RETRY_MS = 100
 # A member that hasn't been heard for this long is removed from the list, in
 # milliseconds; if it still runs, it adds itself again. While it is listed, primary
 # changes may wait for it and its share of each rate is reserved. Once it is removed,
@@ -257,6 +261,44 @@
             )
         self._runtime.sleep_ms(JOIN_CHECK_MS)
 
+    def leave(self, deadline_ms: float) -> None:
+        """Take this daemon off the list before it ends, trying until `deadline_ms`.
+
+        Nothing waits for it any more once it is off the list. So before the call it
+        must have given up its proof, and sent its last heartbeat.
+        """
+        key = MEMBER_PREFIX + self._own.name
+        error_text = ""
+        while self._mirror.get(key) is not None:
+            left_ms = deadline_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                self._log.write(
+                    "members",
+                    "This daemon couldn't take itself off the member list.",
+                    error=error_text,
+                )
+                return
+            error_text = self._remove_own(key, min(left_ms, LEAVE_TIMEOUT_MS))
+            if not error_text:
+                break
+            self._runtime.sleep_ms(LEAVE_RETRY_MS)
+        self._log.write("members", "This daemon has left the member list.")
+
+    def _remove_own(self, key: str, timeout_ms: float) -> str:
+        """Remove this daemon's entry; return why that failed, "" if it is removed."""
+        item = self._mirror.get(key)
+        if item is None:
+            return ""
+        expected = {key: item.revision}
+        try:
+            self._mirror.compare_and_swap(expected, {}, [key], timeout_ms)
+        except ConflictError:
+            # An earlier try without an answer has removed it.
+            return ""
+        except StoreError as error:
+            return str(error)
+        return ""
+
     # The others
 
     def update(self) -> dict[str, Peer] | None:
--- a/bronzerelay/pooler/mirror.py
+++ b/bronzerelay/pooler/mirror.py
@@ -460,10 +460,14 @@
         )
 
     def compare_and_swap(
-        self, expected: dict[str, int], puts: dict[str, bytes], removed: list[str]
+        self,
+        expected: dict[str, int],
+        puts: dict[str, bytes],
+        removed: list[str],
+        timeout_ms: float = CALL_TIMEOUT_MS,
     ) -> int:
         """Put and remove keys of the store; raise StoreError or ConflictError."""
-        return self._store.compare_and_swap(expected, puts, removed, CALL_TIMEOUT_MS)
+        return self._store.compare_and_swap(expected, puts, removed, timeout_ms)
 
     def read(self, key: str) -> Item | None:
         """Return the item of a key from the store itself, or raise StoreError."""
--- a/bronzerelay/pooler/primaryguard.py
+++ b/bronzerelay/pooler/primaryguard.py
@@ -11,6 +11,7 @@
 has acknowledged its change, and any two majorities have a member in common.
 """
 
+import math
 from collections.abc import Callable, Iterable
 
 from bronzerelay.codes import NOT_RUN, Code, Refusal
@@ -56,6 +57,7 @@
         self._proof_ms = NEVER_MS
         # The newest time as of which the store is known here, also without a proof.
         self._store_known_ms = NEVER_MS
+        self._is_closed = False
 
     # The proof
 
@@ -96,6 +98,13 @@
             if is_member:
                 self._proof_ms = max(self._proof_ms, read_at_ms)
 
+    def close(self) -> None:
+        """Allow no use of any primary any more, whatever proof comes.
+
+        Answers that come later aren't trusted.
+        """
+        self._is_closed = True
+
     def store_proof_due_ms(self) -> float:
         """Return in how long a proof from the store is due; negative if overdue.
 
@@ -113,6 +122,8 @@
 
     def proof_age_ms(self) -> float:
         """Return the age of the newest proof."""
+        if self._is_closed:
+            return math.inf
         return self._clock.now_ms() - self._proof_ms
 
     def refuse_if_isolated(self) -> Refusal | None:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -10,12 +10,13 @@
     CONFIRM_STAGGER_MS,
     CONFIRMED_KEY,
     HALF_TIMEOUT_MS,
+    LEAVE_RETRY_MS,
     MEMBER_PREFIX,
     ConfirmedList,
     Member,
     Members,
 )
-from bronzerelay.pooler.mirror import Item, StoreItems
+from bronzerelay.pooler.mirror import ConflictError, Item, StoreError, StoreItems
 from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
 from bronzerelay.runtime import Address
 from standins.linegroup import LOCAL
@@ -409,6 +410,49 @@
         assert not members.is_listed()
 
 
+class TestLeaving:
+    """A daemon that stops takes itself off the list."""
+
+    def make(self, answers):
+        """Return the members, and the calls that the store answered or lost."""
+        clock = ManualClock()
+        members = make_members({"d1": 1, "d2": 2}, {"d2": 2}, clock)
+        members._runtime.sleep_ms = clock.sleep_ms
+        calls = []
+
+        def compare_and_swap(expected, puts, removed, timeout_ms):
+            calls.append((expected, puts, removed))
+            clock.sleep_ms(timeout_ms)
+            error = answers.pop(0) if answers else StoreError("silent", True)
+            if error is not None:
+                raise error
+            return 3
+
+        members._mirror.compare_and_swap = compare_and_swap
+        return members, clock, calls
+
+    def test_only_its_own_entry_is_removed(self):
+        members, clock, calls = self.make([None])
+        members.leave(clock.now_ms() + 2000)
+        key = MEMBER_PREFIX + "d1"
+        assert calls == [({key: 1}, {}, [key])]
+
+    def test_lost_answer_is_followed_by_another_try(self):
+        """Guards against a member that is listed for ever after one lost answer."""
+        lost, gone = StoreError("lost", True), ConflictError("it is gone")
+        members, clock, calls = self.make([lost, gone])
+        members.leave(clock.now_ms() + 10_000)
+        assert len(calls) == 2
+
+    def test_silent_store_doesnt_hold_up_the_end(self):
+        """Guards against a stop that takes longer than the grace period."""
+        members, clock, calls = self.make([])
+        deadline_ms = clock.now_ms() + 2000
+        members.leave(deadline_ms)
+        assert calls
+        assert clock.now_ms() <= deadline_ms + LEAVE_RETRY_MS
+
+
 OTHERS = ("d2", "d3", "d4", "d5", "d6")
 
 
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -981,6 +981,23 @@
             assert len(caller.refused) == refused
             assert ran.isdisjoint(caller.refused)
 
+    def test_daemon_that_stops_leaves_the_member_list(self, fleet):
+        """Guards against members that are gone and that primary changes wait for."""
+        first, second = fleet.start_ready("d1", "d2")
+        leave = first.members.leave
+        left_with = []
+
+        def note_and_leave(deadline_ms):
+            left_with.append((first.guard.has_proof(), first.gossip._is_silent))
+            leave(deadline_ms)
+
+        first.members.leave = note_and_leave
+        first.stop()
+        # Off the list, no change of a primary waits for what it still does.
+        assert left_with == [(False, True)]
+        assert MEMBER_PREFIX + "d1" not in fleet.store.items
+        fleet.wait(lambda: second.members.list_names() == ["d2"], "it is off the list")
+
     def test_what_a_stopping_daemon_admits_counts_at_the_others(self, fleet):
         # A workspace got its burst once more at each daemon that was stopping.
         first, second = fleet.start_ready("d1", "d2")
--- a/tests/test_primaryguard.py
+++ b/tests/test_primaryguard.py
@@ -57,6 +57,17 @@
         guard.add_member_proof([now_ms, now_ms, 0, 0])
         assert guard.has_proof()
 
+    def test_no_proof_counts_once_the_guard_is_closed(self, guard, clock):
+        """Guards against a use of the primary by a daemon that is off the list."""
+        guard.close()
+        now_ms = clock.now_ms()
+        guard.add_member_proof([now_ms, now_ms])
+        guard.add_peer_proof(now_ms)
+        guard.add_store_proof(now_ms)
+        assert not guard.has_proof()
+        assert guard.begin_use(SERVICE, "orders-0") is not None
+        assert not guard.is_still_primary(SERVICE, "orders-0")
+
     def test_half_of_the_members_are_no_proof(self, guard, clock):
         # Four daemons are split in half: each half could count the other as dead.
         clock.sleep_ms(5000)
