Log each instance that doesn't tell its log, also beside a load

Few statuses are asked for, so these lines aren't bounded by that budget any more.

test_instance_without_a_status_is_logged_beside_load failed before: [] == ['orders-1'].

--- a/bronzerelay/pooler/execution.py
+++ b/bronzerelay/pooler/execution.py
@@ -689,7 +689,9 @@
         return self._codec.parse_status(answer.rows[0])
 
     def _log_status_failure(self, entry: InstanceEntry, detail: str) -> None:
-        self._log.write_request(
+        # A primary is chosen by the instances that tell their status, and lines that
+        # requests cause are dropped beside a load.
+        self._log.write(
             "runner",
             "An instance didn't report its status.",
             service=entry.service,
--- a/tests/test_pooler_path.py
+++ b/tests/test_pooler_path.py
@@ -650,6 +650,17 @@
         assert rows == [[str(number)] for number in range(6)]
         assert len(fleet.platform.group.promotions) == 1
 
+    def test_instance_without_a_status_is_logged_beside_load(self, fleet):
+        """Guards against a log that can't tell why an instance wasn't promoted."""
+        daemon = fleet.start_ready("d1")[0]
+        fleet.platform.group.instances["orders-1"].silent = True
+        daemon.log._tokens = -1000.0
+        lines = []
+        daemon.log.write = lambda part, message, **fields: lines.append(fields)
+        entry = daemon.directory.instances["orders-1"]
+        assert daemon.executor.ask_status(entry, 50) is None
+        assert [fields["instance"] for fields in lines] == ["orders-1"]
+
     def test_removed_daemon_that_still_runs_uses_no_replaced_primary(self, fleet):
         # Guards against a commit at a replaced primary by a daemon that was removed
         # from the member list and knows neither of that nor of the change.
