Promote nothing while an acknowledged commit may be in a log that isn't known

Cause: each instance was asked for its log once, one that had no free slot or didn't answer in time was passed over, and `sync_replicas` was read nowhere. With it the last commits may be in the log of a single replica, also a busy, dark or leaving one.

Change: the setting is part of a service. Where it is set, nothing is promoted while as many instances as it says haven't told their logs since no daemon uses the old primary; leaving ones are asked too, and one that isn't running when it is asked to lead isn't passed over. The wait ends when the log is told, when the primary leads again, or when the entry is gone for longer than the store's return allows. Changes that are taken over or go on after a restart choose by the same function. A planned change needs no other log once a replica has reached the primary's own. Where the setting is 0, as on all sites, the choice is as before.

--- a/bronzerelay/load/successors.py
+++ b/bronzerelay/load/successors.py
@@ -16,6 +16,7 @@
     id: str
     domain: str
     received: Position
+    leaving: bool = False
 
 
 def choose_successor(
@@ -23,11 +24,16 @@
 ) -> Successor | None:
     """Return the successor with the longest log, or None if there are none.
 
-    Among equal ones it is the first of those whose failure domain has the fewest
-    primaries. `primary_domains` holds the domains of the other services' primaries.
+    Among equal ones it is the first of those that stay and whose failure domain has the
+    fewest primaries. `primary_domains` holds the domains of the other services'
+    primaries.
     """
     return max(
         successors,
-        key=lambda one: (one.received, -primary_domains.count(one.domain)),
+        key=lambda one: (
+            one.received,
+            not one.leaving,
+            -primary_domains.count(one.domain),
+        ),
         default=None,
     )
--- a/bronzerelay/pooler/directory.py
+++ b/bronzerelay/pooler/directory.py
@@ -108,6 +108,11 @@
         config = self.config
         return config.routes.get(database) if config else None
 
+    def find_sync_replicas(self, service: str) -> int:
+        """Return how many replicas have received each acknowledged commit."""
+        known = self.config.services.get(service) if self.config else None
+        return known.sync_replicas if known else 0
+
     # Instances
 
     def set_instance(self, entry: InstanceEntry) -> None:
--- a/bronzerelay/pooler/fleetconfig.py
+++ b/bronzerelay/pooler/fleetconfig.py
@@ -51,10 +51,14 @@
 
 
 class Service(NamedTuple):
-    """A group of instances, and how many links each of them accepts."""
+    """A group of instances, and how many links each of them accepts.
+
+    A commit is acknowledged once `sync_replicas` replicas have received it.
+    """
 
     name: str
     max_links: int
+    sync_replicas: int = 0
 
 
 class Workspace(NamedTuple):
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -294,12 +294,12 @@
         log_ends = [end for end in ends if end is not None]
         if not log_ends:
             return True
+        log_end = max(log_ends)
         best = self.find_best(
-            service, frozenset(entry.id for entry in leaving_primaries)
+            service, frozenset(entry.id for entry in leaving_primaries), log_end
         )
         if best is None:
             return False
-        log_end = max(log_ends)
         received = best[1].received
         lag = log_end.position - received.position
         is_close = received.term == log_end.term and lag <= MAX_LAG_ENTRIES
@@ -327,25 +327,50 @@
         return status.received if status else None
 
     def find_best(
-        self, service: str, excluded: frozenset[str]
+        self, service: str, excluded: frozenset[str], log_end: Position | None = None
     ) -> tuple[InstanceEntry, InstanceStatus] | None:
         """Return the instance to promote: the one whose log is longest.
 
-        Among equal ones it is one in a failure domain with few primaries.
+        Among equal ones it is one that stays, in a failure domain with few primaries.
+        Where replicas acknowledge commits, the last ones may be in the log of a single
+        replica, also of one that is leaving. So none is returned there while too many
+        don't tell their logs, unless one has reached `log_end`.
         """
-        candidates = {}
-        for entry in self._directory.list_instances(service):
-            if self._directory.is_leaving(entry) or entry.id in excluded:
+        directory = self._directory
+        sync_replicas = directory.find_sync_replicas(service)
+        candidates, silent = {}, []
+        for entry in directory.list_instances(service):
+            if entry.id in excluded:
+                continue
+            if directory.is_leaving(entry) and not sync_replicas:
                 continue
             status = self._ask_status(entry, STATUS_TIMEOUT_MS)
-            if status is not None:
+            if status is None:
+                silent.append(entry.id)
+            else:
                 candidates[entry.id] = (entry, status)
         successors = [
-            Successor(entry.id, entry.domain, status.received)
+            Successor(
+                entry.id, entry.domain, status.received, directory.is_leaving(entry)
+            )
             for entry, status in candidates.values()
         ]
         chosen = choose_successor(successors, self._list_primary_domains(service))
-        return candidates[chosen.id] if chosen else None
+        if chosen is None:
+            return None
+        is_complete = log_end is not None and chosen.received >= log_end
+        if len(silent) >= sync_replicas > 0 and not is_complete:
+            self._log.write(
+                "changes",
+                "An acknowledged commit may be in a log that isn't known.",
+                service=service,
+                silent=list_some(silent),
+                sync_replicas=sync_replicas,
+                longest=chosen.id,
+                received=chosen.received,
+            )
+            return None
+        return candidates[chosen.id]
 
     def _list_primary_domains(self, service: str) -> list[str]:
         """Return the failure domains of the primaries of all other services."""
@@ -597,6 +622,9 @@
             chosen = None if unanswered else self._choose(refused)
             entry = chosen[0] if chosen else unanswered
             if entry is None:
+                unreplaced = self._find_unreplaced_primary()
+                if unreplaced is not None:
+                    return unreplaced
                 refused.clear()
                 self._coordinator._runtime.sleep_ms(RETRY_MS)
                 self._verify_lock()
@@ -621,13 +649,20 @@
                 continue
             unanswered = entry if outcome is Promotion.UNKNOWN else None
             if outcome is Promotion.NOT_RUNNING:
-                refused.add(entry.id)
+                self._note_not_running(entry, refused)
                 continue
             term = self._wait_for_promotion(entry)
             if term is not None:
                 return entry, term
         raise _ChangeAbandonedError("no instance could be promoted")
 
+    def _note_not_running(self, entry: InstanceEntry, refused: set[str]) -> None:
+        """Leave out an instance that isn't running, unless its log may be needed."""
+        if self._coordinator._directory.find_sync_replicas(self._service):
+            self._coordinator._runtime.sleep_ms(RETRY_MS)
+        else:
+            refused.add(entry.id)
+
     def _find_asked_before(self) -> InstanceEntry | None:
         """Return the instance that an earlier holder of this change may have asked."""
         if self._record.instance == self._old_id:
@@ -643,19 +678,22 @@
         self._write()
 
     def _choose(self, refused: set[str]) -> tuple[InstanceEntry, InstanceStatus] | None:
-        """Return the replica whose log is longest, or None if none answers.
+        """Return the replica whose log is longest, or None if none can be chosen.
 
         A switchover waits until it has the whole log of the old primary, but no longer
         than CATCH_UP_MS.
         """
         end_ms = self._clock.now_ms() + CATCH_UP_MS
+        directory = self._coordinator._directory
         while True:
-            best = self._find_best(refused)
-            if best is None or self._reason != "planned":
-                return best
-            old = self._coordinator._directory.instances.get(self._old_id)
-            log_end = self._coordinator.find_log_end(old) if old else None
-            if log_end is None or best[1].received >= log_end:
+            old = directory.instances.get(self._old_id)
+            log_end = None
+            if old is not None and self._reason == "planned":
+                log_end = self._coordinator.find_log_end(old)
+            # What was last heard of a log may lack a commit that others were told of.
+            is_asked = old is not None and not directory.is_closed(old)
+            best = self._find_best(refused, log_end if is_asked else None)
+            if best is None or log_end is None or best[1].received >= log_end:
                 return best
             if self._clock.now_ms() > end_ms:
                 self._log("A replica didn't catch up in time.", instance=best[0].id)
@@ -663,12 +701,13 @@
             self._pause()
 
     def _find_best(
-        self, refused: set[str]
+        self, refused: set[str], log_end: Position | None
     ) -> tuple[InstanceEntry, InstanceStatus] | None:
         find_best = self._coordinator.find_best
         best = None
         if self._reason != "no primary":
-            best = find_best(self._service, frozenset(refused | {self._old_id}))
+            excluded = frozenset(refused | {self._old_id})
+            best = find_best(self._service, excluded, log_end)
         # The old primary may have come back as the only instance.
         return best or find_best(self._service, frozenset(refused))
 
--- a/tests/builders_coordinator.py
+++ b/tests/builders_coordinator.py
@@ -4,6 +4,7 @@
 
 from bronzerelay.pooler.counters import Counters
 from bronzerelay.pooler.directory import PrimaryRecord
+from bronzerelay.pooler.fleetconfig import Service
 from bronzerelay.pooler.messages import InstanceStatus, Position
 from bronzerelay.pooler.mirror import ConflictError, Item, StoreError
 from bronzerelay.pooler.placement import Placement
@@ -108,6 +109,11 @@
             make_log(self.runtime),
         )
 
+    def require_receipt(self):
+        """Let commits be acknowledged only once one replica has received them."""
+        services = {SERVICE: Service(SERVICE, 21, sync_replicas=1)}
+        self.directory.set_config(make_config(2, services=services), "store")
+
     def explain_no_quorum(self, known):
         return "" if len(known) * 2 > len(self.names) else "too few"
 
--- a/tests/test_primarychanges.py
+++ b/tests/test_primarychanges.py
@@ -571,3 +571,94 @@
         assert refused
         assert len(harness.promotions) > 1
         assert {instance for instance, _ in harness.promotions} == {SECOND}
+
+
+class TestReceipt:
+    """Each acknowledged commit was received by one replica, and maybe by one only."""
+
+    @pytest.fixture
+    def harness(self):
+        harness = CoordinatorHarness()
+        harness.require_receipt()
+        # Since the primary failed, one replica has told its log. The other one may have
+        # the last commits.
+        harness.received = {FIRST: Position(1, 5)}
+        harness.kill_primary()
+        return harness
+
+    def unlist(self, harness, name):
+        harness.directory.unlist_instance(name)
+        harness.clock.sleep_ms(KEEP_UNLISTED_MS + 1)
+        harness.directory.forget_unlisted()
+
+    def test_short_log_isnt_promoted_while_another_isnt_known(self, harness):
+        """Guards against losing commits that only a busy replica has received."""
+        harness.run_for(4 * TAKEOVER_MS)
+        assert harness.promotions == []
+        harness.received[SECOND] = Position(1, 9)
+        harness.run_for(TAKEOVER_MS)
+        assert [instance for instance, _ in harness.promotions] == [SECOND]
+
+    def test_instance_that_is_gone_isnt_waited_for(self, harness):
+        """Guards against a service without a primary after the loss of a replica."""
+        self.unlist(harness, SECOND)
+        harness.run_for(DEAD_AFTER_MS + 2000)
+        assert [instance for instance, _ in harness.promotions] == [FIRST]
+
+    def test_leaving_replica_with_the_longest_log_is_promoted(self, harness):
+        """Guards against losing commits that only a leaving replica has received."""
+        harness.directory.set_instance(make_instance(SECOND, leaving=True))
+        harness.run_for(2 * TAKEOVER_MS)
+        assert harness.promotions == []
+        harness.received[SECOND] = Position(1, 9)
+        harness.run_for(TAKEOVER_MS)
+        assert [instance for instance, _ in harness.promotions] == [SECOND]
+
+    def test_replica_that_stays_is_preferred_to_a_leaving_one(self, harness):
+        harness.directory.set_instance(make_instance(FIRST, leaving=True))
+        harness.received[SECOND] = Position(1, 5)
+        harness.run_for(DEAD_AFTER_MS + 2000)
+        assert [instance for instance, _ in harness.promotions] == [SECOND]
+
+    def test_shorter_log_isnt_promoted_instead_of_one_that_isnt_running(self, harness):
+        """Guards against losing the commits of a replica that starts again."""
+        harness.received[SECOND] = Position(1, 9)
+        harness.outcome = Promotion.NOT_RUNNING
+        harness.run_for(2 * TAKEOVER_MS)
+        assert {instance for instance, _ in harness.promotions} == {SECOND}
+
+    def test_primary_that_is_back_is_used(self, harness):
+        """Guards against waiting for a replica while the primary has all commits."""
+        harness.run_for(DEAD_AFTER_MS + 1000)
+        harness.received[PRIMARY] = Position(1, 9)
+        harness.primaries.add(PRIMARY)
+        harness.run_for(2 * TAKEOVER_MS)
+        assert harness.promotions == []
+        assert harness.directory.find_primary(SERVICE).id == PRIMARY
+
+    @pytest.mark.parametrize("reason", ["restarted", "stalled"])
+    def test_change_that_goes_on_waits_as_well(self, harness, reason):
+        """Guards against losing commits in a change that another process began."""
+        holder = "d1" if reason == "restarted" else "d2"
+        record = make_primary_record(
+            4, settled=False, holder=holder, instance=PRIMARY, deposed=PRIMARY
+        )
+        harness.directory.set_primary_record(record)
+        harness.mirror.items[KEY] = Item(KEY, msgspec.json.encode(record), 3)
+        harness.run_for(3 * TAKEOVER_MS)
+        assert harness.promotions == []
+        harness.received[SECOND] = Position(1, 9)
+        harness.run_for(TAKEOVER_MS)
+        assert [instance for instance, _ in harness.promotions] == [SECOND]
+
+    @pytest.mark.parametrize(("received", "promoted"), [(9, [FIRST]), (8, [])])
+    def test_planned_change_needs_only_the_log_of_the_primary(self, received, promoted):
+        """Guards against a planned change that waits for a replica without need."""
+        harness = CoordinatorHarness()
+        harness.require_receipt()
+        harness.directory.set_instance(
+            make_instance(PRIMARY, claims_primary=True, leaving=True)
+        )
+        harness.received = {PRIMARY: Position(1, 9), FIRST: Position(1, received)}
+        harness.run_for(3000)
+        assert [instance for instance, _ in harness.promotions] == promoted
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -62,6 +62,13 @@
         assert config.workspaces["t"].rate == 66
         assert config.routes["db"].regions is config.workspaces["t"].regions is None
 
+    @pytest.mark.parametrize("count", [0, 1, 2])
+    def test_replicas_that_acknowledge_commits(self, count):
+        """Guards against changes of primary that lose commits that replicas hold."""
+        service = {**CONFIG["services"][0], "sync_replicas": count}
+        config = decode_config(encode(CONFIG, services=[service]))
+        assert config.services["s"].sync_replicas == count
+
     def test_regions(self):
         tenant = {**CONFIG["tenants"][0], "allowed_regions": ["north"]}
         route = {**ROUTE, "allowed_regions": ["north", "south"]}
