Keep to the grace period and the lock where the new waits are long

A failure while a daemon leaves the member list would have kept its process until it is killed; it is logged, and the process ends. An entry at another revision than expected was taken for one that an earlier try had removed; the mirror tells that now. With no instance answering, the question to the old primary came between two writes of the record that were nearly as far apart as a takeover; the lock is verified before it.

--- a/bronzerelay/pooler/daemon.py
+++ b/bronzerelay/pooler/daemon.py
@@ -639,7 +639,13 @@
         self._wait_until_unused(started_ms + END_FRACTION * grace_ms)
         self._stop_signals.ended.set()
         self._wait_until_unused(started_ms + EXIT_FRACTION * grace_ms)
-        self._leave(started_ms + LEAVE_FRACTION * grace_ms)
+        try:
+            self._leave(started_ms + LEAVE_FRACTION * grace_ms)
+        except Exception:
+            # The process has to end in the grace period, whatever fails here.
+            self.log.write(
+                "daemon", "Leaving the list failed.", trace=traceback.format_exc()
+            )
         self.log.write(
             "daemon",
             "The daemon has stopped.",
--- a/bronzerelay/pooler/members.py
+++ b/bronzerelay/pooler/members.py
@@ -9,7 +9,7 @@
 from bronzerelay.pooler.contacts import Peer
 from bronzerelay.pooler.events import EventLog
 from bronzerelay.pooler.gossip import Gossip
-from bronzerelay.pooler.mirror import ConflictError, Item, Mirror, StoreError
+from bronzerelay.pooler.mirror import Item, Mirror, StoreError
 from bronzerelay.pooler.primaryguard import LEASE_MARGIN_MS, LEASE_MS
 from bronzerelay.pooler.texts import list_some
 from bronzerelay.rendezvous import rank
@@ -269,7 +269,8 @@
         """
         key = MEMBER_PREFIX + self._own.name
         error_text = ""
-        while self._mirror.get(key) is not None:
+        # A try without an answer may have removed it, which the mirror shows.
+        while (item := self._mirror.get(key)) is not None:
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0:
                 self._log.write(
@@ -278,27 +279,16 @@
                     error=error_text,
                 )
                 return
-            error_text = self._remove_own(key, min(left_ms, LEAVE_TIMEOUT_MS))
-            if not error_text:
+            try:
+                self._mirror.compare_and_swap(
+                    {key: item.revision}, {}, [key], min(left_ms, LEAVE_TIMEOUT_MS)
+                )
                 break
-            self._runtime.sleep_ms(LEAVE_RETRY_MS)
+            except StoreError as error:
+                error_text = str(error)
+                self._runtime.sleep_ms(LEAVE_RETRY_MS)
         self._log.write("members", "This daemon has left the member list.")
 
-    def _remove_own(self, key: str, timeout_ms: float) -> str:
-        """Remove this daemon's entry; return why that failed, "" if it is removed."""
-        item = self._mirror.get(key)
-        if item is None:
-            return ""
-        expected = {key: item.revision}
-        try:
-            self._mirror.compare_and_swap(expected, {}, [key], timeout_ms)
-        except ConflictError:
-            # An earlier try without an answer has removed it.
-            return ""
-        except StoreError as error:
-            return str(error)
-        return ""
-
     # The others
 
     def update(self) -> dict[str, Peer] | None:
--- a/bronzerelay/pooler/primarychanges.py
+++ b/bronzerelay/pooler/primarychanges.py
@@ -622,6 +622,8 @@
             chosen = None if unanswered else self._choose(refused)
             entry = chosen[0] if chosen else unanswered
             if entry is None:
+                # Instances that don't answer have taken long by now.
+                self._verify_lock()
                 unreplaced = self._find_unreplaced_primary()
                 if unreplaced is not None:
                     return unreplaced
